--- /dev/null
+++ b/src/dragonflygap/cli/commands.hpp
@@ -0,0 +1,30 @@
+#pragma once
+
+#include <span>
+#include <string>
+#include <string_view>
+
+#include "dragonflygap/core/endpoint.hpp"
+
+namespace dragonflygap::cli
+{
+
+inline constexpr int exit_ok = 0;
+inline constexpr int exit_failed = 1;      ///< The server refused.
+inline constexpr int exit_usage = 2;       ///< The command is wrong, nothing was sent.
+inline constexpr int exit_unreachable = 3; ///< No answer from the server.
+inline constexpr int exit_conflict = 4;    ///< Another operator was faster.
+
+struct command_options
+{
+    endpoint m_server;
+    bool m_json = false;
+};
+
+/// Runs one command and prints its result; gives the process's exit code.
+int run_command(const command_options& options, std::span<const std::string> words);
+
+/// What the commands are, with examples.
+std::string_view usage();
+
+} // namespace dragonflygap::cli
--- /dev/null
+++ b/src/dragonflygap/cli/table.cpp
@@ -0,0 +1,87 @@
+#include "dragonflygap/cli/table.hpp"
+
+#include <algorithm>
+#include <vector>
+
+#include <nlohmann/json.hpp>
+
+namespace dragonflygap::cli
+{
+
+namespace
+{
+
+using row = std::vector<std::string>;
+
+constexpr std::size_t column_gap = 2;
+
+std::string cell_text(const nlohmann::json& value)
+{
+    if (value.is_string())
+        return value.get<std::string>();
+    if (value.is_array())
+        return std::to_string(value.size());
+    return value.dump();
+}
+
+std::string format_rows(const std::vector<row>& rows)
+{
+    std::vector<std::size_t> widths;
+    for (const auto& line : rows)
+    {
+        widths.resize(std::max(widths.size(), line.size()));
+        for (std::size_t i = 0; i < line.size(); ++i)
+            widths[i] = std::max(widths[i], line[i].size());
+    }
+    std::string text;
+    for (const auto& line : rows)
+    {
+        for (std::size_t i = 0; i < line.size(); ++i)
+        {
+            text += line[i];
+            if (i + 1 < line.size())
+                text.append(widths[i] - line[i].size() + column_gap, ' ');
+        }
+        text += '\n';
+    }
+    return text;
+}
+
+std::vector<row> rows_of_list(const nlohmann::json& list)
+{
+    std::vector<row> rows;
+    if (list.empty())
+        return {{"(none)"}};
+    row head;
+    for (const auto& [name, value] : list.front().items())
+        head.push_back(name);
+    rows.push_back(head);
+    for (const auto& item : list)
+    {
+        row line;
+        for (const auto& name : head)
+            line.push_back(item.contains(name) ? cell_text(item[name]) : "");
+        rows.push_back(line);
+    }
+    return rows;
+}
+
+} // namespace
+
+std::string format_table(const nlohmann::json& value)
+{
+    if (value.is_array())
+        return format_rows(rows_of_list(value));
+    std::vector<row> rows;
+    std::string lists;
+    for (const auto& [name, item] : value.items())
+    {
+        if (item.is_array())
+            lists += "\n" + name + ":\n" + format_rows(rows_of_list(item));
+        else
+            rows.push_back({name, cell_text(item)});
+    }
+    return format_rows(rows) + lists;
+}
+
+} // namespace dragonflygap::cli
--- /dev/null
+++ b/src/dragonflygap/cli/table.hpp
@@ -0,0 +1,13 @@
+#pragma once
+
+#include <string>
+
+#include <nlohmann/json_fwd.hpp>
+
+namespace dragonflygap::cli
+{
+
+/// A JSON list as a table with a column for each member, an object as lines of name and value.
+std::string format_table(const nlohmann::json& value);
+
+} // namespace dragonflygap::cli
--- /dev/null
+++ b/src/dragonflygap/config/follower.cpp
@@ -0,0 +1,25 @@
+#include "dragonflygap/config/follower.hpp"
+
+#include <utility>
+
+namespace dragonflygap::config
+{
+
+follower::follower()
+{
+    m_in_force.m_text = default_document();
+    m_in_force.m_document = parse_document(m_in_force.m_text).value();
+}
+
+bool follower::offer(std::uint64_t version, const std::string& text)
+{
+    if (version <= m_in_force.m_version)
+        return false;
+    auto parsed = parse_document(text);
+    if (!parsed)
+        return false;
+    m_in_force = {version, text, std::move(*parsed)};
+    return true;
+}
+
+} // namespace dragonflygap::config
--- /dev/null
+++ b/src/dragonflygap/config/settings.cpp
@@ -0,0 +1,79 @@
+#include "dragonflygap/config/settings.hpp"
+
+#include <utility>
+
+#include <nlohmann/json.hpp>
+
+#include "dragonflygap/schemas.hpp"
+
+namespace dragonflygap::config
+{
+
+namespace
+{
+
+class endpoint_reader
+{
+public:
+    explicit endpoint_reader(std::vector<fault>& faults) : m_faults(faults) {}
+
+    void read(const nlohmann::json& object, const char* name, const std::string& path, endpoint& to)
+    {
+        if (!object.contains(name))
+            return;
+        const auto text = object[name].get<std::string>();
+        const auto parsed = parse_endpoint(text);
+        if (parsed)
+            to = *parsed;
+        else
+            m_faults.push_back({path + "." + name, "'" + text + "' is no IP number and port"});
+    }
+
+private:
+    std::vector<fault>& m_faults;
+};
+
+peer_settings read_peer(const nlohmann::json& object, const std::string& path,
+                        endpoint_reader& endpoints)
+{
+    peer_settings peer{.m_vm = vm_id(object["vm"].get<std::string>()),
+                       .m_data_centre = data_centre_id(object["data_centre"].get<std::string>())};
+    endpoints.read(object, "address", path, peer.m_address);
+    return peer;
+}
+
+} // namespace
+
+tl::expected<settings, std::vector<fault>> parse_settings(std::string_view text)
+{
+    nlohmann::json document;
+    auto faults = parse_and_check(text, schemas::settings, document);
+    if (!faults.empty())
+        return tl::make_unexpected(faults);
+    settings result;
+    endpoint_reader endpoints(faults);
+    result.m_vm = vm_id(document["vm"].get<std::string>());
+    result.m_data_centre = data_centre_id(document["data_centre"].get<std::string>());
+    endpoints.read(document, "caller_listen", "$", result.m_caller_listen);
+    endpoints.read(document, "operator_listen", "$", result.m_operator_listen);
+    endpoints.read(document, "peer_listen", "$", result.m_peer_listen);
+    const auto peers = document.value("peers", nlohmann::json::array());
+    for (std::size_t i = 0; i < peers.size(); ++i)
+        result.m_peers.push_back(
+            read_peer(peers[i], "$.peers[" + std::to_string(i) + "]", endpoints));
+    const auto platform = document.value("platform", nlohmann::json::object());
+    if (platform.contains("address"))
+    {
+        result.m_platform.emplace();
+        endpoints.read(platform, "address", "$.platform", *result.m_platform);
+    }
+    result.m_log_level = log_level_from_string(document.value("log_level", "info"));
+    result.m_history = document.value("history", false);
+    result.m_max_body_bytes = document.value("max_body_bytes", result.m_max_body_bytes);
+    result.m_drain = std::chrono::seconds(document.value("drain_seconds", 30));
+    if (!faults.empty())
+        return tl::make_unexpected(faults);
+    return result;
+}
+
+} // namespace dragonflygap::config
--- /dev/null
+++ b/src/dragonflygap/config/settings.hpp
@@ -0,0 +1,46 @@
+#pragma once
+
+#include <cstddef>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include <tl/expected.hpp>
+
+#include "dragonflygap/config/schema_check.hpp"
+#include "dragonflygap/core/endpoint.hpp"
+#include "dragonflygap/core/identifier.hpp"
+#include "dragonflygap/core/time.hpp"
+#include "dragonflygap/observe/log.hpp"
+
+namespace dragonflygap::config
+{
+
+struct peer_settings
+{
+    vm_id m_vm;
+    data_centre_id m_data_centre;
+    endpoint m_address;
+};
+
+/// What one daemon is told at its start; schemas/settings.schema.json describes the document.
+struct settings
+{
+    vm_id m_vm{"entry-1"};
+    data_centre_id m_data_centre{"local"};
+    endpoint m_caller_listen{"127.0.0.1", 8080};
+    endpoint m_operator_listen{"127.0.0.1", 8081};
+    endpoint m_peer_listen{"127.0.0.1", 8082};
+    std::vector<peer_settings> m_peers;
+    std::optional<endpoint> m_platform; ///< Nothing: the embedded platform.
+    log_level m_log_level = log_level::info;
+    bool m_history = false;
+    std::size_t m_max_body_bytes = 1 << 20;
+    duration m_drain = 30s;
+};
+
+/// Reads settings; all faults are reported, each with its path.
+tl::expected<settings, std::vector<fault>> parse_settings(std::string_view text);
+
+} // namespace dragonflygap::config
--- /dev/null
+++ b/src/dragonflygap/core/time.hpp
@@ -0,0 +1,34 @@
+#pragma once
+
+#include <chrono>
+
+namespace dragonflygap
+{
+
+/// Time of one process, never set back; instants of two processes can't be compared.
+struct monotonic_clock
+{
+    using duration = std::chrono::microseconds;
+    using rep = duration::rep;
+    using period = duration::period;
+    using time_point = std::chrono::time_point<monotonic_clock, duration>;
+    static constexpr bool is_steady = true;
+
+    /// Current instant. For adapters only: decision modules are given their time.
+    static time_point now();
+};
+
+using duration = monotonic_clock::duration;
+using instant = monotonic_clock::time_point;
+
+using std::chrono_literals::operator""ms;
+using std::chrono_literals::operator""s;
+using std::chrono_literals::operator""us;
+
+/// Whole milliseconds of a duration, rounded down.
+constexpr long long to_ms(duration value)
+{
+    return std::chrono::duration_cast<std::chrono::milliseconds>(value).count();
+}
+
+} // namespace dragonflygap
--- /dev/null
+++ b/src/dragonflygap/daemon/control_task.cpp
@@ -0,0 +1,291 @@
+#include "dragonflygap/daemon/control_task.hpp"
+
+#include <map>
+#include <utility>
+#include <vector>
+
+#include <nlohmann/json.hpp>
+
+#include "dragonflygap/daemon/config_driver.hpp"
+#include "dragonflygap/daemon/job_driver.hpp"
+#include "dragonflygap/daemon/member_driver.hpp"
+#include "dragonflygap/daemon/operator_api.hpp"
+#include "dragonflygap/daemon/ownership_driver.hpp"
+#include "dragonflygap/net/event_loop.hpp"
+#include "dragonflygap/net/http_server.hpp"
+#include "dragonflygap/observe/log.hpp"
+#include "dragonflygap/observe/metrics.hpp"
+#include "dragonflygap/platform/http_platform.hpp"
+
+namespace dragonflygap::daemon
+{
+
+namespace
+{
+
+constexpr duration vm_list_interval = 1s;
+
+} // namespace
+
+class control_task::state
+{
+public:
+    state(event_loop& loop, const http_transport& to_platform, metrics& counted,
+          control_task_options options)
+        : m_loop(loop),
+          m_options(std::move(options)),
+          m_platform{.m_address = m_options.m_platform, .m_transport = to_platform},
+          m_vm_list(platform::make_http_vm_list(m_platform)),
+          m_members(loop, member_options()),
+          m_config(loop, platform::make_http_table(m_platform),
+                   [this](const config::versioned_document& changed) { on_config(changed); }),
+          m_ownership(loop, platform::make_http_table(m_platform), keeper_options(),
+                      [this](const auto& epochs) { on_groups(epochs); }),
+          m_jobs(loop, platform::make_http_table(m_platform),
+                 platform::make_http_workers(m_platform),
+                 {.m_vm = m_options.m_settings.m_vm,
+                  .m_incarnation = m_options.m_incarnation,
+                  .m_history = m_options.m_settings.m_history}),
+          m_api(api_options(counted)),
+          m_server(loop, {.m_listen = m_options.m_settings.m_operator_listen,
+                          .m_handler =
+                              [this](const http_request& request, const http_exchange_ptr& exchange)
+                          { answer_operator(m_api, request, exchange); }})
+    {
+        m_vm_timer = m_loop.every(vm_list_interval, [this] { poll_vms(); });
+        m_loop.post(
+            [this]
+            {
+                on_config(m_config.in_force());
+                poll_vms();
+            });
+    }
+
+    std::uint16_t operator_port() const { return m_server.port(); }
+
+    void handle(control_message message)
+    {
+        std::visit([this](auto&& what) { on(std::move(what)); }, std::move(message));
+    }
+
+private:
+    member_driver_options member_options()
+    {
+        return {.m_settings = &m_options.m_settings,
+                .m_incarnation = m_options.m_incarnation,
+                .m_fill_heartbeat = [this](cluster::heartbeat& beat) { fill(beat); },
+                .m_on_members = [this] { on_members(); },
+                .m_on_message = [this](cluster::message message)
+                { on_message(std::move(message)); }};
+    }
+
+    ownership::keeper_options keeper_options() const
+    {
+        return {.m_vm = m_options.m_settings.m_vm,
+                .m_data_centre = m_options.m_settings.m_data_centre,
+                .m_incarnation = m_options.m_incarnation};
+    }
+
+    operator_api_options api_options(const metrics& counted)
+    {
+        return {.m_vm = m_options.m_settings.m_vm,
+                .m_metrics = &counted,
+                .m_config = &m_config,
+                .m_jobs = &m_jobs,
+                .m_members = &m_members,
+                .m_ready = [this] { return ready(); },
+                .m_status = [this] { return status(); },
+                .m_workers = [this] { return workers(); },
+                .m_drain = [this] { begin_stop(); }};
+    }
+
+    bool ready() const { return !m_stopping && m_vms_known; }
+
+    void fill(cluster::heartbeat& beat) const
+    {
+        beat.m_leaving = m_stopping;
+        beat.m_config_version = m_config.in_force().m_version;
+        beat.m_groups_owned = static_cast<std::uint32_t>(m_epochs.size());
+        beat.m_load = m_load;
+    }
+
+    void on_members()
+    {
+        request::peers_changed changed;
+        for (const auto& [vm, member] : m_members.members().members())
+        {
+            m_config.on_peer_version(member.m_config_version);
+            if (member.m_status != cluster::member_status::alive)
+                continue;
+            changed.m_peers.push_back({.m_vm = vm,
+                                       .m_data_centre = member.m_data_centre,
+                                       .m_free_slots = member.m_load.m_free_slots,
+                                       .m_heard = member.m_last_heard});
+        }
+        m_options.m_to_requests(std::move(changed));
+    }
+
+    void on_message(cluster::message message)
+    {
+        if (const auto* update = std::get_if<cluster::config_update>(&message.m_body))
+            return m_config.offer(update->m_version, update->m_text);
+        m_options.m_to_requests(
+            request::from_peer{message.m_from, message.m_incarnation, std::move(message.m_body)});
+    }
+
+    void on_config(const config::versioned_document& changed)
+    {
+        m_options.m_to_requests(
+            request::classes_changed{changed.m_document.m_classes, changed.m_document.m_callers});
+        if (changed.m_version != 0)
+            m_members.send_to_all(cluster::config_update{changed.m_version, changed.m_text});
+    }
+
+    void on_groups(const std::map<ownership::group_index, std::uint64_t>& epochs)
+    {
+        m_epochs = epochs;
+        publish_workers();
+    }
+
+    void poll_vms()
+    {
+        m_vm_list.m_list(
+            [this](outcome<std::vector<platform::worker>> list)
+            {
+                if (!list)
+                    return;
+                m_vms_known = true;
+                m_workers = std::move(*list);
+                publish_workers();
+            });
+    }
+
+    void publish_workers()
+    {
+        request::targets_changed targets;
+        std::vector<placement::owned_worker> owned;
+        for (const auto& worker : m_workers)
+        {
+            const auto epoch = m_epochs.find(ownership::group_of(worker.m_id));
+            if (worker.m_data_centre != m_options.m_settings.m_data_centre ||
+                epoch == m_epochs.end())
+                continue;
+            owned.push_back({worker, epoch->second});
+            for (const auto& executor : worker.m_executors)
+                targets.m_targets.push_back({.m_id = executor.m_id,
+                                             .m_worker = worker.m_id,
+                                             .m_address = executor.m_address,
+                                             .m_slots = executor.m_slots,
+                                             .m_connections = executor.m_connections,
+                                             .m_leaving = worker.m_leaving});
+        }
+        m_jobs.set_workers(std::move(owned));
+        m_options.m_to_requests(std::move(targets));
+    }
+
+    void on(load_changed message) { m_load = std::move(message.m_load); }
+
+    void on(to_peer message) { m_members.send(message.m_peer, std::move(message.m_body)); }
+
+    void on(const stop_requested& /*message*/) { begin_stop(); }
+
+    void begin_stop()
+    {
+        if (std::exchange(m_stopping, true))
+            return;
+        log_event(log_level::info, "draining", {});
+        m_members.send_heartbeats();
+        m_options.m_to_requests(request::start_draining{});
+        m_drain_timer = m_loop.after(m_options.m_settings.m_drain, [this] { finish_stop(); });
+    }
+
+    void on(const requests_drained& /*message*/)
+    {
+        if (m_stopping)
+            finish_stop();
+    }
+
+    void finish_stop()
+    {
+        if (std::exchange(m_stopped, true))
+            return;
+        m_ownership.leave();
+        // Time for the keeper to hand its groups over and for answers to leave the sockets.
+        constexpr duration hand_over = 1500ms;
+        m_drain_timer = m_loop.after(hand_over, m_options.m_on_stopped);
+    }
+
+    std::string status() const
+    {
+        return nlohmann::json{{"vm", m_options.m_settings.m_vm.m_value},
+                              {"data_centre", m_options.m_settings.m_data_centre.m_value},
+                              {"ready", ready()},
+                              {"draining", m_stopping},
+                              {"config_version", m_config.in_force().m_version},
+                              {"groups_owned", m_epochs.size()},
+                              {"slots", m_load.m_slots},
+                              {"free_slots", m_load.m_free_slots},
+                              {"jobs", m_jobs.manager().jobs().size()}}
+            .dump();
+    }
+
+    std::string workers() const
+    {
+        auto list = nlohmann::json::array();
+        for (const auto& worker : m_workers)
+        {
+            const auto epoch = m_epochs.find(ownership::group_of(worker.m_id));
+            const bool owned = worker.m_data_centre == m_options.m_settings.m_data_centre &&
+                               epoch != m_epochs.end();
+            const auto committed = m_jobs.manager().placements().committed(worker.m_id);
+            list.push_back({{"id", worker.m_id.m_value},
+                            {"data_centre", worker.m_data_centre.m_value},
+                            {"rack", worker.m_rack.m_value},
+                            {"leaving", worker.m_leaving},
+                            {"owned", owned},
+                            {"epoch", owned ? epoch->second : 0},
+                            {"millicores", worker.m_capacity.m_millicores},
+                            {"committed_millicores", committed.m_millicores}});
+        }
+        return list.dump();
+    }
+
+    event_loop& m_loop;
+    control_task_options m_options;
+    platform::http_platform_options m_platform;
+    platform::vm_list_port m_vm_list;
+    cluster::load_digest m_load;
+    std::map<ownership::group_index, std::uint64_t> m_epochs;
+    std::vector<platform::worker> m_workers;
+    bool m_vms_known = false;
+    bool m_stopping = false;
+    bool m_stopped = false;
+    member_driver m_members;
+    config_driver m_config;
+    ownership_driver m_ownership;
+    job_driver m_jobs;
+    operator_api_options m_api;
+    http_server m_server;
+    event_loop::timer_ptr m_vm_timer;
+    event_loop::timer_ptr m_drain_timer;
+};
+
+control_task::control_task(event_loop& loop, http_transport to_platform, metrics& counted,
+                           control_task_options options)
+    : m_state(std::make_unique<state>(loop, to_platform, counted, std::move(options)))
+{
+}
+
+control_task::~control_task() = default;
+
+void control_task::handle(control_message message)
+{
+    m_state->handle(std::move(message));
+}
+
+std::uint16_t control_task::operator_port() const
+{
+    return m_state->operator_port();
+}
+
+} // namespace dragonflygap::daemon
--- /dev/null
+++ b/src/dragonflygap/daemon/control_task.hpp
@@ -0,0 +1,74 @@
+#pragma once
+
+#include <functional>
+#include <memory>
+#include <variant>
+
+#include "dragonflygap/cluster/message.hpp"
+#include "dragonflygap/config/settings.hpp"
+#include "dragonflygap/net/transport.hpp"
+#include "dragonflygap/request/request_task.hpp"
+
+namespace dragonflygap
+{
+
+class event_loop;
+class metrics;
+
+namespace daemon
+{
+
+/// The request task's newest load, for the heartbeats.
+struct load_changed
+{
+    cluster::load_digest m_load;
+};
+/// A message of the request task for a peer.
+struct to_peer
+{
+    vm_id m_peer;
+    cluster::body m_body;
+};
+/// No request is left in the request task.
+struct requests_drained
+{
+};
+/// The process was told to end.
+struct stop_requested
+{
+};
+/// What other tasks tell the control task.
+using control_message = std::variant<load_changed, to_peer, requests_drained, stop_requested>;
+
+struct control_task_options
+{
+    config::settings m_settings;
+    std::uint64_t m_incarnation = 0;
+    endpoint m_platform;
+    std::function<void(request::request_message)> m_to_requests;
+    std::function<void()> m_on_stopped; ///< Everything was handed over; end the process.
+};
+
+/// The task that acts with the other nodes: members, ownership, configuration, jobs, operators.
+class control_task
+{
+public:
+    control_task(event_loop& loop, http_transport to_platform, metrics& counted,
+                 control_task_options options);
+    ~control_task();
+    control_task(const control_task&) = delete;
+    control_task& operator=(const control_task&) = delete;
+
+    /// Only from the task's own loop; others use a mailbox.
+    void handle(control_message message);
+
+    std::uint16_t operator_port() const;
+
+private:
+    class state;
+    std::unique_ptr<state> m_state;
+};
+
+} // namespace daemon
+
+} // namespace dragonflygap
--- /dev/null
+++ b/src/dragonflygap/daemon/member_driver.cpp
@@ -0,0 +1,101 @@
+#include "dragonflygap/daemon/member_driver.hpp"
+
+#include <utility>
+#include <vector>
+
+#include "dragonflygap/cluster/codec.hpp"
+#include "dragonflygap/observe/log.hpp"
+
+namespace dragonflygap::daemon
+{
+
+namespace
+{
+
+std::vector<cluster::member> peers_of(const config::settings& settings)
+{
+    std::vector<cluster::member> peers;
+    for (const auto& peer : settings.m_peers)
+        peers.push_back({.m_vm = peer.m_vm, .m_data_centre = peer.m_data_centre});
+    return peers;
+}
+
+} // namespace
+
+member_driver::member_driver(event_loop& loop, member_driver_options options)
+    : m_loop(loop),
+      m_options(std::move(options)),
+      m_membership({.m_self = m_options.m_settings->m_vm}, peers_of(*m_options.m_settings)),
+      m_link(loop, {.m_listen = m_options.m_settings->m_peer_listen,
+                    .m_on_message = [this](std::string_view bytes) { on_bytes(bytes); }})
+{
+    for (const auto& peer : m_options.m_settings->m_peers)
+        m_link.add(peer.m_vm, peer.m_address);
+    m_timer = m_loop.every(m_options.m_heartbeat_every, [this] { tick(); });
+}
+
+void member_driver::tick()
+{
+    send_heartbeats();
+    run(cluster::membership_tick{});
+}
+
+void member_driver::send_heartbeats()
+{
+    cluster::heartbeat beat{.m_sequence = ++m_sequence,
+                            .m_data_centre = m_options.m_settings->m_data_centre,
+                            .m_heard = m_membership.heard(monotonic_clock::now())};
+    m_options.m_fill_heartbeat(beat);
+    send_to_all(beat);
+}
+
+bool member_driver::send(const vm_id& peer, cluster::body body)
+{
+    return m_link.send(peer, cluster::encode({.m_from = m_options.m_settings->m_vm,
+                                              .m_incarnation = m_options.m_incarnation,
+                                              .m_body = std::move(body)}));
+}
+
+void member_driver::send_to_all(const cluster::body& body)
+{
+    const auto bytes = cluster::encode({.m_from = m_options.m_settings->m_vm,
+                                        .m_incarnation = m_options.m_incarnation,
+                                        .m_body = body});
+    for (const auto& [vm, member] : m_membership.members())
+        m_link.send(vm, bytes);
+}
+
+void member_driver::on_bytes(std::string_view bytes)
+{
+    auto message = cluster::decode(bytes);
+    if (!message)
+    {
+        log_event(log_level::warning, "peer_message_unreadable", {{"bytes", bytes.size()}});
+        return;
+    }
+    if (const auto* beat = std::get_if<cluster::heartbeat>(&message->m_body))
+    {
+        run(cluster::heartbeat_received{message->m_from, message->m_incarnation, *beat});
+        m_options.m_on_members();
+        return;
+    }
+    m_options.m_on_message(std::move(*message));
+}
+
+void member_driver::run(const cluster::membership_event& event)
+{
+    for (const auto& action : m_membership.handle(event, monotonic_clock::now()))
+    {
+        if (const auto* redial = std::get_if<cluster::redial_peer>(&action))
+        {
+            m_link.redial(redial->m_vm);
+            continue;
+        }
+        const auto& changed = std::get<cluster::member_changed>(action);
+        log_event(log_level::info, "member_changed",
+                  {{"peer", changed.m_vm.m_value}, {"status", to_string(changed.m_status)}});
+        m_options.m_on_members();
+    }
+}
+
+} // namespace dragonflygap::daemon
--- /dev/null
+++ b/src/dragonflygap/daemon/member_driver.hpp
@@ -0,0 +1,54 @@
+#pragma once
+
+#include <functional>
+#include <memory>
+
+#include "dragonflygap/cluster/membership.hpp"
+#include "dragonflygap/config/settings.hpp"
+#include "dragonflygap/net/event_loop.hpp"
+#include "dragonflygap/net/peer_link.hpp"
+
+namespace dragonflygap::daemon
+{
+
+struct member_driver_options
+{
+    const config::settings* m_settings = nullptr;
+    std::uint64_t m_incarnation = 0;
+    duration m_heartbeat_every = 500ms;
+    /// Fills in what other parts know: load, versions, leaving.
+    std::function<void(cluster::heartbeat&)> m_fill_heartbeat;
+    /// Called after every heartbeat and every change of a member.
+    std::function<void()> m_on_members;
+    /// Called for every message that isn't a heartbeat.
+    std::function<void(cluster::message)> m_on_message;
+};
+
+/// Runs membership over the peer link: sends heartbeats, receives messages, redials silent peers.
+class member_driver
+{
+public:
+    member_driver(event_loop& loop, member_driver_options options);
+
+    /// False if the message was certainly not sent.
+    bool send(const vm_id& peer, cluster::body body);
+    void send_to_all(const cluster::body& body);
+    void send_heartbeats();
+
+    const cluster::membership& members() const { return m_membership; }
+    const peer_link& link() const { return m_link; }
+
+private:
+    void on_bytes(std::string_view bytes);
+    void tick();
+    void run(const cluster::membership_event& event);
+
+    event_loop& m_loop;
+    member_driver_options m_options;
+    cluster::membership m_membership;
+    std::uint64_t m_sequence = 0;
+    peer_link m_link;
+    event_loop::timer_ptr m_timer;
+};
+
+} // namespace dragonflygap::daemon
--- /dev/null
+++ b/src/dragonflygap/daemon/ownership_driver.cpp
@@ -0,0 +1,50 @@
+#include "dragonflygap/daemon/ownership_driver.hpp"
+
+#include <utility>
+
+#include "dragonflygap/observe/log.hpp"
+
+namespace dragonflygap::daemon
+{
+
+namespace
+{
+
+constexpr duration tick_interval = 100ms;
+
+} // namespace
+
+ownership_driver::ownership_driver(event_loop& loop, platform::table_port table,
+                                   ownership::keeper_options options, groups_hook on_groups)
+    : m_table(std::move(table)),
+      m_keeper(std::move(options)),
+      m_on_groups(std::move(on_groups)),
+      m_timer(loop.every(tick_interval, [this] { run(ownership::keeper_tick{}); }))
+{
+}
+
+void ownership_driver::run(const ownership::keeper_event& event)
+{
+    for (const auto& action : m_keeper.handle(event, monotonic_clock::now()))
+        std::visit([this](const auto& what) { act(what); }, action);
+}
+
+void ownership_driver::act(const ownership::scan_rows& action)
+{
+    m_table.m_scan(action.m_prefix, [this](outcome<std::vector<platform::row>> rows)
+                   { run(ownership::rows_scanned{std::move(rows)}); });
+}
+
+void ownership_driver::act(const ownership::commit_rows& action)
+{
+    m_table.m_commit(action.m_writes, [this](outcome<platform::commit_result> result)
+                     { run(ownership::commit_finished{std::move(result)}); });
+}
+
+void ownership_driver::act(const ownership::groups_changed& action)
+{
+    log_event(log_level::info, "groups_changed", {{"owned", action.m_epochs.size()}});
+    m_on_groups(action.m_epochs);
+}
+
+} // namespace dragonflygap::daemon
--- /dev/null
+++ b/src/dragonflygap/daemon/ownership_driver.hpp
@@ -0,0 +1,38 @@
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <map>
+
+#include "dragonflygap/net/event_loop.hpp"
+#include "dragonflygap/ownership/keeper.hpp"
+#include "dragonflygap/platform/table.hpp"
+
+namespace dragonflygap::daemon
+{
+
+/// Runs the ownership keeper against the platform's table.
+class ownership_driver
+{
+public:
+    using groups_hook = std::function<void(const std::map<ownership::group_index, std::uint64_t>&)>;
+
+    ownership_driver(event_loop& loop, platform::table_port table,
+                     ownership::keeper_options options, groups_hook on_groups);
+
+    void leave() { run(ownership::keeper_leaving{}); }
+    const ownership::keeper& keeper() const { return m_keeper; }
+
+private:
+    void run(const ownership::keeper_event& event);
+    void act(const ownership::scan_rows& action);
+    void act(const ownership::commit_rows& action);
+    void act(const ownership::groups_changed& action);
+
+    platform::table_port m_table;
+    ownership::keeper m_keeper;
+    groups_hook m_on_groups;
+    event_loop::timer_ptr m_timer;
+};
+
+} // namespace dragonflygap::daemon
--- /dev/null
+++ b/src/dragonflygap/emulator/executor_model.cpp
@@ -0,0 +1,52 @@
+#include "dragonflygap/emulator/executor_model.hpp"
+
+#include <algorithm>
+
+namespace dragonflygap::emulator
+{
+
+namespace
+{
+
+constexpr std::size_t kept_executions = 100000;
+
+} // namespace
+
+int executor_model::running(instant now) const
+{
+    std::erase_if(m_ends, [now](instant end) { return end <= now; });
+    return static_cast<int>(m_ends.size());
+}
+
+bool executor_model::start(const request_id& request, duration run_time, instant now)
+{
+    if (running(now) >= m_slots)
+        return false;
+    m_ends.push_back(now + run_time);
+    auto& execution = m_executions[request];
+    if (execution.m_starts++ == 0)
+        m_order.push_back(request);
+    execution.m_end = now + run_time;
+    if (m_order.size() > kept_executions)
+    {
+        m_executions.erase(m_order.front());
+        m_order.pop_front();
+    }
+    return true;
+}
+
+execution_state executor_model::state_of(const request_id& request, instant now) const
+{
+    const auto found = m_executions.find(request);
+    if (found == m_executions.end())
+        return execution_state::unknown;
+    return found->second.m_end <= now ? execution_state::done : execution_state::running;
+}
+
+int executor_model::starts_of(const request_id& request) const
+{
+    const auto found = m_executions.find(request);
+    return found == m_executions.end() ? 0 : found->second.m_starts;
+}
+
+} // namespace dragonflygap::emulator
--- /dev/null
+++ b/src/dragonflygap/emulator/worker_model.cpp
@@ -0,0 +1,95 @@
+#include "dragonflygap/emulator/worker_model.hpp"
+
+#include <algorithm>
+
+namespace dragonflygap::emulator
+{
+
+outcome<void> worker_model::check_epoch(std::uint64_t epoch)
+{
+    if (epoch < m_epoch)
+        return fail(verdict::not_run, reason::stale_epoch,
+                    "epoch " + std::to_string(epoch) + " is older than " + std::to_string(m_epoch));
+    m_epoch = epoch;
+    return {};
+}
+
+void worker_model::advance(instant now)
+{
+    for (auto& [id, task] : m_tasks)
+    {
+        if (task.m_report.m_state != platform::task_state::running)
+            continue;
+        if (task.m_finish <= now && task.m_finish <= task.m_lease_end)
+            task.m_report.m_state = platform::task_state::finished;
+        else if (task.m_lease_end <= now)
+            task.m_report.m_state = platform::task_state::stopped;
+    }
+}
+
+resources worker_model::committed() const
+{
+    resources sum;
+    for (const auto& [id, task] : m_tasks)
+        if (task.m_report.m_state == platform::task_state::running)
+            sum += task.m_report.m_size;
+    return sum;
+}
+
+outcome<platform::task_report> worker_model::start(const platform::start_task& what, instant now)
+{
+    advance(now);
+    if (const auto checked = check_epoch(what.m_epoch); !checked)
+        return tl::make_unexpected(checked.error());
+    if (const auto found = m_tasks.find(what.m_task); found != m_tasks.end())
+        return found->second.m_report; // started already: the first reply was lost
+    if (!(committed() + what.m_size).fits_in(m_capacity))
+        return fail(verdict::not_run, reason::no_room, "the worker has no room for the task");
+    auto& task = m_tasks[what.m_task];
+    task.m_report = {.m_task = what.m_task,
+                     .m_job = what.m_job,
+                     .m_state = platform::task_state::running,
+                     .m_size = what.m_size,
+                     .m_usage = what.m_size};
+    task.m_lease_end = now + what.m_lease;
+    task.m_finish = what.m_run_time == duration{} ? instant::max() : now + what.m_run_time;
+    return task.m_report;
+}
+
+outcome<std::vector<platform::task_report>> worker_model::renew(const platform::renew_leases& what,
+                                                                instant now)
+{
+    advance(now);
+    if (const auto checked = check_epoch(what.m_epoch); !checked)
+        return tl::make_unexpected(checked.error());
+    for (const auto& id : what.m_acknowledged)
+        std::erase_if(m_tasks,
+                      [&id](const auto& entry) {
+                          return entry.first == id &&
+                                 entry.second.m_report.m_state != platform::task_state::running;
+                      });
+    std::vector<platform::task_report> reports;
+    for (auto& [id, task] : m_tasks)
+    {
+        if (task.m_report.m_state == platform::task_state::running)
+            task.m_lease_end = now + what.m_lease;
+        reports.push_back(task.m_report);
+    }
+    return reports;
+}
+
+outcome<platform::task_report> worker_model::stop(std::uint64_t epoch, const task_id& task,
+                                                  instant now)
+{
+    advance(now);
+    if (const auto checked = check_epoch(epoch); !checked)
+        return tl::make_unexpected(checked.error());
+    const auto found = m_tasks.find(task);
+    if (found == m_tasks.end())
+        return fail(verdict::not_run, reason::not_found, "no such task on this worker");
+    if (found->second.m_report.m_state == platform::task_state::running)
+        found->second.m_report.m_state = platform::task_state::stopped;
+    return found->second.m_report;
+}
+
+} // namespace dragonflygap::emulator
--- /dev/null
+++ b/src/dragonflygap/net/http_server.cpp
@@ -0,0 +1,187 @@
+#include "dragonflygap/net/http_server.hpp"
+
+#include <stdexcept>
+#include <utility>
+
+#include <event2/buffer.h>
+#include <event2/http.h>
+#include <event2/http_struct.h>
+#include <event2/keyvalq_struct.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+
+#include <event2/bufferevent.h>
+
+#include "dragonflygap/net/event_loop.hpp"
+
+namespace dragonflygap
+{
+
+namespace
+{
+
+constexpr int idle_timeout_s = 600;
+
+const char* method_name(evhttp_cmd_type method)
+{
+    switch (method)
+    {
+    case EVHTTP_REQ_GET:
+        return "GET";
+    case EVHTTP_REQ_POST:
+        return "POST";
+    case EVHTTP_REQ_PUT:
+        return "PUT";
+    case EVHTTP_REQ_DELETE:
+        return "DELETE";
+    default:
+        return "OTHER";
+    }
+}
+
+std::string take_body(evhttp_request* request)
+{
+    evbuffer* buffer = evhttp_request_get_input_buffer(request);
+    std::string body(evbuffer_get_length(buffer), '\0');
+    evbuffer_remove(buffer, body.data(), body.size());
+    return body;
+}
+
+http_request read_request(evhttp_request* request)
+{
+    http_request result;
+    result.m_method = method_name(evhttp_request_get_command(request));
+    const evhttp_uri* uri = evhttp_request_get_evhttp_uri(request);
+    const char* path = evhttp_uri_get_path(uri);
+    if (path != nullptr)
+    {
+        size_t size = 0;
+        char* decoded = evhttp_uridecode(path, 0, &size);
+        result.m_path.assign(decoded == nullptr ? "" : decoded, decoded == nullptr ? 0 : size);
+        free(decoded);
+    }
+    const char* query = evhttp_uri_get_query(uri);
+    if (query != nullptr)
+        result.m_query = query;
+    for (const evkeyval* pair = evhttp_request_get_input_headers(request)->tqh_first;
+         pair != nullptr; pair = pair->next.tqe_next)
+        result.m_headers.push_back({pair->key, pair->value});
+    result.m_body = take_body(request);
+    return result;
+}
+
+class evhttp_exchange : public http_exchange
+{
+public:
+    explicit evhttp_exchange(evhttp_request* request) : m_request(request)
+    {
+        evhttp_connection* connection = evhttp_request_get_connection(request);
+        evhttp_connection_set_closecb(connection, &evhttp_exchange::closed, this);
+    }
+
+    ~evhttp_exchange() override
+    {
+        if (m_request != nullptr)
+            reply(
+                failure_response({verdict::may_have_run, reason::internal, "no answer was made"}));
+    }
+
+    void reply(const http_response& response) override
+    {
+        if (m_request == nullptr)
+            return;
+        evhttp_request* request = std::exchange(m_request, nullptr);
+        m_hangup = nullptr;
+        evhttp_connection_set_closecb(evhttp_request_get_connection(request), nullptr, nullptr);
+        for (const auto& header : response.m_headers)
+            evhttp_add_header(evhttp_request_get_output_headers(request), header.m_name.c_str(),
+                              header.m_value.c_str());
+        evbuffer_add(evhttp_request_get_output_buffer(request), response.m_body.data(),
+                     response.m_body.size());
+        evhttp_send_reply(request, response.m_status, nullptr, nullptr);
+    }
+
+    void on_hangup(std::function<void()> hook) override { m_hangup = std::move(hook); }
+
+private:
+    static void closed(evhttp_connection* /*connection*/, void* self)
+    {
+        auto* exchange = static_cast<evhttp_exchange*>(self);
+        exchange->m_request = nullptr;
+        const auto hook = std::exchange(exchange->m_hangup, nullptr);
+        if (hook)
+            hook();
+    }
+
+    evhttp_request* m_request;
+    std::function<void()> m_hangup;
+};
+
+void set_no_delay(evhttp_request* request)
+{
+    bufferevent* stream = evhttp_connection_get_bufferevent(evhttp_request_get_connection(request));
+    const int on = 1;
+    setsockopt(bufferevent_getfd(stream), IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
+}
+
+} // namespace
+
+struct http_server::state
+{
+    http_server_options m_options;
+    evhttp* m_http = nullptr;
+    evhttp_bound_socket* m_socket = nullptr;
+
+    static void handle(evhttp_request* request, void* self)
+    {
+        set_no_delay(request);
+        auto exchange = std::make_shared<evhttp_exchange>(request);
+        static_cast<state*>(self)->m_options.m_handler(read_request(request), exchange);
+    }
+};
+
+http_server::http_server(event_loop& loop, http_server_options options)
+    : m_state(std::make_unique<state>())
+{
+    m_state->m_options = std::move(options);
+    m_state->m_http = evhttp_new(loop.base());
+    evhttp_set_max_body_size(m_state->m_http,
+                             static_cast<ev_ssize_t>(m_state->m_options.m_max_body_bytes));
+    constexpr int max_headers_bytes = 16384;
+    evhttp_set_max_headers_size(m_state->m_http, max_headers_bytes);
+    evhttp_set_allowed_methods(m_state->m_http, EVHTTP_REQ_GET | EVHTTP_REQ_POST | EVHTTP_REQ_PUT |
+                                                    EVHTTP_REQ_DELETE);
+    evhttp_set_timeout(m_state->m_http, idle_timeout_s);
+    evhttp_set_gencb(m_state->m_http, &state::handle, m_state.get());
+    const auto& listen = m_state->m_options.m_listen;
+    m_state->m_socket =
+        evhttp_bind_socket_with_handle(m_state->m_http, listen.m_ip.c_str(), listen.m_port);
+    if (m_state->m_socket == nullptr)
+    {
+        evhttp_free(m_state->m_http);
+        throw std::runtime_error("can't listen on " + to_string(listen));
+    }
+}
+
+http_server::~http_server()
+{
+    evhttp_free(m_state->m_http);
+}
+
+std::uint16_t http_server::port() const
+{
+    sockaddr_in address{};
+    socklen_t size = sizeof address;
+    getsockname(evhttp_bound_socket_get_fd(m_state->m_socket),
+                reinterpret_cast<sockaddr*>(&address), &size);
+    return ntohs(address.sin_port);
+}
+
+void http_server::stop_accepting()
+{
+    if (m_state->m_socket != nullptr)
+        evhttp_del_accept_socket(m_state->m_http, std::exchange(m_state->m_socket, nullptr));
+}
+
+} // namespace dragonflygap
--- /dev/null
+++ b/src/dragonflygap/net/peer_link.hpp
@@ -0,0 +1,59 @@
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <string>
+#include <string_view>
+
+#include "dragonflygap/core/endpoint.hpp"
+#include "dragonflygap/core/identifier.hpp"
+
+namespace dragonflygap
+{
+
+class event_loop;
+
+struct peer_link_options
+{
+    endpoint m_listen;
+    std::size_t m_max_message_bytes = 4 << 20;
+    std::function<void(std::string_view message)> m_on_message;
+};
+
+/// Messages between entry VMs over nng: one pipe out to each peer, one socket in for all.
+///
+/// Messages to one peer keep their order while its pipe lives; a lost pipe loses what was in it.
+class peer_link
+{
+public:
+    /// Throws std::runtime_error if the address can't be bound.
+    peer_link(event_loop& loop, peer_link_options options);
+    ~peer_link();
+    peer_link(const peer_link&) = delete;
+    peer_link& operator=(const peer_link&) = delete;
+
+    /// Starts to dial a peer, and goes on until it is removed.
+    void add(const vm_id& peer, const endpoint& address);
+
+    void remove(const vm_id& peer);
+
+    /// Closes the pipe to a peer and dials anew: for a pipe that has gone silent.
+    void redial(const vm_id& peer);
+
+    /// False if the message was certainly not sent: no pipe, or the pipe is full.
+    bool send(const vm_id& peer, std::string_view message);
+
+    /// The port that was bound, also where the options asked for any (0).
+    std::uint16_t port() const;
+
+    /// Bytes sent and received since the start, without the framing of the transport.
+    std::uint64_t bytes_sent() const;
+    std::uint64_t bytes_received() const;
+
+private:
+    struct state;
+    std::unique_ptr<state> m_state;
+};
+
+} // namespace dragonflygap
--- /dev/null
+++ b/src/dragonflygap/observe/log.cpp
@@ -0,0 +1,117 @@
+#include "dragonflygap/observe/log.hpp"
+
+#include <atomic>
+
+#include <easylogging++.h>
+
+INITIALIZE_EASYLOGGINGPP
+
+namespace dragonflygap
+{
+
+namespace
+{
+
+std::atomic<log_level> least_level{log_level::warning};
+
+std::string& vm_name()
+{
+    static std::string name;
+    return name;
+}
+
+bool needs_quotes(std::string_view value)
+{
+    return value.empty() || value.find_first_of(" \t\r\n\"=") != std::string_view::npos;
+}
+
+void append_value(std::string& text, std::string_view value)
+{
+    if (!needs_quotes(value))
+    {
+        text += value;
+        return;
+    }
+    text += '"';
+    for (const char c : value)
+    {
+        if (c == '\n' || c == '\r')
+        {
+            text += "\\n";
+            continue;
+        }
+        if (c == '"' || c == '\\')
+            text += '\\';
+        text += c;
+    }
+    text += '"';
+}
+
+} // namespace
+
+void start_logging(log_level least, std::string_view vm)
+{
+    el::Configurations configuration;
+    configuration.setToDefault();
+    configuration.setGlobally(el::ConfigurationType::ToFile, "false");
+    configuration.setGlobally(el::ConfigurationType::ToStandardOutput, "true");
+    configuration.setGlobally(el::ConfigurationType::SubsecondPrecision, "6");
+    configuration.setGlobally(el::ConfigurationType::Format,
+                              "time=%datetime{%Y-%M-%dT%H:%m:%s.%g} level=%levshort %msg");
+    el::Loggers::reconfigureLogger("default", configuration);
+    vm_name() = vm;
+    least_level = least;
+}
+
+bool logs(log_level level)
+{
+    return level >= least_level.load(std::memory_order_relaxed);
+}
+
+std::string format_fields(std::initializer_list<log_field> fields)
+{
+    std::string text;
+    for (const auto& field : fields)
+    {
+        text += ' ';
+        text += field.m_key;
+        text += '=';
+        append_value(text, field.m_value);
+    }
+    return text;
+}
+
+void log_event(log_level level, std::string_view event, std::initializer_list<log_field> fields)
+{
+    if (!logs(level))
+        return;
+    std::string line = "vm=" + vm_name() + " event=";
+    line += event;
+    line += format_fields(fields);
+    switch (level)
+    {
+    case log_level::debug:
+    case log_level::info:
+        LOG(INFO) << line;
+        break;
+    case log_level::warning:
+        LOG(WARNING) << line;
+        break;
+    case log_level::error:
+        LOG(ERROR) << line;
+        break;
+    }
+}
+
+log_level log_level_from_string(std::string_view name)
+{
+    if (name == "debug")
+        return log_level::debug;
+    if (name == "warning")
+        return log_level::warning;
+    if (name == "error")
+        return log_level::error;
+    return log_level::info;
+}
+
+} // namespace dragonflygap
--- /dev/null
+++ b/src/dragonflygap/placement/job.hpp
@@ -0,0 +1,96 @@
+#pragma once
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include <nlohmann/json_fwd.hpp>
+#include <tl/expected.hpp>
+
+#include "dragonflygap/config/schema_check.hpp"
+#include "dragonflygap/core/identifier.hpp"
+#include "dragonflygap/core/resources.hpp"
+#include "dragonflygap/core/time.hpp"
+
+namespace dragonflygap::placement
+{
+
+enum class job_kind
+{
+    service, ///< Kept running; a lost task is started elsewhere.
+    batch,   ///< Tasks end by themselves.
+    gang,    ///< All tasks start together or none.
+};
+
+enum class spread_rule
+{
+    none,
+    worker,
+    rack,
+    data_centre,
+};
+
+struct job_rules
+{
+    data_centre_id m_data_centre; ///< Empty: any.
+    spread_rule m_spread = spread_rule::none;
+    std::string m_near;       ///< Name of a job; empty: none.
+    std::string m_apart_from; ///< Name of a job; empty: none.
+};
+
+/// What an operator submits; schemas/job.schema.json describes its text.
+struct job_spec
+{
+    job_id m_id; ///< Given at submission.
+    std::string m_name;
+    team_id m_team;
+    job_kind m_kind = job_kind::batch;
+    int m_count = 1;
+    bool m_urgent = false;
+    resources m_size;
+    duration m_expected{}; ///< 0: until stopped.
+    int m_max_attempts = 3;
+    job_rules m_rules;
+};
+
+enum class job_task_state
+{
+    waiting,
+    starting, ///< Sent to a worker, no answer yet.
+    running,
+    finished,
+    failed, ///< Out of attempts.
+};
+
+/// One task of a job. A task runs again only under a new attempt.
+struct job_task
+{
+    int m_index = 0;
+    int m_attempt = 0;
+    job_task_state m_state = job_task_state::waiting;
+    worker_id m_worker;
+};
+
+/// A job and what became of its tasks.
+struct job
+{
+    job_spec m_spec;
+    std::vector<job_task> m_tasks;
+};
+
+/// Name of a task at its worker: JOB/INDEX.ATTEMPT.
+task_id name_of(const job_id& job, const job_task& task);
+
+/// Reads a job; all faults are reported, each with its path.
+tl::expected<job_spec, std::vector<config::fault>> parse_job(std::string_view text);
+
+/// A new job with its tasks waiting.
+job make_job(job_spec spec);
+
+std::string_view to_string(job_kind kind);
+std::string_view to_string(job_task_state state);
+
+void to_json(nlohmann::json& to, const job& from);
+
+} // namespace dragonflygap::placement
--- /dev/null
+++ b/src/dragonflygap/platform/http_platform.cpp
@@ -0,0 +1,102 @@
+#include "dragonflygap/platform/http_platform.hpp"
+
+#include <memory>
+#include <utility>
+
+#include <nlohmann/json.hpp>
+
+#include "dragonflygap/platform/json_codec.hpp"
+
+namespace dragonflygap::platform
+{
+
+namespace
+{
+
+// Reads a 200 answer's body as T; anything else becomes a failure.
+template <class T>
+outcome<T> read_answer(outcome<http_response> answer)
+{
+    if (!answer)
+        return tl::make_unexpected(answer.error());
+    if (answer->m_status != 200)
+        return tl::make_unexpected(failure_of_response(*answer));
+    try
+    {
+        return nlohmann::json::parse(answer->m_body).get<T>();
+    }
+    catch (const nlohmann::json::exception& error)
+    {
+        return fail(verdict::may_have_run, reason::internal, error.what());
+    }
+}
+
+http_request json_post(std::string path, const nlohmann::json& body)
+{
+    return {.m_method = "POST", .m_path = std::move(path), .m_body = body.dump()};
+}
+
+template <class T, class Done>
+http_transport::done reading(Done done)
+{
+    return [done = std::move(done)](outcome<http_response> answer)
+    { done(read_answer<T>(std::move(answer))); };
+}
+
+} // namespace
+
+table_port make_http_table(const http_platform_options& options)
+{
+    return {
+        .m_scan =
+            [options](std::string prefix, read_done done)
+        {
+            http_request request{.m_path = "/table", .m_query = "prefix=" + prefix};
+            options.m_transport.m_send(options.m_address, std::move(request), options.m_timeout,
+                                       reading<std::vector<row>>(std::move(done)));
+        },
+        .m_commit =
+            [options](std::vector<row_write> writes, commit_done done)
+        {
+            options.m_transport.m_send(options.m_address, json_post("/table/commit", writes),
+                                       options.m_timeout, reading<commit_result>(std::move(done)));
+        },
+    };
+}
+
+vm_list_port make_http_vm_list(const http_platform_options& options)
+{
+    return {.m_list = [options](vm_list_done done)
+            {
+                options.m_transport.m_send(options.m_address, {.m_path = "/vms"}, options.m_timeout,
+                                           reading<std::vector<worker>>(std::move(done)));
+            }};
+}
+
+worker_port make_http_workers(const http_platform_options& options)
+{
+    return {
+        .m_start =
+            [options](const worker& to, const start_task& what, start_done done)
+        {
+            options.m_transport.m_send(to.m_address, json_post("/tasks/start", what),
+                                       options.m_timeout, reading<task_report>(std::move(done)));
+        },
+        .m_renew =
+            [options](const worker& to, const renew_leases& what, renew_done done)
+        {
+            options.m_transport.m_send(to.m_address, json_post("/tasks/renew", what),
+                                       options.m_timeout,
+                                       reading<std::vector<task_report>>(std::move(done)));
+        },
+        .m_stop =
+            [options](const worker& to, std::uint64_t epoch, const task_id& task, start_done done)
+        {
+            const nlohmann::json body{{"epoch", epoch}, {"task", task.m_value}};
+            options.m_transport.m_send(to.m_address, json_post("/tasks/stop", body),
+                                       options.m_timeout, reading<task_report>(std::move(done)));
+        },
+    };
+}
+
+} // namespace dragonflygap::platform
--- /dev/null
+++ b/src/dragonflygap/request/request_task.hpp
@@ -0,0 +1,74 @@
+#pragma once
+
+#include <functional>
+#include <memory>
+#include <variant>
+#include <vector>
+
+#include "dragonflygap/cluster/message.hpp"
+#include "dragonflygap/core/endpoint.hpp"
+#include "dragonflygap/net/transport.hpp"
+#include "dragonflygap/request/request.hpp"
+
+namespace dragonflygap
+{
+
+class event_loop;
+class metrics;
+
+namespace request
+{
+
+/// A message from a peer that concerns requests.
+struct from_peer
+{
+    vm_id m_from;
+    std::uint64_t m_incarnation = 0;
+    cluster::body m_body;
+};
+/// Take no further requests; what is queued goes to peers, what runs is waited for.
+struct start_draining
+{
+};
+/// What other tasks tell the request task.
+using request_message =
+    std::variant<targets_changed, classes_changed, peers_changed, from_peer, start_draining>;
+
+struct request_task_options
+{
+    vm_id m_vm;
+    std::uint64_t m_incarnation = 0;
+    endpoint m_listen;
+    std::size_t m_max_body_bytes = 1 << 20;
+    bool m_history = false;
+    /// Hands a message on to a peer, without knowing whether it arrives.
+    std::function<void(vm_id peer, cluster::body body)> m_to_peer;
+    /// Tells the control task what peers should know of the load.
+    std::function<void(cluster::load_digest load)> m_on_load;
+    /// Called once after start_draining, when no request is left.
+    std::function<void()> m_on_drained;
+};
+
+/// The task between callers and executors: owns their sockets and every request in flight.
+class request_task
+{
+public:
+    request_task(event_loop& loop, http_transport to_executors, metrics& counted,
+                 request_task_options options);
+    ~request_task();
+    request_task(const request_task&) = delete;
+    request_task& operator=(const request_task&) = delete;
+
+    /// Only from the task's own loop; others use a mailbox.
+    void handle(request_message message);
+
+    std::uint16_t port() const;
+
+private:
+    class state;
+    std::unique_ptr<state> m_state;
+};
+
+} // namespace request
+
+} // namespace dragonflygap
--- /dev/null
+++ b/tests/ownership/keeper_test.cpp
@@ -0,0 +1,103 @@
+#include "dragonflygap/ownership/keeper.hpp"
+
+#include "dragonflygap/emulator/table_store.hpp"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace dragonflygap;
+using namespace dragonflygap::ownership;
+
+namespace
+{
+
+/// A keeper whose calls are answered at once by a table.
+struct kept
+{
+    emulator::table_store& m_table;
+    keeper m_keeper;
+    bool m_table_up = true;
+
+    kept(emulator::table_store& table, const std::string& vm, std::uint64_t incarnation)
+        : m_table(table),
+          m_keeper({.m_vm = vm_id(vm),
+                    .m_data_centre = data_centre_id("d"),
+                    .m_incarnation = incarnation})
+    {
+    }
+
+    void run(const keeper_event& event, instant now)
+    {
+        for (const auto& action : m_keeper.handle(event, now))
+        {
+            if (const auto* scan = std::get_if<scan_rows>(&action))
+                run(m_table_up ? rows_scanned{m_table.scan(scan->m_prefix)}
+                               : rows_scanned{fail(verdict::not_run, reason::timeout, "")},
+                    now);
+            if (const auto* commit = std::get_if<commit_rows>(&action))
+                run(m_table_up ? commit_finished{m_table.commit(commit->m_writes)}
+                               : commit_finished{fail(verdict::may_have_run, reason::timeout, "")},
+                    now);
+        }
+    }
+
+    std::size_t owned() const { return m_keeper.owned().size(); }
+};
+
+constexpr duration step = 100ms;
+
+} // namespace
+
+TEST_GROUP(keeper)
+{
+    emulator::table_store m_table;
+    instant m_now{1000s};
+
+    void run(std::vector<kept*> keepers, duration length)
+    {
+        const auto end = m_now + length;
+        for (; m_now < end; m_now += step)
+            for (auto* one : keepers)
+                one->run(keeper_tick{}, m_now);
+    }
+};
+
+TEST(keeper, a_single_entry_vm_owns_every_group)
+{
+    kept a(m_table, "a", 1);
+    run({&a}, 2s);
+    CHECK_EQUAL(groups_per_data_centre, a.owned());
+}
+
+TEST(keeper, two_entry_vms_share_the_groups_and_no_group_has_two_owners)
+{
+    kept a(m_table, "a", 1);
+    kept b(m_table, "b", 1);
+    run({&a}, 2s);
+    run({&a, &b}, 10s);
+    CHECK(a.owned() > 0);
+    CHECK(b.owned() > 0);
+    CHECK_EQUAL(groups_per_data_centre, a.owned() + b.owned());
+}
+
+TEST(keeper, the_groups_of_a_dead_owner_are_taken_over_with_a_higher_epoch_within_10_s)
+{
+    kept a(m_table, "a", 1);
+    kept b(m_table, "b", 1);
+    run({&a, &b}, 5s);
+    const auto before = a.m_keeper.owned();
+    CHECK(!before.empty());
+    run({&b}, 10s);
+    CHECK_EQUAL(groups_per_data_centre, b.owned());
+    for (const auto& [group, epoch] : before)
+        CHECK(b.m_keeper.owned().at(group) > epoch);
+}
+
+TEST(keeper, an_owner_that_paused_through_its_lease_owns_nothing_when_it_wakes)
+{
+    kept a(m_table, "a", 1);
+    run({&a}, 2s);
+    m_now += 20s;
+    a.m_table_up = false;
+    a.run(keeper_tick{}, m_now);
+    CHECK_EQUAL(0, a.owned());
+}
