--- a/src/dragonflygap/daemon/control_task.cpp
+++ b/src/dragonflygap/daemon/control_task.cpp
@@ -65,7 +65,7 @@
 
     void handle(control_message message)
     {
-        std::visit([this](auto&& what) { on(std::move(what)); }, std::move(message));
+        std::visit([this](auto& what) { on(std::move(what)); }, message);
     }
 
 private:
@@ -270,7 +270,7 @@
     event_loop::timer_ptr m_drain_timer;
 };
 
-control_task::control_task(event_loop& loop, http_transport to_platform, metrics& counted,
+control_task::control_task(event_loop& loop, const http_transport& to_platform, metrics& counted,
                            control_task_options options)
     : m_state(std::make_unique<state>(loop, to_platform, counted, std::move(options)))
 {
--- a/src/dragonflygap/daemon/control_task.hpp
+++ b/src/dragonflygap/daemon/control_task.hpp
@@ -53,7 +53,7 @@
 class control_task
 {
 public:
-    control_task(event_loop& loop, http_transport to_platform, metrics& counted,
+    control_task(event_loop& loop, const http_transport& to_platform, metrics& counted,
                  control_task_options options);
     ~control_task();
     control_task(const control_task&) = delete;
--- a/src/dragonflygap/emulator/embedded_transport.cpp
+++ b/src/dragonflygap/emulator/embedded_transport.cpp
@@ -19,7 +19,7 @@
     embedded_caller(event_loop& loop, cell& answering) : m_loop(loop), m_cell(answering) {}
 
     http_transport::call_id send(const endpoint& to, const http_request& request, duration timeout,
-                                 http_transport::done on_done)
+                                 const http_transport::done& on_done)
     {
         const auto id = ++m_last_call;
         auto answer = m_cell.handle(to, request, monotonic_clock::now());
@@ -52,8 +52,8 @@
     auto caller = std::make_shared<embedded_caller>(loop, answering);
     return {
         .m_send = [caller](const endpoint& to, const http_request& request, duration timeout,
-                           http_transport::done on_done)
-        { return caller->send(to, request, timeout, std::move(on_done)); },
+                           const http_transport::done& on_done)
+        { return caller->send(to, request, timeout, on_done); },
         .m_cancel = [caller](http_transport::call_id call) { caller->cancel(call); },
         .m_forget = [](const endpoint&) {},
     };
--- a/src/dragonflygap/platform/http_platform.cpp
+++ b/src/dragonflygap/platform/http_platform.cpp
@@ -49,14 +49,14 @@
 {
     return {
         .m_scan =
-            [options](std::string prefix, read_done done)
+            [options](const std::string& prefix, read_done done)
         {
             http_request request{.m_path = "/table", .m_query = "prefix=" + prefix};
             options.m_transport.m_send(options.m_address, std::move(request), options.m_timeout,
                                        reading<std::vector<row>>(std::move(done)));
         },
         .m_commit =
-            [options](std::vector<row_write> writes, commit_done done)
+            [options](const std::vector<row_write>& writes, commit_done done)
         {
             options.m_transport.m_send(options.m_address, json_post("/table/commit", writes),
                                        options.m_timeout, reading<commit_result>(std::move(done)));
--- a/src/dragonflygap/request/request_task.cpp
+++ b/src/dragonflygap/request/request_task.cpp
@@ -35,10 +35,11 @@
           m_metrics(counted),
           m_options(std::move(options)),
           m_scheduler(scheduler_options{}),
-          m_server(loop, {.m_listen = m_options.m_listen,
-                          .m_max_body_bytes = m_options.m_max_body_bytes,
-                          .m_handler = [this](http_request request, http_exchange_ptr exchange)
-                          { on_caller(std::move(request), std::move(exchange)); }})
+          m_server(loop,
+                   {.m_listen = m_options.m_listen,
+                    .m_max_body_bytes = m_options.m_max_body_bytes,
+                    .m_handler = [this](http_request request, const http_exchange_ptr& exchange)
+                    { on_caller(std::move(request), exchange); }})
     {
         m_tick = m_loop.every(tick_interval, [this] { run({scheduler_tick{}}); });
         m_load_timer = m_loop.every(load_interval, [this] { report_load(); });
@@ -48,7 +49,7 @@
 
     void handle(request_message message)
     {
-        std::visit([this](auto&& what) { on(std::move(what)); }, std::move(message));
+        std::visit([this](auto& what) { on(std::move(what)); }, message);
     }
 
 private:
@@ -70,7 +71,7 @@
         event_loop::timer_ptr m_timer;
     };
 
-    void on_caller(http_request request, http_exchange_ptr exchange)
+    void on_caller(http_request request, const http_exchange_ptr& exchange)
     {
         auto read = read_caller_request(request);
         if (!read)
@@ -263,7 +264,7 @@
                                 .m_deadline =
                                     now + std::chrono::milliseconds(request.m_deadline_ms)};
         accept(std::move(pending), std::move(request.m_body),
-               [this, from, call = request.m_call](outcome<http_response> answer)
+               [this, from, call = request.m_call](const outcome<http_response>& answer)
                { m_options.m_to_peer(from, make_answer(call, answer)); });
     }
 
