Index the workers' free room densely, and weigh them by kind of job

Cause: a decision walked a map of all workers with string keys; rules but the data centre were ignored. Change: worker_index keeps free room in one dense array with bounds by block; task_counts knows the workers of each job, for spreading, near and apart_from (which holds both ways); team_ledger keeps quotas; scoring weighs what a task leaves over. release of a task that isn't known gives back nothing.

--- /dev/null
+++ b/bench/placement/placement_main.cpp
@@ -0,0 +1,20 @@
+#include <iostream>
+#include <string_view>
+
+#include "placement/benchmarks.hpp"
+
+int main(int argc, char** argv)
+{
+    using namespace dragonflygap::bench;
+    const std::string_view what = argc > 1 ? argv[1] : "";
+    if (what == "decisions")
+        measure_decisions();
+    else if (what == "packing")
+        measure_packing();
+    else
+    {
+        std::cerr << "usage: bench-placement decisions | packing\n";
+        return 2;
+    }
+    return 0;
+}
--- /dev/null
+++ b/bench/placement/workload.hpp
@@ -0,0 +1,38 @@
+#pragma once
+
+#include <cstdint>
+#include <random>
+#include <vector>
+
+#include "dragonflygap/placement/engine.hpp"
+
+namespace dragonflygap::bench
+{
+
+/// Workers of 16 cores and 32 GB, 8 to a rack, in 4 data centres; each tenth has 4 accelerators.
+std::vector<placement::placement_worker> make_workers(int count);
+
+/// Draws jobs: services, batch work, gangs, and work for accelerators.
+class job_source
+{
+public:
+    job_source(std::uint64_t seed, std::int64_t most_millicores)
+        : m_random(seed), m_most_millicores(most_millicores)
+    {
+    }
+
+    placement::job_spec next();
+    std::mt19937_64& random() { return m_random; }
+
+private:
+    std::int64_t between(std::int64_t low, std::int64_t high);
+
+    std::mt19937_64 m_random;
+    std::int64_t m_most_millicores;
+    int m_last = 0;
+};
+
+/// The value below which a share of the values lies; sorts them.
+double quantile(std::vector<double>& values, double share);
+
+} // namespace dragonflygap::bench
--- a/src/dragonflygap/placement/engine.cpp
+++ b/src/dragonflygap/placement/engine.cpp
@@ -1,54 +1,180 @@
 #include "dragonflygap/placement/engine.hpp"
 
-#include <limits>
-
 namespace dragonflygap::placement
 {
 
 namespace
 {
 
-bool allowed(const job_spec& spec, const placement_worker& worker)
-{
-    return spec.m_rules.m_data_centre.empty() || spec.m_rules.m_data_centre == worker.m_data_centre;
-}
+// Added to the crowding of workers that a job would rather not have; above any crowding.
+constexpr std::int64_t missed_wish = std::int64_t{1} << 60;
 
 } // namespace
 
+/// Marks what concerns one job in the engine's scratch, and clears the marks at its end.
+class engine::search
+{
+public:
+    search(engine& from, const job_spec& spec)
+        : m_engine(from),
+          m_spec(spec),
+          m_spread(effective_spread(spec)),
+          m_wants_near(!spec.m_rules.m_near.empty())
+    {
+        mark(+1);
+    }
+    ~search() { mark(-1); }
+    search(const search&) = delete;
+    search& operator=(const search&) = delete;
+
+    std::optional<worker_slot> best() const
+    {
+        std::optional<worker_slot> found;
+        suitability least;
+        m_engine.m_index.for_each_fitting(
+            m_spec.m_size,
+            [&](worker_slot slot, const resources& free)
+            {
+                const auto& state = m_engine.m_workers[slot];
+                if (m_engine.m_excluded[slot] != 0 || !m_engine.allowed(m_spec, state))
+                    return;
+                const suitability weighed{crowding_of(slot, state),
+                                          packing_waste(m_spec.m_size, free, state.m_inverse)};
+                if (found && !(weighed < least))
+                    return;
+                found = slot;
+                least = weighed;
+            });
+        return found;
+    }
+
+private:
+    void mark(int sign)
+    {
+        const auto& rules = m_spec.m_rules;
+        if (m_spread != spread_rule::none)
+            for (const auto& [slot, tasks] : m_engine.m_by_job.of(m_spec.m_id.m_value))
+                mark_neighbours(slot, sign * tasks);
+        if (m_wants_near)
+            for (const auto& entry : m_engine.m_by_name.of(rules.m_near))
+                m_engine.m_near[entry.m_slot] = sign > 0;
+        if (!rules.m_apart_from.empty())
+            for (const auto& entry : m_engine.m_by_name.of(rules.m_apart_from))
+                m_engine.m_excluded[entry.m_slot] = sign > 0;
+        // The rule holds both ways: it isn't broken by whoever comes second.
+        for (const auto& entry : m_engine.m_avoiding.of(m_spec.m_name))
+            m_engine.m_excluded[entry.m_slot] = sign > 0;
+    }
+
+    void mark_neighbours(worker_slot slot, std::int32_t tasks)
+    {
+        const auto& state = m_engine.m_workers[slot];
+        m_engine.m_in_worker[slot] += tasks;
+        m_engine.m_in_rack[static_cast<std::size_t>(state.m_rack)] += tasks;
+        m_engine.m_in_data_centre[static_cast<std::size_t>(state.m_data_centre)] += tasks;
+    }
+
+    std::int64_t crowding_of(worker_slot slot, const worker_state& state) const
+    {
+        const auto far = m_wants_near && m_engine.m_near[slot] == 0 ? missed_wish : 0;
+        if (m_spread == spread_rule::none)
+            return far;
+        return far +
+               crowding(
+                   m_spread,
+                   {.m_in_worker = m_engine.m_in_worker[slot],
+                    .m_in_rack = m_engine.m_in_rack[static_cast<std::size_t>(state.m_rack)],
+                    .m_in_data_centre =
+                        m_engine.m_in_data_centre[static_cast<std::size_t>(state.m_data_centre)]});
+    }
+
+    engine& m_engine;
+    const job_spec& m_spec;
+    spread_rule m_spread;
+    bool m_wants_near;
+};
+
 void engine::set_worker(const placement_worker& worker)
 {
-    m_workers[worker.m_id].m_worker = worker;
+    auto slot = slot_of(worker.m_id);
+    if (!slot)
+    {
+        slot = m_index.add();
+        m_slots[worker.m_id] = *slot;
+        m_workers.resize(m_index.size());
+        m_in_worker.resize(m_index.size());
+        m_excluded.resize(m_index.size());
+        m_near.resize(m_index.size());
+        m_workers[*slot] = {.m_used = true};
+    }
+    auto& state = m_workers[*slot];
+    state.m_worker = worker;
+    state.m_inverse = invert(worker.m_capacity);
+    state.m_rack = number_of(m_rack_numbers, m_in_rack, worker.m_rack.m_value);
+    state.m_data_centre =
+        number_of(m_data_centre_numbers, m_in_data_centre, worker.m_data_centre.m_value);
+    update_free(*slot);
 }
 
 void engine::remove_worker(const worker_id& worker)
 {
-    m_workers.erase(worker);
+    const auto slot = slot_of(worker);
+    if (!slot)
+        return;
+    for (auto* groups : {&m_by_job, &m_by_name, &m_avoiding})
+        groups->remove_worker(*slot);
+    m_teams.remove_worker(*slot);
+    m_workers[*slot] = {};
+    m_slots.erase(worker);
+    m_index.remove(*slot);
+}
+
+void engine::set_suspended(const worker_id& worker, bool suspended)
+{
+    const auto slot = slot_of(worker);
+    if (!slot)
+        return;
+    m_workers[*slot].m_suspended = suspended;
+    update_free(*slot);
+}
+
+void engine::set_overuse(const worker_id& worker, const resources& overuse)
+{
+    const auto slot = slot_of(worker);
+    if (!slot)
+        return;
+    m_workers[*slot].m_overuse = overuse;
+    update_free(*slot);
+}
+
+void engine::set_quota(const team_id& team, std::optional<resources> most)
+{
+    m_teams.set_quota(team, most);
+}
+
+void engine::reserve(const job_id& job, std::span<const worker_id> workers)
+{
+    cancel_reservation();
+    m_reserved_for = job;
+    for (const auto& worker : workers)
+        if (const auto slot = slot_of(worker))
+            m_workers[*slot].m_reserved = true;
+}
+
+void engine::cancel_reservation()
+{
+    m_reserved_for = {};
+    for (auto& state : m_workers)
+        state.m_reserved = false;
 }
 
 std::optional<worker_id> engine::place(const job_spec& spec)
 {
-    worker_state* best = nullptr;
-    auto least_left = std::numeric_limits<std::int64_t>::max();
-    for (auto& [id, state] : m_workers)
-    {
-        const auto room = state.m_worker.m_capacity - state.m_committed;
-        if (state.m_worker.m_leaving || !allowed(spec, state.m_worker) ||
-            !spec.m_size.fits_in(room))
-            continue;
-        // Services go where few of their kind are, all else where least room is left.
-        const auto tasks = state.m_tasks.find(spec.m_id);
-        const auto left = spec.m_kind == job_kind::service
-                              ? (tasks == state.m_tasks.end() ? 0 : tasks->second)
-                              : room.m_millicores;
-        if (left >= least_left)
-            continue;
-        least_left = left;
-        best = &state;
-    }
-    if (best == nullptr)
+    const auto slot = choose(spec);
+    if (!slot)
         return std::nullopt;
-    adopt(spec, best->m_worker.m_id);
-    return best->m_worker.m_id;
+    take(spec, *slot);
+    return m_workers[*slot].m_worker.m_id;
 }
 
 std::optional<std::vector<worker_id>> engine::place_all(const job_spec& spec, int count)
@@ -70,35 +196,118 @@
 
 void engine::adopt(const job_spec& spec, const worker_id& worker)
 {
-    const auto found = m_workers.find(worker);
-    if (found == m_workers.end())
-        return;
-    found->second.m_committed += spec.m_size;
-    ++found->second.m_tasks[spec.m_id];
+    if (const auto slot = slot_of(worker))
+        take(spec, *slot);
 }
 
 void engine::release(const job_spec& spec, const worker_id& worker)
 {
-    const auto found = m_workers.find(worker);
-    if (found == m_workers.end())
-        return;
-    found->second.m_committed -= spec.m_size;
-    if (--found->second.m_tasks[spec.m_id] <= 0)
-        found->second.m_tasks.erase(spec.m_id);
+    if (const auto slot = slot_of(worker))
+        give_back(spec, *slot);
 }
 
 bool engine::could_ever_fit(const job_spec& spec) const
 {
-    for (const auto& [id, state] : m_workers)
-        if (allowed(spec, state.m_worker) && spec.m_size.fits_in(state.m_worker.m_capacity))
+    for (const auto& state : m_workers)
+        if (state.m_used && spec.m_size.fits_in(state.m_worker.m_capacity) &&
+            (spec.m_rules.m_data_centre.empty() ||
+             spec.m_rules.m_data_centre == state.m_worker.m_data_centre))
             return true;
     return false;
 }
 
+bool engine::admits(const job_spec& spec, const worker_id& worker) const
+{
+    const auto slot = slot_of(worker);
+    if (!slot)
+        return false;
+    const auto& state = m_workers[*slot];
+    return !state.m_worker.m_leaving && !state.m_suspended && allowed(spec, state) &&
+           (spec.m_rules.m_apart_from.empty() ||
+            !m_by_name.contains(spec.m_rules.m_apart_from, *slot)) &&
+           !m_avoiding.contains(spec.m_name, *slot);
+}
+
+bool engine::within_quota(const job_spec& spec) const
+{
+    return m_teams.admits(spec.m_team, spec.m_size);
+}
+
 resources engine::committed(const worker_id& worker) const
 {
-    const auto found = m_workers.find(worker);
-    return found == m_workers.end() ? resources{} : found->second.m_committed;
+    const auto slot = slot_of(worker);
+    return slot ? m_workers[*slot].m_committed : resources{};
+}
+
+resources engine::free(const worker_id& worker) const
+{
+    const auto slot = slot_of(worker);
+    return slot ? m_index.free(*slot) : closed_room;
+}
+
+std::optional<worker_slot> engine::choose(const job_spec& spec)
+{
+    if (!within_quota(spec))
+        return std::nullopt;
+    return search(*this, spec).best();
+}
+
+bool engine::allowed(const job_spec& spec, const worker_state& state) const
+{
+    if (state.m_reserved && spec.m_id != m_reserved_for && !spec.m_urgent)
+        return false;
+    return spec.m_rules.m_data_centre.empty() ||
+           spec.m_rules.m_data_centre == state.m_worker.m_data_centre;
+}
+
+void engine::take(const job_spec& spec, worker_slot slot)
+{
+    m_workers[slot].m_committed += spec.m_size;
+    m_by_job.add(spec.m_id.m_value, slot);
+    m_by_name.add(spec.m_name, slot);
+    if (!spec.m_rules.m_apart_from.empty())
+        m_avoiding.add(spec.m_rules.m_apart_from, slot);
+    m_teams.take(spec.m_team, slot, spec.m_size);
+    update_free(slot);
+}
+
+void engine::give_back(const job_spec& spec, worker_slot slot)
+{
+    if (!m_by_job.remove(spec.m_id.m_value, slot))
+        return;
+    m_workers[slot].m_committed -= spec.m_size;
+    m_by_name.remove(spec.m_name, slot);
+    if (!spec.m_rules.m_apart_from.empty())
+        m_avoiding.remove(spec.m_rules.m_apart_from, slot);
+    m_teams.give_back(spec.m_team, slot, spec.m_size);
+    update_free(slot);
+}
+
+void engine::update_free(worker_slot slot)
+{
+    const auto& state = m_workers[slot];
+    const bool closed = state.m_worker.m_leaving || state.m_suspended;
+    m_index.set_free(slot, closed
+                               ? closed_room
+                               : state.m_worker.m_capacity - state.m_committed - state.m_overuse);
+}
+
+std::optional<worker_slot> engine::slot_of(const worker_id& worker) const
+{
+    const auto found = m_slots.find(worker);
+    if (found == m_slots.end())
+        return std::nullopt;
+    return found->second;
+}
+
+std::int32_t engine::number_of(std::unordered_map<std::string, std::int32_t>& numbers,
+                               std::vector<std::int32_t>& counts, const std::string& name)
+{
+    const auto [entry, is_new] =
+        numbers.try_emplace(name, static_cast<std::int32_t>(numbers.size()));
+    if (is_new)
+        counts.push_back(0);
+    return entry->second;
 }
 
 } // namespace dragonflygap::placement
--- a/src/dragonflygap/placement/engine.hpp
+++ b/src/dragonflygap/placement/engine.hpp
@@ -1,13 +1,19 @@
 #pragma once
 
-#include <map>
+#include <cstdint>
 #include <optional>
 #include <span>
+#include <string>
+#include <unordered_map>
 #include <vector>
 
 #include "dragonflygap/core/identifier.hpp"
 #include "dragonflygap/core/resources.hpp"
 #include "dragonflygap/placement/job.hpp"
+#include "dragonflygap/placement/scoring.hpp"
+#include "dragonflygap/placement/task_counts.hpp"
+#include "dragonflygap/placement/team_ledger.hpp"
+#include "dragonflygap/placement/worker_index.hpp"
 
 namespace dragonflygap::placement
 {
@@ -30,32 +36,89 @@
     void set_worker(const placement_worker& worker);
     void remove_worker(const worker_id& worker);
 
+    /// A suspended worker keeps its tasks and gets no new ones.
+    void set_suspended(const worker_id& worker, bool suspended);
+
+    /// What the tasks of a worker use beyond their declared sizes; new tasks keep clear of it.
+    void set_overuse(const worker_id& worker, const resources& overuse);
+
+    /// Most that the tasks of a team may hold on the workers of this engine; nothing: no limit.
+    void set_quota(const team_id& team, std::optional<resources> most);
+
+    /// Keeps the workers free of other jobs' new tasks until the job is placed or gives up.
+    void reserve(const job_id& job, std::span<const worker_id> workers);
+    void cancel_reservation();
+
     /// Takes room for one task of a job; nothing if no worker has it.
     std::optional<worker_id> place(const job_spec& spec);
 
     /// Takes room for several tasks, for all or for none.
     std::optional<std::vector<worker_id>> place_all(const job_spec& spec, int count);
 
-    /// Takes room for a task that runs already.
+    /// Takes room for a task that runs already, whether there is any or not.
     void adopt(const job_spec& spec, const worker_id& worker);
 
-    /// Gives back the room of one task.
+    /// Gives back the room of one task; of a task that isn't known here, nothing.
     void release(const job_spec& spec, const worker_id& worker);
 
     /// True if an empty worker could hold the task.
     bool could_ever_fit(const job_spec& spec) const;
 
+    /// True if the job's rules let its tasks run on the worker as it is now, room aside.
+    bool admits(const job_spec& spec, const worker_id& worker) const;
+
+    /// True if the team may hold one more task of this size.
+    bool within_quota(const job_spec& spec) const;
+
+    /// Declared sizes of the tasks on a worker, together.
     resources committed(const worker_id& worker) const;
 
+    /// What new tasks may take of a worker; negative after overuse or a shrunk capacity.
+    resources free(const worker_id& worker) const;
+
+    /// What the tasks of a team hold on the workers of this engine.
+    resources committed(const team_id& team) const { return m_teams.committed(team); }
+
 private:
     struct worker_state
     {
         placement_worker m_worker;
+        inverse_capacity m_inverse;
         resources m_committed;
-        std::map<job_id, int> m_tasks;
+        resources m_overuse;
+        std::int32_t m_rack = 0;
+        std::int32_t m_data_centre = 0;
+        bool m_used = false;
+        bool m_suspended = false;
+        bool m_reserved = false;
     };
+    class search;
+
+    std::optional<worker_slot> choose(const job_spec& spec);
+    bool allowed(const job_spec& spec, const worker_state& state) const;
+    void take(const job_spec& spec, worker_slot slot);
+    void give_back(const job_spec& spec, worker_slot slot);
+    void update_free(worker_slot slot);
+    std::optional<worker_slot> slot_of(const worker_id& worker) const;
+    std::int32_t number_of(std::unordered_map<std::string, std::int32_t>& numbers,
+                           std::vector<std::int32_t>& counts, const std::string& name);
 
-    std::map<worker_id, worker_state> m_workers;
+    worker_index m_index;
+    std::vector<worker_state> m_workers;
+    std::unordered_map<worker_id, worker_slot> m_slots;
+    task_counts m_by_job;
+    task_counts m_by_name;
+    task_counts m_avoiding; ///< Tasks by the name of the job that they must be apart from.
+    team_ledger m_teams;
+    job_id m_reserved_for;
+    std::unordered_map<std::string, std::int32_t> m_rack_numbers;
+    std::unordered_map<std::string, std::int32_t> m_data_centre_numbers;
+    // Scratch of a search, all zero between searches.
+    std::vector<std::int32_t> m_in_worker;
+    std::vector<std::int32_t> m_in_rack;
+    std::vector<std::int32_t> m_in_data_centre;
+    std::vector<char> m_excluded;
+    std::vector<char> m_near;
 };
 
 } // namespace dragonflygap::placement
--- /dev/null
+++ b/src/dragonflygap/placement/team_ledger.hpp
@@ -0,0 +1,42 @@
+#pragma once
+
+#include <optional>
+#include <unordered_map>
+#include <vector>
+
+#include "dragonflygap/core/identifier.hpp"
+#include "dragonflygap/core/resources.hpp"
+#include "dragonflygap/placement/worker_index.hpp"
+
+namespace dragonflygap::placement
+{
+
+/// What the teams hold on the workers of one owner, beside the most that they may hold there.
+class team_ledger
+{
+public:
+    void set_quota(const team_id& team, std::optional<resources> most);
+
+    /// True if the team may hold this much more.
+    bool admits(const team_id& team, const resources& more) const;
+
+    void take(const team_id& team, worker_slot slot, const resources& size);
+    void give_back(const team_id& team, worker_slot slot, const resources& size);
+
+    /// Forgets what all teams hold on a worker.
+    void remove_worker(worker_slot slot);
+
+    resources committed(const team_id& team) const;
+
+private:
+    struct team_state
+    {
+        std::optional<resources> m_quota;
+        resources m_committed;
+        std::vector<resources> m_by_worker;
+    };
+
+    std::unordered_map<team_id, team_state> m_teams;
+};
+
+} // namespace dragonflygap::placement
