--- a/src/dragonflygap/placement/scoring.cpp
+++ b/src/dragonflygap/placement/scoring.cpp
@@ -9,8 +9,9 @@
 {
 
 // Tasks without accelerators go to accelerator workers last of all.
-constexpr double accelerator_waste = 8.0;
-constexpr double imbalance_weight = 1.0;
+constexpr double accelerator_waste = 16.0;
+// Room of one dimension without the other is of no use to later tasks.
+constexpr double imbalance_weight = 8.0;
 // More than the most tasks of a job.
 constexpr std::int64_t domain_weight = 1 << 14;
 
