Record the history as typed events

Cause: requests and tasks were logged with ad-hoc steps that no checker can rely on. Change: observe/history.hpp names every event with its keys; the request task, the job driver, the control task and the daemon record them when the setting history is true, whatever the log level. Configuration versions, leases, draining, start and stop are recorded too. Conclusion: one formatter decides the lines, so that a checker can read several processes.

--- a/src/dragonflygap/daemon/control_task.cpp
+++ b/src/dragonflygap/daemon/control_task.cpp
@@ -13,6 +13,7 @@
 #include "dragonflygap/daemon/ownership_driver.hpp"
 #include "dragonflygap/net/event_loop.hpp"
 #include "dragonflygap/net/http_server.hpp"
+#include "dragonflygap/observe/history.hpp"
 #include "dragonflygap/observe/log.hpp"
 #include "dragonflygap/observe/metrics.hpp"
 #include "dragonflygap/platform/http_platform.hpp"
@@ -137,16 +138,32 @@
     {
         m_options.m_to_requests(
             request::classes_changed{changed.m_document.m_classes, changed.m_document.m_callers});
+        if (m_options.m_settings.m_history)
+            history::record(history::config_in_force{changed.m_version});
         if (changed.m_version != 0)
             m_members.send_to_all(cluster::config_update{changed.m_version, changed.m_text});
     }
 
     void on_groups(const std::map<ownership::group_index, std::uint64_t>& epochs)
     {
+        if (m_options.m_settings.m_history)
+            record_leases(epochs);
         m_epochs = epochs;
         publish_workers();
     }
 
+    void record_leases(const std::map<ownership::group_index, std::uint64_t>& next) const
+    {
+        const auto& centre = m_options.m_settings.m_data_centre;
+        for (const auto& [group, epoch] : m_epochs)
+            if (const auto kept = next.find(group); kept == next.end() || kept->second != epoch)
+                history::record(history::lease_changed{centre, group, epoch, false});
+        for (const auto& [group, epoch] : next)
+            if (const auto old = m_epochs.find(group);
+                old == m_epochs.end() || old->second != epoch)
+                history::record(history::lease_changed{centre, group, epoch, true});
+    }
+
     void poll_vms()
     {
         m_vm_list.m_list(
@@ -195,6 +212,8 @@
             return;
         log_event(log_level::info, "draining", {});
         m_members.send_heartbeats();
+        if (m_options.m_settings.m_history)
+            history::record(history::node_draining{});
         m_options.m_to_requests(request::start_draining{});
         m_drain_timer = m_loop.after(m_options.m_settings.m_drain, [this] { finish_stop(); });
     }
--- a/src/dragonflygap/daemon/daemon.cpp
+++ b/src/dragonflygap/daemon/daemon.cpp
@@ -12,6 +12,7 @@
 #include "dragonflygap/net/event_loop.hpp"
 #include "dragonflygap/net/http_client.hpp"
 #include "dragonflygap/net/mailbox.hpp"
+#include "dragonflygap/observe/history.hpp"
 #include "dragonflygap/observe/log.hpp"
 #include "dragonflygap/observe/metrics.hpp"
 #include "dragonflygap/request/request_task.hpp"
@@ -114,6 +115,8 @@
         control_loop.on_signal(SIGTERM, [&to_control] { to_control.send(stop_requested{}); });
     const auto on_interrupt =
         control_loop.on_signal(SIGINT, [&to_control] { to_control.send(stop_requested{}); });
+    if (settings.m_history)
+        history::record(history::node_started{incarnation});
     log_event(log_level::info, "started",
               {{"data_centre", settings.m_data_centre.m_value},
                {"callers", settings.m_caller_listen.m_ip + ":" + std::to_string(requests->port())},
@@ -125,6 +128,8 @@
     control_loop.run();
     request_loop.stop();
     request_thread.join();
+    if (settings.m_history)
+        history::record(history::node_stopped{});
     log_event(log_level::info, "stopped", {});
     return 0;
 }
--- a/src/dragonflygap/daemon/job_driver.cpp
+++ b/src/dragonflygap/daemon/job_driver.cpp
@@ -5,8 +5,6 @@
 #include <nlohmann/json.hpp>
 #include <xxhash.h>
 
-#include "dragonflygap/observe/log.hpp"
-
 namespace dragonflygap::daemon
 {
 
@@ -82,12 +80,12 @@
 
 void job_driver::act(const placement::start_on_worker& action)
 {
-    record("start_sent", action.m_task.m_task, action.m_worker.m_info.m_id);
+    record(history::task_start_sent{action.m_task.m_task, action.m_worker.m_info.m_id,
+                                    action.m_worker.m_epoch});
     m_workers.m_start(action.m_worker.m_info, action.m_task,
                       [this, action](outcome<platform::task_report> result)
                       {
-                          record(result ? "started" : to_string(result.error().m_reason),
-                                 action.m_task.m_task, action.m_worker.m_info.m_id);
+                          record_start(action, result);
                           run(placement::start_answered{action.m_job, action.m_index,
                                                         action.m_attempt, std::move(result)});
                       });
@@ -115,8 +113,10 @@
         m_workers.m_renew(worker.m_info, what,
                           [this, id](outcome<std::vector<platform::task_report>> reports)
                           {
-                              if (reports)
-                                  run(placement::worker_reported{id, std::move(*reports)});
+                              if (!reports)
+                                  return;
+                              record_ends(id, *reports);
+                              run(placement::worker_reported{id, std::move(*reports)});
                           });
     }
 }
@@ -151,11 +151,31 @@
                      });
 }
 
-void job_driver::record(std::string_view step, const task_id& task, const worker_id& worker) const
+void job_driver::record(const history::event& what) const
 {
     if (m_options.m_history)
-        log_event(log_level::info, "task",
-                  {{"step", step}, {"task", task.m_value}, {"worker", worker.m_value}});
+        history::record(what);
+}
+
+void job_driver::record_start(const placement::start_on_worker& action,
+                              const outcome<platform::task_report>& result) const
+{
+    const auto& task = action.m_task.m_task;
+    const auto& worker = action.m_worker.m_info.m_id;
+    if (result)
+        record(history::task_started{task, worker});
+    else
+        record(history::task_start_failed{task, worker, result.error().m_verdict,
+                                          result.error().m_reason});
+}
+
+void job_driver::record_ends(const worker_id& worker,
+                             std::span<const platform::task_report> reports) const
+{
+    for (const auto& report : reports)
+        if (report.m_state != platform::task_state::running)
+            record(
+                history::task_ended{report.m_task, worker, std::string(to_string(report.m_state))});
 }
 
 } // namespace dragonflygap::daemon
--- a/src/dragonflygap/daemon/job_driver.hpp
+++ b/src/dragonflygap/daemon/job_driver.hpp
@@ -4,10 +4,12 @@
 #include <functional>
 #include <map>
 #include <set>
+#include <span>
 #include <string>
 #include <vector>
 
 #include "dragonflygap/net/event_loop.hpp"
+#include "dragonflygap/observe/history.hpp"
 #include "dragonflygap/placement/job_manager.hpp"
 #include "dragonflygap/platform/table.hpp"
 #include "dragonflygap/platform/worker_port.hpp"
@@ -46,7 +48,10 @@
     void renew_all();
     void flush();
     job_id next_id(const std::string& name);
-    void record(std::string_view step, const task_id& task, const worker_id& worker) const;
+    void record(const history::event& what) const;
+    void record_start(const placement::start_on_worker& action,
+                      const outcome<platform::task_report>& result) const;
+    void record_ends(const worker_id& worker, std::span<const platform::task_report> reports) const;
 
     platform::table_port m_table;
     platform::worker_port m_workers;
--- /dev/null
+++ b/src/dragonflygap/observe/history.cpp
@@ -0,0 +1,189 @@
+#include "dragonflygap/observe/history.hpp"
+
+#include "dragonflygap/observe/log.hpp"
+
+namespace dragonflygap::history
+{
+
+namespace
+{
+
+struct described
+{
+    std::string_view m_name;
+    std::string m_fields;
+};
+
+described describe(const node_started& e)
+{
+    return {"node_started", format_fields({{"incarnation", e.m_incarnation}})};
+}
+
+described describe(const node_draining& /*e*/)
+{
+    return {"node_draining", {}};
+}
+
+described describe(const node_stopped& /*e*/)
+{
+    return {"node_stopped", {}};
+}
+
+described describe(const config_in_force& e)
+{
+    return {"config_in_force", format_fields({{"version", e.m_version}})};
+}
+
+described describe(const lease_changed& e)
+{
+    return {"lease_changed", format_fields({{"data_centre", e.m_data_centre.m_value},
+                                            {"group", e.m_group},
+                                            {"epoch", e.m_epoch},
+                                            {"held", e.m_held ? "true" : "false"}})};
+}
+
+described describe(const request_accepted& e)
+{
+    return {"request_accepted", format_fields({{"request", e.m_request.m_value},
+                                               {"class", e.m_class.m_value},
+                                               {"caller", e.m_caller.m_value},
+                                               {"key", e.m_key.m_value},
+                                               {"idempotent", e.m_idempotent ? "true" : "false"},
+                                               {"hops", e.m_hops}})};
+}
+
+described describe(const request_dispatched& e)
+{
+    return {"request_dispatched",
+            format_fields({{"request", e.m_request.m_value}, {"target", e.m_target.m_value}})};
+}
+
+described describe(const request_forwarded& e)
+{
+    return {"request_forwarded",
+            format_fields({{"request", e.m_request.m_value}, {"peer", e.m_peer.m_value}})};
+}
+
+described describe(const request_answered& e)
+{
+    return {"request_answered", format_fields({{"request", e.m_request.m_value}})};
+}
+
+described describe(const request_refused& e)
+{
+    return {"request_refused", format_fields({{"request", e.m_request.m_value},
+                                              {"verdict", to_string(e.m_verdict)},
+                                              {"reason", to_string(e.m_reason)}})};
+}
+
+described describe(const task_start_sent& e)
+{
+    return {"task_start_sent", format_fields({{"task", e.m_task.m_value},
+                                              {"worker", e.m_worker.m_value},
+                                              {"epoch", e.m_epoch}})};
+}
+
+described describe(const task_started& e)
+{
+    return {"task_started",
+            format_fields({{"task", e.m_task.m_value}, {"worker", e.m_worker.m_value}})};
+}
+
+described describe(const task_start_failed& e)
+{
+    return {"task_start_failed", format_fields({{"task", e.m_task.m_value},
+                                                {"worker", e.m_worker.m_value},
+                                                {"verdict", to_string(e.m_verdict)},
+                                                {"reason", to_string(e.m_reason)}})};
+}
+
+described describe(const task_ended& e)
+{
+    return {"task_ended", format_fields({{"task", e.m_task.m_value},
+                                         {"worker", e.m_worker.m_value},
+                                         {"state", e.m_state}})};
+}
+
+described describe(const execution_started& e)
+{
+    return {"execution_started", format_fields({{"request", e.m_request.m_value},
+                                                {"token", e.m_token},
+                                                {"target", e.m_target.m_value},
+                                                {"worker", e.m_worker.m_value},
+                                                {"slots", e.m_slots},
+                                                {"run_us", e.m_run_time.count()}})};
+}
+
+described describe(const worker_task_started& e)
+{
+    return {"worker_task_started",
+            format_fields({{"task", e.m_task.m_value},
+                           {"worker", e.m_worker.m_value},
+                           {"millicores", e.m_size.m_millicores},
+                           {"memory_mb", e.m_size.m_memory_mb},
+                           {"accelerators", e.m_size.m_accelerators},
+                           {"capacity_millicores", e.m_capacity.m_millicores},
+                           {"capacity_memory_mb", e.m_capacity.m_memory_mb},
+                           {"capacity_accelerators", e.m_capacity.m_accelerators}})};
+}
+
+described describe(const worker_task_ended& e)
+{
+    return {"worker_task_ended",
+            format_fields({{"task", e.m_task.m_value}, {"worker", e.m_worker.m_value}})};
+}
+
+described describe(const worker_leaving& e)
+{
+    return {"worker_leaving", format_fields({{"worker", e.m_worker.m_value}})};
+}
+
+described describe(const config_committed& e)
+{
+    return {"config_committed", format_fields({{"version", e.m_version}})};
+}
+
+described describe(const caller_answered& e)
+{
+    return {"caller_answered",
+            format_fields(
+                {{"token", e.m_token}, {"echo", e.m_echo}, {"verdict", to_string(e.m_verdict)}})};
+}
+
+described describe(const fault_injected& e)
+{
+    return {"fault_injected",
+            format_fields({{"target_vm", e.m_target_vm.m_value}, {"kind", e.m_kind}})};
+}
+
+described describe(const fault_healed& e)
+{
+    return {"fault_healed",
+            format_fields({{"target_vm", e.m_target_vm.m_value}, {"kind", e.m_kind}})};
+}
+
+std::string timed(const described& what, instant at)
+{
+    return format_fields({{"at_us", at.time_since_epoch().count()}}) + what.m_fields;
+}
+
+described describe_any(const event& what)
+{
+    return std::visit([](const auto& e) { return describe(e); }, what);
+}
+
+} // namespace
+
+std::string format(std::string_view vm, const event& what, instant at)
+{
+    const auto text = describe_any(what);
+    return format_fields({{"vm", vm}, {"event", text.m_name}}).substr(1) + timed(text, at);
+}
+
+void record(const event& what)
+{
+    const auto text = describe_any(what);
+    log_line(log_level::info, text.m_name, timed(text, monotonic_clock::now()));
+}
+
+} // namespace dragonflygap::history
--- a/src/dragonflygap/observe/log.cpp
+++ b/src/dragonflygap/observe/log.cpp
@@ -83,11 +83,15 @@
 
 void log_event(log_level level, std::string_view event, std::initializer_list<log_field> fields)
 {
-    if (!logs(level))
-        return;
+    if (logs(level))
+        log_line(level, event, format_fields(fields));
+}
+
+void log_line(log_level level, std::string_view event, std::string_view fields)
+{
     std::string line = "vm=" + vm_name() + " event=";
     line += event;
-    line += format_fields(fields);
+    line += fields;
     switch (level)
     {
     case log_level::debug:
--- a/src/dragonflygap/observe/log.hpp
+++ b/src/dragonflygap/observe/log.hpp
@@ -42,6 +42,9 @@
 /// Writes one line: time, level, vm, event and the fields, as key=value pairs.
 void log_event(log_level level, std::string_view event, std::initializer_list<log_field> fields);
 
+/// Writes one line whatever the least level, its fields made by format_fields.
+void log_line(log_level level, std::string_view event, std::string_view fields);
+
 /// Text of the pairs; values with blanks, quotes or nothing in them are quoted.
 std::string format_fields(std::initializer_list<log_field> fields);
 
--- a/src/dragonflygap/request/request_task.cpp
+++ b/src/dragonflygap/request/request_task.cpp
@@ -7,7 +7,7 @@
 
 #include "dragonflygap/net/event_loop.hpp"
 #include "dragonflygap/net/http_server.hpp"
-#include "dragonflygap/observe/log.hpp"
+#include "dragonflygap/observe/history.hpp"
 #include "dragonflygap/observe/metrics.hpp"
 #include "dragonflygap/request/caller_api.hpp"
 #include "dragonflygap/request/scheduler.hpp"
@@ -113,7 +113,12 @@
 
     void accept(pending_request pending, std::string body, answer_hook answer)
     {
-        record("accepted", pending, {});
+        record(history::request_accepted{.m_request = pending.m_id,
+                                         .m_class = pending.m_class,
+                                         .m_caller = pending.m_caller,
+                                         .m_key = pending.m_key,
+                                         .m_idempotent = pending.m_idempotent,
+                                         .m_hops = pending.m_hops});
         const auto id = pending.m_id;
         m_in_flight[id] = {
             .m_request = pending, .m_body = std::move(body), .m_answer = std::move(answer)};
@@ -133,7 +138,7 @@
             return;
         auto& flight = found->second;
         flight.m_dispatched = monotonic_clock::now();
-        record("dispatched", flight.m_request, action.m_target.m_value);
+        record(history::request_dispatched{action.m_id, action.m_target});
         m_metrics.observe("dragonflygap_wait_seconds", {"class", flight.m_request.m_class.m_value},
                           flight.m_dispatched - flight.m_request.m_arrived);
         http_request call{
@@ -170,13 +175,13 @@
                           monotonic_clock::now() - flight.m_request.m_arrived);
         if (answer)
         {
-            record("answered", flight.m_request, "ran");
+            record(history::request_answered{id});
             answer->m_headers.push_back({std::string(verdict_header), "ran"});
             answer->m_headers.push_back({std::string(request_header), id.m_value});
         }
         else
         {
-            record("failed", flight.m_request, to_string(answer.error().m_verdict));
+            record(history::request_refused{id, answer.error().m_verdict, answer.error().m_reason});
             m_metrics.count("dragonflygap_refused_total",
                             {"reason", to_string(answer.error().m_reason)});
         }
@@ -217,7 +222,7 @@
                                         .m_hops = flight.m_request.m_hops + 1,
                                         .m_deadline_ms = to_ms(left),
                                         .m_body = flight.m_body};
-        record("forwarded", flight.m_request, action.m_peer.m_value);
+        record(history::request_forwarded{action.m_id, action.m_peer});
         m_forwards[call] = {action.m_id, action.m_peer,
                             m_loop.after(left + peer_answer_margin,
                                          [this, call] { fail_forward(call, reason::timeout); })};
@@ -316,17 +321,10 @@
             m_options.m_on_load(load);
     }
 
-    void record(std::string_view step, const pending_request& request, std::string_view detail)
+    void record(const history::event& what) const
     {
         if (m_options.m_history)
-            log_event(log_level::info, "request",
-                      {{"step", step},
-                       {"request", request.m_id.m_value},
-                       {"class", request.m_class.m_value},
-                       {"caller", request.m_caller.m_value},
-                       {"key", request.m_key.m_value},
-                       {"idempotent", request.m_idempotent ? "true" : "false"},
-                       {"detail", detail}});
+            history::record(what);
     }
 
     event_loop& m_loop;
