Let the scheduler own every failure's answer, and say when a slot is free

Cause: request_task answered failed attempts itself, so nothing could be retried, and a slot was counted free although the target might still run the request. Change: request_ended says whether the slot is free, slot_freed comes later; fail_request is the final answer of a failed attempt; forward_failed brings a refused request back; drain_started forwards what waits; a cancelled queued request is answered instead of forgotten.

--- a/src/dragonflygap/request/request.hpp
+++ b/src/dragonflygap/request/request.hpp
@@ -53,11 +53,28 @@
 {
     pending_request m_request;
 };
-/// A dispatched request was answered, or its call failed.
+/// An attempt at a target was answered or failed, or the peer answered a forwarded request.
+/// The caller of an answered request has its answer; a failure is still to be answered.
 struct request_ended
 {
     request_id m_id;
     outcome<void> m_outcome;
+    bool m_slot_free = true; ///< False: the target may still run it; slot_freed comes later.
+};
+/// The target certainly no longer runs a request that ended with m_slot_free = false.
+struct slot_freed
+{
+    request_id m_id;
+};
+/// A peer refused or lost a forwarded request.
+struct forward_failed
+{
+    request_id m_id;
+    failure m_failure;
+};
+/// This entry VM leaves: hand queued requests to peers with room, serve the others, take no new.
+struct drain_started
+{
 };
 /// The caller hung up or cancelled.
 struct request_cancelled
@@ -80,9 +97,9 @@
 struct scheduler_tick
 {
 };
-using scheduler_event =
-    std::variant<request_submitted, request_ended, request_cancelled, targets_changed,
-                 classes_changed, peers_changed, scheduler_tick>;
+using scheduler_event = std::variant<request_submitted, request_ended, slot_freed, forward_failed,
+                                     drain_started, request_cancelled, targets_changed,
+                                     classes_changed, peers_changed, scheduler_tick>;
 
 /// Send the request to a target now.
 struct dispatch_request
@@ -91,25 +108,33 @@
     target_id m_target;
     endpoint m_address;
     instant m_deadline{};
+    int m_attempt = 1;
 };
-/// Answer the caller with a failure.
+/// Answer the caller: the request was never sent to a target.
 struct refuse_request
 {
     request_id m_id;
     failure m_failure;
 };
+/// Answer the caller: the last attempt failed and there is no other.
+struct fail_request
+{
+    request_id m_id;
+    failure m_failure;
+};
 /// Hand the request to a peer that has room.
 struct forward_request
 {
     request_id m_id;
     vm_id m_peer;
 };
-/// Stop the call to the target; nobody waits for it any more.
+/// Stop the call to the target or the peer; nobody waits for it any more. No other action follows;
+/// the task reports request_ended when it knows about the slot.
 struct abort_request
 {
     request_id m_id;
 };
 using scheduler_action =
-    std::variant<dispatch_request, refuse_request, forward_request, abort_request>;
+    std::variant<dispatch_request, refuse_request, fail_request, forward_request, abort_request>;
 
 } // namespace dragonflygap::request
--- a/src/dragonflygap/request/request_task.cpp
+++ b/src/dragonflygap/request/request_task.cpp
@@ -155,7 +155,8 @@
         outcome<void> ended;
         if (!answer)
             ended = tl::make_unexpected(answer.error());
-        finish(id, std::move(answer));
+        else
+            finish(id, std::move(answer));
         run({request_ended{id, ended}});
     }
 
@@ -190,6 +191,11 @@
         finish(action.m_id, tl::make_unexpected(action.m_failure));
     }
 
+    void act(const fail_request& action)
+    {
+        finish(action.m_id, tl::make_unexpected(action.m_failure));
+    }
+
     void act(const abort_request& action)
     {
         const auto found = m_in_flight.find(action.m_id);
@@ -228,7 +234,8 @@
     {
         const auto node = m_forwards.extract(call);
         if (!node.empty())
-            finish(node.mapped().m_id, fail(verdict::may_have_run, why, "the peer gave no answer"));
+            run({forward_failed{node.mapped().m_id,
+                                {verdict::may_have_run, why, "the peer gave no answer"}}});
     }
 
     void on(const targets_changed& event) { run(event); }
@@ -288,18 +295,20 @@
         const auto node = m_forwards.extract(answer.m_call);
         if (node.empty())
             return;
+        const auto& id = node.mapped().m_id;
         if (answer.m_failed)
-            return finish(node.mapped().m_id,
-                          fail(answer.m_verdict, answer.m_reason, std::move(answer.m_detail)));
-        finish(node.mapped().m_id,
-               http_response{.m_status = answer.m_status,
-                             .m_headers = {{"Content-Type", answer.m_content_type}},
-                             .m_body = std::move(answer.m_body)});
+            return run({forward_failed{
+                id, {answer.m_verdict, answer.m_reason, std::move(answer.m_detail)}}});
+        finish(id, http_response{.m_status = answer.m_status,
+                                 .m_headers = {{"Content-Type", answer.m_content_type}},
+                                 .m_body = std::move(answer.m_body)});
+        run({request_ended{id, {}}});
     }
 
     void on(const start_draining& /*event*/)
     {
         m_draining = true;
+        run({drain_started{}});
         if (m_in_flight.empty() && m_options.m_on_drained)
             m_options.m_on_drained();
     }
--- a/src/dragonflygap/request/scheduler.cpp
+++ b/src/dragonflygap/request/scheduler.cpp
@@ -25,52 +25,105 @@
 {
     const auto& request = event.m_request;
     const auto found = m_queues.find(request.m_class);
+    if (m_draining)
+        return refuse(request.m_id, reason::draining, "this entry VM is leaving", out);
     if (found == m_queues.end())
         return refuse(request.m_id, reason::unknown_class, "no class of this name", out);
     if (request.m_deadline <= now)
         return refuse(request.m_id, reason::deadline_passed, "the deadline has passed", out);
     auto& queue = found->second;
-    if (free_slots() == 0)
+    request_state state{request, {}, {}};
+    if (free_slots() == 0 && forward(state, now, out))
     {
-        if (auto* peer = peer_with_room(request, now))
-        {
-            --peer->m_free_slots;
-            out.emplace_back(forward_request{request.m_id, peer->m_vm});
-            return;
-        }
+        m_requests[request.m_id] = std::move(state);
+        return;
     }
     if (queue.m_waiting.size() >= queue.m_class.m_max_queued)
         return refuse(request.m_id, reason::queue_full, "the queue of the class is full", out);
     if (m_targets.empty())
         return refuse(request.m_id, reason::no_target, "no executor is owned here", out);
-    m_requests[request.m_id] = {request, {}};
+    m_requests[request.m_id] = std::move(state);
     queue.m_waiting.push_back(request.m_id);
 }
 
-void scheduler::on(const request_ended& event, instant /*now*/, actions& /*out*/)
+void scheduler::free_slot(const target_id& target)
+{
+    if (const auto found = m_targets.find(target); found != m_targets.end())
+        --found->second.m_running;
+}
+
+void scheduler::on(const request_ended& event, instant /*now*/, actions& out)
 {
     const auto found = m_requests.find(event.m_id);
     if (found == m_requests.end())
         return;
     const auto& ended = found->second;
-    if (const auto target = m_targets.find(ended.m_target); target != m_targets.end())
-        --target->second.m_running;
-    if (const auto queue = m_queues.find(ended.m_request.m_class); queue != m_queues.end())
+    const bool dispatched = !ended.m_target.empty();
+    if (dispatched && event.m_slot_free)
+        free_slot(ended.m_target);
+    if (dispatched && !event.m_slot_free)
+        m_occupied[event.m_id] = ended.m_target;
+    const auto queue = m_queues.find(ended.m_request.m_class);
+    if (dispatched && queue != m_queues.end())
         --queue->second.m_running;
+    if (!event.m_outcome && !ended.m_aborted)
+        out.emplace_back(fail_request{event.m_id, event.m_outcome.error()});
+    m_requests.erase(found);
+}
+
+void scheduler::on(const slot_freed& event, instant /*now*/, actions& /*out*/)
+{
+    const auto node = m_occupied.extract(event.m_id);
+    if (!node.empty())
+        free_slot(node.mapped());
+}
+
+void scheduler::on(const forward_failed& event, instant /*now*/, actions& out)
+{
+    const auto found = m_requests.find(event.m_id);
+    if (found == m_requests.end() || found->second.m_peer.empty())
+        return;
+    auto& request = found->second;
+    request.m_peer = {};
+    const auto queue = m_queues.find(request.m_request.m_class);
+    const bool again = !request.m_aborted && event.m_failure.m_verdict == verdict::not_run &&
+                       queue != m_queues.end() && !m_targets.empty();
+    if (again)
+    {
+        queue->second.m_waiting.push_back(event.m_id);
+        return;
+    }
+    if (!request.m_aborted)
+        out.emplace_back(fail_request{event.m_id, event.m_failure});
     m_requests.erase(found);
 }
 
+void scheduler::on(const drain_started& /*event*/, instant now, actions& out)
+{
+    m_draining = true;
+    for (auto& [name, queue] : m_queues)
+        std::erase_if(queue.m_waiting,
+                      [&](const request_id& id)
+                      {
+                          const auto found = m_requests.find(id);
+                          return found == m_requests.end() || forward(found->second, now, out);
+                      });
+}
+
 void scheduler::on(const request_cancelled& event, instant /*now*/, actions& out)
 {
     const auto found = m_requests.find(event.m_id);
-    if (found == m_requests.end())
+    if (found == m_requests.end() || found->second.m_aborted)
         return;
-    if (!found->second.m_target.empty())
+    auto& cancelled = found->second;
+    if (!cancelled.m_target.empty() || !cancelled.m_peer.empty())
     {
+        cancelled.m_aborted = true;
         out.emplace_back(abort_request{event.m_id});
         return;
     }
     // Its place in the queue is dropped when it comes to the front.
+    refuse(event.m_id, reason::cancelled, "the caller left", out);
     m_requests.erase(found);
 }
 
@@ -164,7 +217,22 @@
     ++chosen->m_running;
     found->second.m_target = chosen->m_target.m_id;
     out.emplace_back(dispatch_request{id, chosen->m_target.m_id, chosen->m_target.m_address,
-                                      found->second.m_request.m_deadline});
+                                      found->second.m_request.m_deadline,
+                                      ++found->second.m_attempts});
+    return true;
+}
+
+bool scheduler::forward(request_state& request, instant now, actions& out)
+{
+    if (request.m_forwarded)
+        return false;
+    auto* peer = peer_with_room(request.m_request, now);
+    if (peer == nullptr)
+        return false;
+    --peer->m_free_slots;
+    request.m_forwarded = true;
+    request.m_peer = peer->m_vm;
+    out.emplace_back(forward_request{request.m_request.m_id, peer->m_vm});
     return true;
 }
 
--- a/src/dragonflygap/request/scheduler.hpp
+++ b/src/dragonflygap/request/scheduler.hpp
@@ -48,10 +48,17 @@
     {
         pending_request m_request;
         target_id m_target; ///< Empty while it waits.
+        vm_id m_peer;       ///< Empty unless it was forwarded.
+        bool m_aborted = false;
+        bool m_forwarded = false; ///< It was forwarded once; never again from here.
+        int m_attempts = 0;
     };
 
     void on(const request_submitted& event, instant now, actions& out);
     void on(const request_ended& event, instant now, actions& out);
+    void on(const slot_freed& event, instant now, actions& out);
+    void on(const forward_failed& event, instant now, actions& out);
+    void on(const drain_started& event, instant now, actions& out);
     void on(const request_cancelled& event, instant now, actions& out);
     void on(const targets_changed& event, instant now, actions& out);
     void on(const classes_changed& event, instant now, actions& out);
@@ -59,6 +66,8 @@
     void on(const scheduler_tick& event, instant now, actions& out);
 
     void refuse(const request_id& id, reason why, const char* detail, actions& out);
+    void free_slot(const target_id& target);
+    bool forward(request_state& request, instant now, actions& out);
     void dispatch_waiting(instant now, actions& out);
     bool dispatch_one(class_queue& queue, instant now, actions& out);
     target_state* freest_target();
@@ -71,7 +80,9 @@
     std::unordered_map<class_id, class_queue> m_queues;
     std::map<target_id, target_state> m_targets;
     std::unordered_map<request_id, request_state> m_requests;
+    std::unordered_map<request_id, target_id> m_occupied; ///< Slots of requests that ended.
     std::vector<peer_room> m_peers;
+    bool m_draining = false;
 };
 
 } // namespace dragonflygap::request
