Let the stand-in fail in the ways that the platform, workers and executors fail

Cause: the stand-in could only stop, slow or lose table replies. Change: POST /faults also doubles and delays commits, lags the list of VMs, marks workers as leaving, fails everything a worker starts, cuts entry VMs off (both ways or answers only), makes open connections go silent, answers late, cut short or too large, and slows the stop of tasks. Counts run down with each use; members that are not named stay. Each call names its entry VM in X-Dragonflygap-Vm. The cell's parts are split by job.

--- a/src/dragonflygap/daemon/daemon.cpp
+++ b/src/dragonflygap/daemon/daemon.cpp
@@ -38,11 +38,25 @@
     return {.m_data_centres = {settings.m_data_centre}};
 }
 
+/// Adds the name of the calling entry VM to every request.
+http_transport named(const vm_id& vm, http_transport transport)
+{
+    transport.m_send =
+        [vm, send = std::move(transport.m_send)](const endpoint& to, http_request request,
+                                                 duration timeout, http_transport::done on_done)
+    {
+        request.m_headers.push_back({std::string(vm_header), vm.m_value});
+        return send(to, std::move(request), timeout, std::move(on_done));
+    };
+    return transport;
+}
+
 /// Where a task's calls go: over the network, or to the embedded cell.
 class outgoing
 {
 public:
-    outgoing(event_loop& loop, std::optional<emulator::cell>& cell, int connections)
+    outgoing(event_loop& loop, std::optional<emulator::cell>& cell, int connections,
+             const vm_id& vm)
     {
         if (cell)
             m_transport = emulator::make_embedded_transport(loop, *cell);
@@ -50,7 +64,7 @@
         {
             m_client.emplace(loop,
                              http_client_options{.m_max_connections_per_endpoint = connections});
-            m_transport = make_transport(*m_client);
+            m_transport = named(vm, make_transport(*m_client));
         }
     }
 
@@ -75,8 +89,8 @@
 
     event_loop control_loop;
     event_loop request_loop;
-    const outgoing to_platform(control_loop, cell, platform_connections);
-    const outgoing to_executors(request_loop, cell, executor_connections);
+    const outgoing to_platform(control_loop, cell, platform_connections, settings.m_vm);
+    const outgoing to_executors(request_loop, cell, executor_connections, settings.m_vm);
 
     std::unique_ptr<control_task> control;
     std::unique_ptr<request::request_task> requests;
--- /dev/null
+++ b/src/dragonflygap/emulator/answers.hpp
@@ -0,0 +1,37 @@
+#pragma once
+
+#include <string>
+#include <utility>
+
+#include <nlohmann/json.hpp>
+
+#include "dragonflygap/emulator/cell.hpp"
+
+/// Answers that the parts of the cell give.
+namespace dragonflygap::emulator
+{
+
+inline emulated_answer json_answer(const nlohmann::json& body)
+{
+    return {json_response(200, body.dump())};
+}
+
+inline emulated_answer failed(verdict what, reason why, std::string detail)
+{
+    return {failure_response({what, why, std::move(detail)})};
+}
+
+inline emulated_answer not_found()
+{
+    return failed(verdict::not_run, reason::not_found, "no such path");
+}
+
+template <class T>
+emulated_answer answer_of(const outcome<T>& result)
+{
+    if (!result)
+        return {failure_response(result.error())};
+    return json_answer(*result);
+}
+
+} // namespace dragonflygap::emulator
--- a/src/dragonflygap/emulator/cell.cpp
+++ b/src/dragonflygap/emulator/cell.cpp
@@ -1,9 +1,11 @@
 #include "dragonflygap/emulator/cell.hpp"
 
+#include <algorithm>
 #include <utility>
 
 #include <nlohmann/json.hpp>
 
+#include "dragonflygap/emulator/answers.hpp"
 #include "dragonflygap/platform/json_codec.hpp"
 
 namespace dragonflygap::emulator
@@ -12,37 +14,11 @@
 namespace
 {
 
-constexpr duration default_run_time = 5ms;
+constexpr std::string_view config_key = "config/current";
 
-emulated_answer json_answer(const nlohmann::json& body)
+bool writes_config(const std::vector<platform::row_write>& writes)
 {
-    return {json_response(200, body.dump())};
-}
-
-emulated_answer failed(verdict what, reason why, std::string detail)
-{
-    return {failure_response({what, why, std::move(detail)})};
-}
-
-emulated_answer not_found()
-{
-    return failed(verdict::not_run, reason::not_found, "no such path");
-}
-
-template <class T>
-emulated_answer answer_of(const outcome<T>& result)
-{
-    if (!result)
-        return {failure_response(result.error())};
-    return json_answer(*result);
-}
-
-duration run_time_of(const http_request& request)
-{
-    const auto body = nlohmann::json::parse(request.m_body, nullptr, false);
-    if (body.is_object() && body.contains("run_ms") && body["run_ms"].is_number())
-        return duration(static_cast<duration::rep>(body["run_ms"].get<double>() * 1000));
-    return default_run_time;
+    return std::ranges::any_of(writes, [](const auto& write) { return write.m_key == config_key; });
 }
 
 } // namespace
@@ -66,8 +42,11 @@
                                     .m_address = info.m_address,
                                     .m_slots = m_options.m_slots,
                                     .m_connections = m_options.m_connections});
-        m_vms.emplace(info.m_address,
-                      vm{info, worker_model(info.m_capacity), executor_model(m_options.m_slots)});
+        const auto on_change = [this, id = info.m_id](const platform::task_report& task, instant at)
+        { record_task(id, task, at); };
+        m_vms.emplace(info.m_address, vm{.m_info = info,
+                                         .m_tasks = worker_model(info.m_capacity, on_change),
+                                         .m_executor = executor_model(m_options.m_slots)});
     }
 }
 
@@ -84,12 +63,7 @@
     const std::scoped_lock lock(m_mutex);
     try
     {
-        if (at == m_options.m_platform)
-            return handle_platform(request);
-        const auto found = m_vms.find(at);
-        if (found == m_vms.end())
-            return not_found();
-        return handle_vm(found->second, request, now);
+        return handle_unless_cut(at, request, now);
     }
     catch (const nlohmann::json::exception& error)
     {
@@ -97,17 +71,29 @@
     }
 }
 
-emulated_answer cell::handle_platform(const http_request& request)
+emulated_answer cell::handle_unless_cut(const endpoint& at, const http_request& request,
+                                        instant now)
+{
+    if (at == m_options.m_platform && request.m_path == "/faults")
+        return handle_faults(request, now);
+    const auto found = m_vms.find(at);
+    if (at != m_options.m_platform && found == m_vms.end())
+        return not_found();
+    const std::string_view other =
+        found == m_vms.end() ? "platform" : std::string_view(found->second.m_info.m_id.m_value);
+    const cut* cut_off = m_faults.find_cut(request.header(vm_header), other);
+    if (cut_off != nullptr && !cut_off->m_replies_only)
+        return {.m_response = {}, .m_lost = true};
+    auto answer = found == m_vms.end() ? handle_platform(request, now)
+                                       : handle_vm(found->second, request, now);
+    answer.m_lost = answer.m_lost || cut_off != nullptr;
+    return answer;
+}
+
+emulated_answer cell::handle_platform(const http_request& request, instant now)
 {
-    if (request.m_path == "/faults")
-        return handle_faults(request);
     if (request.m_path == "/vms")
-    {
-        auto list = nlohmann::json::array();
-        for (const auto& [at, vm] : m_vms)
-            list.push_back(vm.m_info);
-        return json_answer(list);
-    }
+        return list_vms(now);
     if (m_faults.m_table_down)
         return failed(verdict::not_run, reason::platform_unavailable, "the platform is down");
     if (request.m_path == "/table")
@@ -117,16 +103,44 @@
         return answer;
     }
     if (request.m_path == "/table/commit")
-        return handle_commit(request);
+        return handle_commit(request, now);
     return not_found();
 }
 
-emulated_answer cell::handle_commit(const http_request& request)
+emulated_answer cell::list_vms(instant now)
+{
+    auto list = nlohmann::json::array();
+    for (auto& [at, vm] : m_vms)
+    {
+        const auto since = m_leaving_since.find(vm.m_info.m_id);
+        vm.m_info.m_leaving =
+            since != m_leaving_since.end() && since->second + m_faults.m_vm_list_lag <= now;
+        if (vm.m_info.m_leaving && m_listed_leaving.insert(vm.m_info.m_id).second)
+            record(history::worker_leaving{vm.m_info.m_id}, now);
+        list.push_back(vm.m_info);
+    }
+    return json_answer(list);
+}
+
+emulated_answer cell::handle_commit(const http_request& request, instant now)
 {
     const auto writes =
         nlohmann::json::parse(request.m_body).get<std::vector<platform::row_write>>();
-    auto answer = json_answer(m_table.commit(writes));
+    auto result = m_table.commit(writes);
+    if (result.m_committed && writes_config(writes))
+        record(history::config_committed{m_table.scan(config_key).front().m_version}, now);
+    if (m_faults.m_double_commits > 0)
+    {
+        --m_faults.m_double_commits;
+        result = m_table.commit(writes);
+    }
+    auto answer = json_answer(result);
     answer.m_delay = m_faults.m_table_delay;
+    if (m_faults.m_late_replies > 0)
+    {
+        --m_faults.m_late_replies;
+        answer.m_delay += m_faults.m_late_by;
+    }
     if (m_faults.m_lose_replies > 0)
     {
         --m_faults.m_lose_replies;
@@ -135,50 +149,38 @@
     return answer;
 }
 
-emulated_answer cell::handle_faults(const http_request& request)
+emulated_answer cell::handle_faults(const http_request& request, instant now)
 {
     const auto body = nlohmann::json::parse(request.m_body);
-    m_faults.m_table_down = body.value("table_down", false);
-    m_faults.m_table_delay = std::chrono::milliseconds(body.value("table_delay_ms", 0));
-    m_faults.m_lose_replies = body.value("lose_replies", 0);
+    merge_faults(body, m_faults);
+    const auto silenced = connections_to_silence(body);
+    for (auto& [at, vm] : m_vms)
+    {
+        const auto& id = vm.m_info.m_id;
+        vm.m_tasks.set_failing(m_faults.m_failing.contains(id));
+        vm.m_tasks.set_stop_delay(m_faults.m_stop_delay);
+        vm.m_tasks.set_enforce_capacity(m_faults.m_enforce_capacity);
+        if (silenced.contains(id))
+            vm.m_silent.insert(vm.m_connections.begin(), vm.m_connections.end());
+        if (m_faults.m_leaving.contains(id))
+            m_leaving_since.try_emplace(id, now);
+        else if (m_leaving_since.erase(id) != 0)
+            m_listed_leaving.erase(id);
+    }
     return json_answer(body);
 }
 
-emulated_answer cell::handle_vm(vm& at, const http_request& request, instant now)
+void cell::advance(instant now)
 {
-    if (request.m_path == "/execute")
-        return handle_execute(at, request, now);
-    constexpr std::string_view executions = "/executions/";
-    if (request.m_path.starts_with(executions))
-    {
-        constexpr std::string_view names[] = {"unknown", "running", "done"};
-        const request_id id(request.m_path.substr(executions.size()));
-        const auto state = at.m_executor.state_of(id, now);
-        return json_answer(
-            {{"state", names[static_cast<int>(state)]}, {"starts", at.m_executor.starts_of(id)}});
-    }
-    const auto body = nlohmann::json::parse(request.m_body);
-    if (request.m_path == "/tasks/start")
-        return answer_of(at.m_tasks.start(body.get<platform::start_task>(), now));
-    if (request.m_path == "/tasks/renew")
-        return answer_of(at.m_tasks.renew(body.get<platform::renew_leases>(), now));
-    if (request.m_path == "/tasks/stop")
-        return answer_of(
-            at.m_tasks.stop(body.at("epoch"), task_id(body.at("task").get<std::string>()), now));
-    return not_found();
+    const std::scoped_lock lock(m_mutex);
+    for (auto& [at, vm] : m_vms)
+        vm.m_tasks.advance(now);
 }
 
-emulated_answer cell::handle_execute(vm& at, const http_request& request, instant now)
+void cell::record(const history::event& what, instant at) const
 {
-    const request_id id(std::string(request.header("X-Dragonflygap-Request")));
-    const auto run_time = run_time_of(request);
-    if (!at.m_executor.start(id, run_time, now))
-        return failed(verdict::not_run, reason::target_refused, "all slots are taken");
-    const nlohmann::json body{{"request", id.m_value},
-                              {"executor", at.m_info.m_executors.front().m_id.m_value}};
-    auto answer = json_answer(body);
-    answer.m_delay = run_time;
-    return answer;
+    if (m_options.m_record)
+        m_options.m_record(what, at);
 }
 
 } // namespace dragonflygap::emulator
--- a/src/dragonflygap/emulator/cell.hpp
+++ b/src/dragonflygap/emulator/cell.hpp
@@ -1,18 +1,22 @@
 #pragma once
 
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <memory>
 #include <mutex>
+#include <set>
 #include <string>
 #include <vector>
 
 #include "dragonflygap/core/endpoint.hpp"
 #include "dragonflygap/core/time.hpp"
 #include "dragonflygap/emulator/executor_model.hpp"
+#include "dragonflygap/emulator/faults.hpp"
 #include "dragonflygap/emulator/table_store.hpp"
 #include "dragonflygap/emulator/worker_model.hpp"
 #include "dragonflygap/net/http_message.hpp"
+#include "dragonflygap/observe/history.hpp"
 #include "dragonflygap/platform/vm_list.hpp"
 
 namespace dragonflygap::emulator
@@ -28,6 +32,8 @@
     int m_slots = 8;
     int m_connections = 60;
     resources m_capacity{.m_millicores = 16000, .m_memory_mb = 32768, .m_accelerators = 2};
+    /// Told what workers and executors really ran, if set.
+    std::function<void(const history::event& what, instant at)> m_record;
 };
 
 /// An answer and how long the other side takes to give it.
@@ -35,15 +41,7 @@
 {
     http_response m_response;
     duration m_delay{};
-    bool m_lost = false; ///< The request took effect, but no answer comes.
-};
-
-/// Faults of the platform that an operator of the stand-in has switched on.
-struct platform_faults
-{
-    bool m_table_down = false;
-    duration m_table_delay{};
-    int m_lose_replies = 0; ///< How many of the next commits take effect without an answer.
+    bool m_lost = false; ///< No answer comes, whether or not the request took effect.
 };
 
 /// Stand-in for the platform with its table, its VM list, workers and executors.
@@ -59,23 +57,35 @@
 
     emulated_answer handle(const endpoint& at, const http_request& request, instant now);
 
+    /// Ends the tasks that are over by now, so that their ends are recorded in time.
+    void advance(instant now);
+
 private:
     struct vm
     {
         platform::worker m_info;
         worker_model m_tasks;
         executor_model m_executor;
+        std::set<endpoint> m_connections; ///< Callers' ends of the connections seen so far.
+        std::set<endpoint> m_silent;      ///< Those of them that give no answer any more.
     };
 
-    emulated_answer handle_platform(const http_request& request);
-    emulated_answer handle_commit(const http_request& request);
-    emulated_answer handle_faults(const http_request& request);
+    emulated_answer handle_unless_cut(const endpoint& at, const http_request& request, instant now);
+    emulated_answer handle_platform(const http_request& request, instant now);
+    emulated_answer list_vms(instant now);
+    emulated_answer handle_commit(const http_request& request, instant now);
+    emulated_answer handle_faults(const http_request& request, instant now);
+    void spoil(emulated_answer& answer);
+    void record_task(const worker_id& worker, const platform::task_report& task, instant at) const;
+    void record(const history::event& what, instant at) const;
     emulated_answer handle_vm(vm& at, const http_request& request, instant now);
     emulated_answer handle_execute(vm& at, const http_request& request, instant now);
 
     std::mutex m_mutex;
     cell_options m_options;
-    platform_faults m_faults;
+    faults m_faults;
+    std::map<worker_id, instant> m_leaving_since;
+    std::set<worker_id> m_listed_leaving;
     table_store m_table;
     std::map<std::string, std::string> m_objects;
     std::map<endpoint, vm> m_vms;
--- a/src/dragonflygap/emulator/emulator_main.cpp
+++ b/src/dragonflygap/emulator/emulator_main.cpp
@@ -48,6 +48,9 @@
 {
     event_loop loop;
     emulator::cell cell(options);
+    constexpr duration advance_interval = 100ms;
+    const auto advance =
+        loop.every(advance_interval, [&cell] { cell.advance(monotonic_clock::now()); });
     std::vector<std::unique_ptr<http_server>> servers;
     for (const auto& at : cell.endpoints())
         servers.push_back(std::make_unique<http_server>(
@@ -70,6 +73,7 @@
 {
     std::string platform;
     std::string centres;
+    bool with_history = false;
     emulator::cell_options options;
     po::options_description described("Options of dragonflygap-emulator");
     described.add_options()("help", "show this text")(
@@ -80,7 +84,8 @@
         "data-centres", po::value(&centres)->default_value("norte-a,norte-b,norte-c"),
         "names, separated by commas")("workers", po::value(&options.m_workers)->default_value(6),
                                       "workers in all data centres")(
-        "slots", po::value(&options.m_slots)->default_value(8), "slots of each executor");
+        "slots", po::value(&options.m_slots)->default_value(8), "slots of each executor")(
+        "history", po::bool_switch(&with_history), "print what workers and executors really ran");
     try
     {
         po::variables_map given;
@@ -100,6 +105,9 @@
             return 2;
         }
         options.m_platform = *at;
+        if (with_history)
+            options.m_record = [](const history::event& what, instant at)
+            { std::cout << history::format("emulator", what, at) << std::endl; };
         return serve(options);
     }
     catch (const std::exception& error)
--- a/src/dragonflygap/emulator/executor_model.cpp
+++ b/src/dragonflygap/emulator/executor_model.cpp
@@ -18,9 +18,10 @@
     return static_cast<int>(m_ends.size());
 }
 
-bool executor_model::start(const request_id& request, duration run_time, instant now)
+bool executor_model::start(const request_id& request, duration run_time, instant now,
+                           bool enforce_slots)
 {
-    if (running(now) >= m_slots)
+    if (running(now) >= m_slots && enforce_slots)
         return false;
     m_ends.push_back(now + run_time);
     auto& execution = m_executions[request];
--- a/src/dragonflygap/emulator/executor_model.hpp
+++ b/src/dragonflygap/emulator/executor_model.hpp
@@ -22,8 +22,9 @@
 public:
     explicit executor_model(int slots) : m_slots(slots) {}
 
-    /// Starts a request; false if all slots are taken.
-    bool start(const request_id& request, duration run_time, instant now);
+    /// Starts a request; false if all slots are taken and the limit is kept.
+    bool start(const request_id& request, duration run_time, instant now,
+               bool enforce_slots = true);
 
     execution_state state_of(const request_id& request, instant now) const;
 
--- a/src/dragonflygap/emulator/worker_model.cpp
+++ b/src/dragonflygap/emulator/worker_model.cpp
@@ -20,13 +20,27 @@
     {
         if (task.m_report.m_state != platform::task_state::running)
             continue;
-        if (task.m_finish <= now && task.m_finish <= task.m_lease_end)
-            task.m_report.m_state = platform::task_state::finished;
-        else if (task.m_lease_end <= now)
-            task.m_report.m_state = platform::task_state::stopped;
+        const auto last = std::min({task.m_finish, task.m_lease_end, task.m_stop});
+        if (last > now)
+            continue;
+        end(task,
+            last == task.m_finish ? platform::task_state::finished : platform::task_state::stopped,
+            last);
     }
 }
 
+void worker_model::end(running_task& task, platform::task_state state, instant at)
+{
+    task.m_report.m_state = state;
+    tell(task, at);
+}
+
+void worker_model::tell(const running_task& task, instant at) const
+{
+    if (m_on_change)
+        m_on_change(task.m_report, at);
+}
+
 resources worker_model::committed() const
 {
     resources sum;
@@ -43,7 +57,7 @@
         return tl::make_unexpected(checked.error());
     if (const auto found = m_tasks.find(what.m_task); found != m_tasks.end())
         return found->second.m_report; // started already: the first reply was lost
-    if (!(committed() + what.m_size).fits_in(m_capacity))
+    if (m_enforce_capacity && !(committed() + what.m_size).fits_in(m_capacity))
         return fail(verdict::not_run, reason::no_room, "the worker has no room for the task");
     auto& task = m_tasks[what.m_task];
     task.m_report = {.m_task = what.m_task,
@@ -53,6 +67,9 @@
                      .m_usage = what.m_size};
     task.m_lease_end = now + what.m_lease;
     task.m_finish = what.m_run_time == duration{} ? instant::max() : now + what.m_run_time;
+    tell(task, now);
+    if (m_failing)
+        end(task, platform::task_state::failed, now);
     return task.m_report;
 }
 
@@ -87,8 +104,8 @@
     const auto found = m_tasks.find(task);
     if (found == m_tasks.end())
         return fail(verdict::not_run, reason::not_found, "no such task on this worker");
-    if (found->second.m_report.m_state == platform::task_state::running)
-        found->second.m_report.m_state = platform::task_state::stopped;
+    found->second.m_stop = std::min(found->second.m_stop, now + m_stop_delay);
+    advance(now);
     return found->second.m_report;
 }
 
--- a/src/dragonflygap/net/http_message.hpp
+++ b/src/dragonflygap/net/http_message.hpp
@@ -4,6 +4,7 @@
 #include <string_view>
 #include <vector>
 
+#include "dragonflygap/core/endpoint.hpp"
 #include "dragonflygap/core/verdict.hpp"
 
 namespace dragonflygap
@@ -22,6 +23,7 @@
     std::string m_query;      ///< What follows the question mark, as sent.
     std::vector<http_header> m_headers;
     std::string m_body;
+    endpoint m_peer; ///< The caller's end of the connection, where a server got the request.
 
     /// Value of a header, its name compared without case; empty if there is none.
     std::string_view header(std::string_view name) const;
@@ -50,6 +52,7 @@
 failure failure_of_response(const http_response& response);
 
 inline constexpr std::string_view verdict_header = "X-Dragonflygap-Verdict";
+inline constexpr std::string_view vm_header = "X-Dragonflygap-Vm"; ///< The calling entry VM.
 inline constexpr std::string_view reason_header = "X-Dragonflygap-Reason";
 
 } // namespace dragonflygap
--- a/src/dragonflygap/net/http_server.cpp
+++ b/src/dragonflygap/net/http_server.cpp
@@ -68,6 +68,9 @@
          pair != nullptr; pair = pair->next.tqe_next)
         result.m_headers.push_back({pair->key, pair->value});
     result.m_body = take_body(request);
+    char* ip = nullptr;
+    evhttp_connection_get_peer(evhttp_request_get_connection(request), &ip, &result.m_peer.m_port);
+    result.m_peer.m_ip = ip == nullptr ? "" : ip;
     return result;
 }
 
