Hold the platform's calls within the allowance, and pause while it fails

Cause: every part called the table directly; eight entry VMs retrying through an outage would pass the allowance of a few hundred writes a second, and a flood of job commits could cost a lease. Change: call_gate (pure: budget by members, few calls in flight, breaker with jitter, leases first) and guarded_table in front of the table of the control task.

--- a/src/dragonflygap/daemon/control_task.cpp
+++ b/src/dragonflygap/daemon/control_task.cpp
@@ -15,6 +15,7 @@
 #include "dragonflygap/net/http_server.hpp"
 #include "dragonflygap/observe/log.hpp"
 #include "dragonflygap/observe/metrics.hpp"
+#include "dragonflygap/platform/guarded_table.hpp"
 #include "dragonflygap/platform/http_platform.hpp"
 
 namespace dragonflygap::daemon
@@ -36,12 +37,14 @@
           m_options(std::move(options)),
           m_platform{.m_address = m_options.m_platform, .m_transport = to_platform},
           m_vm_list(platform::make_http_vm_list(m_platform)),
+          m_table(loop, platform::make_http_table(m_platform), {.m_seed = m_options.m_incarnation},
+                  counted),
           m_members(loop, member_options()),
-          m_config(loop, platform::make_http_table(m_platform),
+          m_config(loop, m_table.port(platform::call_priority::normal),
                    [this](const config::versioned_document& changed) { on_config(changed); }),
-          m_ownership(loop, platform::make_http_table(m_platform), keeper_options(),
+          m_ownership(loop, m_table.port(platform::call_priority::lease), keeper_options(),
                       [this](const auto& epochs) { on_groups(epochs); }),
-          m_jobs(loop, platform::make_http_table(m_platform),
+          m_jobs(loop, m_table.port(platform::call_priority::normal),
                  platform::make_http_workers(m_platform),
                  {.m_vm = m_options.m_settings.m_vm,
                   .m_incarnation = m_options.m_incarnation,
@@ -122,6 +125,9 @@
                                        .m_free_slots = member.m_load.m_free_slots,
                                        .m_heard = member.m_last_heard});
         }
+        // Peers that can't be heard may be cut off from us and still call the platform.
+        constexpr int self = 1;
+        m_table.set_sharers(self + static_cast<int>(m_members.members().members().size()));
         m_options.m_to_requests(std::move(changed));
     }
 
@@ -254,6 +260,7 @@
     control_task_options m_options;
     platform::http_platform_options m_platform;
     platform::vm_list_port m_vm_list;
+    platform::guarded_table m_table;
     cluster::load_digest m_load;
     std::map<ownership::group_index, std::uint64_t> m_epochs;
     std::vector<platform::worker> m_workers;
--- /dev/null
+++ b/src/dragonflygap/platform/call_gate.cpp
@@ -0,0 +1,145 @@
+#include "dragonflygap/platform/call_gate.hpp"
+
+#include <algorithm>
+
+namespace dragonflygap::platform
+{
+
+namespace
+{
+
+// A burst of one second's share is let through at once.
+constexpr double burst_s = 1.0;
+
+} // namespace
+
+call_gate::call_gate(call_gate_options options) : m_options(options), m_random(options.m_seed)
+{
+    m_reads = {options.m_reads_per_s * burst_s, options.m_reads_per_s};
+    m_writes = {options.m_writes_per_s * burst_s, options.m_writes_per_s};
+}
+
+std::vector<gate_action> call_gate::handle(const gate_event& event, instant now)
+{
+    actions out;
+    refill(now);
+    std::visit([&](const auto& what) { on(what, now, out); }, event);
+    refuse_late(m_lease_calls, now, out);
+    refuse_late(m_normal_calls, now, out);
+    if (open(now))
+    {
+        refuse_all(m_lease_calls, out);
+        refuse_all(m_normal_calls, out);
+        return out;
+    }
+    if (m_times_opened > 0)
+    {
+        start_probe(out);
+        return out;
+    }
+    start_waiting(m_lease_calls, 0, out);
+    start_waiting(m_normal_calls, m_options.m_lease_reserve, out);
+    return out;
+}
+
+void call_gate::refill(instant now)
+{
+    const double passed = std::chrono::duration<double>(now - m_refilled).count();
+    m_refilled = now;
+    for (auto* filled : {&m_reads, &m_writes})
+        filled->m_tokens =
+            std::min(filled->m_per_s * burst_s, filled->m_tokens + filled->m_per_s * passed);
+}
+
+void call_gate::on(const call_wanted& event, instant now, actions& out)
+{
+    auto& calls = event.m_priority == call_priority::lease ? m_lease_calls : m_normal_calls;
+    if (calls.size() >= m_options.m_max_waiting)
+    {
+        out.emplace_back(refuse_call{event.m_id, "too many calls wait for the platform"});
+        return;
+    }
+    calls.push_back({event.m_id, event.m_kind, now});
+}
+
+void call_gate::on(const call_ended& event, instant now, actions& /*out*/)
+{
+    --m_in_flight;
+    if (event.m_healthy)
+    {
+        m_failures = 0;
+        m_times_opened = 0;
+        return;
+    }
+    ++m_failures;
+    // While calls of before the opening still fail, the pause must not grow.
+    if (!open(now) && (m_failures >= m_options.m_failures_to_open || m_times_opened > 0))
+        open_breaker(now);
+}
+
+void call_gate::on(const sharers_changed& event, instant /*now*/, actions& /*out*/)
+{
+    const int sharers = std::max(1, event.m_sharers);
+    m_reads.m_per_s = m_options.m_reads_per_s / sharers;
+    m_writes.m_per_s = m_options.m_writes_per_s / sharers;
+}
+
+void call_gate::on(const gate_tick& /*event*/, instant /*now*/, actions& /*out*/) {}
+
+void call_gate::open_breaker(instant now)
+{
+    const auto longest =
+        std::min(m_options.m_open_max, m_options.m_open_min * (1L << m_times_opened));
+    // Full jitter between half and all of the pause, so that the entry VMs don't return together.
+    std::uniform_int_distribution<duration::rep> pause(longest.count() / 2, longest.count());
+    m_open_until = now + duration(pause(m_random));
+    constexpr int most_doublings = 10;
+    m_times_opened = std::min(m_times_opened + 1, most_doublings);
+    m_failures = 0;
+}
+
+void call_gate::refuse_late(std::deque<waiting_call>& calls, instant now, actions& out) const
+{
+    while (!calls.empty() && now - calls.front().m_since > m_options.m_longest_wait)
+    {
+        out.emplace_back(refuse_call{calls.front().m_id, "the platform's allowance is used up"});
+        calls.pop_front();
+    }
+}
+
+void call_gate::refuse_all(std::deque<waiting_call>& calls, actions& out) const
+{
+    for (const auto& call : calls)
+        out.emplace_back(refuse_call{call.m_id, "the platform fails; calls pause"});
+    calls.clear();
+}
+
+void call_gate::start_probe(actions& out)
+{
+    if (m_in_flight > 0)
+        return;
+    auto& calls = m_lease_calls.empty() ? m_normal_calls : m_lease_calls;
+    if (!calls.empty())
+        start(calls, out);
+}
+
+void call_gate::start_waiting(std::deque<waiting_call>& calls, double reserve, actions& out)
+{
+    while (!calls.empty() && m_in_flight < m_options.m_max_in_flight)
+    {
+        const auto& spent = bucket_of(calls.front().m_kind);
+        if (spent.m_tokens < 1 + reserve * spent.m_per_s * burst_s)
+            return;
+        start(calls, out);
+    }
+}
+
+void call_gate::start(std::deque<waiting_call>& calls, actions& out)
+{
+    bucket_of(calls.front().m_kind).m_tokens -= 1;
+    out.emplace_back(start_call{calls.front().m_id});
+    calls.pop_front();
+    ++m_in_flight;
+}
+
+} // namespace dragonflygap::platform
--- /dev/null
+++ b/tests/platform/call_gate_test.cpp
@@ -0,0 +1,177 @@
+#include "dragonflygap/platform/call_gate.hpp"
+
+#include <map>
+
+#include <rapidcheck.h>
+
+#include <CppUTest/TestHarness.h>
+
+using namespace dragonflygap;
+using namespace dragonflygap::platform;
+
+namespace
+{
+
+constexpr instant start_time{1000s};
+
+std::size_t started(const std::vector<gate_action>& actions)
+{
+    std::size_t count = 0;
+    for (const auto& action : actions)
+        count += std::holds_alternative<start_call>(action) ? 1 : 0;
+    return count;
+}
+
+std::size_t refused(const std::vector<gate_action>& actions)
+{
+    return actions.size() - started(actions);
+}
+
+} // namespace
+
+TEST_GROUP(call_gate)
+{
+    call_gate m_gate{{.m_max_in_flight = 2, .m_max_waiting = 4, .m_writes_per_s = 10}};
+    instant m_now = start_time;
+    gate_call_id m_last = 0;
+
+    auto want(call_priority priority = call_priority::normal)
+    {
+        return m_gate.handle(call_wanted{++m_last, call_kind::write, priority}, m_now);
+    }
+
+    auto end(gate_call_id id, bool healthy)
+    {
+        return m_gate.handle(call_ended{id, healthy}, m_now);
+    }
+
+    void open_breaker()
+    {
+        for (int i = 0; i < 5; ++i)
+        {
+            want();
+            end(m_last, false);
+        }
+    }
+};
+
+TEST(call_gate, only_so_many_calls_are_under_way_at_once)
+{
+    CHECK_EQUAL(1, started(want()));
+    CHECK_EQUAL(1, started(want()));
+    CHECK_EQUAL(0, started(want()));
+    CHECK_EQUAL(1, started(end(1, true)));
+}
+
+TEST(call_gate, a_full_queue_refuses_at_once)
+{
+    for (int i = 0; i < 6; ++i)
+        want();
+    CHECK_EQUAL(1, refused(want()));
+}
+
+TEST(call_gate, five_failures_in_a_row_pause_all_calls)
+{
+    open_breaker();
+    CHECK(m_gate.open(m_now));
+    CHECK_EQUAL(1, refused(want()));
+}
+
+TEST(call_gate, after_the_pause_one_call_probes_and_its_success_lets_the_others_go)
+{
+    open_breaker();
+    m_now += 100ms;
+    CHECK_EQUAL(1, started(want()));
+    const auto probe = m_last;
+    CHECK_EQUAL(0, started(want()));
+    CHECK_EQUAL(1, started(end(probe, true)));
+}
+
+TEST(call_gate, a_failed_probe_pauses_for_longer_but_never_over_a_second)
+{
+    open_breaker();
+    duration longest{};
+    for (int i = 0; i < 12; ++i)
+    {
+        m_now += 1s;
+        CHECK_EQUAL(1, started(want()));
+        end(m_last, false);
+        CHECK(m_gate.open(m_now));
+        duration pause{};
+        while (m_gate.open(m_now + pause))
+            pause += 1ms;
+        longest = std::max(longest, pause);
+    }
+    CHECK(longest <= duration(1s));
+    CHECK(longest > duration(200ms));
+}
+
+TEST(call_gate, leases_go_on_when_other_calls_have_used_the_rest_of_the_budget)
+{
+    std::size_t count = 0;
+    for (int i = 0; i < 20; ++i)
+    {
+        count += started(want());
+        end(m_last, true);
+    }
+    CHECK(count < 10);
+    CHECK_EQUAL(1, started(want(call_priority::lease)));
+}
+
+TEST(call_gate, a_call_that_waits_over_a_second_for_the_budget_is_refused)
+{
+    for (int i = 0; i < 12; ++i)
+        want();
+    m_now += 2s;
+    CHECK(refused(m_gate.handle(gate_tick{}, m_now)) > 0);
+}
+
+TEST(call_gate, never_starts_more_than_its_share_and_answers_every_call_once)
+{
+    CHECK(rc::check("random calls",
+                    []
+                    {
+                        constexpr double writes_per_s = 20;
+                        call_gate gate({.m_max_in_flight = 3, .m_writes_per_s = writes_per_s});
+                        gate.handle(sharers_changed{2}, start_time);
+                        instant now = start_time;
+                        gate_call_id last = 0;
+                        std::map<gate_call_id, int> seen;
+                        std::vector<gate_call_id> running;
+                        std::size_t count = 0;
+                        const auto take = [&](const std::vector<gate_action>& actions)
+                        {
+                            for (const auto& action : actions)
+                            {
+                                const auto* begun = std::get_if<start_call>(&action);
+                                const auto id =
+                                    begun ? begun->m_id : std::get<refuse_call>(action).m_id;
+                                RC_ASSERT(++seen[id] == 1);
+                                if (begun != nullptr)
+                                    running.push_back(id);
+                                count += begun != nullptr ? 1 : 0;
+                            }
+                            RC_ASSERT(running.size() <= 3);
+                        };
+                        const auto steps =
+                            *rc::gen::container<std::vector<int>>(200, rc::gen::inRange(0, 4));
+                        for (const int step : steps)
+                        {
+                            now += duration(10ms);
+                            if (step < 2 || running.empty())
+                                take(gate.handle(call_wanted{++last, call_kind::write}, now));
+                            else
+                            {
+                                const auto id = running.back();
+                                running.pop_back();
+                                take(gate.handle(call_ended{id, step == 2}, now));
+                            }
+                        }
+                        // Two entry VMs share: half of the rate, after the burst of the first
+                        // second.
+                        RC_ASSERT(count <= writes_per_s + writes_per_s / 2 * 2 + 1);
+                        now += 5s;
+                        take(gate.handle(gate_tick{}, now));
+                        RC_ASSERT(gate.waiting() == 0u || gate.in_flight() == 3);
+                    }));
+}
