--- a/src/dragonflygap/core/verdict.cpp
+++ b/src/dragonflygap/core/verdict.cpp
@@ -19,6 +19,7 @@
 
 constexpr std::array reason_entries{
     reason_entry{reason::bad_request, "bad_request", 400},
+    reason_entry{reason::body_too_large, "body_too_large", 413},
     reason_entry{reason::unknown_class, "unknown_class", 404},
     reason_entry{reason::deadline_passed, "deadline_passed", 504},
     reason_entry{reason::deadline_unreachable, "deadline_unreachable", 503},
--- a/src/dragonflygap/core/verdict.hpp
+++ b/src/dragonflygap/core/verdict.hpp
@@ -20,6 +20,7 @@
 enum class reason
 {
     bad_request,
+    body_too_large,
     unknown_class,
     deadline_passed,
     deadline_unreachable,
--- a/src/dragonflygap/net/http_client.cpp
+++ b/src/dragonflygap/net/http_client.cpp
@@ -11,11 +11,8 @@
 #include <event2/http.h>
 #include <event2/http_struct.h>
 #include <event2/keyvalq_struct.h>
-#include <netinet/in.h>
-#include <netinet/tcp.h>
-#include <sys/socket.h>
-
 #include "dragonflygap/net/event_loop.hpp"
+#include "dragonflygap/net/socket_options.hpp"
 
 namespace dragonflygap
 {
@@ -66,10 +63,36 @@
     return target;
 }
 
+// Without a length or chunks, the end of the connection ends the answer, and a whole one can't be
+// told from one that was cut short.
+bool has_framed_body(evhttp_request* request)
+{
+    constexpr int no_content = 204;
+    constexpr int not_modified = 304;
+    const int status = evhttp_request_get_response_code(request);
+    if (status == no_content || status == not_modified)
+        return true;
+    const evkeyvalq* headers = evhttp_request_get_input_headers(request);
+    return evhttp_find_header(headers, "Content-Length") != nullptr ||
+           evhttp_find_header(headers, "Transfer-Encoding") != nullptr;
+}
+
 } // namespace
 
 struct http_client::state
 {
+    struct call;
+
+    /// A connection and the call that uses it.
+    struct connection
+    {
+        evhttp_connection* m_http = nullptr;
+        instant m_idle_since{};
+        bool m_handed_over = false; ///< Bytes of the current request were handed to the socket.
+
+        int socket() const { return bufferevent_getfd(evhttp_connection_get_bufferevent(m_http)); }
+    };
+
     struct call
     {
         call_id m_id = 0;
@@ -77,14 +100,15 @@
         http_request m_request;
         done m_done;
         event_loop::timer_ptr m_timer;
-        evhttp_connection* m_connection = nullptr;
+        event_loop::timer_ptr m_connect_timer;
+        std::unique_ptr<connection> m_connection;
         reason m_reason = reason::target_silent;
         state* m_owner = nullptr;
     };
 
     struct pool
     {
-        std::vector<evhttp_connection*> m_idle;
+        std::vector<std::unique_ptr<connection>> m_idle;
         std::deque<call_id> m_waiting;
         int m_open = 0;
     };
@@ -97,44 +121,79 @@
 
     explicit state(event_loop& loop) : m_loop(loop) {}
 
-    evhttp_connection* open_connection(const endpoint& to)
+    std::unique_ptr<connection> open_connection(const endpoint& to)
     {
-        evhttp_connection* connection =
+        auto opened = std::make_unique<connection>();
+        evhttp_connection* http =
             evhttp_connection_base_new(m_loop.base(), nullptr, to.m_ip.c_str(), to.m_port);
-        evhttp_connection_set_max_body_size(connection,
+        evhttp_connection_set_max_body_size(http,
                                             static_cast<ev_ssize_t>(m_options.m_max_body_bytes));
-        constexpr int longest_request_s = 3600; // the call's own timer ends it earlier
-        evhttp_connection_set_timeout(connection, longest_request_s);
-        return connection;
+        constexpr ev_ssize_t max_headers_bytes = 16384;
+        evhttp_connection_set_max_headers_size(http, max_headers_bytes);
+        constexpr int longest_request_s = 2 * 3600; // the call's own timer ends it earlier
+        evhttp_connection_set_timeout(http, longest_request_s);
+        // evhttp fills the output buffer only once the connection stands.
+        evbuffer* output = bufferevent_get_output(evhttp_connection_get_bufferevent(http));
+        evbuffer_add_cb(output, &state::output_changed, opened.get());
+        opened->m_http = http;
+        return opened;
     }
 
-    void start(call& started)
+    static void output_changed(evbuffer* /*buffer*/, const evbuffer_cb_info* info, void* argument)
     {
-        pool& connections = m_pools[started.m_to];
-        if (!connections.m_idle.empty())
+        if (info->n_added > 0)
+            static_cast<connection*>(argument)->m_handed_over = true;
+    }
+
+    void close(connection& closed, pool& connections)
+    {
+        // What the kernel still holds must not reach the target after the call was given up.
+        discard_on_close(closed.socket());
+        evhttp_connection_free(closed.m_http);
+        --connections.m_open;
+    }
+
+    std::unique_ptr<connection> take_idle(pool& connections)
+    {
+        const instant now = monotonic_clock::now();
+        while (!connections.m_idle.empty())
         {
-            started.m_connection = connections.m_idle.back();
+            auto newest = std::move(connections.m_idle.back());
             connections.m_idle.pop_back();
+            if (now - newest->m_idle_since < m_options.m_idle_limit)
+                return newest;
+            close(*newest, connections);
         }
-        else if (connections.m_open < m_options.m_max_connections_per_endpoint)
+        return nullptr;
+    }
+
+    void start(call& started)
+    {
+        pool& connections = m_pools[started.m_to];
+        started.m_connection = take_idle(connections);
+        if (started.m_connection == nullptr)
         {
+            if (connections.m_open >= m_options.m_max_connections_per_endpoint)
+            {
+                connections.m_waiting.push_back(started.m_id);
+                return;
+            }
             started.m_connection = open_connection(started.m_to);
             ++connections.m_open;
         }
-        else
-        {
-            connections.m_waiting.push_back(started.m_id);
-            return;
-        }
         write(started);
     }
 
     void write(call& started)
     {
+        connection& used = *started.m_connection;
+        used.m_handed_over = false;
         evhttp_request* request = evhttp_request_new(&state::answered, &started);
         evhttp_request_set_error_cb(request, &state::failed);
         evkeyvalq* headers = evhttp_request_get_output_headers(request);
         evhttp_add_header(headers, "Host", to_string(started.m_to).c_str());
+        if (!m_options.m_reuse)
+            evhttp_add_header(headers, "Connection", "close");
         for (const auto& header : started.m_request.m_headers)
             evhttp_add_header(headers, header.m_name.c_str(), header.m_value.c_str());
         evbuffer_add(evhttp_request_get_output_buffer(request), started.m_request.m_body.data(),
@@ -142,23 +201,32 @@
         const auto method = method_type(started.m_request.m_method);
         const auto target = encoded_target(started.m_request);
         const call_id id = started.m_id;
-        if (evhttp_make_request(started.m_connection, request, method, target.c_str()) != 0)
+        const bool connects = used.socket() < 0;
+        if (evhttp_make_request(used.m_http, request, method, target.c_str()) != 0)
         {
             m_loop.post([this, id]
                         { fail_call(id, verdict::not_run, reason::target_unreachable); });
             return;
         }
-        const int on = 1;
-        const int socket =
-            bufferevent_getfd(evhttp_connection_get_bufferevent(started.m_connection));
-        setsockopt(socket, IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
+        if (!connects)
+            return;
+        set_connection_options(used.socket());
+        started.m_connect_timer =
+            m_loop.after(m_options.m_connect_timeout, [this, id] { check_connected(id); });
+    }
+
+    void check_connected(call_id id)
+    {
+        const auto found = m_calls.find(id);
+        if (found != m_calls.end() && !found->second->m_connection->m_handed_over)
+            fail_call(id, verdict::not_run, reason::target_unreachable);
     }
 
     static void failed(evhttp_request_error error, void* argument)
     {
         if (error == EVREQ_HTTP_DATA_TOO_LONG)
             static_cast<call*>(argument)->m_reason = reason::answer_too_large;
-        if (error == EVREQ_HTTP_EOF)
+        if (error == EVREQ_HTTP_EOF || error == EVREQ_HTTP_INVALID_HEADER)
             static_cast<call*>(argument)->m_reason = reason::target_failed;
     }
 
@@ -169,16 +237,13 @@
         // libevent gives no request for a broken connection, and one without a status when no
         // connection came about.
         if (request == nullptr)
-        {
             owner->fail_call(ended->m_id, verdict::may_have_run, ended->m_reason);
-            return;
-        }
-        if (evhttp_request_get_response_code(request) == 0)
-        {
+        else if (evhttp_request_get_response_code(request) == 0)
             owner->fail_call(ended->m_id, verdict::not_run, reason::target_unreachable);
-            return;
-        }
-        owner->finish(ended->m_id, read_response(request));
+        else if (!has_framed_body(request))
+            owner->fail_call(ended->m_id, verdict::may_have_run, reason::target_failed);
+        else
+            owner->finish(ended->m_id, read_response(request));
     }
 
     std::shared_ptr<call> take(call_id id)
@@ -196,9 +261,10 @@
         const auto ended = take(id);
         if (ended == nullptr)
             return;
+        ended->m_timer.reset();
+        ended->m_connect_timer.reset();
         // The request's callback runs within the connection, which must not be used again yet.
-        m_loop.post([this, to = ended->m_to, connection = ended->m_connection]
-                    { give_back(to, connection); });
+        m_loop.post([this, ended] { give_back(*ended); });
         ended->m_done(std::move(response));
     }
 
@@ -211,24 +277,32 @@
         ended->m_done(fail(what, why, "call to " + to_string(ended->m_to) + " failed"));
     }
 
-    void close_later(std::shared_ptr<call> ended)
+    void close_later(const std::shared_ptr<call>& ended)
     {
+        ended->m_timer.reset();
+        ended->m_connect_timer.reset();
         if (ended->m_connection == nullptr)
             return;
         // Until the connection is freed, libevent may still call back with the call's address.
         m_loop.post(
-            [this, ended = std::move(ended)]
+            [this, ended]
             {
-                evhttp_connection_free(ended->m_connection);
-                --m_pools[ended->m_to].m_open;
+                close(*ended->m_connection, m_pools[ended->m_to]);
                 serve_waiting(ended->m_to);
             });
     }
 
-    void give_back(const endpoint& to, evhttp_connection* connection)
+    void give_back(call& ended)
     {
-        m_pools[to].m_idle.push_back(connection);
-        serve_waiting(to);
+        pool& connections = m_pools[ended.m_to];
+        if (m_options.m_reuse)
+        {
+            ended.m_connection->m_idle_since = monotonic_clock::now();
+            connections.m_idle.push_back(std::move(ended.m_connection));
+        }
+        else
+            close(*ended.m_connection, connections);
+        serve_waiting(ended.m_to);
     }
 
     void serve_waiting(const endpoint& to)
@@ -251,8 +325,9 @@
         const auto found = m_calls.find(id);
         if (found == m_calls.end())
             return;
-        const bool sent = found->second->m_connection != nullptr;
-        fail_call(id, sent ? verdict::may_have_run : verdict::not_run, reason::timeout);
+        const auto& used = found->second->m_connection;
+        const bool handed_over = used != nullptr && used->m_handed_over;
+        fail_call(id, handed_over ? verdict::may_have_run : verdict::not_run, reason::timeout);
     }
 };
 
@@ -266,10 +341,10 @@
 {
     for (auto& [id, ended] : m_state->m_calls)
         if (ended->m_connection != nullptr)
-            evhttp_connection_free(ended->m_connection);
+            evhttp_connection_free(ended->m_connection->m_http);
     for (auto& [to, connections] : m_state->m_pools)
-        for (evhttp_connection* connection : connections.m_idle)
-            evhttp_connection_free(connection);
+        for (auto& idle : connections.m_idle)
+            evhttp_connection_free(idle->m_http);
 }
 
 http_client::call_id http_client::send(const endpoint& to, http_request request, duration timeout,
@@ -298,13 +373,12 @@
 
 void http_client::forget(const endpoint& to)
 {
-    auto& connections = m_state->m_pools[to];
-    for (evhttp_connection* connection : connections.m_idle)
-    {
-        evhttp_connection_free(connection);
-        --connections.m_open;
-    }
-    connections.m_idle.clear();
+    const auto found = m_state->m_pools.find(to);
+    if (found == m_state->m_pools.end())
+        return;
+    for (auto& idle : found->second.m_idle)
+        m_state->close(*idle, found->second);
+    found->second.m_idle.clear();
 }
 
 } // namespace dragonflygap
--- a/src/dragonflygap/net/http_client.hpp
+++ b/src/dragonflygap/net/http_client.hpp
@@ -18,11 +18,15 @@
 {
     std::size_t m_max_body_bytes = 1 << 20;
     int m_max_connections_per_endpoint = 8;
+    bool m_reuse = true; ///< False: a new connection for every request.
+    duration m_connect_timeout = 1500ms;
+    duration m_idle_limit = 10s; ///< Connections idle for longer are not trusted any more.
 };
 
 /// Sends HTTP requests within a task's loop and keeps connections for later ones.
 ///
-/// A failure's verdict is not_run if no connection came about, else may_have_run.
+/// A failure's verdict is not_run if no byte was handed to a connection, else may_have_run. An
+/// answer that is cut short, too large or without a length is a failure.
 class http_client
 {
 public:
--- a/src/dragonflygap/net/http_server.cpp
+++ b/src/dragonflygap/net/http_server.cpp
@@ -7,13 +7,13 @@
 #include <event2/http.h>
 #include <event2/http_struct.h>
 #include <event2/keyvalq_struct.h>
+#include <event2/bufferevent.h>
+#include <event2/event.h>
 #include <netinet/in.h>
-#include <netinet/tcp.h>
 #include <sys/socket.h>
 
-#include <event2/bufferevent.h>
-
 #include "dragonflygap/net/event_loop.hpp"
+#include "dragonflygap/net/socket_options.hpp"
 
 namespace dragonflygap
 {
@@ -93,6 +93,7 @@
             return;
         evhttp_request* request = std::exchange(m_request, nullptr);
         m_hangup = nullptr;
+        m_closed.reset();
         evhttp_connection_set_closecb(evhttp_request_get_connection(request), nullptr, nullptr);
         for (const auto& header : response.m_headers)
             evhttp_add_header(evhttp_request_get_output_headers(request), header.m_name.c_str(),
@@ -102,13 +103,39 @@
         evhttp_send_reply(request, response.m_status, nullptr, nullptr);
     }
 
-    void on_hangup(std::function<void()> hook) override { m_hangup = std::move(hook); }
+    void on_hangup(std::function<void()> hook) override
+    {
+        if (m_request == nullptr)
+            return;
+        m_hangup = std::move(hook);
+        // evhttp doesn't read while a request waits for its answer, so it would notice a closed
+        // connection only by writing to it.
+        evhttp_connection* connection = evhttp_request_get_connection(m_request);
+        const int socket = bufferevent_getfd(evhttp_connection_get_bufferevent(connection));
+        m_closed.reset(event_new(evhttp_connection_get_base(connection), socket, EV_CLOSED,
+                                 &evhttp_exchange::half_closed, this));
+        event_add(m_closed.get(), nullptr);
+    }
 
 private:
+    struct event_deleter
+    {
+        void operator()(event* owned) const { event_free(owned); }
+    };
+
+    static void half_closed(evutil_socket_t /*socket*/, short /*what*/, void* self)
+    {
+        // The connection is freed when the handler's answer can't be written.
+        const auto hook = std::exchange(static_cast<evhttp_exchange*>(self)->m_hangup, nullptr);
+        if (hook)
+            hook();
+    }
+
     static void closed(evhttp_connection* /*connection*/, void* self)
     {
         auto* exchange = static_cast<evhttp_exchange*>(self);
         exchange->m_request = nullptr;
+        exchange->m_closed.reset();
         const auto hook = std::exchange(exchange->m_hangup, nullptr);
         if (hook)
             hook();
@@ -116,13 +143,13 @@
 
     evhttp_request* m_request;
     std::function<void()> m_hangup;
+    std::unique_ptr<event, event_deleter> m_closed;
 };
 
-void set_no_delay(evhttp_request* request)
+failure body_too_large(std::size_t limit)
 {
-    bufferevent* stream = evhttp_connection_get_bufferevent(evhttp_request_get_connection(request));
-    const int on = 1;
-    setsockopt(bufferevent_getfd(stream), IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
+    return {verdict::not_run, reason::body_too_large,
+            "the body has more than " + std::to_string(limit) + " bytes"};
 }
 
 } // namespace
@@ -135,9 +162,15 @@
 
     static void handle(evhttp_request* request, void* self)
     {
-        set_no_delay(request);
+        auto* server = static_cast<state*>(self);
         auto exchange = std::make_shared<evhttp_exchange>(request);
-        static_cast<state*>(self)->m_options.m_handler(read_request(request), exchange);
+        auto read = read_request(request);
+        if (read.m_body.size() > server->m_options.m_max_body_bytes)
+        {
+            exchange->reply(failure_response(body_too_large(server->m_options.m_max_body_bytes)));
+            return;
+        }
+        server->m_options.m_handler(std::move(read), exchange);
     }
 };
 
@@ -146,8 +179,10 @@
 {
     m_state->m_options = std::move(options);
     m_state->m_http = evhttp_new(loop.base());
+    // libevent's own refusal is a page of HTML, so bodies a little too large are read and refused
+    // by the handler above.
     evhttp_set_max_body_size(m_state->m_http,
-                             static_cast<ev_ssize_t>(m_state->m_options.m_max_body_bytes));
+                             static_cast<ev_ssize_t>(2 * m_state->m_options.m_max_body_bytes));
     constexpr int max_headers_bytes = 16384;
     evhttp_set_max_headers_size(m_state->m_http, max_headers_bytes);
     evhttp_set_allowed_methods(m_state->m_http, EVHTTP_REQ_GET | EVHTTP_REQ_POST | EVHTTP_REQ_PUT |
@@ -162,6 +197,7 @@
         evhttp_free(m_state->m_http);
         throw std::runtime_error("can't listen on " + to_string(listen));
     }
+    set_connection_options(evhttp_bound_socket_get_fd(m_state->m_socket));
 }
 
 http_server::~http_server()
