--- a/src/dragonflygap/net/http_client.cpp
+++ b/src/dragonflygap/net/http_client.cpp
@@ -6,13 +6,13 @@
 #include <utility>
 #include <vector>
 
+#include "dragonflygap/net/event_loop.hpp"
+#include "dragonflygap/net/socket_options.hpp"
 #include <event2/buffer.h>
 #include <event2/bufferevent.h>
 #include <event2/http.h>
 #include <event2/http_struct.h>
 #include <event2/keyvalq_struct.h>
-#include "dragonflygap/net/event_loop.hpp"
-#include "dragonflygap/net/socket_options.hpp"
 
 namespace dragonflygap
 {
--- a/src/dragonflygap/net/http_server.cpp
+++ b/src/dragonflygap/net/http_server.cpp
@@ -4,11 +4,11 @@
 #include <utility>
 
 #include <event2/buffer.h>
+#include <event2/bufferevent.h>
+#include <event2/event.h>
 #include <event2/http.h>
 #include <event2/http_struct.h>
 #include <event2/keyvalq_struct.h>
-#include <event2/bufferevent.h>
-#include <event2/event.h>
 #include <netinet/in.h>
 #include <sys/socket.h>
 
--- a/tests/net/http_client_test.cpp
+++ b/tests/net/http_client_test.cpp
@@ -84,8 +84,8 @@
 
 TEST(http_client, an_answer_that_is_too_large_may_have_run)
 {
-    raw_target target(answering("HTTP/1.1 200 OK\r\nContent-Length: 2000\r\n\r\n" +
-                                std::string(2000, 'x')));
+    raw_target target(
+        answering("HTTP/1.1 200 OK\r\nContent-Length: 2000\r\n\r\n" + std::string(2000, 'x')));
     check_failed(post(target.address()), verdict::may_have_run, reason::answer_too_large);
 }
 
--- a/tests/support/raw_target.cpp
+++ b/tests/support/raw_target.cpp
@@ -38,6 +38,7 @@
 raw_target::~raw_target()
 {
     shutdown(m_listener, SHUT_RDWR);
+    shutdown(m_current, SHUT_RDWR);
     m_thread.join();
     close(m_listener);
 }
@@ -47,7 +48,9 @@
     for (int socket = accept(m_listener, nullptr, nullptr); socket >= 0;
          socket = accept(m_listener, nullptr, nullptr))
     {
+        m_current = socket;
         m_script(socket);
+        m_current = -1;
         close(socket);
     }
 }
--- a/tests/support/raw_target.hpp
+++ b/tests/support/raw_target.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <atomic>
 #include <cstdint>
 #include <functional>
 #include <string>
@@ -26,8 +27,9 @@
     void serve();
 
     std::function<void(int)> m_script;
-    int m_listener = -1;
     endpoint m_address;
+    int m_listener = -1; ///< Its making sets the address.
+    std::atomic<int> m_current = -1;
     std::thread m_thread;
 };
 
