Close the holes in the ownership keeper

Cause: in the thin keeper a hand-over whose reply was lost could come true while the giver still used the group; an answer to a given-up call was taken for the answer to a newer one; a restarted VM could meet groups under an epoch that its earlier process had used; after a table outage the first VM to come back fenced all others, which had had no chance to renew; a failing table was called at every tick.

Change: groups name a session (VM, incarnation, count of its leases), which never comes back once its lease row is gone; a group is stopped here (groups_changed without it), left alone for 500 ms, then handed over, and not used again before its row has another version; calls carry an id; expiry counts only while the table could be read; unclear calls are followed by a pause; one successor fences first and gives each group of the dead owner to its preferred owner in the same transaction; leaving is one transaction that deletes the lease row and hands the groups on.

--- a/src/dragonflygap/daemon/ownership_driver.cpp
+++ b/src/dragonflygap/daemon/ownership_driver.cpp
@@ -31,14 +31,18 @@
 
 void ownership_driver::act(const ownership::scan_rows& action)
 {
-    m_table.m_scan(action.m_prefix, [this](outcome<std::vector<platform::row>> rows)
-                   { run(ownership::rows_scanned{std::move(rows)}); });
+    m_table.m_scan(action.m_prefix,
+                   [this, call = action.m_call](outcome<std::vector<platform::row>> rows) {
+                       run(ownership::rows_scanned{call, std::move(rows)});
+                   });
 }
 
 void ownership_driver::act(const ownership::commit_rows& action)
 {
-    m_table.m_commit(action.m_writes, [this](outcome<platform::commit_result> result)
-                     { run(ownership::commit_finished{std::move(result)}); });
+    m_table.m_commit(action.m_writes,
+                     [this, call = action.m_call](outcome<platform::commit_result> result) {
+                         run(ownership::commit_finished{call, std::move(result)});
+                     });
 }
 
 void ownership_driver::act(const ownership::groups_changed& action)
@@ -47,4 +51,9 @@
     m_on_groups(action.m_epochs);
 }
 
+void ownership_driver::act(const ownership::keeper_left& /*action*/)
+{
+    log_event(log_level::info, "ownership_left", {});
+}
+
 } // namespace dragonflygap::daemon
--- a/src/dragonflygap/daemon/ownership_driver.hpp
+++ b/src/dragonflygap/daemon/ownership_driver.hpp
@@ -28,6 +28,7 @@
     void act(const ownership::scan_rows& action);
     void act(const ownership::commit_rows& action);
     void act(const ownership::groups_changed& action);
+    void act(const ownership::keeper_left& action);
 
     platform::table_port m_table;
     ownership::keeper m_keeper;
--- a/src/dragonflygap/ownership/keeper.cpp
+++ b/src/dragonflygap/ownership/keeper.cpp
@@ -1,140 +1,182 @@
 #include "dragonflygap/ownership/keeper.hpp"
 
-#include <algorithm>
-#include <cstdio>
+#include <set>
 #include <utility>
 
-#include <nlohmann/json.hpp>
-#include <xxhash.h>
-
 namespace dragonflygap::ownership
 {
 
-namespace
+keeper::keeper(keeper_options options)
+    : m_options(std::move(options)), m_prefix(key_prefix(m_options.m_data_centre))
 {
+}
 
-std::uint64_t hash(std::string_view text, std::uint64_t seed)
+std::vector<keeper_action> keeper::handle(const keeper_event& event, instant now)
 {
-    return XXH64(text.data(), text.size(), seed);
+    actions out;
+    std::visit([&](const auto& what) { on(what, now, out); }, event);
+    announce(now, out);
+    return out;
 }
 
-std::string group_value(const vm_id& owner, std::uint64_t epoch)
+session keeper::own_session() const
 {
-    return nlohmann::json{{"owner", owner.m_value}, {"epoch", epoch}}.dump();
+    return {m_options.m_vm, m_options.m_incarnation, m_session};
 }
 
-} // namespace
+void keeper::on(const keeper_tick& /*event*/, instant now, actions& out)
+{
+    if (m_left)
+        return;
+    if (m_call && now - m_call->m_started >= m_options.m_call_timeout)
+        give_up_call(now);
+    if (m_call || now < m_not_before)
+        return;
+    if (!m_scanned || now - m_last_scan >= m_options.m_scan_every)
+        return scan(now, out);
+    if (m_leaving)
+        return leave(now, out);
+    if (now - m_last_renewal >= m_options.m_renew_every || !m_holds_lease)
+        renew(now, out);
+    if (m_call || !own_lease_holds(now))
+        return;
+    if (!fence_expired(now, out))
+        move_groups(now, out);
+}
 
-group_index group_of(const worker_id& worker)
+void keeper::on(const keeper_leaving& /*event*/, instant now, actions& /*out*/)
 {
-    return static_cast<group_index>(hash(worker.m_value, 0) % groups_per_data_centre);
+    m_leaving = true;
+    for (const auto& [index, group] : m_groups)
+        if (is_mine(group))
+            stop_group(index, group, now);
 }
 
-keeper::keeper(keeper_options options)
-    : m_options(std::move(options)), m_prefix("own/" + m_options.m_data_centre.m_value + "/")
+void keeper::give_up_call(instant now)
 {
+    m_call.reset();
+    m_scanned = false;
+    m_not_before = now + m_options.m_retry_after;
 }
 
-std::vector<keeper_action> keeper::handle(const keeper_event& event, instant now)
+void keeper::scan(instant now, actions& out)
 {
-    actions out;
-    std::visit([&](const auto& what) { on(what, now, out); }, event);
-    announce(now, out);
-    return out;
+    m_call = {.m_id = ++m_last_call, .m_kind = call_kind::scan, .m_started = now};
+    m_last_scan = now;
+    out.emplace_back(scan_rows{m_last_call, m_prefix});
 }
 
-std::string keeper::lease_key(const vm_id& vm) const
+void keeper::commit(call_kind kind, row_writes writes, instant now, actions& out)
 {
-    return m_prefix + "lease/" + vm.m_value;
+    m_call = {.m_id = ++m_last_call, .m_kind = kind, .m_started = now};
+    out.emplace_back(commit_rows{m_last_call, std::move(writes)});
 }
 
-std::string keeper::group_key(group_index group) const
+std::optional<keeper::table_call> keeper::finish_call(std::uint64_t id)
 {
-    return m_prefix + "group/" + std::to_string(group);
+    // An answer to a call that was given up says nothing about the rows of now.
+    if (!m_call || m_call->m_id != id)
+        return std::nullopt;
+    return std::exchange(m_call, std::nullopt);
 }
 
-std::string keeper::lease_value() const
+void keeper::on(const rows_scanned& event, instant now, actions& /*out*/)
 {
-    return nlohmann::json{{"incarnation", m_options.m_incarnation}, {"leaving", m_leaving}}.dump();
+    if (!finish_call(event.m_call))
+        return;
+    if (!event.m_rows)
+        return give_up_call(now);
+    m_scanned = true;
+    // Owners that couldn't be watched, perhaps because the table was down, had no chance to renew.
+    if (now - std::exchange(m_last_good_scan, now) >= m_options.m_scan_gap)
+        for (auto& [vm, lease] : m_leases)
+            lease.m_seen = now;
+    std::set<vm_id> present;
+    for (const auto& row : *event.m_rows)
+    {
+        read(row, now);
+        if (auto vm = vm_of_key(m_prefix, row.m_key))
+            present.insert(std::move(*vm));
+    }
+    std::erase_if(m_leases, [&](const auto& entry) { return !present.contains(entry.first); });
+    check_session(now);
 }
 
-void keeper::on(const keeper_tick& /*event*/, instant now, actions& out)
+void keeper::on(const commit_finished& event, instant now, actions& out)
 {
-    if (m_call_started)
+    const auto call = finish_call(event.m_call);
+    if (!call)
         return;
-    if (!m_scanned || now - m_last_scan >= m_options.m_scan_every)
+    // Lost reply or conflict: the rows tell which, so read them before anything else.
+    if (!event.m_result)
+        return give_up_call(now);
+    if (!event.m_result->m_committed)
     {
-        m_call_started = now;
-        m_last_scan = now;
-        out.emplace_back(scan_rows{m_prefix});
+        m_scanned = false;
         return;
     }
-    if (now - m_last_renewal >= m_options.m_renew_every)
+    if (call->m_kind == call_kind::leave)
     {
-        renew(now, out);
-        if (m_call_started)
-            return;
+        m_left = true;
+        m_holds_lease = false;
+        out.emplace_back(keeper_left{});
+        return;
+    }
+    for (const auto& row : event.m_result->m_rows)
+        read(row, now);
+    if (call->m_kind != call_kind::renew)
+    {
+        // Shows leases that the transaction deleted as gone.
+        m_scanned = false;
+        return;
     }
-    if (own_lease_holds(now))
-        take_groups(now, out);
+    if (!std::exchange(m_holds_lease, true))
+        m_acquired = now;
+    m_lease_end = call->m_started + m_options.m_lease;
 }
 
-void keeper::on(const keeper_leaving& /*event*/, instant /*now*/, actions& /*out*/)
+void keeper::read(const platform::row& row, instant now)
 {
-    m_leaving = true;
-    m_last_renewal = {};
+    if (const auto vm = vm_of_key(m_prefix, row.m_key))
+        return read_lease(*vm, row, now);
+    if (const auto group = group_of_key(m_prefix, row.m_key))
+        read_group(*group, row);
 }
 
-void keeper::on(const rows_scanned& event, instant now, actions& /*out*/)
+void keeper::read_lease(const vm_id& vm, const platform::row& row, instant now)
 {
-    m_call_started.reset();
-    if (!event.m_rows)
+    auto& lease = m_leases[vm];
+    const auto holder = decode_lease(vm, row.m_value);
+    if (lease.m_version == row.m_version && lease.m_holder == holder)
         return;
-    m_scanned = true;
-    std::set<vm_id> present;
-    for (const auto& row : *event.m_rows)
-    {
-        const std::string_view key = std::string_view(row.m_key).substr(m_prefix.size());
-        if (key.starts_with("lease/"))
-        {
-            read_lease(row, now);
-            present.insert(vm_id(std::string(key.substr(6))));
-        }
-        else if (key.starts_with("group/"))
-            read_group(row);
-    }
-    std::erase_if(m_leases, [&](const auto& entry) { return !present.contains(entry.first); });
-    const auto own = m_leases.find(m_options.m_vm);
-    // Another process fenced this one, or took its name.
-    if (own == m_leases.end() || own->second.m_incarnation != m_options.m_incarnation)
-        m_holds_lease = false;
+    lease = {.m_version = row.m_version, .m_holder = holder, .m_seen = now};
 }
 
-void keeper::read_lease(const platform::row& row, instant now)
+void keeper::read_group(group_index group, const platform::row& row)
 {
-    const vm_id vm(row.m_key.substr(m_prefix.size() + 6));
-    const auto value = nlohmann::json::parse(row.m_value, nullptr, false);
-    auto& lease = m_leases[vm];
-    if (lease.m_version == row.m_version)
-        return;
-    lease = {.m_version = row.m_version,
-             .m_incarnation = value.value("incarnation", std::uint64_t{0}),
-             .m_leaving = value.value("leaving", false),
-             .m_seen = now};
+    m_groups[group] = {.m_version = row.m_version, .m_value = decode_group(row.m_value)};
+    const auto stopped = m_stopped.find(group);
+    if (stopped != m_stopped.end() && stopped->second.m_version != row.m_version)
+        m_stopped.erase(stopped);
 }
 
-void keeper::read_group(const platform::row& row)
+void keeper::check_session(instant now)
 {
-    const auto value = nlohmann::json::parse(row.m_value, nullptr, false);
-    const auto index = static_cast<group_index>(std::stoul(row.m_key.substr(m_prefix.size() + 6)));
-    m_groups[index] = {.m_version = row.m_version,
-                       .m_owner = vm_id(value.value("owner", "")),
-                       .m_epoch = value.value("epoch", std::uint64_t{0})};
+    const auto own = m_leases.find(m_options.m_vm);
+    const bool present = own != m_leases.end() && own->second.m_holder == own_session();
+    if (present == m_holds_lease)
+        return;
+    m_holds_lease = present;
+    if (!present)
+        return;
+    // The reply of the acquisition was lost. Only a renewal with a known start gives a lease end.
+    m_acquired = now;
+    m_last_renewal = {};
 }
 
-bool keeper::expired(const lease_row& lease, instant now) const
+bool keeper::expired(const lease_row& lease, instant now, duration extra) const
 {
-    return now - lease.m_seen >= m_options.m_lease + m_options.m_clock_margin;
+    return now - lease.m_seen >= m_options.m_lease + m_options.m_clock_margin + extra;
 }
 
 bool keeper::own_lease_holds(instant now) const
@@ -142,113 +184,149 @@
     return m_holds_lease && now < m_lease_end;
 }
 
+bool keeper::is_mine(const group_row& group) const
+{
+    return m_holds_lease && group.m_value.m_owner == own_session();
+}
+
+bool keeper::is_free(const group_row& group) const
+{
+    // Scans read groups before leases and sessions never come back: a session without its lease
+    // row is gone for good.
+    const auto lease = m_leases.find(group.m_value.m_owner.m_vm);
+    return lease == m_leases.end() || lease->second.m_holder != group.m_value.m_owner;
+}
+
+const session* keeper::preferred(std::uint64_t subject, instant now) const
+{
+    const session* best = nullptr;
+    std::uint64_t highest = 0;
+    for (const auto& [vm, lease] : m_leases)
+    {
+        const bool usable = vm == m_options.m_vm ? !m_leaving && lease.m_holder == own_session()
+                                                 : !expired(lease, now);
+        const auto value = weight(vm, subject);
+        if (!usable || (best != nullptr && value <= highest))
+            continue;
+        best = &lease.m_holder;
+        highest = value;
+    }
+    return best;
+}
+
+platform::row_write keeper::move(group_index group, const session& to) const
+{
+    const auto found = m_groups.find(group);
+    const auto row = found == m_groups.end() ? group_row{} : found->second;
+    return {.m_key = group_key(m_prefix, group),
+            .m_expected_version = row.m_version,
+            .m_value = encode_group({.m_owner = to, .m_epoch = row.m_value.m_epoch + 1})};
+}
+
 void keeper::renew(instant now, actions& out)
 {
     const auto own = m_leases.find(m_options.m_vm);
     const bool foreign =
-        own != m_leases.end() && own->second.m_incarnation != m_options.m_incarnation;
+        own != m_leases.end() && own->second.m_holder.m_incarnation != m_options.m_incarnation;
     // An earlier process of this name may still run: wait as for any other owner.
     if (foreign && !expired(own->second, now))
         return;
-    std::vector<platform::row_write> writes;
-    writes.push_back({.m_key = lease_key(m_options.m_vm),
-                      .m_expected_version = own == m_leases.end() ? 0 : own->second.m_version,
-                      .m_value = lease_value()});
     if (!m_holds_lease)
-        // What an earlier process of this name owned gets a new epoch before it is used.
-        for (const auto& [index, group] : m_groups)
-            if (group.m_owner == m_options.m_vm)
-                writes.push_back({.m_key = group_key(index),
-                                  .m_expected_version = group.m_version,
-                                  .m_value = group_value(m_options.m_vm, group.m_epoch + 1)});
-    m_call_started = now;
-    m_call_renews = true;
+        ++m_session;
     m_last_renewal = now;
-    out.emplace_back(commit_rows{std::move(writes)});
+    commit(call_kind::renew,
+           {{.m_key = lease_key(m_prefix, m_options.m_vm),
+             .m_expected_version = own == m_leases.end() ? 0 : own->second.m_version,
+             .m_value = encode_lease(own_session())}},
+           now, out);
 }
 
-vm_id keeper::preferred_owner(group_index group, instant now) const
+bool keeper::fence_expired(instant now, actions& out)
 {
-    vm_id best;
-    std::uint64_t highest = 0;
     for (const auto& [vm, lease] : m_leases)
     {
-        const bool self = vm == m_options.m_vm;
-        if (self ? m_leaving : lease.m_leaving || expired(lease, now))
+        if (vm == m_options.m_vm || !expired(lease, now))
             continue;
-        const auto weight = hash(vm.m_value, group + 1);
-        if (!best.empty() && weight <= highest)
+        // One successor acts first, so that the others don't all run into conflicts.
+        const auto* first = preferred(subject_of(vm), now);
+        const bool is_first = first != nullptr && first->m_vm == m_options.m_vm;
+        if (!is_first && !expired(lease, now, m_options.m_second_fencer))
             continue;
-        best = vm;
-        highest = weight;
+        row_writes writes{
+            {.m_key = lease_key(m_prefix, vm), .m_expected_version = lease.m_version}};
+        for (const auto& [index, group] : m_groups)
+            if (group.m_value.m_owner == lease.m_holder)
+                writes.push_back(move(index, *preferred(index, now)));
+        commit(call_kind::move, std::move(writes), now, out);
+        return true;
     }
-    return best;
+    return false;
 }
 
-bool keeper::take_groups(instant now, actions& out)
+void keeper::stop_group(group_index group, const group_row& row, instant now)
 {
-    std::vector<platform::row_write> writes;
-    std::set<vm_id> fenced;
+    m_stopped.try_emplace(group, stopped_group{.m_version = row.m_version, .m_since = now});
+}
+
+void keeper::move_groups(instant now, actions& out)
+{
+    if (now - m_acquired < m_options.m_settle)
+        return;
+    row_writes writes;
     for (group_index index = 0; index < groups_per_data_centre; ++index)
     {
-        const auto found = m_groups.find(index);
-        const group_row group = found == m_groups.end() ? group_row{} : found->second;
-        const vm_id wanted = preferred_owner(index, now);
-        if (wanted.empty() || wanted == group.m_owner)
+        const auto group = m_groups[index];
+        const auto* wanted = preferred(index, now);
+        if (wanted == nullptr)
             continue;
-        const bool mine = group.m_owner == m_options.m_vm;
-        const auto lease = m_leases.find(group.m_owner);
-        const bool free = group.m_owner.empty() || lease == m_leases.end();
-        const bool fence = !free && !mine && expired(lease->second, now);
-        const bool give = mine;
-        if (!give && (wanted != m_options.m_vm || !(free || fence)))
-            continue;
-        if (fence && fenced.insert(group.m_owner).second)
-            writes.push_back(
-                {.m_key = lease_key(group.m_owner), .m_expected_version = lease->second.m_version});
-        writes.push_back({.m_key = group_key(index),
-                          .m_expected_version = group.m_version,
-                          .m_value = group_value(wanted, group.m_epoch + 1)});
+        const bool to_self = wanted->m_vm == m_options.m_vm;
+        const auto stopped = m_stopped.find(index);
+        if (is_mine(group) && !to_self && stopped == m_stopped.end())
+            stop_group(index, group, now);
+        else if (is_mine(group) && stopped != m_stopped.end())
+        {
+            // Also back to this VM: an earlier hand-over may still be on its way.
+            if (now - stopped->second.m_since >= m_options.m_release_delay)
+                writes.push_back(move(index, *wanted));
+        }
+        else if (to_self && is_free(group))
+            writes.push_back(move(index, *wanted));
     }
-    if (writes.empty())
-        return false;
-    m_call_started = now;
-    m_call_renews = false;
-    out.emplace_back(commit_rows{std::move(writes)});
-    return true;
+    if (!writes.empty())
+        commit(call_kind::move, std::move(writes), now, out);
 }
 
-void keeper::on(const commit_finished& event, instant now, actions& /*out*/)
+void keeper::leave(instant now, actions& out)
 {
-    const auto started = std::exchange(m_call_started, std::nullopt).value_or(now);
-    const bool renews = std::exchange(m_call_renews, false);
-    if (!event.m_result || !event.m_result->m_committed)
+    if (!m_holds_lease)
     {
-        // Lost reply or conflict: the rows tell which, so read them before anything else.
-        m_scanned = false;
+        m_left = true;
+        out.emplace_back(keeper_left{});
         return;
     }
-    for (const auto& row : event.m_result->m_rows)
+    row_writes writes{{.m_key = lease_key(m_prefix, m_options.m_vm),
+                       .m_expected_version = m_leases[m_options.m_vm].m_version}};
+    for (const auto& [index, group] : m_groups)
     {
-        const std::string_view key = std::string_view(row.m_key).substr(m_prefix.size());
-        if (key.starts_with("lease/"))
-            read_lease(row, now);
-        else
-            read_group(row);
+        if (!is_mine(group))
+            continue;
+        stop_group(index, group, now);
+        if (now - m_stopped[index].m_since < m_options.m_release_delay)
+            return;
+        // A group that nobody wants now becomes free with the lease row.
+        if (const auto* wanted = preferred(index, now))
+            writes.push_back(move(index, *wanted));
     }
-    if (!renews)
-        return;
-    m_holds_lease = true;
-    m_lease_end = started + m_options.m_lease;
+    commit(call_kind::leave, std::move(writes), now, out);
 }
 
 void keeper::announce(instant now, actions& out)
 {
     std::map<group_index, std::uint64_t> owned;
-    if (own_lease_holds(now))
+    if (own_lease_holds(now) && !m_leaving)
         for (const auto& [index, group] : m_groups)
-            if (group.m_owner == m_options.m_vm)
-                owned[index] = group.m_epoch;
+            if (is_mine(group) && !m_stopped.contains(index))
+                owned[index] = group.m_value.m_epoch;
     if (owned == m_announced)
         return;
     m_announced = owned;
--- a/src/dragonflygap/ownership/keeper.hpp
+++ b/src/dragonflygap/ownership/keeper.hpp
@@ -3,7 +3,6 @@
 #include <cstdint>
 #include <map>
 #include <optional>
-#include <set>
 #include <string>
 #include <variant>
 #include <vector>
@@ -11,6 +10,7 @@
 #include "dragonflygap/core/identifier.hpp"
 #include "dragonflygap/core/time.hpp"
 #include "dragonflygap/core/verdict.hpp"
+#include "dragonflygap/ownership/rows.hpp"
 #include "dragonflygap/platform/table.hpp"
 
 /// Who may dispatch to and place on which workers, agreed through the platform's table.
@@ -21,31 +21,33 @@
 namespace dragonflygap::ownership
 {
 
-using group_index = std::uint32_t;
-
-/// Groups of workers in each data centre.
-inline constexpr group_index groups_per_data_centre = 32;
-
-/// The group that a worker belongs to; the same on every entry VM.
-group_index group_of(const worker_id& worker);
-
 struct keeper_options
 {
     vm_id m_vm;
     data_centre_id m_data_centre;
     std::uint64_t m_incarnation = 0;
-    duration m_lease = 6s;
-    duration m_renew_every = 2s;
+    duration m_lease = 5s;
+    duration m_renew_every = 1500ms;
     duration m_scan_every = 1s;
-    duration m_clock_margin = 1s; ///< How much longer than the lease a successor waits.
+    duration m_clock_margin = 1200ms; ///< How much longer than the lease a successor waits.
+    duration m_call_timeout = 3s;     ///< After it a call's outcome counts as unknown.
+    duration m_settle = 1s;           ///< From the own lease to the first claim of free groups.
+    duration m_release_delay = 500ms; ///< From the last use of a group to its hand-over.
+    duration m_second_fencer = 1s;    ///< How much longer all but the first successor wait.
+    duration m_retry_after = 500ms;   ///< Pause after a call without a clear outcome.
+    duration m_scan_gap = 3s;         ///< Without a scan for longer, silence proves nothing.
 };
 
+/// Answer to scan_rows.
 struct rows_scanned
 {
+    std::uint64_t m_call = 0;
     outcome<std::vector<platform::row>> m_rows;
 };
+/// Answer to commit_rows.
 struct commit_finished
 {
+    std::uint64_t m_call = 0;
     outcome<platform::commit_result> m_result;
 };
 /// This entry VM leaves: hand everything to the others.
@@ -57,14 +59,16 @@
 };
 using keeper_event = std::variant<rows_scanned, commit_finished, keeper_leaving, keeper_tick>;
 
-/// Read all rows that start with the prefix, then report rows_scanned.
+/// Read all rows that start with the prefix, in order of their keys, then report rows_scanned.
 struct scan_rows
 {
+    std::uint64_t m_call = 0;
     std::string m_prefix;
 };
 /// Commit the writes, then report commit_finished. Only one call is under way at a time.
 struct commit_rows
 {
+    std::uint64_t m_call = 0;
     std::vector<platform::row_write> m_writes;
 };
 /// The groups owned from now on, each with its epoch; all others are lost at once.
@@ -72,7 +76,11 @@
 {
     std::map<group_index, std::uint64_t> m_epochs;
 };
-using keeper_action = std::variant<scan_rows, commit_rows, groups_changed>;
+/// Nothing is held any more and nothing will be.
+struct keeper_left
+{
+};
+using keeper_action = std::variant<scan_rows, commit_rows, groups_changed, keeper_left>;
 
 /// Keeps this entry VM's lease and its share of the groups of its data centre. Pure.
 class keeper
@@ -87,20 +95,42 @@
 
 private:
     using actions = std::vector<keeper_action>;
+    using row_writes = std::vector<platform::row_write>;
 
     struct lease_row
     {
         std::uint64_t m_version = 0;
-        std::uint64_t m_incarnation = 0;
-        bool m_leaving = false;
+        session m_holder;
         instant m_seen{}; ///< When this version was first read here.
     };
 
     struct group_row
     {
         std::uint64_t m_version = 0;
-        vm_id m_owner;
-        std::uint64_t m_epoch = 0;
+        group_owner m_value;
+    };
+
+    /// A group no longer used here, to be handed over. Once a hand-over may have been sent, the
+    /// group is not used again before its row has another version.
+    struct stopped_group
+    {
+        std::uint64_t m_version = 0;
+        instant m_since{};
+    };
+
+    enum class call_kind
+    {
+        scan,
+        renew,
+        move,
+        leave,
+    };
+
+    struct table_call
+    {
+        std::uint64_t m_id = 0;
+        call_kind m_kind = call_kind::scan;
+        instant m_started{};
     };
 
     void on(const rows_scanned& event, instant now, actions& out);
@@ -108,31 +138,49 @@
     void on(const keeper_leaving& event, instant now, actions& out);
     void on(const keeper_tick& event, instant now, actions& out);
 
-    void read_lease(const platform::row& row, instant now);
-    void read_group(const platform::row& row);
+    std::optional<table_call> finish_call(std::uint64_t id);
+    void give_up_call(instant now);
+    void scan(instant now, actions& out);
+    void commit(call_kind kind, row_writes writes, instant now, actions& out);
+    void read(const platform::row& row, instant now);
+    void read_lease(const vm_id& vm, const platform::row& row, instant now);
+    void read_group(group_index group, const platform::row& row);
+    void check_session(instant now);
+
     void renew(instant now, actions& out);
-    bool take_groups(instant now, actions& out);
-    bool expired(const lease_row& lease, instant now) const;
+    bool fence_expired(instant now, actions& out);
+    void move_groups(instant now, actions& out);
+    void leave(instant now, actions& out);
+    void stop_group(group_index group, const group_row& row, instant now);
+
+    platform::row_write move(group_index group, const session& to) const;
+    bool expired(const lease_row& lease, instant now, duration extra = {}) const;
     bool own_lease_holds(instant now) const;
-    vm_id preferred_owner(group_index group, instant now) const;
+    bool is_mine(const group_row& group) const;
+    bool is_free(const group_row& group) const;
+    const session* preferred(std::uint64_t subject, instant now) const;
     void announce(instant now, actions& out);
-    std::string lease_key(const vm_id& vm) const;
-    std::string group_key(group_index group) const;
-    std::string lease_value() const;
+    session own_session() const;
 
     keeper_options m_options;
     std::string m_prefix;
     std::map<vm_id, lease_row> m_leases;
     std::map<group_index, group_row> m_groups;
+    std::map<group_index, stopped_group> m_stopped;
     std::map<group_index, std::uint64_t> m_announced;
-    std::optional<instant> m_call_started;
-    bool m_call_renews = false;
+    std::optional<table_call> m_call;
+    std::uint64_t m_last_call = 0;
+    std::uint64_t m_session = 0;
     bool m_scanned = false;
     bool m_leaving = false;
+    bool m_left = false;
     bool m_holds_lease = false;
     instant m_lease_end{};
+    instant m_acquired{};
     instant m_last_scan{};
+    instant m_last_good_scan{};
     instant m_last_renewal{};
+    instant m_not_before{}; ///< No call earlier than this.
 };
 
 } // namespace dragonflygap::ownership
--- /dev/null
+++ b/src/dragonflygap/ownership/rows.cpp
@@ -0,0 +1,125 @@
+#include "dragonflygap/ownership/rows.hpp"
+
+#include <charconv>
+
+#include <nlohmann/json.hpp>
+#include <xxhash.h>
+
+namespace dragonflygap::ownership
+{
+
+namespace
+{
+
+constexpr std::string_view lease_part = "lease/";
+constexpr std::string_view group_part = "group/";
+
+std::uint64_t hash(std::string_view text, std::uint64_t seed)
+{
+    return XXH64(text.data(), text.size(), seed);
+}
+
+// What follows the prefix and the part, if the key has both.
+std::optional<std::string_view> rest_of(std::string_view key, std::string_view prefix,
+                                        std::string_view part)
+{
+    if (!key.starts_with(prefix))
+        return std::nullopt;
+    key.remove_prefix(prefix.size());
+    if (!key.starts_with(part))
+        return std::nullopt;
+    return key.substr(part.size());
+}
+
+nlohmann::json parse(std::string_view value)
+{
+    auto parsed = nlohmann::json::parse(value, nullptr, false);
+    return parsed.is_object() ? parsed : nlohmann::json::object();
+}
+
+std::uint64_t number(const nlohmann::json& from, const char* name)
+{
+    const auto found = from.find(name);
+    return found != from.end() && found->is_number_unsigned() ? found->get<std::uint64_t>() : 0;
+}
+
+} // namespace
+
+group_index group_of(const worker_id& worker)
+{
+    return static_cast<group_index>(hash(worker.m_value, 0) % groups_per_data_centre);
+}
+
+std::string key_prefix(const data_centre_id& data_centre)
+{
+    return "own/" + data_centre.m_value + "/";
+}
+
+std::string lease_key(std::string_view prefix, const vm_id& vm)
+{
+    return std::string(prefix).append(lease_part).append(vm.m_value);
+}
+
+std::string group_key(std::string_view prefix, group_index group)
+{
+    return std::string(prefix).append(group_part).append(std::to_string(group));
+}
+
+std::optional<vm_id> vm_of_key(std::string_view prefix, std::string_view key)
+{
+    const auto name = rest_of(key, prefix, lease_part);
+    return name ? std::optional(vm_id(std::string(*name))) : std::nullopt;
+}
+
+std::optional<group_index> group_of_key(std::string_view prefix, std::string_view key)
+{
+    const auto name = rest_of(key, prefix, group_part);
+    group_index index = 0;
+    if (!name ||
+        std::from_chars(name->data(), name->data() + name->size(), index).ec != std::errc())
+        return std::nullopt;
+    return index < groups_per_data_centre ? std::optional(index) : std::nullopt;
+}
+
+std::string encode_lease(const session& holder)
+{
+    return nlohmann::json{{"incarnation", holder.m_incarnation}, {"session", holder.m_count}}
+        .dump();
+}
+
+std::string encode_group(const group_owner& owner)
+{
+    return nlohmann::json{{"owner", owner.m_owner.m_vm.m_value},
+                          {"incarnation", owner.m_owner.m_incarnation},
+                          {"session", owner.m_owner.m_count},
+                          {"epoch", owner.m_epoch}}
+        .dump();
+}
+
+session decode_lease(const vm_id& vm, std::string_view value)
+{
+    const auto parsed = parse(value);
+    return {vm, number(parsed, "incarnation"), number(parsed, "session")};
+}
+
+group_owner decode_group(std::string_view value)
+{
+    const auto parsed = parse(value);
+    const auto owner = parsed.find("owner");
+    const auto name =
+        owner != parsed.end() && owner->is_string() ? owner->get<std::string>() : std::string();
+    return {.m_owner = {vm_id(name), number(parsed, "incarnation"), number(parsed, "session")},
+            .m_epoch = number(parsed, "epoch")};
+}
+
+std::uint64_t weight(const vm_id& vm, std::uint64_t subject)
+{
+    return hash(vm.m_value, subject);
+}
+
+std::uint64_t subject_of(const vm_id& vm)
+{
+    return hash(vm.m_value, 0);
+}
+
+} // namespace dragonflygap::ownership
--- a/tests/ownership/keeper_test.cpp
+++ b/tests/ownership/keeper_test.cpp
@@ -30,12 +30,14 @@
         for (const auto& action : m_keeper.handle(event, now))
         {
             if (const auto* scan = std::get_if<scan_rows>(&action))
-                run(m_table_up ? rows_scanned{m_table.scan(scan->m_prefix)}
-                               : rows_scanned{fail(verdict::not_run, reason::timeout, "")},
+                run(m_table_up
+                        ? rows_scanned{scan->m_call, m_table.scan(scan->m_prefix)}
+                        : rows_scanned{scan->m_call, fail(verdict::not_run, reason::timeout, "")},
                     now);
             if (const auto* commit = std::get_if<commit_rows>(&action))
-                run(m_table_up ? commit_finished{m_table.commit(commit->m_writes)}
-                               : commit_finished{fail(verdict::may_have_run, reason::timeout, "")},
+                run(m_table_up ? commit_finished{commit->m_call, m_table.commit(commit->m_writes)}
+                               : commit_finished{commit->m_call,
+                                                 fail(verdict::may_have_run, reason::timeout, "")},
                     now);
         }
     }
@@ -101,3 +103,79 @@
     a.run(keeper_tick{}, m_now);
     CHECK_EQUAL(0, a.owned());
 }
+
+TEST(keeper, the_groups_of_a_leaving_entry_vm_move_before_its_lease_could_lapse)
+{
+    kept a(m_table, "a", 1);
+    kept b(m_table, "b", 1);
+    run({&a, &b}, 6s);
+    a.run(keeper_leaving{}, m_now);
+    CHECK_EQUAL(0, a.owned());
+    run({&a, &b}, 3s);
+    CHECK_EQUAL(groups_per_data_centre, b.owned());
+}
+
+TEST(keeper, a_process_of_the_same_name_waits_for_the_lease_of_the_earlier_one)
+{
+    kept a(m_table, "a", 1);
+    run({&a}, 3s);
+    const auto before = a.m_keeper.owned();
+    kept again(m_table, "a", 2);
+    run({&again}, 6s);
+    CHECK_EQUAL(0, again.owned());
+    run({&again}, 4s);
+    CHECK_EQUAL(groups_per_data_centre, again.owned());
+    for (const auto& [group, epoch] : before)
+        CHECK(again.m_keeper.owned().at(group) > epoch);
+}
+
+TEST(keeper, after_a_table_outage_nobody_is_fenced_for_not_having_renewed)
+{
+    kept a(m_table, "a", 1);
+    kept b(m_table, "b", 1);
+    run({&a, &b}, 6s);
+    const auto before = a.m_keeper.owned();
+    a.m_table_up = b.m_table_up = false;
+    run({&a, &b}, 60s);
+    CHECK_EQUAL(0, a.owned() + b.owned());
+    b.m_table_up = true;
+    run({&a, &b}, 3s);
+    a.m_table_up = true;
+    run({&a, &b}, 3s);
+    CHECK(before == a.m_keeper.owned());
+}
+
+TEST(keeper, a_group_to_be_handed_over_is_not_used_until_an_unanswered_hand_over_is_settled)
+{
+    kept a(m_table, "a", 1);
+    run({&a}, 3s);
+    kept b(m_table, "b", 1);
+    run({&b}, 2s);
+    // The hand-over is sent and its reply is lost: what it says may come true at any time.
+    std::vector<platform::row_write> sent;
+    for (int i = 0; i < 30 && sent.empty(); ++i, m_now += step)
+        for (const auto& action : a.m_keeper.handle(keeper_tick{}, m_now))
+        {
+            if (const auto* scan = std::get_if<scan_rows>(&action))
+                a.m_keeper.handle(rows_scanned{scan->m_call, m_table.scan(scan->m_prefix)}, m_now);
+            if (const auto* commit = std::get_if<commit_rows>(&action))
+            {
+                if (commit->m_writes.front().m_key.find("group/") != std::string::npos)
+                    sent = commit->m_writes;
+                a.m_keeper.handle(
+                    commit_finished{
+                        commit->m_call,
+                        sent.empty()
+                            ? outcome<platform::commit_result>(m_table.commit(commit->m_writes))
+                            : fail(verdict::may_have_run, reason::timeout, "")},
+                    m_now);
+            }
+        }
+    CHECK(!sent.empty());
+    const auto kept_before = a.owned();
+    CHECK(kept_before < groups_per_data_centre);
+    for (const auto& action : a.m_keeper.handle(keeper_tick{}, m_now))
+        if (const auto* scan = std::get_if<scan_rows>(&action))
+            a.m_keeper.handle(rows_scanned{scan->m_call, m_table.scan(scan->m_prefix)}, m_now);
+    CHECK_EQUAL(kept_before, a.owned());
+}
