--- a/bench/load/load_main.cpp
+++ b/bench/load/load_main.cpp
@@ -11,6 +11,7 @@
 #include "dragonflygap/core/endpoint.hpp"
 #include "dragonflygap/net/event_loop.hpp"
 #include "dragonflygap/net/http_client.hpp"
+#include "dragonflygap/observe/history.hpp"
 
 namespace po = boost::program_options;
 using namespace dragonflygap;
@@ -40,6 +41,22 @@
     unsigned m_seed = 1;
     bool m_direct = false; ///< Call executors themselves, for a baseline.
     bool m_json = false;
+    bool m_history = false;         ///< Print what each caller got, for dragonflygap-check.
+    double m_straggler_share = 0;   ///< Share of requests that run m_straggler_factor longer.
+    double m_straggler_factor = 10; ///< How many times their class's run time stragglers take.
+    double m_keyed_share = 0;       ///< Share sent twice at once, non-idempotent, with one key.
+    double m_swing_factor = 1;      ///< Rate during the swing, as a multiple of the usual one.
+    double m_swing_start = 0;
+    double m_swing_seconds = 0;
+};
+
+/// One request and what its answer must carry.
+struct planned_request
+{
+    std::string m_class;
+    std::string m_token;
+    double m_run_ms = 0;
+    bool m_keyed = false;
 };
 
 class_mix parse_mix(const std::string& text)
@@ -80,7 +97,7 @@
         while (m_next <= now)
         {
             send(m_next);
-            std::exponential_distribution<double> gap(m_options.m_rate);
+            std::exponential_distribution<double> gap(rate_at(m_next));
             m_next += duration(static_cast<duration::rep>(gap(m_random) * 1e6));
             if (m_next - m_start > duration(static_cast<duration::rep>(m_options.m_seconds * 1e6)))
             {
@@ -91,6 +108,32 @@
         m_timer = m_loop.after(m_next - now, [this] { schedule(); });
     }
 
+    double rate_at(instant at) const
+    {
+        const double second = static_cast<double>((at - m_start).count()) / 1e6;
+        const bool swings = second >= m_options.m_swing_start &&
+                            second < m_options.m_swing_start + m_options.m_swing_seconds;
+        return m_options.m_rate * (swings ? m_options.m_swing_factor : 1);
+    }
+
+    bool happens(double share)
+    {
+        return share > 0 && std::uniform_real_distribution<double>(0, 1)(m_random) < share;
+    }
+
+    planned_request plan()
+    {
+        const auto& chosen = pick();
+        planned_request planned{.m_class = chosen.m_name,
+                                .m_token = "load-" + std::to_string(m_options.m_seed) + "-" +
+                                           std::to_string(++m_planned),
+                                .m_run_ms = chosen.m_run_ms,
+                                .m_keyed = happens(m_options.m_keyed_share)};
+        if (happens(m_options.m_straggler_share))
+            planned.m_run_ms *= m_options.m_straggler_factor;
+        return planned;
+    }
+
     const class_mix& pick()
     {
         std::vector<double> shares;
@@ -102,24 +145,64 @@
 
     void send(instant due)
     {
-        const auto& chosen = pick();
+        const auto planned = plan();
+        send(due, planned);
+        if (planned.m_keyed)
+            send(due, planned);
+    }
+
+    void send(instant due, const planned_request& planned)
+    {
         const auto& server = m_options.m_servers[m_sent++ % m_options.m_servers.size()];
         http_request request{
             .m_method = "POST",
-            .m_path = m_options.m_direct ? "/execute" : "/v1/requests/" + chosen.m_name,
+            .m_path = m_options.m_direct ? "/execute" : "/v1/requests/" + planned.m_class,
             .m_headers = {{"X-Dragonflygap-Caller", "load"},
                           {"X-Dragonflygap-Request", "load-" + std::to_string(m_sent)}},
-            .m_body = nlohmann::json{{"run_ms", chosen.m_run_ms}}.dump()};
+            .m_body =
+                nlohmann::json{{"run_ms", planned.m_run_ms}, {"token", planned.m_token}}.dump()};
+        if (planned.m_keyed)
+        {
+            request.m_headers.push_back({"Idempotency-Key", planned.m_token});
+            request.m_headers.push_back({"X-Dragonflygap-Idempotent", "false"});
+        }
         ++m_open;
         constexpr duration timeout = 120s;
         m_client.send(server, std::move(request), timeout,
-                      [this, due, name = chosen.m_name](const outcome<http_response>& answer)
-                      { on_answer(due, name, answer); });
+                      [this, due, planned](const outcome<http_response>& answer)
+                      { on_answer(due, planned, answer); });
+    }
+
+    void record(const planned_request& planned, const outcome<http_response>& answer) const
+    {
+        history::caller_answered got{.m_token = planned.m_token};
+        if (!answer)
+            got.m_verdict = answer.error().m_verdict;
+        else if (answer->m_status != 200)
+            got.m_verdict = verdict_from_string(answer->header(verdict_header));
+        else
+            got.m_echo = echo_of(answer->m_body);
+        // Of a request sent twice, one copy may rightly be refused as not run.
+        if (planned.m_keyed && got.m_verdict != verdict::ran)
+            return;
+        // An executor's own error ran, but carries no token.
+        if (got.m_verdict == verdict::ran && (!answer || answer->m_status != 200))
+            return;
+        std::cout << history::format("load", got, monotonic_clock::now()) << "\n";
+    }
+
+    static std::string echo_of(const std::string& body)
+    {
+        const auto read = nlohmann::json::parse(body, nullptr, false);
+        return read.is_object() ? read.value("token", "") : "";
     }
 
-    void on_answer(instant due, const std::string& name, const outcome<http_response>& answer)
+    void on_answer(instant due, const planned_request& planned,
+                   const outcome<http_response>& answer)
     {
-        auto& result = m_results[name];
+        if (m_options.m_history)
+            record(planned, answer);
+        auto& result = m_results[planned.m_class];
         if (answer && answer->m_status == 200)
             result.m_latencies.push_back(monotonic_clock::now() - due);
         else if (answer)
@@ -145,6 +228,7 @@
     instant m_start{};
     instant m_next{};
     std::size_t m_sent = 0;
+    std::size_t m_planned = 0;
     int m_open = 0;
     bool m_done_sending = false;
 };
@@ -204,7 +288,18 @@
         "seconds", po::value(&options.m_seconds)->default_value(5), "length of the run")(
         "seed", po::value(&options.m_seed)->default_value(1), "seed of the arrivals")(
         "direct", po::bool_switch(&options.m_direct), "the servers are executors: a baseline")(
-        "json", po::bool_switch(&options.m_json), "print JSON");
+        "json", po::bool_switch(&options.m_json), "print JSON")(
+        "history", po::bool_switch(&options.m_history), "print what each caller got, for checks")(
+        "straggler-share", po::value(&options.m_straggler_share)->default_value(0),
+        "share of requests that run far longer")(
+        "straggler-factor", po::value(&options.m_straggler_factor)->default_value(10),
+        "how many times longer they run")(
+        "keyed-share", po::value(&options.m_keyed_share)->default_value(0),
+        "share of requests sent twice at once with one key, as non-idempotent")(
+        "swing-factor", po::value(&options.m_swing_factor)->default_value(1),
+        "rate during the swing, as a multiple")(
+        "swing-start", po::value(&options.m_swing_start)->default_value(0), "second of its start")(
+        "swing-seconds", po::value(&options.m_swing_seconds)->default_value(0), "its length");
     try
     {
         po::variables_map given;
--- a/src/dragonflygap/history_checker/check_main.cpp
+++ b/src/dragonflygap/history_checker/check_main.cpp
@@ -1,6 +1,7 @@
 #include <algorithm>
 #include <fstream>
 #include <iostream>
+#include <map>
 
 #include "dragonflygap/history_checker/checker.hpp"
 
@@ -10,11 +11,25 @@
 namespace
 {
 
+constexpr std::size_t shown_for_each_rule = 5;
+
 constexpr std::string_view usage =
     "Usage: dragonflygap-check LOG...\n"
     "Reads the logs of daemons, stand-in and callers of one run, written with history on, and\n"
     "prints each broken promise. Exit code: 0 none, 1 some, 2 the logs can't be read.\n";
 
+void print_violations(const std::vector<violation>& found)
+{
+    std::map<std::string_view, std::size_t> counts;
+    for (const auto& item : found)
+        if (++counts[item.m_rule] <= shown_for_each_rule)
+            std::cout << "event=violation rule=" << item.m_rule
+                      << " at_us=" << item.m_at.time_since_epoch().count() << " detail=\""
+                      << item.m_detail << "\"\n";
+    for (const auto& [rule, count] : counts)
+        std::cout << "event=broken_rule rule=" << rule << " violations=" << count << "\n";
+}
+
 void print_summary(const std::vector<entry>& entries, std::size_t violations)
 {
     const auto count = [&](std::string_view event)
@@ -49,10 +64,7 @@
     }
     sort_entries(entries);
     const auto found = check(entries, {});
-    for (const auto& item : found)
-        std::cout << "event=violation rule=" << item.m_rule
-                  << " at_us=" << item.m_at.time_since_epoch().count() << " detail=\""
-                  << item.m_detail << "\"\n";
+    print_violations(found);
     print_summary(entries, found.size());
     return found.empty() ? 0 : 1;
 }
