Settle every change of the configuration, and let a cut-off node learn it from peers

Cause: a lost reply was reported as an unknown failure, the operators' versions were the table's, a fresh node served the default classes before it knew better, and each node sent each document to all.

--- a/src/dragonflygap/cli/commands.cpp
+++ b/src/dragonflygap/cli/commands.cpp
@@ -2,17 +2,14 @@
 
 #include <algorithm>
 #include <array>
-#include <fstream>
 #include <functional>
 #include <iostream>
-#include <sstream>
 
 #include <nlohmann/json.hpp>
 
+#include "dragonflygap/cli/config_commands.hpp"
+#include "dragonflygap/cli/server_call.hpp"
 #include "dragonflygap/cli/table.hpp"
-#include "dragonflygap/config/document.hpp"
-#include "dragonflygap/net/event_loop.hpp"
-#include "dragonflygap/net/http_client.hpp"
 
 namespace dragonflygap::cli
 {
@@ -20,8 +17,6 @@
 namespace
 {
 
-constexpr duration call_timeout = 5s;
-
 constexpr std::string_view usage_text = R"(Usage: dragonflygap [--server IP:PORT] [--json] COMMAND
 
   status                 this entry VM: load, ownership, configuration
@@ -30,9 +25,12 @@
   jobs                   jobs that this entry VM coordinates
   job ID                 one job with its tasks
   submit FILE            submit a job
-  config show            the document in force
+  config show [VERSION]  the document in force, or one of the latest 64
   config check FILE      check a document, without a server
-  config apply FILE      put a document in force, unless another operator was faster
+  config diff FILE       what a document would change
+  config apply FILE      put a document in force; with --base VERSION only over that version,
+                         with --wait only ends when every live entry VM has it
+  config history         the latest versions
   drain                  take the entry VM out of service
   schema NAME            JSON Schema of settings, config or job
 
@@ -40,6 +38,10 @@
   dragonflygap --server 127.0.0.1:8081 status
   dragonflygap submit examples/service.json
   dragonflygap --json jobs
+  dragonflygap config apply cell.json --base 12 --wait
+
+Exit codes: 0 done, 1 refused, 2 wrong use or a faulty file, 3 no answer, 4 another operator was
+faster
 )";
 
 using words_span = std::span<const std::string>;
@@ -51,42 +53,9 @@
     std::function<int(const command_options&, words_span)> m_run;
 };
 
-outcome<http_response> call(const command_options& options, http_request request)
-{
-    event_loop loop;
-    http_client client(loop, {});
-    outcome<http_response> result = fail(verdict::not_run, reason::target_unreachable, "no answer");
-    client.send(options.m_server, std::move(request), call_timeout,
-                [&](outcome<http_response> answer)
-                {
-                    result = std::move(answer);
-                    loop.stop();
-                });
-    loop.run();
-    return result;
-}
-
-int report_failure(const command_options& options, const outcome<http_response>& answer)
-{
-    if (!answer)
-    {
-        std::cerr << "dragonflygap: no answer from " << to_string(options.m_server) << " ("
-                  << to_string(answer.error().m_verdict) << ")\n";
-        return exit_unreachable;
-    }
-    const auto failed = failure_of_response(*answer);
-    std::cerr << "dragonflygap: " << failed.m_detail << "\n";
-    return failed.m_reason == reason::conflict ? exit_conflict : exit_failed;
-}
-
-bool succeeded(const outcome<http_response>& answer)
-{
-    return answer && answer->m_status >= 200 && answer->m_status < 300;
-}
-
 int show(const command_options& options, const std::string& path)
 {
-    const auto answer = call(options, {.m_path = path});
+    const auto answer = call_server(options, {.m_path = path});
     if (!succeeded(answer))
         return report_failure(options, answer);
     const auto body = nlohmann::json::parse(answer->m_body);
@@ -94,16 +63,6 @@
     return exit_ok;
 }
 
-outcome<std::string> read_file(const std::string& path)
-{
-    std::ifstream file(path);
-    if (!file)
-        return fail(verdict::not_run, reason::not_found, "can't read " + path);
-    std::ostringstream text;
-    text << file.rdbuf();
-    return text.str();
-}
-
 int submit(const command_options& options, words_span words)
 {
     const auto text = read_file(words[1]);
@@ -112,82 +71,17 @@
         std::cerr << "dragonflygap: " << text.error().m_detail << "\n";
         return exit_usage;
     }
-    const auto answer = call(options, {.m_method = "POST", .m_path = "/v1/jobs", .m_body = *text});
+    const auto answer =
+        call_server(options, {.m_method = "POST", .m_path = "/v1/jobs", .m_body = *text});
     if (!succeeded(answer))
         return report_failure(options, answer);
     std::cout << nlohmann::json::parse(answer->m_body)["id"].get<std::string>() << "\n";
     return exit_ok;
 }
 
-int show_config(const command_options& options)
-{
-    const auto answer = call(options, {.m_path = "/v1/config"});
-    if (!succeeded(answer))
-        return report_failure(options, answer);
-    const auto body = nlohmann::json::parse(answer->m_body);
-    if (options.m_json)
-        std::cout << body.dump(2) << "\n";
-    else
-        std::cout << body["document"].get<std::string>();
-    return exit_ok;
-}
-
-int check_config(const std::string& path, std::string& text)
-{
-    const auto read = read_file(path);
-    if (!read)
-    {
-        std::cerr << "dragonflygap: " << read.error().m_detail << "\n";
-        return exit_usage;
-    }
-    text = *read;
-    const auto parsed = config::parse_document(text);
-    if (parsed)
-        return exit_ok;
-    std::cerr << "dragonflygap: " << path << " has faults:\n" << config::to_string(parsed.error());
-    return exit_usage;
-}
-
-int apply_config(const command_options& options, const std::string& path)
-{
-    std::string text;
-    if (const int checked = check_config(path, text); checked != exit_ok)
-        return checked;
-    const auto current = call(options, {.m_path = "/v1/config"});
-    if (!succeeded(current))
-        return report_failure(options, current);
-    const auto version = nlohmann::json::parse(current->m_body)["version"].get<std::uint64_t>();
-    const auto answer = call(options, {.m_method = "PUT",
-                                       .m_path = "/v1/config",
-                                       .m_query = "expected=" + std::to_string(version),
-                                       .m_body = text});
-    if (!succeeded(answer))
-        return report_failure(options, answer);
-    std::cout << "version " << nlohmann::json::parse(answer->m_body)["version"] << " accepted\n";
-    return exit_ok;
-}
-
-int config_command(const command_options& options, words_span words)
-{
-    if (words[1] == "show")
-        return show_config(options);
-    if (words.size() == 3 && words[1] == "check")
-    {
-        std::string text;
-        const int checked = check_config(words[2], text);
-        if (checked == exit_ok)
-            std::cout << "valid\n";
-        return checked;
-    }
-    if (words.size() == 3 && words[1] == "apply")
-        return apply_config(options, words[2]);
-    std::cerr << "dragonflygap: config show | check FILE | apply FILE\n";
-    return exit_usage;
-}
-
 int drain(const command_options& options)
 {
-    const auto answer = call(options, {.m_method = "POST", .m_path = "/v1/drain"});
+    const auto answer = call_server(options, {.m_method = "POST", .m_path = "/v1/drain"});
     if (!succeeded(answer))
         return report_failure(options, answer);
     std::cout << "draining\n";
@@ -196,7 +90,7 @@
 
 int show_schema(const command_options& options, words_span words)
 {
-    const auto answer = call(options, {.m_path = "/v1/schema/" + words[1]});
+    const auto answer = call_server(options, {.m_path = "/v1/schema/" + words[1]});
     if (!succeeded(answer))
         return report_failure(options, answer);
     std::cout << answer->m_body;
--- a/src/dragonflygap/cli/commands.hpp
+++ b/src/dragonflygap/cli/commands.hpp
@@ -1,5 +1,7 @@
 #pragma once
 
+#include <cstdint>
+#include <optional>
 #include <span>
 #include <string>
 #include <string_view>
@@ -19,6 +21,8 @@
 {
     endpoint m_server;
     bool m_json = false;
+    std::optional<std::uint64_t> m_base; ///< config apply: the version that was edited.
+    bool m_wait = false;                 ///< config apply: until it is in force everywhere.
 };
 
 /// Runs one command and prints its result; gives the process's exit code.
--- a/src/dragonflygap/cluster/codec.cpp
+++ b/src/dragonflygap/cluster/codec.cpp
@@ -39,6 +39,8 @@
         return std::tie(m.m_call);
     else if constexpr (std::is_same_v<type, config_update>)
         return std::tie(m.m_version, m.m_text);
+    else if constexpr (std::is_same_v<type, config_wanted>)
+        return std::tie(m.m_known_version);
 }
 
 template <class T>
--- a/src/dragonflygap/cluster/message.hpp
+++ b/src/dragonflygap/cluster/message.hpp
@@ -84,8 +84,14 @@
     std::string m_text;
 };
 
-using body =
-    std::variant<heartbeat, forwarded_request, forwarded_answer, forwarded_cancel, config_update>;
+/// Asks for the configuration document in force at the receiver, answered by config_update.
+struct config_wanted
+{
+    std::uint64_t m_known_version = 0; ///< Version in force at the sender.
+};
+
+using body = std::variant<heartbeat, forwarded_request, forwarded_answer, forwarded_cancel,
+                          config_update, config_wanted>;
 
 /// A message and its sender. The incarnation grows with every start of the sender.
 struct message
--- /dev/null
+++ b/src/dragonflygap/config/change.hpp
@@ -0,0 +1,89 @@
+#pragma once
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <variant>
+#include <vector>
+
+#include "dragonflygap/config/revision.hpp"
+#include "dragonflygap/core/time.hpp"
+#include "dragonflygap/core/verdict.hpp"
+#include "dragonflygap/platform/table.hpp"
+
+namespace dragonflygap::config
+{
+
+struct change_options
+{
+    std::string m_id;             ///< Unique; tells one's own write after a lost reply.
+    std::uint64_t m_expected = 0; ///< The revision that the operator saw.
+    std::string m_text;           ///< Checked already.
+    duration m_give_up = 10s;     ///< From then on the result is reported as unknown.
+};
+
+struct change_started
+{
+};
+struct change_rows_read
+{
+    outcome<std::vector<platform::row>> m_rows;
+};
+struct change_committed
+{
+    outcome<platform::commit_result> m_result;
+};
+using change_event = std::variant<change_started, change_rows_read, change_committed>;
+
+/// After the delay, read all rows that start with the prefix, then report change_rows_read.
+struct read_change_rows
+{
+    std::string m_prefix;
+    duration m_delay{};
+};
+/// Commit, then report change_committed.
+struct commit_change
+{
+    std::vector<platform::row_write> m_writes;
+};
+/// The change is settled.
+struct change_settled
+{
+    /// The revision in force through this change; a failure with reason conflict names another.
+    outcome<revision> m_result;
+    std::optional<revision> m_in_force; ///< What was read in force, if anything.
+};
+using change_action = std::variant<read_change_rows, commit_change, change_settled>;
+
+/// One operator's change of the configuration, from its start until it is settled. Pure.
+///
+/// A lost reply is resolved by reading: the row and the history carry the id of their change. While
+/// the row is as it was, the same commit is made again, since the lost one may still take effect.
+class change
+{
+public:
+    explicit change(change_options options) : m_options(std::move(options)) {}
+
+    std::vector<change_action> handle(const change_event& event, instant now);
+
+private:
+    using actions = std::vector<change_action>;
+
+    void on(const change_started& event, instant now, actions& out);
+    void on(const change_rows_read& event, instant now, actions& out);
+    void on(const change_committed& event, instant now, actions& out);
+
+    void read_rows(duration delay, actions& out);
+    void commit(actions& out);
+    void settle_conflict(actions& out);
+    void retry_or_give_up(const failure& why, instant now, actions& out);
+
+    change_options m_options;
+    instant m_started{};
+    bool m_sent = false; ///< A commit may have taken effect.
+    std::uint64_t m_row_version = 0;
+    std::uint64_t m_history_version = 0;
+    revision m_current;
+};
+
+} // namespace dragonflygap::config
--- a/src/dragonflygap/config/follower.hpp
+++ b/src/dragonflygap/config/follower.hpp
@@ -8,7 +8,7 @@
 namespace dragonflygap::config
 {
 
-/// A document that the platform's table has accepted, and its version there.
+/// A document that the platform's table has accepted, and the number of its revision.
 struct versioned_document
 {
     std::uint64_t m_version = 0; ///< 0: the default document, none was applied yet.
--- a/src/dragonflygap/daemon/config_driver.cpp
+++ b/src/dragonflygap/daemon/config_driver.cpp
@@ -1,5 +1,6 @@
 #include "dragonflygap/daemon/config_driver.hpp"
 
+#include <algorithm>
 #include <utility>
 
 #include "dragonflygap/observe/log.hpp"
@@ -11,13 +12,15 @@
 {
 
 constexpr duration poll_interval = 2s;
-constexpr const char* config_key = "config/current";
+constexpr std::size_t max_waiting_changes = 64;
 
 } // namespace
 
-config_driver::config_driver(event_loop& loop, platform::table_port table, changed_hook on_changed)
-    : m_table(std::move(table)),
-      m_on_changed(std::move(on_changed)),
+config_driver::config_driver(event_loop& loop, platform::table_port table,
+                             config_driver_options options)
+    : m_loop(loop),
+      m_table(std::move(table)),
+      m_options(std::move(options)),
       m_timer(loop.every(poll_interval, [this] { poll(); }))
 {
     loop.post([this] { poll(); });
@@ -27,12 +30,19 @@
 {
     if (std::exchange(m_polling, true))
         return;
-    m_table.m_scan(config_key,
+    m_table.m_scan(std::string(config::current_key),
                    [this](outcome<std::vector<platform::row>> rows)
                    {
                        m_polling = false;
-                       if (rows && !rows->empty())
-                           offer(rows->front().m_version, rows->front().m_value);
+                       if (!rows)
+                           return;
+                       const auto read = rows->empty()
+                                             ? std::nullopt
+                                             : config::read_revision(rows->front().m_value);
+                       if (read)
+                           offer(read->m_number, read->m_text);
+                       else if (!std::exchange(m_known, true))
+                           m_options.m_on_changed(m_follower.in_force());
                    });
 }
 
@@ -40,29 +50,98 @@
 {
     if (!m_follower.offer(version, text))
         return;
+    m_known = true;
     log_event(log_level::info, "config_in_force", {{"version", version}});
-    m_on_changed(m_follower.in_force());
+    m_options.m_on_changed(m_follower.in_force());
 }
 
-void config_driver::on_peer_version(std::uint64_t version)
+void config_driver::on_peer_version(const vm_id& peer, std::uint64_t version)
 {
-    if (version > m_follower.in_force().m_version)
-        poll();
+    if (version <= std::max(m_follower.in_force().m_version, m_asked_version))
+        return;
+    m_asked_version = version;
+    m_options.m_ask_peer(peer);
+    poll();
+    // An answer may be lost: the next heartbeat asks again.
+    m_loop.defer(poll_interval, [this] { m_asked_version = 0; });
 }
 
 void config_driver::apply(std::uint64_t expected_version, std::string text, applied_hook done)
 {
-    std::vector<platform::row_write> writes{
-        {.m_key = config_key, .m_expected_version = expected_version, .m_value = text}};
-    m_table.m_commit(std::move(writes),
-                     [this, text, done = std::move(done)](outcome<platform::commit_result> result)
-                     {
-                         if (!result)
-                             return done(tl::make_unexpected(result.error()));
-                         const auto& row = result->m_rows.front();
-                         offer(row.m_version, row.m_value);
-                         done(apply_result{result->m_committed, row.m_version});
-                     });
+    if (m_changes.size() >= max_waiting_changes)
+        return done(fail(verdict::not_run, reason::queue_full, "too many changes wait"));
+    auto id = m_options.m_change_prefix + "." + std::to_string(++m_last_change);
+    m_changes.push_back(
+        {config::change(
+             {.m_id = std::move(id), .m_expected = expected_version, .m_text = std::move(text)}),
+         std::move(done)});
+    if (m_changes.size() == 1)
+        run_change(config::change_started{});
+}
+
+void config_driver::run_change(const config::change_event& event)
+{
+    for (const auto& action : m_changes.front().m_change.handle(event, monotonic_clock::now()))
+        std::visit([this](const auto& what) { act(what); }, action);
+}
+
+void config_driver::act(const config::read_change_rows& action)
+{
+    m_loop.defer(action.m_delay,
+                 [this, prefix = action.m_prefix]
+                 {
+                     m_table.m_scan(prefix, [this](outcome<std::vector<platform::row>> rows)
+                                    { run_change(config::change_rows_read{std::move(rows)}); });
+                 });
+}
+
+void config_driver::act(const config::commit_change& action)
+{
+    m_table.m_commit(action.m_writes, [this](outcome<platform::commit_result> result)
+                     { run_change(config::change_committed{std::move(result)}); });
+}
+
+void config_driver::act(const config::change_settled& action)
+{
+    if (action.m_result)
+    {
+        log_event(log_level::info, "config_accepted",
+                  {{"version", action.m_result->m_number}, {"change", action.m_result->m_change}});
+        offer(action.m_result->m_number, action.m_result->m_text);
+        m_options.m_publish(m_follower.in_force());
+    }
+    else
+        log_event(log_level::info, "config_refused",
+                  {{"reason", to_string(action.m_result.error().m_reason)},
+                   {"verdict", to_string(action.m_result.error().m_verdict)}});
+    if (action.m_in_force && action.m_in_force->m_number != 0)
+        offer(action.m_in_force->m_number, action.m_in_force->m_text);
+    // The change that is settled still runs its handler: end it when that has returned.
+    m_loop.post(
+        [this, result = action.m_result.map([](const auto& made) { return made.m_number; })]
+        {
+            const auto ended = std::move(m_changes.front());
+            m_changes.pop_front();
+            ended.m_done(result);
+            if (!m_changes.empty())
+                run_change(config::change_started{});
+        });
+}
+
+void config_driver::history(history_hook done)
+{
+    m_table.m_scan(std::string(config::history_prefix),
+                   [done = std::move(done)](outcome<std::vector<platform::row>> rows)
+                   {
+                       if (!rows)
+                           return done(tl::make_unexpected(rows.error()));
+                       std::vector<config::revision> revisions;
+                       for (const auto& row : *rows)
+                           if (auto read = config::read_revision(row.m_value))
+                               revisions.push_back(std::move(*read));
+                       std::ranges::sort(revisions, std::greater(), &config::revision::m_number);
+                       done(std::move(revisions));
+                   });
 }
 
 } // namespace dragonflygap::daemon
--- a/src/dragonflygap/daemon/control_task.cpp
+++ b/src/dragonflygap/daemon/control_task.cpp
@@ -41,8 +41,7 @@
           m_table(loop, platform::make_http_table(m_platform), {.m_seed = m_options.m_incarnation},
                   counted),
           m_members(loop, member_options()),
-          m_config(loop, m_table.port(platform::call_priority::normal),
-                   [this](const config::versioned_document& changed) { on_config(changed); }),
+          m_config(loop, m_table.port(platform::call_priority::normal), config_options()),
           m_ownership(loop, m_table.port(platform::call_priority::lease), keeper_options(),
                       [this](const auto& epochs) { on_groups(epochs); }),
           m_jobs(loop, m_table.port(platform::call_priority::normal),
@@ -57,12 +56,7 @@
                           { answer_operator(m_api, request, exchange); }})
     {
         m_vm_timer = m_loop.every(vm_list_interval, [this] { poll_vms(); });
-        m_loop.post(
-            [this]
-            {
-                on_config(m_config.in_force());
-                poll_vms();
-            });
+        m_loop.post([this] { poll_vms(); });
     }
 
     std::uint16_t operator_port() const { return m_server.port(); }
@@ -90,6 +84,21 @@
                 .m_incarnation = m_options.m_incarnation};
     }
 
+    config_driver_options config_options()
+    {
+        return {
+            .m_change_prefix =
+                m_options.m_settings.m_vm.m_value + "." + std::to_string(m_options.m_incarnation),
+            .m_on_changed = [this](const auto& changed) { on_config(changed); },
+            .m_ask_peer = [this](const vm_id& peer)
+            { m_members.send(peer, cluster::config_wanted{m_config.in_force().m_version}); },
+            .m_publish =
+                [this](const auto& accepted)
+            {
+                m_members.send_to_all(cluster::config_update{accepted.m_version, accepted.m_text});
+            }};
+    }
+
     operator_api_options api_options(const metrics& counted)
     {
         return {.m_vm = m_options.m_settings.m_vm,
@@ -103,7 +112,7 @@
                 .m_drain = [this] { begin_stop(); }};
     }
 
-    bool ready() const { return !m_stopping && m_vms_known; }
+    bool ready() const { return !m_stopping && m_vms_known && m_config.known(); }
 
     void fill(cluster::heartbeat& beat) const
     {
@@ -118,7 +127,7 @@
         request::peers_changed changed;
         for (const auto& [vm, member] : m_members.members().members())
         {
-            m_config.on_peer_version(member.m_config_version);
+            m_config.on_peer_version(vm, member.m_config_version);
             if (member.m_status != cluster::member_status::alive)
                 continue;
             changed.m_peers.push_back({.m_vm = vm,
@@ -136,18 +145,25 @@
     {
         if (const auto* update = std::get_if<cluster::config_update>(&message.m_body))
             return m_config.offer(update->m_version, update->m_text);
+        if (const auto* wanted = std::get_if<cluster::config_wanted>(&message.m_body))
+            return answer_config_wanted(message.m_from, *wanted);
         m_options.m_to_requests(
             request::from_peer{message.m_from, message.m_incarnation, std::move(message.m_body)});
     }
 
+    void answer_config_wanted(const vm_id& peer, const cluster::config_wanted& wanted)
+    {
+        const auto& in_force = m_config.in_force();
+        if (in_force.m_version > wanted.m_known_version)
+            m_members.send(peer, cluster::config_update{in_force.m_version, in_force.m_text});
+    }
+
     void on_config(const config::versioned_document& changed)
     {
         m_options.m_to_requests(
             request::classes_changed{changed.m_document.m_classes, changed.m_document.m_callers});
         if (m_options.m_settings.m_history)
             history::record(history::config_in_force{changed.m_version});
-        if (changed.m_version != 0)
-            m_members.send_to_all(cluster::config_update{changed.m_version, changed.m_text});
     }
 
     void on_groups(const std::map<ownership::group_index, std::uint64_t>& epochs)
--- a/src/dragonflygap/daemon/operator_api.cpp
+++ b/src/dragonflygap/daemon/operator_api.cpp
@@ -80,19 +80,30 @@
     if (!parsed)
         return reply_faults(exchange, parsed.error());
     api.m_config->apply(expected, request.m_body,
-                        [exchange, expected](outcome<apply_result> result)
+                        [exchange](outcome<std::uint64_t> version)
                         {
-                            if (!result)
-                                return exchange->reply(failure_response(result.error()));
-                            if (!result->m_in_force)
-                                return reply_failure(
-                                    exchange, verdict::not_run, reason::conflict,
-                                    "version " + std::to_string(result->m_version) +
-                                        " is in force, you saw " + std::to_string(expected));
-                            reply_json(exchange, 200, {{"version", result->m_version}});
+                            if (!version)
+                                return exchange->reply(failure_response(version.error()));
+                            reply_json(exchange, 200, {{"version", *version}});
                         });
 }
 
+void get_config_history(const operator_api_options& api, const http_exchange_ptr& exchange)
+{
+    api.m_config->history(
+        [exchange](const outcome<std::vector<config::revision>>& revisions)
+        {
+            if (!revisions)
+                return exchange->reply(failure_response(revisions.error()));
+            auto list = nlohmann::json::array();
+            for (const auto& item : *revisions)
+                list.push_back({{"version", item.m_number},
+                                {"change", item.m_change},
+                                {"document", item.m_text}});
+            reply_json(exchange, 200, list);
+        });
+}
+
 void get_jobs(const operator_api_options& api, const http_exchange_ptr& exchange)
 {
     auto list = nlohmann::json::array();
@@ -160,6 +171,8 @@
         return get_members(api, exchange);
     if (get && path == "/v1/config")
         return get_config(api, exchange);
+    if (get && path == "/v1/config/history")
+        return get_config_history(api, exchange);
     if (request.m_method == "PUT" && path == "/v1/config")
         return put_config(api, request, exchange);
     if (get && path == "/v1/jobs")
