--- a/src/dragonflygap/request/request_task.cpp
+++ b/src/dragonflygap/request/request_task.cpp
@@ -7,7 +7,7 @@
 
 #include "dragonflygap/net/event_loop.hpp"
 #include "dragonflygap/net/http_server.hpp"
-#include "dragonflygap/observe/log.hpp"
+#include "dragonflygap/observe/history.hpp"
 #include "dragonflygap/observe/metrics.hpp"
 #include "dragonflygap/request/caller_api.hpp"
 #include "dragonflygap/request/scheduler.hpp"
@@ -113,7 +113,12 @@
 
     void accept(pending_request pending, std::string body, answer_hook answer)
     {
-        record("accepted", pending, {});
+        record(history::request_accepted{.m_request = pending.m_id,
+                                         .m_class = pending.m_class,
+                                         .m_caller = pending.m_caller,
+                                         .m_key = pending.m_key,
+                                         .m_idempotent = pending.m_idempotent,
+                                         .m_hops = pending.m_hops});
         const auto id = pending.m_id;
         m_in_flight[id] = {
             .m_request = pending, .m_body = std::move(body), .m_answer = std::move(answer)};
@@ -133,7 +138,7 @@
             return;
         auto& flight = found->second;
         flight.m_dispatched = monotonic_clock::now();
-        record("dispatched", flight.m_request, action.m_target.m_value);
+        record(history::request_dispatched{action.m_id, action.m_target});
         m_metrics.observe("dragonflygap_wait_seconds", {"class", flight.m_request.m_class.m_value},
                           flight.m_dispatched - flight.m_request.m_arrived);
         http_request call{
@@ -155,7 +160,8 @@
         outcome<void> ended;
         if (!answer)
             ended = tl::make_unexpected(answer.error());
-        finish(id, std::move(answer));
+        else
+            finish(id, std::move(answer));
         run({request_ended{id, ended}});
     }
 
@@ -170,13 +176,13 @@
                           monotonic_clock::now() - flight.m_request.m_arrived);
         if (answer)
         {
-            record("answered", flight.m_request, "ran");
+            record(history::request_answered{id});
             answer->m_headers.push_back({std::string(verdict_header), "ran"});
             answer->m_headers.push_back({std::string(request_header), id.m_value});
         }
         else
         {
-            record("failed", flight.m_request, to_string(answer.error().m_verdict));
+            record(history::request_refused{id, answer.error().m_verdict, answer.error().m_reason});
             m_metrics.count("dragonflygap_refused_total",
                             {"reason", to_string(answer.error().m_reason)});
         }
@@ -190,6 +196,11 @@
         finish(action.m_id, tl::make_unexpected(action.m_failure));
     }
 
+    void act(const fail_request& action)
+    {
+        finish(action.m_id, tl::make_unexpected(action.m_failure));
+    }
+
     void act(const abort_request& action)
     {
         const auto found = m_in_flight.find(action.m_id);
@@ -217,7 +228,7 @@
                                         .m_hops = flight.m_request.m_hops + 1,
                                         .m_deadline_ms = to_ms(left),
                                         .m_body = flight.m_body};
-        record("forwarded", flight.m_request, action.m_peer.m_value);
+        record(history::request_forwarded{action.m_id, action.m_peer});
         m_forwards[call] = {action.m_id, action.m_peer,
                             m_loop.after(left + peer_answer_margin,
                                          [this, call] { fail_forward(call, reason::timeout); })};
@@ -228,7 +239,8 @@
     {
         const auto node = m_forwards.extract(call);
         if (!node.empty())
-            finish(node.mapped().m_id, fail(verdict::may_have_run, why, "the peer gave no answer"));
+            run({forward_failed{node.mapped().m_id,
+                                {verdict::may_have_run, why, "the peer gave no answer"}}});
     }
 
     void on(const targets_changed& event) { run(event); }
@@ -288,18 +300,20 @@
         const auto node = m_forwards.extract(answer.m_call);
         if (node.empty())
             return;
+        const auto& id = node.mapped().m_id;
         if (answer.m_failed)
-            return finish(node.mapped().m_id,
-                          fail(answer.m_verdict, answer.m_reason, std::move(answer.m_detail)));
-        finish(node.mapped().m_id,
-               http_response{.m_status = answer.m_status,
-                             .m_headers = {{"Content-Type", answer.m_content_type}},
-                             .m_body = std::move(answer.m_body)});
+            return run({forward_failed{
+                id, {answer.m_verdict, answer.m_reason, std::move(answer.m_detail)}}});
+        finish(id, http_response{.m_status = answer.m_status,
+                                 .m_headers = {{"Content-Type", answer.m_content_type}},
+                                 .m_body = std::move(answer.m_body)});
+        run({request_ended{id, {}}});
     }
 
     void on(const start_draining& /*event*/)
     {
         m_draining = true;
+        run({drain_started{}});
         if (m_in_flight.empty() && m_options.m_on_drained)
             m_options.m_on_drained();
     }
@@ -316,17 +330,10 @@
             m_options.m_on_load(load);
     }
 
-    void record(std::string_view step, const pending_request& request, std::string_view detail)
+    void record(const history::event& what) const
     {
         if (m_options.m_history)
-            log_event(log_level::info, "request",
-                      {{"step", step},
-                       {"request", request.m_id.m_value},
-                       {"class", request.m_class.m_value},
-                       {"caller", request.m_caller.m_value},
-                       {"key", request.m_key.m_value},
-                       {"idempotent", request.m_idempotent ? "true" : "false"},
-                       {"detail", detail}});
+            history::record(what);
     }
 
     event_loop& m_loop;
