--- a/src/dragonflygap/cli/commands.cpp
+++ b/src/dragonflygap/cli/commands.cpp
@@ -25,6 +25,7 @@
   jobs                   jobs that this entry VM coordinates
   job ID                 one job with its tasks
   submit FILE            submit a job
+  cancel ID              stop all tasks of a job, wherever they run
   config show [VERSION]  the document in force, or one of the latest 64
   config check FILE      check a document, without a server
   config diff FILE       what a document would change
@@ -79,6 +80,16 @@
     return exit_ok;
 }
 
+int cancel(const command_options& options, words_span words)
+{
+    const auto answer =
+        call_server(options, {.m_method = "POST", .m_path = "/v1/jobs/" + words[1] + "/cancel"});
+    if (!succeeded(answer))
+        return report_failure(options, answer);
+    std::cout << "cancelled " << words[1] << "\n";
+    return exit_ok;
+}
+
 int drain(const command_options& options)
 {
     const auto answer = call_server(options, {.m_method = "POST", .m_path = "/v1/drain"});
@@ -109,6 +120,7 @@
             [](const auto& options, words_span words)
             { return show(options, "/v1/jobs/" + words[1]); }},
     command{"submit", 1, submit},
+    command{"cancel", 1, cancel},
     command{"config", 1, config_command},
     command{"drain", 0, [](const auto& options, words_span) { return drain(options); }},
     command{"schema", 1, show_schema},
--- a/src/dragonflygap/cluster/codec.cpp
+++ b/src/dragonflygap/cluster/codec.cpp
@@ -37,6 +37,14 @@
                         m.m_reason, m.m_detail);
     else if constexpr (std::is_same_v<type, forwarded_cancel>)
         return std::tie(m.m_call);
+    else if constexpr (std::is_same_v<type, room_wanted>)
+        return std::tie(m.m_part, m.m_job, m.m_spec, m.m_count);
+    else if constexpr (std::is_same_v<type, group_room>)
+        return std::tie(m.m_data_centre, m.m_group, m.m_count);
+    else if constexpr (std::is_same_v<type, room_found>)
+        return std::tie(m.m_part, m.m_groups);
+    else if constexpr (std::is_same_v<type, jobs_written>)
+        return std::tie(m.m_groups);
     else if constexpr (std::is_same_v<type, config_update>)
         return std::tie(m.m_version, m.m_text);
     else if constexpr (std::is_same_v<type, config_wanted>)
--- a/src/dragonflygap/cluster/message.hpp
+++ b/src/dragonflygap/cluster/message.hpp
@@ -90,8 +90,38 @@
     std::uint64_t m_known_version = 0; ///< Version in force at the sender.
 };
 
+/// Asks whether the receiver's workers have room for tasks of a job. Nothing is promised.
+struct room_wanted
+{
+    std::string m_part; ///< Handed back in the answer.
+    std::string m_job;  ///< The job's id.
+    std::string m_spec; ///< The job as an operator writes it.
+    std::uint32_t m_count = 0;
+};
+
+/// Workers of a group have room for some tasks.
+struct group_room
+{
+    data_centre_id m_data_centre;
+    std::uint32_t m_group = 0;
+    std::uint32_t m_count = 0;
+};
+
+/// Answers room_wanted; sent only if there is room.
+struct room_found
+{
+    std::string m_part;
+    std::vector<group_room> m_groups;
+};
+
+/// Job rows of these groups were written: their owners read them again.
+struct jobs_written
+{
+    std::vector<group_room> m_groups; ///< The counts mean nothing.
+};
+
 using body = std::variant<heartbeat, forwarded_request, forwarded_answer, forwarded_cancel,
-                          config_update, config_wanted>;
+                          config_update, config_wanted, room_wanted, room_found, jobs_written>;
 
 /// A message and its sender. The incarnation grows with every start of the sender.
 struct message
--- a/src/dragonflygap/daemon/control_task.cpp
+++ b/src/dragonflygap/daemon/control_task.cpp
@@ -45,10 +45,7 @@
           m_ownership(loop, m_table.port(platform::call_priority::lease), keeper_options(),
                       [this](const auto& epochs) { on_groups(epochs); }),
           m_jobs(loop, m_table.port(platform::call_priority::normal),
-                 platform::make_http_workers(m_platform),
-                 {.m_vm = m_options.m_settings.m_vm,
-                  .m_incarnation = m_options.m_incarnation,
-                  .m_history = m_options.m_settings.m_history}),
+                 platform::make_http_workers(m_platform), job_options()),
           m_api(api_options(counted)),
           m_server(loop, {.m_listen = m_options.m_settings.m_operator_listen,
                           .m_handler =
@@ -99,6 +96,18 @@
             }};
     }
 
+    job_driver_options job_options()
+    {
+        return {.m_vm = m_options.m_settings.m_vm,
+                .m_data_centre = m_options.m_settings.m_data_centre,
+                .m_incarnation = m_options.m_incarnation,
+                .m_history = m_options.m_settings.m_history,
+                .m_to_peer = [this](const vm_id& peer, cluster::body body)
+                { m_members.send(peer, std::move(body)); },
+                .m_to_all_peers = [this](const cluster::body& body)
+                { m_members.send_to_all(body); }};
+    }
+
     operator_api_options api_options(const metrics& counted)
     {
         return {.m_vm = m_options.m_settings.m_vm,
@@ -147,6 +156,12 @@
             return m_config.offer(update->m_version, update->m_text);
         if (const auto* wanted = std::get_if<cluster::config_wanted>(&message.m_body))
             return answer_config_wanted(message.m_from, *wanted);
+        if (const auto* wanted = std::get_if<cluster::room_wanted>(&message.m_body))
+            return m_jobs.on_message(message.m_from, *wanted);
+        if (const auto* found = std::get_if<cluster::room_found>(&message.m_body))
+            return m_jobs.on_message(message.m_from, *found);
+        if (const auto* written = std::get_if<cluster::jobs_written>(&message.m_body))
+            return m_jobs.on_message(message.m_from, *written);
         m_options.m_to_requests(
             request::from_peer{message.m_from, message.m_incarnation, std::move(message.m_body)});
     }
@@ -218,7 +233,8 @@
                                              .m_connections = executor.m_connections,
                                              .m_leaving = worker.m_leaving});
         }
-        m_jobs.set_workers(std::move(owned));
+        if (m_vms_known)
+            m_jobs.set_workers({std::move(owned), m_epochs, m_workers});
         m_options.m_to_requests(std::move(targets));
     }
 
--- a/src/dragonflygap/daemon/job_driver.cpp
+++ b/src/dragonflygap/daemon/job_driver.cpp
@@ -1,25 +1,36 @@
 #include "dragonflygap/daemon/job_driver.hpp"
 
+#include <algorithm>
 #include <utility>
 
-#include <nlohmann/json.hpp>
 #include <xxhash.h>
 
+#include "dragonflygap/observe/log.hpp"
+
 namespace dragonflygap::daemon
 {
 
 namespace
 {
 
-constexpr duration renew_interval = 2s;
-constexpr duration flush_interval = 200ms;
 constexpr duration tick_interval = 100ms;
-constexpr duration task_lease = 30s;
-constexpr std::size_t max_rows_in_commit = 64;
+constexpr std::string_view all_jobs = "jobs/";
+
+// Tries to cancel a job whose rows change at the same time.
+constexpr int cancel_tries = 5;
+
+placement::job_manager_options manager_options(const job_driver_options& options)
+{
+    return {.m_data_centre = options.m_data_centre,
+            .m_writer = options.m_vm.m_value + "." + std::to_string(options.m_incarnation)};
+}
 
-std::string key_of(const job_id& job)
+std::vector<cluster::group_room> groups_of(std::span<const placement::part_home> homes)
 {
-    return "jobs/" + job.m_value;
+    std::vector<cluster::group_room> result;
+    for (const auto& home : homes)
+        result.push_back({.m_data_centre = home.m_data_centre, .m_group = home.m_group});
+    return result;
 }
 
 } // namespace
@@ -29,9 +40,7 @@
     : m_table(std::move(table)),
       m_workers(std::move(workers)),
       m_options(std::move(options)),
-      m_manager(placement::job_manager_options{.m_task_lease = task_lease}),
-      m_renew_timer(loop.every(renew_interval, [this] { renew_all(); })),
-      m_flush_timer(loop.every(flush_interval, [this] { flush(); })),
+      m_manager(manager_options(m_options)),
       m_tick_timer(loop.every(tick_interval, [this] { run(placement::job_manager_tick{}); }))
 {
 }
@@ -49,27 +58,14 @@
 void job_driver::submit(placement::job_spec spec, submitted_hook done)
 {
     spec.m_id = next_id(spec.m_name);
-    auto made = placement::make_job(std::move(spec));
-    std::vector<platform::row_write> writes{
-        {.m_key = key_of(made.m_spec.m_id), .m_value = nlohmann::json(made).dump()}};
-    m_table.m_commit(std::move(writes),
-                     [this, made, done = std::move(done)](outcome<platform::commit_result> result)
-                     {
-                         if (!result)
-                             return done(tl::make_unexpected(result.error()));
-                         if (!result->m_committed)
-                             return done(fail(verdict::not_run, reason::conflict,
-                                              "a job of this id is there already"));
-                         m_versions[made.m_spec.m_id] = result->m_rows.front().m_version;
-                         run(placement::job_accepted{made});
-                         done(made.m_spec.m_id);
-                     });
+    const auto submission = m_last_job;
+    m_submissions[submission] = std::move(done);
+    run(placement::job_submitted{submission, std::move(spec)});
 }
 
-void job_driver::set_workers(std::vector<placement::owned_worker> workers)
+void job_driver::set_workers(placement::workers_owned workers)
 {
-    m_owned = std::move(workers);
-    run(placement::workers_owned{m_owned});
+    run(std::move(workers));
 }
 
 void job_driver::run(const placement::job_event& event)
@@ -78,104 +74,195 @@
         std::visit([this](const auto& what) { act(what); }, action);
 }
 
+void job_driver::act(const placement::scan_parts& action)
+{
+    m_table.m_scan(
+        placement::prefix_of(action.m_home),
+        [this, action](outcome<std::vector<platform::row>> rows) {
+            run(placement::parts_scanned{action.m_home.m_group, action.m_holding, std::move(rows)});
+        });
+}
+
+void job_driver::act(const placement::commit_parts& action)
+{
+    m_table.m_commit(action.m_writes,
+                     [this, call = action.m_call](outcome<platform::commit_result> result) {
+                         run(placement::parts_committed{call, std::move(result)});
+                     });
+}
+
+void job_driver::act(const placement::submission_answered& action)
+{
+    auto node = m_submissions.extract(action.m_submission);
+    if (!node.empty())
+        node.mapped()(action.m_result);
+}
+
+void job_driver::act(const placement::announce_parts& action)
+{
+    m_options.m_to_all_peers(cluster::jobs_written{groups_of(action.m_homes)});
+}
+
 void job_driver::act(const placement::start_on_worker& action)
 {
-    record(history::task_start_sent{action.m_task.m_task, action.m_worker.m_info.m_id,
-                                    action.m_worker.m_epoch});
+    record("start_sent", action.m_task.m_task, action.m_worker.m_info.m_id);
     m_workers.m_start(action.m_worker.m_info, action.m_task,
                       [this, action](outcome<platform::task_report> result)
                       {
-                          record_start(action, result);
-                          run(placement::start_answered{action.m_job, action.m_index,
+                          record(result ? "started" : to_string(result.error().m_reason),
+                                 action.m_task.m_task, action.m_worker.m_info.m_id);
+                          run(placement::start_answered{action.m_part, action.m_index,
                                                         action.m_attempt, std::move(result)});
                       });
 }
 
-void job_driver::act(const placement::save_job& action)
+void job_driver::act(const placement::stop_on_worker& action)
 {
-    m_dirty.insert(action.m_job);
+    record("stop_sent", action.m_task, action.m_worker.m_info.m_id);
+    m_workers.m_stop(action.m_worker.m_info, action.m_worker.m_epoch, action.m_task,
+                     [](const outcome<platform::task_report>&) {});
 }
 
-void job_driver::act(const placement::acknowledge_tasks& action)
+void job_driver::act(const placement::renew_worker& action)
 {
-    auto& tasks = m_acknowledged[action.m_worker];
-    tasks.insert(tasks.end(), action.m_tasks.begin(), action.m_tasks.end());
+    const auto& worker = action.m_worker;
+    platform::renew_leases what{.m_epoch = worker.m_epoch,
+                                .m_lease = placement::worker_tasks_options{}.m_task_lease,
+                                .m_acknowledged = action.m_acknowledged};
+    m_workers.m_renew(worker.m_info, std::move(what),
+                      [this, id = worker.m_info.m_id,
+                       call = action.m_call](outcome<std::vector<platform::task_report>> reports) {
+                          run(placement::worker_reported{id, call, std::move(reports)});
+                      });
 }
 
-void job_driver::renew_all()
+void job_driver::act(const placement::ask_for_room& action)
 {
-    for (const auto& worker : m_owned)
-    {
-        const auto id = worker.m_info.m_id;
-        platform::renew_leases what{.m_epoch = worker.m_epoch,
-                                    .m_lease = task_lease,
-                                    .m_acknowledged = std::exchange(m_acknowledged[id], {})};
-        m_workers.m_renew(worker.m_info, what,
-                          [this, id](outcome<std::vector<platform::task_report>> reports)
-                          {
-                              if (!reports)
-                                  return;
-                              record_ends(id, *reports);
-                              run(placement::worker_reported{id, std::move(*reports)});
-                          });
-    }
+    m_options.m_to_all_peers(
+        cluster::room_wanted{.m_part = action.m_part.m_value,
+                             .m_job = action.m_spec.m_id.m_value,
+                             .m_spec = placement::encode_spec(action.m_spec),
+                             .m_count = static_cast<std::uint32_t>(action.m_count)});
 }
 
-void job_driver::flush()
+void job_driver::on_message(const vm_id& from, const cluster::room_wanted& message)
 {
-    if (m_flushing || m_dirty.empty())
+    auto spec = placement::parse_job(message.m_spec);
+    if (!spec)
         return;
-    std::vector<platform::row_write> writes;
-    std::vector<job_id> saved;
-    while (!m_dirty.empty() && writes.size() < max_rows_in_commit)
-    {
-        const auto id = m_dirty.extract(m_dirty.begin()).value();
-        saved.push_back(id);
-        writes.push_back({.m_key = key_of(id),
-                          .m_expected_version = m_versions[id],
-                          .m_value = nlohmann::json(m_manager.jobs().at(id)).dump()});
-    }
-    m_flushing = true;
-    m_table.m_commit(std::move(writes),
-                     [this, saved](outcome<platform::commit_result> result)
-                     {
-                         m_flushing = false;
-                         for (std::size_t i = 0; result && i < result->m_rows.size(); ++i)
-                         {
-                             const auto& row = result->m_rows[i];
-                             m_versions[job_id(row.m_key.substr(key_of({}).size()))] =
-                                 row.m_version;
-                         }
-                         if (!result || !result->m_committed)
-                             m_dirty.insert(saved.begin(), saved.end());
-                     });
+    spec->m_id = job_id(message.m_job);
+    cluster::room_found answer{.m_part = message.m_part};
+    for (const auto& offer : m_manager.room_for(*spec, static_cast<int>(message.m_count)))
+        answer.m_groups.push_back({.m_data_centre = offer.m_home.m_data_centre,
+                                   .m_group = offer.m_home.m_group,
+                                   .m_count = static_cast<std::uint32_t>(offer.m_count)});
+    if (!answer.m_groups.empty())
+        m_options.m_to_peer(from, std::move(answer));
 }
 
-void job_driver::record(const history::event& what) const
+void job_driver::on_message(const vm_id& /*from*/, const cluster::room_found& message)
 {
-    if (m_options.m_history)
-        history::record(what);
+    placement::room_offered offered{.m_part = placement::part_id(message.m_part)};
+    for (const auto& room : message.m_groups)
+        offered.m_offers.push_back(
+            {{room.m_data_centre, room.m_group}, static_cast<int>(room.m_count)});
+    run(offered);
+}
+
+void job_driver::on_message(const vm_id& /*from*/, const cluster::jobs_written& message)
+{
+    placement::parts_written written;
+    for (const auto& group : message.m_groups)
+        written.m_homes.push_back({group.m_data_centre, group.m_group});
+    run(written);
+}
+
+void job_driver::find(const job_id& id, found_hook done)
+{
+    m_table.m_scan(std::string(all_jobs),
+                   [id, done = std::move(done)](outcome<std::vector<platform::row>> rows)
+                   {
+                       if (!rows)
+                           return done(tl::make_unexpected(rows.error()));
+                       std::vector<placement::job_part> parts;
+                       for (const auto& row : *rows)
+                           if (row.m_key.find("/" + id.m_value + "~") != std::string::npos)
+                               if (auto part = placement::decode_part(row))
+                                   parts.push_back(std::move(*part));
+                       done(std::move(parts));
+                   });
 }
 
-void job_driver::record_start(const placement::start_on_worker& action,
-                              const outcome<platform::task_report>& result) const
+void job_driver::cancel(const job_id& id, submitted_hook done)
 {
-    const auto& task = action.m_task.m_task;
-    const auto& worker = action.m_worker.m_info.m_id;
-    if (result)
-        record(history::task_started{task, worker});
-    else
-        record(history::task_start_failed{task, worker, result.error().m_verdict,
-                                          result.error().m_reason});
+    cancel(id, cancel_tries, std::move(done));
 }
 
-void job_driver::record_ends(const worker_id& worker,
-                             std::span<const platform::task_report> reports) const
+void job_driver::cancel(const job_id& id, int tries, submitted_hook done)
 {
-    for (const auto& report : reports)
-        if (report.m_state != platform::task_state::running)
-            record(
-                history::task_ended{report.m_task, worker, std::string(to_string(report.m_state))});
+    m_table.m_scan(
+        std::string(all_jobs),
+        [this, id, tries, done = std::move(done)](outcome<std::vector<platform::row>> rows)
+        {
+            if (!rows)
+                return done(fail(verdict::not_run, rows.error().m_reason, rows.error().m_detail));
+            std::vector<placement::job_part> parts;
+            std::vector<platform::row> found;
+            for (const auto& row : *rows)
+            {
+                if (row.m_key.find("/" + id.m_value + "~") == std::string::npos)
+                    continue;
+                auto part = placement::decode_part(row);
+                if (!part)
+                    continue;
+                parts.push_back(std::move(*part));
+                found.push_back(row);
+            }
+            if (parts.empty())
+                return done(fail(verdict::not_run, reason::not_found, "no such job"));
+            cancel_parts(id, std::move(parts), std::move(found), tries, done);
+        });
+}
+
+void job_driver::cancel_parts(const job_id& id, std::vector<placement::job_part> parts,
+                              std::vector<platform::row> rows, int tries, submitted_hook done)
+{
+    // Writer and revision stay: the owner sees by them that nothing else has changed.
+    std::vector<platform::row_write> writes;
+    placement::announce_parts written;
+    for (std::size_t i = 0; i < parts.size(); ++i)
+    {
+        if (std::exchange(parts[i].m_cancelled, true) || placement::has_ended(parts[i]))
+            continue;
+        writes.push_back({.m_key = rows[i].m_key,
+                          .m_expected_version = rows[i].m_version,
+                          .m_value = placement::encode(parts[i])});
+        written.m_homes.push_back(parts[i].m_home);
+    }
+    if (writes.empty())
+        return done(id);
+    m_table.m_commit(
+        std::move(writes),
+        [this, id, written, tries, done = std::move(done)](outcome<platform::commit_result> result)
+        {
+            if (!result)
+                return done(tl::make_unexpected(result.error()));
+            if (!result->m_committed && tries > 1)
+                return cancel(id, tries - 1, done);
+            if (!result->m_committed)
+                return done(fail(verdict::not_run, reason::conflict,
+                                 "the job's rows keep changing; try again"));
+            act(written);
+            run(placement::parts_written{written.m_homes});
+            done(id);
+        });
+}
+
+void job_driver::record(std::string_view step, const task_id& task, const worker_id& worker) const
+{
+    if (m_options.m_history)
+        log_event(log_level::info, "task",
+                  {{"step", step}, {"task", task.m_value}, {"worker", worker.m_value}});
 }
 
 } // namespace dragonflygap::daemon
--- a/src/dragonflygap/daemon/job_driver.hpp
+++ b/src/dragonflygap/daemon/job_driver.hpp
@@ -3,13 +3,13 @@
 #include <cstdint>
 #include <functional>
 #include <map>
-#include <set>
 #include <span>
 #include <string>
+#include <string_view>
 #include <vector>
 
+#include "dragonflygap/cluster/message.hpp"
 #include "dragonflygap/net/event_loop.hpp"
-#include "dragonflygap/observe/history.hpp"
 #include "dragonflygap/placement/job_manager.hpp"
 #include "dragonflygap/platform/table.hpp"
 #include "dragonflygap/platform/worker_port.hpp"
@@ -20,15 +20,19 @@
 struct job_driver_options
 {
     vm_id m_vm;
+    data_centre_id m_data_centre;
     std::uint64_t m_incarnation = 0;
     bool m_history = false;
+    std::function<void(const vm_id& peer, cluster::body)> m_to_peer;
+    std::function<void(const cluster::body&)> m_to_all_peers;
 };
 
-/// Runs the job manager against workers and the table: keeps jobs, starts tasks, renews leases.
+/// Runs the job manager against workers, the table and the peers.
 class job_driver
 {
 public:
     using submitted_hook = std::function<void(outcome<job_id>)>;
+    using found_hook = std::function<void(outcome<std::vector<placement::job_part>>)>;
 
     job_driver(event_loop& loop, platform::table_port table, platform::worker_port workers,
                job_driver_options options);
@@ -36,35 +40,42 @@
     /// Keeps a job in the table, then places it; a failure says whether it may have been kept.
     void submit(placement::job_spec spec, submitted_hook done);
 
-    void set_workers(std::vector<placement::owned_worker> workers);
+    /// Has all tasks of a job stopped, wherever they run; idempotent.
+    void cancel(const job_id& id, submitted_hook done);
+
+    /// Reads all parts of a job from the table; an unknown job has none.
+    void find(const job_id& id, found_hook done);
+
+    void set_workers(placement::workers_owned workers);
+
+    void on_message(const vm_id& from, const cluster::room_wanted& message);
+    void on_message(const vm_id& from, const cluster::room_found& message);
+    void on_message(const vm_id& from, const cluster::jobs_written& message);
 
     const placement::job_manager& manager() const { return m_manager; }
 
 private:
     void run(const placement::job_event& event);
+    void act(const placement::scan_parts& action);
+    void act(const placement::commit_parts& action);
+    void act(const placement::submission_answered& action);
+    void act(const placement::announce_parts& action);
     void act(const placement::start_on_worker& action);
-    void act(const placement::save_job& action);
-    void act(const placement::acknowledge_tasks& action);
-    void renew_all();
-    void flush();
+    void act(const placement::stop_on_worker& action);
+    void act(const placement::renew_worker& action);
+    void act(const placement::ask_for_room& action);
+    void cancel_parts(const job_id& id, std::vector<placement::job_part> parts,
+                      std::vector<platform::row> rows, int tries, submitted_hook done);
+    void cancel(const job_id& id, int tries, submitted_hook done);
     job_id next_id(const std::string& name);
-    void record(const history::event& what) const;
-    void record_start(const placement::start_on_worker& action,
-                      const outcome<platform::task_report>& result) const;
-    void record_ends(const worker_id& worker, std::span<const platform::task_report> reports) const;
+    void record(std::string_view step, const task_id& task, const worker_id& worker) const;
 
     platform::table_port m_table;
     platform::worker_port m_workers;
     job_driver_options m_options;
     placement::job_manager m_manager;
-    std::vector<placement::owned_worker> m_owned;
-    std::map<worker_id, std::vector<task_id>> m_acknowledged;
-    std::map<job_id, std::uint64_t> m_versions;
-    std::set<job_id> m_dirty;
-    bool m_flushing = false;
+    std::map<std::uint64_t, submitted_hook> m_submissions;
     std::uint64_t m_last_job = 0;
-    event_loop::timer_ptr m_renew_timer;
-    event_loop::timer_ptr m_flush_timer;
     event_loop::timer_ptr m_tick_timer;
 };
 
--- a/src/dragonflygap/daemon/operator_api.cpp
+++ b/src/dragonflygap/daemon/operator_api.cpp
@@ -18,6 +18,7 @@
 {
 
 constexpr std::string_view job_path = "/v1/jobs/";
+constexpr std::string_view cancel_suffix = "/cancel";
 constexpr std::string_view schema_path = "/v1/schema/";
 
 void reply_json(const http_exchange_ptr& exchange, int status, const nlohmann::json& body)
@@ -115,11 +116,33 @@
 void get_job(const operator_api_options& api, const std::string& id,
              const http_exchange_ptr& exchange)
 {
-    const auto& jobs = api.m_jobs->manager().jobs();
-    const auto found = jobs.find(job_id(id));
-    if (found == jobs.end())
-        return reply_failure(exchange, verdict::not_run, reason::not_found, "no such job here");
-    reply_json(exchange, 200, found->second);
+    // Its parts may belong to several entry VMs, so the table is asked.
+    api.m_jobs->find(job_id(id),
+                     [exchange](outcome<std::vector<placement::job_part>> parts)
+                     {
+                         if (!parts)
+                             return exchange->reply(failure_response(parts.error()));
+                         if (parts->empty())
+                             return reply_failure(exchange, verdict::not_run, reason::not_found,
+                                                  "no such job");
+                         placement::job whole{.m_spec = parts->front().m_job.m_spec};
+                         for (const auto& part : *parts)
+                             whole.m_tasks.insert(whole.m_tasks.end(), part.m_job.m_tasks.begin(),
+                                                  part.m_job.m_tasks.end());
+                         reply_json(exchange, 200, whole);
+                     });
+}
+
+void cancel_job(const operator_api_options& api, const std::string& id,
+                const http_exchange_ptr& exchange)
+{
+    api.m_jobs->cancel(job_id(id),
+                       [exchange](outcome<job_id> result)
+                       {
+                           if (!result)
+                               return exchange->reply(failure_response(result.error()));
+                           reply_json(exchange, 202, {{"cancelled", result->m_value}});
+                       });
 }
 
 void post_job(const operator_api_options& api, const http_request& request,
@@ -177,6 +200,10 @@
         return put_config(api, request, exchange);
     if (get && path == "/v1/jobs")
         return get_jobs(api, exchange);
+    if (request.m_method == "POST" && path.starts_with(job_path) && path.ends_with(cancel_suffix))
+        return cancel_job(
+            api, path.substr(job_path.size(), path.size() - job_path.size() - cancel_suffix.size()),
+            exchange);
     if (get && path.starts_with(job_path))
         return get_job(api, path.substr(job_path.size()), exchange);
     if (request.m_method == "POST" && path == "/v1/jobs")
--- a/src/dragonflygap/emulator/worker_model.cpp
+++ b/src/dragonflygap/emulator/worker_model.cpp
@@ -95,6 +95,15 @@
     return reports;
 }
 
+std::vector<platform::task_report> worker_model::reports(instant now)
+{
+    advance(now);
+    std::vector<platform::task_report> result;
+    for (const auto& [id, task] : m_tasks)
+        result.push_back(task.m_report);
+    return result;
+}
+
 outcome<platform::task_report> worker_model::stop(std::uint64_t epoch, const task_id& task,
                                                   instant now)
 {
--- a/src/dragonflygap/emulator/worker_model.hpp
+++ b/src/dragonflygap/emulator/worker_model.hpp
@@ -42,6 +42,9 @@
     /// False: starts tasks beyond the capacity, to show that nobody asks for it.
     void set_enforce_capacity(bool enforce) { m_enforce_capacity = enforce; }
 
+    /// All tasks that it hasn't forgotten.
+    std::vector<platform::task_report> reports(instant now);
+
     /// What the running tasks were declared to need, together.
     resources committed() const;
 
--- a/src/dragonflygap/placement/job.cpp
+++ b/src/dragonflygap/placement/job.cpp
@@ -55,19 +55,25 @@
     auto faults = config::parse_and_check(text, schemas::job, json);
     if (!faults.empty())
         return tl::make_unexpected(faults);
+    auto spec = read_job(json);
+    if (spec.m_kind == job_kind::service && spec.m_expected != duration{})
+        return tl::make_unexpected(std::vector<config::fault>{
+            {"$.expected_ms", "a service runs until it is stopped: leave it out or write 0"}});
+    return spec;
+}
+
+job_spec read_job(const nlohmann::json& json)
+{
     job_spec spec;
-    spec.m_name = json["name"].get<std::string>();
-    spec.m_team = team_id(json["team"].get<std::string>());
-    spec.m_kind = kind_from_string(json["kind"].get<std::string>());
+    spec.m_name = json.at("name").get<std::string>();
+    spec.m_team = team_id(json.at("team").get<std::string>());
+    spec.m_kind = kind_from_string(json.at("kind").get<std::string>());
     spec.m_count = json.value("count", 1);
     spec.m_urgent = json.value("urgent", false);
-    spec.m_size = json["size"].get<resources>();
+    spec.m_size = json.at("size").get<resources>();
     spec.m_expected = std::chrono::milliseconds(json.value("expected_ms", std::int64_t{0}));
     spec.m_max_attempts = json.value("max_attempts", 3);
     spec.m_rules = read_rules(json.value("rules", nlohmann::json::object()));
-    if (spec.m_kind == job_kind::service && spec.m_expected != duration{})
-        return tl::make_unexpected(std::vector<config::fault>{
-            {"$.expected_ms", "a service runs until it is stopped: leave it out or write 0"}});
     return spec;
 }
 
@@ -99,6 +105,8 @@
     {
     case job_task_state::waiting:
         return "waiting";
+    case job_task_state::moving:
+        return "moving";
     case job_task_state::starting:
         return "starting";
     case job_task_state::running:
@@ -106,9 +114,33 @@
     case job_task_state::finished:
         return "finished";
     case job_task_state::failed:
+        return "failed";
+    case job_task_state::cancelled:
         break;
     }
-    return "failed";
+    return "cancelled";
+}
+
+std::string_view to_string(spread_rule rule)
+{
+    switch (rule)
+    {
+    case spread_rule::none:
+        return "none";
+    case spread_rule::worker:
+        return "worker";
+    case spread_rule::rack:
+        return "rack";
+    case spread_rule::data_centre:
+        break;
+    }
+    return "data_centre";
+}
+
+bool has_ended(job_task_state state)
+{
+    return state == job_task_state::finished || state == job_task_state::failed ||
+           state == job_task_state::cancelled;
 }
 
 void to_json(nlohmann::json& to, const job& from)
--- a/src/dragonflygap/placement/job.hpp
+++ b/src/dragonflygap/placement/job.hpp
@@ -57,10 +57,12 @@
 enum class job_task_state
 {
     waiting,
+    moving,   ///< Waiting, and being given to other workers by a transaction under way.
     starting, ///< Sent to a worker, no answer yet.
     running,
     finished,
     failed, ///< Out of attempts.
+    cancelled,
 };
 
 /// One task of a job. A task runs again only under a new attempt.
@@ -68,8 +70,12 @@
 {
     int m_index = 0;
     int m_attempt = 0;
+    int m_failures = 0; ///< Attempts that the worker reported as failed.
     job_task_state m_state = job_task_state::waiting;
     worker_id m_worker;
+    int m_setbacks = 0;     ///< Starts refused or lost in a row; not kept in the table.
+    instant m_not_before{}; ///< Not placed earlier; not kept in the table.
+    instant m_since{};      ///< Last change of the state; not kept in the table.
 };
 
 /// A job and what became of its tasks.
@@ -85,11 +91,18 @@
 /// Reads a job; all faults are reported, each with its path.
 tl::expected<job_spec, std::vector<config::fault>> parse_job(std::string_view text);
 
+/// Reads what parse_job has checked before; throws nlohmann::json::exception on other input.
+job_spec read_job(const nlohmann::json& json);
+
 /// A new job with its tasks waiting.
 job make_job(job_spec spec);
 
 std::string_view to_string(job_kind kind);
 std::string_view to_string(job_task_state state);
+std::string_view to_string(spread_rule rule);
+
+/// True for finished, failed and cancelled tasks.
+bool has_ended(job_task_state state);
 
 void to_json(nlohmann::json& to, const job& from);
 
--- a/src/dragonflygap/placement/job_manager.cpp
+++ b/src/dragonflygap/placement/job_manager.cpp
@@ -1,159 +1,294 @@
 #include "dragonflygap/placement/job_manager.hpp"
 
 #include <algorithm>
+#include <charconv>
 #include <utility>
 
 namespace dragonflygap::placement
 {
 
-std::vector<job_action> job_manager::handle(const job_event& event, instant /*now*/)
+namespace
+{
+
+// A service that ran for this long starts its backoff anew, and its worker counts as good.
+constexpr duration long_run = 60s;
+
+// Doublings beyond this pass any sensible longest backoff.
+constexpr int max_doublings = 16;
+
+} // namespace
+
+std::optional<std::pair<int, int>> read_task_name(const job_id& job, const task_id& name)
+{
+    std::string_view text = name.m_value;
+    if (!text.starts_with(job.m_value + "/"))
+        return std::nullopt;
+    text.remove_prefix(job.m_value.size() + 1);
+    const auto* end = text.data() + text.size();
+    std::pair<int, int> result;
+    const auto index = std::from_chars(text.data(), end, result.first);
+    if (index.ec != std::errc() || index.ptr == end || *index.ptr != '.')
+        return std::nullopt;
+    const auto attempt = std::from_chars(index.ptr + 1, end, result.second);
+    return attempt.ec == std::errc() ? std::optional(result) : std::nullopt;
+}
+
+job_manager::job_manager(job_manager_options options)
+    : m_options(std::move(options)), m_workers(m_options.m_workers), m_commits(m_options.m_commits)
+{
+}
+
+std::vector<job_action> job_manager::handle(const job_event& event, instant now)
 {
     actions out;
-    std::visit([&](const auto& what) { on(what, out); }, event);
-    place_waiting(out);
+    std::visit([&](const auto& what) { on(what, now, out); }, event);
+    m_workers.update_engine(now);
+    place_waiting(now, out);
+    save_dirty(now);
+    abandon_creations(now);
+    if (auto next = m_commits.next(now))
+        out.emplace_back(commit_parts{next->m_call, std::move(next->m_writes)});
     return out;
 }
 
-void job_manager::on(const job_accepted& event, actions& /*out*/)
+void job_manager::on(const workers_owned& event, instant now, actions& out)
 {
-    const auto id = event.m_job.m_spec.m_id;
-    m_jobs[id] = event.m_job;
-    m_waiting.insert(id);
+    m_cell = event.m_cell;
+    m_workers.set_workers(event.m_workers, event.m_epochs, now);
+    std::erase_if(m_groups,
+                  [&](const auto& entry)
+                  {
+                      const auto epoch = event.m_epochs.find(entry.first);
+                      return epoch == event.m_epochs.end() || epoch->second != entry.second.m_epoch;
+                  });
+    // What belongs to lost groups is their new owners' to look after.
+    std::erase_if(m_parts, [&](const auto& entry)
+                  { return !m_groups.contains(entry.second.m_part.m_home.m_group); });
+    std::erase_if(m_part_of_task,
+                  [&](const auto& entry) { return !m_parts.contains(entry.second); });
+    for (const auto& [group, epoch] : event.m_epochs)
+    {
+        const auto [found, gained] = m_groups.try_emplace(group, group_state{.m_epoch = epoch});
+        if (!gained)
+            continue;
+        found->second.m_holding = ++m_last_holding;
+        scan(group, now, out);
+    }
 }
 
-void job_manager::on(const workers_owned& event, actions& /*out*/)
+void job_manager::on(const job_manager_tick& /*event*/, instant now, actions& out)
 {
-    std::map<worker_id, owned_worker> next;
-    for (const auto& worker : event.m_workers)
-        next[worker.m_info.m_id] = worker;
-    for (const auto& [id, worker] : m_workers)
-        if (!next.contains(id))
-            m_engine.remove_worker(id);
-    for (const auto& [id, worker] : next)
-        m_engine.set_worker({.m_id = id,
-                             .m_data_centre = worker.m_info.m_data_centre,
-                             .m_rack = worker.m_info.m_rack,
-                             .m_capacity = worker.m_info.m_capacity,
-                             .m_leaving = worker.m_info.m_leaving});
-    m_workers = std::move(next);
+    for (const auto& id : m_workers.take_lost(now))
+        find_missing(id, {}, instant::max(), now);
+    for (auto& renewal : m_workers.renewals(now))
+        out.emplace_back(std::move(renewal));
+    for (auto& [group, state] : m_groups)
+        if (now - state.m_last_scan >= m_options.m_rescan_every)
+            scan(group, now, out);
+    for (auto& [id, part] : m_parts)
+    {
+        if (!part.m_claimed)
+            continue;
+        if (part.m_adopted && m_workers.settled(part.m_part.m_home.m_group))
+            part.m_adopted = false;
+        stop_unwanted(part, now, out);
+    }
+    trim(now);
+    expire_submissions(now, out);
 }
 
-void job_manager::on(const start_answered& event, actions& out)
+void job_manager::on(const start_answered& event, instant now, actions& /*out*/)
 {
-    const auto found = m_jobs.find(event.m_job);
-    if (found == m_jobs.end())
+    auto* part = find_part(event.m_part);
+    if (part == nullptr)
         return;
-    auto& task = found->second.m_tasks[static_cast<std::size_t>(event.m_index)];
-    if (task.m_attempt != event.m_attempt || task.m_state != job_task_state::starting)
+    const auto task =
+        std::ranges::find(part->m_part.m_job.m_tasks, event.m_index, &job_task::m_index);
+    if (task == part->m_part.m_job.m_tasks.end() || task->m_attempt != event.m_attempt ||
+        task->m_state != job_task_state::starting)
         return;
     if (event.m_result)
     {
-        task.m_state = job_task_state::running;
-        out.emplace_back(save_job{event.m_job});
+        if (event.m_result->m_state != platform::task_state::running)
+            return end_task(*part, *task, event.m_result->m_state, now);
+        task->m_state = job_task_state::running;
+        task->m_since = now;
+        task->m_not_before = now;
+        task->m_setbacks = 0;
+        part->m_dirty = true;
         return;
     }
-    // A start that may have happened is settled by the worker's next report.
-    if (event.m_result.error().m_verdict == verdict::not_run)
-        end_task(found->second, task, platform::task_state::failed, out);
+    // A start that may have happened is settled by the worker's reports.
+    if (event.m_result.error().m_verdict != verdict::not_run)
+        return;
+    m_workers.count_result(task->m_worker, false, now);
+    set_back(*part, *task, now);
 }
 
-void job_manager::on(const worker_reported& event, actions& out)
+void job_manager::on(const worker_reported& event, instant now, actions& out)
 {
-    acknowledge_tasks known{.m_worker = event.m_worker};
-    for (const auto& report : event.m_tasks)
+    const auto sent =
+        m_workers.reported(event.m_worker, event.m_call, event.m_tasks.has_value(), now);
+    if (!sent)
+        return;
+    const auto from = m_workers.find(event.m_worker)->m_worker;
+    const auto group = m_groups.find(ownership::group_of(event.m_worker));
+    if (group == m_groups.end() || !group->second.m_loaded)
+        return m_workers.expect_reports(ownership::group_of(event.m_worker));
+    std::set<task_id> reported;
+    for (const auto& report : *event.m_tasks)
     {
-        const auto found = m_jobs.find(report.m_job);
-        if (found == m_jobs.end())
-            continue;
-        for (auto& task : found->second.m_tasks)
-        {
-            if (name_of(report.m_job, task) != report.m_task)
-                continue;
-            if (report.m_state == platform::task_state::running)
-                task.m_state = job_task_state::running;
-            else if (task.m_state == job_task_state::running)
-                end_task(found->second, task, report.m_state, out);
-        }
-        if (report.m_state != platform::task_state::running)
-            known.m_tasks.push_back(report.m_task);
+        if (report.m_state == platform::task_state::running)
+            reported.insert(report.m_task);
+        read_report(from, report, now, out);
     }
-    if (!known.m_tasks.empty())
-        out.emplace_back(std::move(known));
+    find_missing(event.m_worker, reported, *sent, now);
 }
 
-void job_manager::on(const job_manager_tick& /*event*/, actions& /*out*/) {}
-
-void job_manager::end_task(job& ended, job_task& task, platform::task_state state, actions& out)
+void job_manager::read_report(const owned_worker& from, const platform::task_report& report,
+                              instant now, actions& out)
 {
-    m_engine.release(ended.m_spec, task.m_worker);
-    task.m_worker = {};
-    const bool done =
-        state == platform::task_state::finished && ended.m_spec.m_kind != job_kind::service;
-    if (done)
-        task.m_state = job_task_state::finished;
-    else if (ended.m_spec.m_kind != job_kind::service &&
-             task.m_attempt >= ended.m_spec.m_max_attempts)
-        task.m_state = job_task_state::failed;
-    else
+    const auto& worker = from.m_info.m_id;
+    const bool runs = report.m_state == platform::task_state::running;
+    const auto name = read_task_name(report.m_job, report.m_task);
+    job_task* task = nullptr;
+    auto* part = name ? part_of(report.m_job, name->first, task) : nullptr;
+    // The row may be older than the attempt that the last owner started.
+    const bool newer = part != nullptr && part->m_adopted && name->second > task->m_attempt;
+    const bool same = part != nullptr && name->second == task->m_attempt &&
+                      (task->m_worker == worker || task->m_state == job_task_state::waiting);
+    const bool current =
+        (newer || same) && task->m_state != job_task_state::moving && !has_ended(task->m_state);
+    if (!current)
+    {
+        if (!runs)
+        {
+            // An end that isn't saved yet is kept by the worker until it is.
+            if (part == nullptr || !(part->m_dirty || part->m_in_commit))
+                m_workers.acknowledge(worker, report.m_task);
+            return m_workers.release(worker, report.m_task);
+        }
+        // Nobody waits for it, or another attempt took its place.
+        m_workers.take(worker, report.m_task, {.m_id = report.m_job, .m_size = report.m_size},
+                       false);
+        out.emplace_back(stop_on_worker{from, report.m_task});
+        return;
+    }
+    if (newer || task->m_worker != worker)
+        part->m_dirty = true;
+    task->m_attempt = name->second;
+    task->m_worker = worker;
+    m_workers.take(worker, report.m_task, part->m_part.m_job.m_spec, false);
+    if (!runs)
+        return end_task(*part, *task, report.m_state, now);
+    if (task->m_state != job_task_state::running)
     {
-        task.m_state = job_task_state::waiting;
-        m_waiting.insert(ended.m_spec.m_id);
+        task->m_state = job_task_state::running;
+        task->m_since = now;
+        task->m_not_before = now;
+        part->m_dirty = true;
     }
-    out.emplace_back(save_job{ended.m_spec.m_id});
+    if (now - task->m_since >= long_run)
+        m_workers.count_result(worker, true, now);
 }
 
-void job_manager::place_waiting(actions& out)
+void job_manager::find_missing(const worker_id& worker, const std::set<task_id>& reported,
+                               instant sent, instant now)
 {
-    std::erase_if(m_waiting,
-                  [&](const job_id& id)
-                  {
-                      auto& waiting = m_jobs[id];
-                      place_job(waiting, out);
-                      return std::ranges::none_of(
-                          waiting.m_tasks, [](const job_task& task)
-                          { return task.m_state == job_task_state::waiting; });
-                  });
+    const auto* state = m_workers.find(worker);
+    if (state == nullptr)
+        return;
+    const bool lost = state->m_lost;
+    std::vector<std::pair<task_id, job_id>> missing;
+    for (const auto& [name, spec] : state->m_tasks)
+        if (!reported.contains(name))
+            missing.emplace_back(name, spec.m_id);
+    for (const auto& [name, job] : missing)
+    {
+        job_task* task = nullptr;
+        const auto read = read_task_name(job, name);
+        auto* part = read ? part_of(job, read->first, task) : nullptr;
+        const bool current =
+            part != nullptr && task->m_worker == worker && name_of(job, *task) == name;
+        // Room that is held for a task on its way here, or whose start is under way.
+        const bool coming =
+            part != nullptr && task->m_worker == worker &&
+            (task->m_state == job_task_state::moving || task->m_state == job_task_state::waiting);
+        const bool surely_gone =
+            current &&
+            (lost || (task->m_state == job_task_state::running && task->m_since < sent) ||
+             (task->m_state == job_task_state::starting &&
+              task->m_since + m_options.m_start_margin < sent));
+        if (surely_gone)
+            set_back(*part, *task, now);
+        else if (!current && !coming)
+            m_workers.release(worker, name);
+    }
 }
 
-void job_manager::place_job(job& waiting, actions& out)
+void job_manager::end_task(live_part& part, job_task& task, platform::task_state state, instant now)
 {
-    std::vector<job_task*> tasks;
-    for (auto& task : waiting.m_tasks)
-        if (task.m_state == job_task_state::waiting)
-            tasks.push_back(&task);
-    if (waiting.m_spec.m_kind == job_kind::gang)
+    const auto& spec = part.m_part.m_job.m_spec;
+    const auto name = name_of(spec.m_id, task);
+    const bool service = spec.m_kind == job_kind::service;
+    m_workers.release(task.m_worker, name);
+    part.m_ended.emplace_back(task.m_worker, name);
+    part.m_dirty = true;
+    if (state == platform::task_state::finished && !service)
     {
-        const auto workers = m_engine.place_all(waiting.m_spec, static_cast<int>(tasks.size()));
-        for (std::size_t i = 0; workers && i < tasks.size(); ++i)
-            start(waiting, *tasks[i], (*workers)[i], out);
+        m_workers.count_result(task.m_worker, true, now);
+        task.m_state = job_task_state::finished;
         return;
     }
-    for (auto* task : tasks)
-    {
-        const auto worker = m_engine.place(waiting.m_spec);
-        if (!worker)
-            return;
-        start(waiting, *task, *worker, out);
-    }
+    if (state == platform::task_state::stopped)
+        return set_back(part, task, now);
+    m_workers.count_result(task.m_worker, false, now);
+    const bool ran_long = service && now - task.m_since >= long_run;
+    task.m_failures = ran_long ? 1 : task.m_failures + 1;
+    if (!service && task.m_failures >= spec.m_max_attempts)
+        task.m_state = job_task_state::failed;
+    else
+        set_back(part, task, now);
+}
+
+void job_manager::set_back(live_part& part, job_task& task, instant now)
+{
+    m_workers.release(task.m_worker, name_of(part.m_part.m_job.m_spec.m_id, task));
+    ++task.m_setbacks;
+    const auto doublings = std::min(task.m_setbacks + task.m_failures - 1, max_doublings);
+    const auto backoff = m_options.m_first_backoff * (1 << doublings);
+    task.m_not_before = now + std::min(backoff, m_options.m_longest_backoff);
+    task.m_state = job_task_state::waiting;
+    task.m_worker = {};
+    task.m_since = now;
+    part.m_dirty = true;
 }
 
-void job_manager::start(job& starting, job_task& task, const worker_id& worker, actions& out)
+void job_manager::stop_unwanted(live_part& part, instant now, actions& out)
 {
-    ++task.m_attempt;
-    task.m_state = job_task_state::starting;
-    task.m_worker = worker;
-    const auto& owned = m_workers.at(worker);
-    const auto& spec = starting.m_spec;
-    out.emplace_back(start_on_worker{.m_worker = owned,
-                                     .m_task = {.m_epoch = owned.m_epoch,
-                                                .m_task = name_of(spec.m_id, task),
-                                                .m_job = spec.m_id,
-                                                .m_size = spec.m_size,
-                                                .m_lease = m_options.m_task_lease,
-                                                .m_run_time = spec.m_expected},
-                                     .m_job = spec.m_id,
-                                     .m_index = task.m_index,
-                                     .m_attempt = task.m_attempt});
+    auto& tasks = part.m_part.m_job.m_tasks;
+    const auto& spec = part.m_part.m_job.m_spec;
+    // The tasks of a service leave a worker one after another.
+    bool restarting = std::ranges::any_of(tasks, [](const job_task& task)
+                                          { return task.m_state != job_task_state::running; });
+    for (auto& task : tasks)
+    {
+        if (part.m_part.m_cancelled && task.m_state == job_task_state::waiting)
+        {
+            task.m_state = job_task_state::cancelled;
+            part.m_dirty = true;
+        }
+        const auto* worker = m_workers.find(task.m_worker);
+        if (task.m_state != job_task_state::running || worker == nullptr || task.m_not_before > now)
+            continue;
+        const bool moves =
+            spec.m_kind == job_kind::service && !restarting && worker->m_worker.m_info.m_leaving;
+        if (!part.m_part.m_cancelled && !moves)
+            continue;
+        restarting = true;
+        task.m_not_before = now + m_options.m_stop_again;
+        out.emplace_back(stop_on_worker{worker->m_worker, name_of(spec.m_id, task)});
+    }
 }
 
 } // namespace dragonflygap::placement
--- a/src/dragonflygap/placement/job_manager.hpp
+++ b/src/dragonflygap/placement/job_manager.hpp
@@ -3,35 +3,57 @@
 #include <cstdint>
 #include <map>
 #include <set>
+#include <string>
+#include <utility>
 #include <variant>
 #include <vector>
 
 #include "dragonflygap/core/verdict.hpp"
+#include "dragonflygap/placement/commit_queue.hpp"
 #include "dragonflygap/placement/engine.hpp"
 #include "dragonflygap/placement/job.hpp"
+#include "dragonflygap/placement/job_part.hpp"
+#include "dragonflygap/placement/worker_tasks.hpp"
 #include "dragonflygap/platform/worker_port.hpp"
 
+/// The life of jobs. A job is kept as parts, each bound to the workers of one group; whoever owns
+/// the group coordinates the part and owns the workers. A waiting task goes to the workers of
+/// another group, of this entry VM or a peer, by a transaction that moves it to another part.
 namespace dragonflygap::placement
 {
 
-/// A worker that this entry VM owns, and under which epoch.
-struct owned_worker
+struct workers_owned
 {
-    platform::worker m_info;
-    std::uint64_t m_epoch = 0;
+    std::vector<owned_worker> m_workers;
+    std::map<ownership::group_index, std::uint64_t> m_epochs; ///< Also groups without workers.
+    std::vector<platform::worker> m_cell;                     ///< All workers that are listed.
 };
-
-struct job_accepted
+/// Answer to scan_parts.
+struct parts_scanned
 {
-    job m_job;
+    ownership::group_index m_group = 0;
+    std::uint64_t m_holding = 0;
+    outcome<std::vector<platform::row>> m_rows;
 };
-struct workers_owned
+/// Answer to commit_parts.
+struct parts_committed
 {
-    std::vector<owned_worker> m_workers;
+    std::uint64_t m_call = 0;
+    outcome<platform::commit_result> m_result;
+};
+struct job_submitted
+{
+    std::uint64_t m_submission = 0;
+    job_spec m_spec; ///< With its id.
+};
+/// Rows of these groups were written by another process.
+struct parts_written
+{
+    std::vector<part_home> m_homes;
 };
 struct start_answered
 {
-    job_id m_job;
+    part_id m_part;
     int m_index = 0;
     int m_attempt = 0;
     outcome<platform::task_report> m_result;
@@ -39,71 +61,212 @@
 struct worker_reported
 {
     worker_id m_worker;
-    std::vector<platform::task_report> m_tasks;
+    std::uint64_t m_call = 0;
+    outcome<std::vector<platform::task_report>> m_tasks;
+};
+/// How many tasks of a job a peer's workers could take now.
+struct room_offer
+{
+    part_home m_home;
+    int m_count = 0;
+};
+struct room_offered
+{
+    part_id m_part;
+    std::vector<room_offer> m_offers;
 };
 struct job_manager_tick
 {
 };
 using job_event =
-    std::variant<job_accepted, workers_owned, start_answered, worker_reported, job_manager_tick>;
+    std::variant<workers_owned, parts_scanned, parts_committed, job_submitted, parts_written,
+                 start_answered, worker_reported, room_offered, job_manager_tick>;
 
+/// Read the parts of a group, then report parts_scanned.
+struct scan_parts
+{
+    part_home m_home;
+    std::uint64_t m_holding = 0; ///< Handed back in the answer.
+};
+/// Commit the writes, then report parts_committed.
+struct commit_parts
+{
+    std::uint64_t m_call = 0;
+    std::vector<platform::row_write> m_writes;
+};
+struct submission_answered
+{
+    std::uint64_t m_submission = 0;
+    outcome<job_id> m_result;
+};
+/// Tell the owners of these groups, if they are other entry VMs, that there is something new.
+struct announce_parts
+{
+    std::vector<part_home> m_homes;
+};
 /// Ask a worker to start a task, then report start_answered.
 struct start_on_worker
 {
     owned_worker m_worker;
     platform::start_task m_task;
-    job_id m_job;
+    part_id m_part;
     int m_index = 0;
     int m_attempt = 0;
 };
-/// The job's row in the table is out of date.
-struct save_job
+/// The worker's next report tells what became of it.
+struct stop_on_worker
 {
-    job_id m_job;
+    owned_worker m_worker;
+    task_id m_task;
 };
-/// The worker may forget tasks that have ended.
-struct acknowledge_tasks
+/// Ask peers for room, then report room_offered for each that has some.
+struct ask_for_room
 {
-    worker_id m_worker;
-    std::vector<task_id> m_tasks;
+    part_id m_part;
+    job_spec m_spec;
+    int m_count = 0;
 };
-using job_action = std::variant<start_on_worker, save_job, acknowledge_tasks>;
+using job_action = std::variant<scan_parts, commit_parts, submission_answered, announce_parts,
+                                start_on_worker, stop_on_worker, renew_worker, ask_for_room>;
 
 struct job_manager_options
 {
-    duration m_task_lease = 30s;
+    data_centre_id m_data_centre;
+    std::string m_writer; ///< Unique to this process.
+    worker_tasks_options m_workers;
+    commit_queue_options m_commits;
+    duration m_first_backoff = 500ms;
+    duration m_longest_backoff = 60s;
+    duration m_stop_again = 2s;          ///< Until an unanswered stop is sent again.
+    duration m_start_margin = 5s;        ///< Longest way of a start to its worker.
+    duration m_scan_timeout = 10s;       ///< After it a scan is made again.
+    duration m_rescan_every = 20s;       ///< Finds parts whose announcement was lost.
+    duration m_ask_every = 2s;           ///< For a part whose tasks find no room here.
+    duration m_submission_deadline = 8s; ///< After it the submission's outcome is said as it is.
+    duration m_create_tries = 30s;       ///< Until an unanswered submission isn't sent again.
+    duration m_keep_ended = 60s;         ///< Rows stay longer than a submission may be sent.
+    std::size_t m_ended_per_group = 16;  ///< Most rows of ended parts kept for longer.
 };
 
-/// Takes jobs from submission to their end: places, starts, restarts. Pure.
+/// Takes jobs from submission to their end: places, starts, restarts, adopts. Pure.
 class job_manager
 {
 public:
-    explicit job_manager(job_manager_options options) : m_options(options) {}
+    explicit job_manager(job_manager_options options);
 
     std::vector<job_action> handle(const job_event& event, instant now);
 
-    const std::map<job_id, job>& jobs() const { return m_jobs; }
-    const engine& placements() const { return m_engine; }
+    /// The jobs that have parts here, each with the tasks of these parts.
+    std::map<job_id, job> jobs() const;
+
+    const engine& placements() const { return m_workers.room(); }
+    const worker_tasks& workers() const { return m_workers; }
+
+    /// Room here for the tasks of a peer's job, by group; gangs get room for all or none.
+    std::vector<room_offer> room_for(const job_spec& spec, int count);
 
 private:
     using actions = std::vector<job_action>;
 
-    void on(const job_accepted& event, actions& out);
-    void on(const workers_owned& event, actions& out);
-    void on(const start_answered& event, actions& out);
-    void on(const worker_reported& event, actions& out);
-    void on(const job_manager_tick& event, actions& out);
+    struct live_part
+    {
+        job_part m_part;
+        std::uint64_t m_version = 0;
+        bool m_claimed = false; ///< Its row was written under the present epoch.
+        bool m_adopted = false; ///< From an earlier owner: what runs is known once settled.
+        bool m_dirty = false;
+        bool m_in_commit = false;
+        bool m_outdated = false; ///< A write met a conflict: read the row before the next one.
+        std::vector<std::pair<worker_id, task_id>> m_ended; ///< To be acknowledged once saved.
+        std::string m_saved_writer; ///< Of the value that the row was seen to have.
+        std::uint64_t m_saved_revision = 0;
+        instant m_ended_at{};
+        instant m_last_asked{};
+    };
+
+    struct group_state
+    {
+        std::uint64_t m_epoch = 0;
+        std::uint64_t m_holding = 0; ///< Differs after a loss even if the epoch comes back.
+        bool m_loaded = false;
+        bool m_scanning = false;
+        bool m_scan_again = false;
+        instant m_last_scan{};
+    };
 
-    void place_waiting(actions& out);
-    void place_job(job& waiting, actions& out);
-    void start(job& starting, job_task& task, const worker_id& worker, actions& out);
-    void end_task(job& ended, job_task& task, platform::task_state state, actions& out);
+    /// What a queued commit does.
+    struct pending
+    {
+        std::vector<job_part> m_created;
+        std::map<ownership::group_index, std::uint64_t> m_holdings; ///< When it was queued.
+        std::uint64_t m_revision = 0;  ///< Written to the source's row.
+        part_id m_source;              ///< The live part whose row it writes; may be empty.
+        bool m_deletes_source = false; ///< By trimming.
+        std::vector<std::pair<worker_id, task_id>> m_ended;
+        std::uint64_t m_submission = 0;
+        job_id m_job;
+        instant m_queued{};
+    };
+
+    // job_manager.cpp: groups, workers and tasks
+    void on(const workers_owned& event, instant now, actions& out);
+    void on(const start_answered& event, instant now, actions& out);
+    void on(const worker_reported& event, instant now, actions& out);
+    void on(const job_manager_tick& event, instant now, actions& out);
+    void read_report(const owned_worker& from, const platform::task_report& report, instant now,
+                     actions& out);
+    void find_missing(const worker_id& worker, const std::set<task_id>& reported, instant sent,
+                      instant now);
+    void end_task(live_part& part, job_task& task, platform::task_state state, instant now);
+    void set_back(live_part& part, job_task& task, instant now);
+    void stop_unwanted(live_part& part, instant now, actions& out);
+    void place_waiting(instant now, actions& out);
+    void place_part(live_part& part, instant now, actions& out);
+    void start(live_part& part, job_task& task, const worker_id& worker, instant now, actions& out);
+    void send_start(live_part& part, const job_task& task, instant now, actions& out);
+
+    // job_manager_rows.cpp: rows of the table
+    void on(const parts_scanned& event, instant now, actions& out);
+    void on(const parts_committed& event, instant now, actions& out);
+    void on(const job_submitted& event, instant now, actions& out);
+    void on(const parts_written& event, instant now, actions& out);
+    void on(const room_offered& event, instant now, actions& out);
+    void read_row(job_part part, std::uint64_t version, instant now);
+    void scan(ownership::group_index group, instant now, actions& out);
+    void settle(const commit_queue::settled& done, instant now, actions& out);
+    void settle_source(live_part& source, const pending& what, const commit_queue::settled& done,
+                       instant now, actions& out);
+    bool created(job_part part, bool same_holding, const std::vector<platform::row>& rows);
+    bool same_holding(const pending& what, ownership::group_index group) const;
+    std::map<ownership::group_index, std::uint64_t> holdings() const;
+    void add_row(job_part part, std::uint64_t version, instant now);
+    void undo_move(live_part& source);
+    void save_dirty(instant now);
+    void trim(instant now);
+    void abandon_creations(instant now);
+    void expire_submissions(instant now, actions& out);
+    void move_tasks(live_part& source, const std::map<part_home, std::vector<int>>& indexes,
+                    instant now);
+    job_part new_part(const job_spec& spec, const part_home& home);
+    std::string next_value(job_part& part);
+    live_part* find_part(const part_id& id);
+    live_part* part_of(const job_id& job, int index, job_task*& task);
+    bool ready(const live_part& part) const;
+    part_home home_of(ownership::group_index group) const;
 
     job_manager_options m_options;
-    engine m_engine;
-    std::map<worker_id, owned_worker> m_workers;
-    std::map<job_id, job> m_jobs;
-    std::set<job_id> m_waiting;
+    worker_tasks m_workers;
+    commit_queue m_commits;
+    std::map<part_id, live_part> m_parts;
+    std::map<std::pair<job_id, int>, part_id> m_part_of_task;
+    std::map<ownership::group_index, group_state> m_groups;
+    std::map<std::uint64_t, pending> m_pending;
+    std::vector<platform::worker> m_cell;
+    std::uint64_t m_last_revision = 0;
+    std::uint64_t m_last_holding = 0;
 };
 
+/// Index and attempt from a task's name; nothing if it isn't one of this project's.
+std::optional<std::pair<int, int>> read_task_name(const job_id& job, const task_id& name);
+
 } // namespace dragonflygap::placement
--- /dev/null
+++ b/src/dragonflygap/placement/job_manager_placing.cpp
@@ -0,0 +1,133 @@
+#include <algorithm>
+#include <utility>
+
+#include "dragonflygap/placement/job_manager.hpp"
+
+namespace dragonflygap::placement
+{
+
+void job_manager::place_waiting(instant now, actions& out)
+{
+    for (auto& [id, part] : m_parts)
+        if (ready(part) && !part.m_in_commit && !part.m_outdated && !part.m_part.m_cancelled)
+            place_part(part, now, out);
+}
+
+void job_manager::place_part(live_part& part, instant now, actions& out)
+{
+    const auto& spec = part.m_part.m_job.m_spec;
+    std::vector<job_task*> due;
+    bool first_start = true;
+    for (auto& task : part.m_part.m_job.m_tasks)
+    {
+        first_start = first_start && task.m_attempt == 0;
+        if (task.m_state != job_task_state::waiting || task.m_not_before > now)
+            continue;
+        const auto* held = m_workers.find(task.m_worker);
+        if (held != nullptr && held->m_heard)
+        {
+            start(part, task, task.m_worker, now, out);
+            continue;
+        }
+        auto next = task;
+        ++next.m_attempt;
+        m_workers.release(task.m_worker, name_of(spec.m_id, next));
+        task.m_worker = {};
+        due.push_back(&task);
+    }
+    if (due.empty())
+        return;
+    std::vector<worker_id> placed;
+    if (spec.m_kind == job_kind::gang && first_start)
+        placed = m_workers.room().place_all(spec, static_cast<int>(due.size())).value_or(placed);
+    else
+        while (placed.size() < due.size())
+        {
+            auto worker = m_workers.room().place(spec);
+            if (!worker)
+                break;
+            placed.push_back(std::move(*worker));
+        }
+    std::map<part_home, std::vector<int>> moves;
+    for (std::size_t i = 0; i < placed.size(); ++i)
+    {
+        auto& task = *due[i];
+        auto next = task;
+        ++next.m_attempt;
+        m_workers.take(placed[i], name_of(spec.m_id, next), spec, true);
+        task.m_worker = placed[i];
+        const auto group = ownership::group_of(placed[i]);
+        if (group == part.m_part.m_home.m_group)
+        {
+            start(part, task, placed[i], now, out);
+            continue;
+        }
+        task.m_state = job_task_state::moving;
+        moves[home_of(group)].push_back(task.m_index);
+    }
+    const auto left = static_cast<int>(due.size() - placed.size());
+    if (left > 0 && now - part.m_last_asked >= m_options.m_ask_every)
+    {
+        part.m_last_asked = now;
+        out.emplace_back(ask_for_room{part.m_part.m_id, spec, left});
+    }
+    if (!moves.empty())
+        move_tasks(part, moves, now);
+}
+
+void job_manager::start(live_part& part, job_task& task, const worker_id& worker, instant now,
+                        actions& out)
+{
+    ++task.m_attempt;
+    task.m_state = job_task_state::starting;
+    task.m_worker = worker;
+    task.m_since = now;
+    part.m_dirty = true;
+    send_start(part, task, now, out);
+}
+
+void job_manager::send_start(live_part& part, const job_task& task, instant now, actions& out)
+{
+    const auto* worker = m_workers.find(task.m_worker);
+    if (worker == nullptr)
+        return;
+    m_workers.started(task.m_worker, now);
+    const auto& spec = part.m_part.m_job.m_spec;
+    out.emplace_back(start_on_worker{.m_worker = worker->m_worker,
+                                     .m_task = {.m_epoch = worker->m_worker.m_epoch,
+                                                .m_task = name_of(spec.m_id, task),
+                                                .m_job = spec.m_id,
+                                                .m_size = spec.m_size,
+                                                .m_lease = m_options.m_workers.m_task_lease,
+                                                .m_run_time = spec.m_expected},
+                                     .m_part = part.m_part.m_id,
+                                     .m_index = task.m_index,
+                                     .m_attempt = task.m_attempt});
+}
+
+std::vector<room_offer> job_manager::room_for(const job_spec& spec, int count)
+{
+    std::vector<worker_id> placed;
+    while (static_cast<int>(placed.size()) < count)
+    {
+        const auto worker = m_workers.room().place(spec);
+        if (!worker)
+            break;
+        placed.push_back(*worker);
+    }
+    std::map<part_home, int> room;
+    for (const auto& worker : placed)
+    {
+        m_workers.room().release(spec, worker);
+        ++room[home_of(ownership::group_of(worker))];
+    }
+    if (spec.m_kind == job_kind::gang && static_cast<int>(placed.size()) < count)
+        return {};
+    std::vector<room_offer> offers;
+    offers.reserve(room.size());
+    for (const auto& [home, fits] : room)
+        offers.push_back({home, fits});
+    return offers;
+}
+
+} // namespace dragonflygap::placement
