Measure what control costs; heartbeats by distance, with addresses of replaced VMs

Cause: heartbeats carried the names of all peers heard, 280 bytes at 32 entry VMs; a replaced VM at a new address was heard but never dialled; nothing told control's bytes and processor time. Change: heartbeats twice a second to the same data centre and once to others, each with one flag in place of the list; addresses until the receiver hears us; new members are introduced in turn; peers from no settings are forgotten after ten minutes; a lower incarnation is believed once the higher one is dead; control_meter and bench/cost/control.

--- a/src/dragonflygap/cluster/codec.cpp
+++ b/src/dragonflygap/cluster/codec.cpp
@@ -26,9 +26,11 @@
         return std::tie(m.m_class, m.m_queued, m.m_running);
     else if constexpr (std::is_same_v<type, load_digest>)
         return std::tie(m.m_slots, m.m_free_slots, m.m_oldest_wait_ms, m.m_classes);
+    else if constexpr (std::is_same_v<type, introduction>)
+        return std::tie(m.m_vm, m.m_data_centre, m.m_address);
     else if constexpr (std::is_same_v<type, heartbeat>)
         return std::tie(m.m_sequence, m.m_data_centre, m.m_leaving, m.m_config_version,
-                        m.m_groups_owned, m.m_load, m.m_heard);
+                        m.m_groups_owned, m.m_load, m.m_hears_you, m.m_address, m.m_introduced);
     else if constexpr (std::is_same_v<type, forwarded_request>)
         return std::tie(m.m_call, m.m_request, m.m_caller, m.m_class, m.m_key, m.m_idempotent,
                         m.m_hops, m.m_deadline_ms, m.m_body);
--- a/src/dragonflygap/cluster/membership.cpp
+++ b/src/dragonflygap/cluster/membership.cpp
@@ -1,6 +1,6 @@
 #include "dragonflygap/cluster/membership.hpp"
 
-#include <algorithm>
+#include <iterator>
 #include <utility>
 
 namespace dragonflygap::cluster
@@ -10,71 +10,162 @@
     : m_options(std::move(options))
 {
     for (const auto& peer : peers)
-        if (peer.m_vm != m_options.m_self)
-            m_members[peer.m_vm] = peer;
+    {
+        if (peer.m_vm == m_options.m_self)
+            continue;
+        auto& known = m_members[peer.m_vm] = peer;
+        known.m_from_settings = true;
+    }
 }
 
 std::vector<membership_action> membership::handle(const membership_event& event, instant now)
 {
-    return std::visit([&](const auto& what) { return on(what, now); }, event);
+    actions out;
+    std::visit([&](const auto& what) { on(what, now, out); }, event);
+    return out;
+}
+
+duration membership::dead_after(const member& peer) const
+{
+    return near(peer) ? m_options.m_near_dead : m_options.m_far_dead;
+}
+
+duration membership::suspect_after(const member& peer) const
+{
+    return near(peer) ? m_options.m_near_suspect : m_options.m_far_suspect;
 }
 
-std::vector<membership_action> membership::on(const heartbeat_received& event, instant now)
+bool membership::outdated(const member& peer, const heartbeat_received& event, instant now) const
 {
-    if (event.m_from == m_options.m_self)
-        return {};
+    if (event.m_incarnation > peer.m_incarnation)
+        return false;
+    if (event.m_incarnation == peer.m_incarnation)
+        return event.m_heartbeat.m_sequence <= peer.m_sequence;
+    // A replaced VM whose clock was set back comes with a lower incarnation. It is believed once
+    // the higher one has been silent for long enough to be dead.
+    return now - peer.m_last_heard < dead_after(peer);
+}
+
+void membership::on(const heartbeat_received& event, instant now, actions& out)
+{
+    if (event.m_from == m_options.m_self || event.m_from.empty())
+        return;
+    const auto& beat = event.m_heartbeat;
     auto& peer = m_members[event.m_from];
+    if (outdated(peer, event, now))
+        return;
     peer.m_vm = event.m_from;
-    const bool older = event.m_incarnation < peer.m_incarnation ||
-                       (event.m_incarnation == peer.m_incarnation &&
-                        event.m_heartbeat.m_sequence <= peer.m_sequence);
-    if (older)
-        return {};
     peer.m_incarnation = event.m_incarnation;
-    peer.m_sequence = event.m_heartbeat.m_sequence;
-    peer.m_data_centre = event.m_heartbeat.m_data_centre;
-    peer.m_config_version = event.m_heartbeat.m_config_version;
-    peer.m_load = event.m_heartbeat.m_load;
+    peer.m_sequence = beat.m_sequence;
+    peer.m_data_centre = beat.m_data_centre;
+    peer.m_config_version = beat.m_config_version;
+    peer.m_load = beat.m_load;
     peer.m_last_heard = now;
-    peer.m_hears_us = std::ranges::find(event.m_heartbeat.m_heard, m_options.m_self) !=
-                      event.m_heartbeat.m_heard.end();
-    const auto status = event.m_heartbeat.m_leaving ? member_status::leaving : member_status::alive;
-    if (std::exchange(peer.m_status, status) == status)
-        return {};
-    return {member_changed{peer.m_vm, status}};
+    peer.m_hears_us = beat.m_hears_you;
+    if (const auto address = parse_endpoint(beat.m_address))
+        learn_address(peer, *address, out);
+    const auto status = beat.m_leaving ? member_status::leaving : member_status::alive;
+    if (std::exchange(peer.m_status, status) != status)
+        out.emplace_back(member_changed{peer.m_vm, status});
+    if (beat.m_introduced)
+        learn(*beat.m_introduced, out);
 }
 
-std::vector<membership_action> membership::on(const membership_tick& /*event*/, instant now)
+void membership::learn_address(member& peer, const endpoint& address, actions& out) const
 {
-    std::vector<membership_action> actions;
-    for (auto& [vm, peer] : m_members)
+    if (peer.m_address == address)
+        return;
+    peer.m_address = address;
+    out.emplace_back(dial_peer{peer.m_vm, address});
+}
+
+void membership::learn(const introduction& introduced, actions& out)
+{
+    if (introduced.m_vm == m_options.m_self || m_members.contains(introduced.m_vm))
+        return;
+    const auto address = parse_endpoint(introduced.m_address);
+    if (!address)
+        return;
+    auto& peer = m_members[introduced.m_vm];
+    peer.m_vm = introduced.m_vm;
+    peer.m_data_centre = introduced.m_data_centre;
+    learn_address(peer, *address, out);
+}
+
+void membership::on(const membership_tick& /*event*/, instant now, actions& out)
+{
+    for (auto it = m_members.begin(); it != m_members.end();)
     {
-        const auto silence = now - peer.m_last_heard;
-        auto status = peer.m_status;
-        if (silence >= m_options.m_dead_after)
-            status = member_status::dead;
-        else if (silence >= m_options.m_suspect_after && status == member_status::alive)
-            status = member_status::suspect;
-        if (std::exchange(peer.m_status, status) != status)
-            actions.emplace_back(member_changed{vm, status});
-        // Silence one way or the other may come from our own pipe, which nng believes alive.
-        const bool doubtful = silence >= m_options.m_suspect_after || !peer.m_hears_us;
-        if (doubtful && now - peer.m_last_redial >= m_options.m_redial_every)
+        auto& peer = it->second;
+        check_silence(peer, now, out);
+        const bool forgotten = !peer.m_from_settings && peer.m_last_heard != instant{} &&
+                               now - peer.m_last_heard >= m_options.m_forget_after;
+        if (forgotten)
         {
-            peer.m_last_redial = now;
-            actions.emplace_back(redial_peer{vm});
+            out.emplace_back(forget_peer{peer.m_vm});
+            it = m_members.erase(it);
+            continue;
         }
+        check_pipe(peer, now, out);
+        const auto every = near(peer) ? m_options.m_near_every : m_options.m_far_every;
+        if (now - peer.m_last_sent >= every)
+            greet(peer, now, out);
+        ++it;
     }
-    return actions;
 }
 
-std::vector<vm_id> membership::heard(instant now) const
+void membership::on(const announce_now& /*event*/, instant now, actions& out)
+{
+    for (auto& [vm, peer] : m_members)
+        greet(peer, now, out);
+}
+
+void membership::check_silence(member& peer, instant now, actions& out) const
+{
+    if (peer.m_status == member_status::unknown)
+        return;
+    const auto silence = now - peer.m_last_heard;
+    auto status = peer.m_status;
+    if (silence >= dead_after(peer))
+        status = member_status::dead;
+    else if (silence >= suspect_after(peer) && status == member_status::alive)
+        status = member_status::suspect;
+    if (std::exchange(peer.m_status, status) != status)
+        out.emplace_back(member_changed{peer.m_vm, status});
+}
+
+void membership::check_pipe(member& peer, instant now, actions& out) const
+{
+    // Silence one way or the other may come from our own pipe, which nng believes alive.
+    const bool doubtful = now - peer.m_last_heard >= suspect_after(peer) || !peer.m_hears_us;
+    if (!doubtful || now - peer.m_last_redial < m_options.m_redial_every)
+        return;
+    peer.m_last_redial = now;
+    out.emplace_back(redial_peer{peer.m_vm});
+}
+
+void membership::greet(member& peer, instant now, actions& out)
+{
+    peer.m_last_sent = now;
+    const bool heard = peer.m_incarnation != 0 && now - peer.m_last_heard < suspect_after(peer);
+    out.emplace_back(send_heartbeat{.m_vm = peer.m_vm,
+                                    .m_hears_you = heard,
+                                    .m_with_address = !peer.m_hears_us,
+                                    .m_introduced = next_introduction(peer.m_vm)});
+}
+
+std::optional<introduction> membership::next_introduction(const vm_id& to)
 {
-    std::vector<vm_id> result;
-    for (const auto& [vm, peer] : m_members)
-        if (peer.m_incarnation != 0 && now - peer.m_last_heard < m_options.m_suspect_after)
-            result.push_back(vm);
-    return result;
+    // Two VMs that replaced others at the same time know each other from neither's settings. One
+    // member in each heartbeat, in turn, tells them without making every heartbeat long.
+    auto next = m_members.upper_bound(m_last_introduced);
+    if (next == m_members.end())
+        next = m_members.begin();
+    m_last_introduced = next->first;
+    const auto& shown = next->second;
+    if (shown.m_vm == to || shown.m_status != member_status::alive || shown.m_from_settings)
+        return std::nullopt;
+    return introduction{shown.m_vm, shown.m_data_centre, to_string(shown.m_address)};
 }
 
 std::string_view to_string(member_status status)
--- a/src/dragonflygap/cluster/message.hpp
+++ b/src/dragonflygap/cluster/message.hpp
@@ -32,6 +32,14 @@
     std::vector<class_load> m_classes;
 };
 
+/// A member that the receiver may not know.
+struct introduction
+{
+    vm_id m_vm;
+    data_centre_id m_data_centre;
+    std::string m_address; ///< IP number and port for peers.
+};
+
 /// Sent to every peer at a fixed interval; the sender's newest state.
 struct heartbeat
 {
@@ -41,7 +49,9 @@
     std::uint64_t m_config_version = 0;
     std::uint32_t m_groups_owned = 0;
     load_digest m_load;
-    std::vector<vm_id> m_heard; ///< Peers the sender has heard lately, to see one-way links.
+    bool m_hears_you = false; ///< The sender hears the receiver: tells one-way links.
+    std::string m_address;    ///< Where to dial the sender; empty once the receiver knows.
+    std::optional<introduction> m_introduced;
 };
 
 /// A request handed to a peer that has room for it.
--- a/src/dragonflygap/daemon/control_task.cpp
+++ b/src/dragonflygap/daemon/control_task.cpp
@@ -7,10 +7,12 @@
 #include <nlohmann/json.hpp>
 
 #include "dragonflygap/daemon/config_driver.hpp"
+#include "dragonflygap/daemon/control_meter.hpp"
 #include "dragonflygap/daemon/job_driver.hpp"
 #include "dragonflygap/daemon/member_driver.hpp"
 #include "dragonflygap/daemon/operator_api.hpp"
 #include "dragonflygap/daemon/ownership_driver.hpp"
+#include "dragonflygap/net/counted_transport.hpp"
 #include "dragonflygap/net/event_loop.hpp"
 #include "dragonflygap/net/http_server.hpp"
 #include "dragonflygap/observe/history.hpp"
@@ -36,11 +38,14 @@
           control_task_options options)
         : m_loop(loop),
           m_options(std::move(options)),
-          m_platform{.m_address = m_options.m_platform, .m_transport = to_platform},
+          m_traffic(std::make_shared<call_traffic>()),
+          m_platform{.m_address = m_options.m_platform,
+                     .m_transport = make_counted_transport(to_platform, m_traffic)},
           m_vm_list(platform::make_http_vm_list(m_platform)),
           m_table(loop, platform::make_http_table(m_platform), {.m_seed = m_options.m_incarnation},
                   counted),
           m_members(loop, member_options()),
+          m_meter(loop, counted, m_members.link(), m_traffic),
           m_config(loop, m_table.port(platform::call_priority::normal), config_options()),
           m_ownership(loop, m_table.port(platform::call_priority::lease), keeper_options(),
                       [this](const auto& epochs) { on_groups(epochs); }),
@@ -233,7 +238,7 @@
         if (std::exchange(m_stopping, true))
             return;
         log_event(log_level::info, "draining", {});
-        m_members.send_heartbeats();
+        m_members.announce();
         if (m_options.m_settings.m_history)
             history::record(history::node_draining{});
         m_options.m_to_requests(request::start_draining{});
@@ -293,6 +298,7 @@
 
     event_loop& m_loop;
     control_task_options m_options;
+    std::shared_ptr<call_traffic> m_traffic;
     platform::http_platform_options m_platform;
     platform::vm_list_port m_vm_list;
     platform::guarded_table m_table;
@@ -303,6 +309,7 @@
     bool m_stopping = false;
     bool m_stopped = false;
     member_driver m_members;
+    control_meter m_meter;
     config_driver m_config;
     ownership_driver m_ownership;
     job_driver m_jobs;
--- a/src/dragonflygap/daemon/member_driver.cpp
+++ b/src/dragonflygap/daemon/member_driver.cpp
@@ -12,11 +12,14 @@
 namespace
 {
 
+constexpr duration tick_interval = 100ms;
+
 std::vector<cluster::member> peers_of(const config::settings& settings)
 {
     std::vector<cluster::member> peers;
     for (const auto& peer : settings.m_peers)
-        peers.push_back({.m_vm = peer.m_vm, .m_data_centre = peer.m_data_centre});
+        peers.push_back(
+            {.m_vm = peer.m_vm, .m_data_centre = peer.m_data_centre, .m_address = peer.m_address});
     return peers;
 }
 
@@ -25,28 +28,15 @@
 member_driver::member_driver(event_loop& loop, member_driver_options options)
     : m_loop(loop),
       m_options(std::move(options)),
-      m_membership({.m_self = m_options.m_settings->m_vm}, peers_of(*m_options.m_settings)),
+      m_membership({.m_self = m_options.m_settings->m_vm,
+                    .m_data_centre = m_options.m_settings->m_data_centre},
+                   peers_of(*m_options.m_settings)),
       m_link(loop, {.m_listen = m_options.m_settings->m_peer_listen,
                     .m_on_message = [this](std::string_view bytes) { on_bytes(bytes); }})
 {
     for (const auto& peer : m_options.m_settings->m_peers)
         m_link.add(peer.m_vm, peer.m_address);
-    m_timer = m_loop.every(m_options.m_heartbeat_every, [this] { tick(); });
-}
-
-void member_driver::tick()
-{
-    send_heartbeats();
-    run(cluster::membership_tick{});
-}
-
-void member_driver::send_heartbeats()
-{
-    cluster::heartbeat beat{.m_sequence = ++m_sequence,
-                            .m_data_centre = m_options.m_settings->m_data_centre,
-                            .m_heard = m_membership.heard(monotonic_clock::now())};
-    m_options.m_fill_heartbeat(beat);
-    send_to_all(beat);
+    m_timer = m_loop.every(tick_interval, [this] { run(cluster::membership_tick{}); });
 }
 
 bool member_driver::send(const vm_id& peer, cluster::body body)
@@ -85,17 +75,45 @@
 void member_driver::run(const cluster::membership_event& event)
 {
     for (const auto& action : m_membership.handle(event, monotonic_clock::now()))
-    {
-        if (const auto* redial = std::get_if<cluster::redial_peer>(&action))
-        {
-            m_link.redial(redial->m_vm);
-            continue;
-        }
-        const auto& changed = std::get<cluster::member_changed>(action);
-        log_event(log_level::info, "member_changed",
-                  {{"peer", changed.m_vm.m_value}, {"status", to_string(changed.m_status)}});
-        m_options.m_on_members();
-    }
+        std::visit([this](const auto& what) { act(what); }, action);
+}
+
+void member_driver::act(const cluster::member_changed& action)
+{
+    log_event(log_level::info, "member_changed",
+              {{"peer", action.m_vm.m_value}, {"status", to_string(action.m_status)}});
+    m_options.m_on_members();
+}
+
+void member_driver::act(const cluster::dial_peer& action)
+{
+    log_event(log_level::info, "peer_dialled",
+              {{"peer", action.m_vm.m_value}, {"address", to_string(action.m_address)}});
+    m_link.add(action.m_vm, action.m_address);
+}
+
+void member_driver::act(const cluster::redial_peer& action)
+{
+    m_link.redial(action.m_vm);
+}
+
+void member_driver::act(const cluster::forget_peer& action)
+{
+    log_event(log_level::info, "peer_forgotten", {{"peer", action.m_vm.m_value}});
+    m_link.remove(action.m_vm);
+}
+
+void member_driver::act(const cluster::send_heartbeat& action)
+{
+    cluster::heartbeat beat{.m_sequence = ++m_sequence,
+                            .m_data_centre = m_options.m_settings->m_data_centre,
+                            .m_hears_you = action.m_hears_you,
+                            .m_introduced = action.m_introduced};
+    if (action.m_with_address)
+        beat.m_address =
+            to_string(endpoint{m_options.m_settings->m_peer_listen.m_ip, m_link.port()});
+    m_options.m_fill_heartbeat(beat);
+    send(action.m_vm, std::move(beat));
 }
 
 } // namespace dragonflygap::daemon
--- a/src/dragonflygap/daemon/member_driver.hpp
+++ b/src/dragonflygap/daemon/member_driver.hpp
@@ -15,7 +15,6 @@
 {
     const config::settings* m_settings = nullptr;
     std::uint64_t m_incarnation = 0;
-    duration m_heartbeat_every = 500ms;
     /// Fills in what other parts know: load, versions, leaving.
     std::function<void(cluster::heartbeat&)> m_fill_heartbeat;
     /// Called after every heartbeat and every change of a member.
@@ -33,15 +32,21 @@
     /// False if the message was certainly not sent.
     bool send(const vm_id& peer, cluster::body body);
     void send_to_all(const cluster::body& body);
-    void send_heartbeats();
+
+    /// Sends a heartbeat to every peer now, for news that can't wait.
+    void announce() { run(cluster::announce_now{}); }
 
     const cluster::membership& members() const { return m_membership; }
     const peer_link& link() const { return m_link; }
 
 private:
     void on_bytes(std::string_view bytes);
-    void tick();
     void run(const cluster::membership_event& event);
+    void act(const cluster::member_changed& action);
+    void act(const cluster::dial_peer& action);
+    void act(const cluster::redial_peer& action);
+    void act(const cluster::forget_peer& action);
+    void act(const cluster::send_heartbeat& action);
 
     event_loop& m_loop;
     member_driver_options m_options;
--- /dev/null
+++ b/src/dragonflygap/net/counted_transport.cpp
@@ -0,0 +1,47 @@
+#include "dragonflygap/net/counted_transport.hpp"
+
+#include <utility>
+
+namespace dragonflygap
+{
+
+namespace
+{
+
+// Request line or status line, Host or Date, Content-Length and the empty line.
+constexpr std::uint64_t fixed_head_bytes = 110;
+constexpr std::uint64_t header_framing_bytes = 4;
+
+std::uint64_t head_bytes(const std::vector<http_header>& headers)
+{
+    std::uint64_t sum = fixed_head_bytes;
+    for (const auto& header : headers)
+        sum += header.m_name.size() + header.m_value.size() + header_framing_bytes;
+    return sum;
+}
+
+} // namespace
+
+http_transport make_counted_transport(http_transport inner, std::shared_ptr<call_traffic> traffic)
+{
+    http_transport counted = inner;
+    counted.m_send = [send = std::move(inner.m_send),
+                      traffic = std::move(traffic)](const endpoint& to, http_request request,
+                                                    duration timeout, http_transport::done on_done)
+    {
+        ++traffic->m_calls;
+        traffic->m_bytes_sent += head_bytes(request.m_headers) + request.m_path.size() +
+                                 request.m_query.size() + request.m_body.size();
+        return send(to, std::move(request), timeout,
+                    [traffic, done = std::move(on_done)](outcome<http_response> answer)
+                    {
+                        if (answer)
+                            traffic->m_bytes_received +=
+                                head_bytes(answer->m_headers) + answer->m_body.size();
+                        done(std::move(answer));
+                    });
+    };
+    return counted;
+}
+
+} // namespace dragonflygap
