Let the daemon's own tasks run on virtual time

Cause: scenarios that drive only the decision modules would need a second copy of their drivers. Change: an event loop can be made over a timer queue, the monotonic clock can ask another source, messages to peers can be carried by a hook, callers and operators can be served without a socket, and the history can go to a sink. The stand-in records the number of a configuration's revision, which is what nodes report. Conclusion: the control task and the request task as they are can be run under a test's clock.

--- a/src/dragonflygap/core/time.hpp
+++ b/src/dragonflygap/core/time.hpp
@@ -16,6 +16,9 @@
 
     /// Current instant. For adapters only: decision modules are given their time.
     static time_point now();
+
+    /// Makes now() ask another clock, so that adapters run on virtual time; nullptr: the real one.
+    static void set_source(time_point (*source)());
 };
 
 using duration = monotonic_clock::duration;
--- a/src/dragonflygap/daemon/control_task.cpp
+++ b/src/dragonflygap/daemon/control_task.cpp
@@ -53,7 +53,7 @@
           m_server(loop, {.m_listen = m_options.m_settings.m_operator_listen,
                           .m_handler =
                               [this](const http_request& request, const http_exchange_ptr& exchange)
-                          { answer_operator(m_api, request, exchange); }})
+                          { serve(request, exchange); }})
     {
         m_vm_timer = m_loop.every(vm_list_interval, [this] { poll_vms(); });
         m_loop.post([this] { poll_vms(); });
@@ -61,6 +61,11 @@
 
     std::uint16_t operator_port() const { return m_server.port(); }
 
+    void serve(const http_request& request, const http_exchange_ptr& exchange)
+    {
+        answer_operator(m_api, request, exchange);
+    }
+
     void handle(control_message message)
     {
         std::visit([this](auto& what) { on(std::move(what)); }, message);
@@ -73,6 +78,7 @@
                 .m_incarnation = m_options.m_incarnation,
                 .m_fill_heartbeat = [this](cluster::heartbeat& beat) { fill(beat); },
                 .m_on_members = [this] { on_members(); },
+                .m_carry = m_options.m_carry,
                 .m_on_message = [this](cluster::message message)
                 { on_message(std::move(message)); }};
     }
@@ -226,6 +232,8 @@
 
     void on(to_peer message) { m_members.send(message.m_peer, std::move(message.m_body)); }
 
+    void on(const peer_bytes& message) { m_members.receive(message.m_bytes); }
+
     void on(const stop_requested& /*message*/) { begin_stop(); }
 
     void begin_stop()
@@ -325,6 +333,11 @@
     m_state->handle(std::move(message));
 }
 
+void control_task::serve(const http_request& request, const http_exchange_ptr& exchange)
+{
+    m_state->serve(request, exchange);
+}
+
 std::uint16_t control_task::operator_port() const
 {
     return m_state->operator_port();
--- a/src/dragonflygap/daemon/control_task.hpp
+++ b/src/dragonflygap/daemon/control_task.hpp
@@ -2,10 +2,13 @@
 
 #include <functional>
 #include <memory>
+#include <string>
+#include <string_view>
 #include <variant>
 
 #include "dragonflygap/cluster/message.hpp"
 #include "dragonflygap/config/settings.hpp"
+#include "dragonflygap/net/http_server.hpp"
 #include "dragonflygap/net/transport.hpp"
 #include "dragonflygap/request/request_task.hpp"
 
@@ -37,8 +40,14 @@
 struct stop_requested
 {
 };
+/// A message came in that the peer link didn't carry.
+struct peer_bytes
+{
+    std::string m_bytes;
+};
 /// What other tasks tell the control task.
-using control_message = std::variant<load_changed, to_peer, requests_drained, stop_requested>;
+using control_message =
+    std::variant<load_changed, to_peer, requests_drained, stop_requested, peer_bytes>;
 
 struct control_task_options
 {
@@ -47,6 +56,8 @@
     endpoint m_platform;
     std::function<void(request::request_message)> m_to_requests;
     std::function<void()> m_on_stopped; ///< Everything was handed over; end the process.
+    /// Carries messages to peers in place of the peer link; see member_driver_options.
+    std::function<bool(const vm_id& peer, std::string_view bytes)> m_carry;
 };
 
 /// The task that acts with the other nodes: members, ownership, configuration, jobs, operators.
@@ -62,6 +73,9 @@
     /// Only from the task's own loop; others use a mailbox.
     void handle(control_message message);
 
+    /// Answers one call of an operator, as its server does.
+    void serve(const http_request& request, const http_exchange_ptr& exchange);
+
     std::uint16_t operator_port() const;
 
 private:
--- a/src/dragonflygap/daemon/member_driver.cpp
+++ b/src/dragonflygap/daemon/member_driver.cpp
@@ -27,10 +27,11 @@
       m_options(std::move(options)),
       m_membership({.m_self = m_options.m_settings->m_vm}, peers_of(*m_options.m_settings)),
       m_link(loop, {.m_listen = m_options.m_settings->m_peer_listen,
-                    .m_on_message = [this](std::string_view bytes) { on_bytes(bytes); }})
+                    .m_on_message = [this](std::string_view bytes) { receive(bytes); }})
 {
-    for (const auto& peer : m_options.m_settings->m_peers)
-        m_link.add(peer.m_vm, peer.m_address);
+    if (!m_options.m_carry)
+        for (const auto& peer : m_options.m_settings->m_peers)
+            m_link.add(peer.m_vm, peer.m_address);
     m_timer = m_loop.every(m_options.m_heartbeat_every, [this] { tick(); });
 }
 
@@ -51,9 +52,9 @@
 
 bool member_driver::send(const vm_id& peer, cluster::body body)
 {
-    return m_link.send(peer, cluster::encode({.m_from = m_options.m_settings->m_vm,
-                                              .m_incarnation = m_options.m_incarnation,
-                                              .m_body = std::move(body)}));
+    return carry(peer, cluster::encode({.m_from = m_options.m_settings->m_vm,
+                                        .m_incarnation = m_options.m_incarnation,
+                                        .m_body = std::move(body)}));
 }
 
 void member_driver::send_to_all(const cluster::body& body)
@@ -62,10 +63,15 @@
                                         .m_incarnation = m_options.m_incarnation,
                                         .m_body = body});
     for (const auto& [vm, member] : m_membership.members())
-        m_link.send(vm, bytes);
+        carry(vm, bytes);
+}
+
+bool member_driver::carry(const vm_id& peer, std::string_view bytes)
+{
+    return m_options.m_carry ? m_options.m_carry(peer, bytes) : m_link.send(peer, bytes);
 }
 
-void member_driver::on_bytes(std::string_view bytes)
+void member_driver::receive(std::string_view bytes)
 {
     auto message = cluster::decode(bytes);
     if (!message)
@@ -88,7 +94,8 @@
     {
         if (const auto* redial = std::get_if<cluster::redial_peer>(&action))
         {
-            m_link.redial(redial->m_vm);
+            if (!m_options.m_carry)
+                m_link.redial(redial->m_vm);
             continue;
         }
         const auto& changed = std::get<cluster::member_changed>(action);
--- a/src/dragonflygap/daemon/member_driver.hpp
+++ b/src/dragonflygap/daemon/member_driver.hpp
@@ -2,6 +2,7 @@
 
 #include <functional>
 #include <memory>
+#include <string_view>
 
 #include "dragonflygap/cluster/membership.hpp"
 #include "dragonflygap/config/settings.hpp"
@@ -20,6 +21,8 @@
     std::function<void(cluster::heartbeat&)> m_fill_heartbeat;
     /// Called after every heartbeat and every change of a member.
     std::function<void()> m_on_members;
+    /// Carries messages in place of the peer link, as tests do; false: certainly not sent.
+    std::function<bool(const vm_id& peer, std::string_view bytes)> m_carry;
     /// Called for every message that isn't a heartbeat.
     std::function<void(cluster::message)> m_on_message;
 };
@@ -35,11 +38,14 @@
     void send_to_all(const cluster::body& body);
     void send_heartbeats();
 
+    /// Takes a message that came in.
+    void receive(std::string_view bytes);
+
     const cluster::membership& members() const { return m_membership; }
     const peer_link& link() const { return m_link; }
 
 private:
-    void on_bytes(std::string_view bytes);
+    bool carry(const vm_id& peer, std::string_view bytes);
     void tick();
     void run(const cluster::membership_event& event);
 
--- a/src/dragonflygap/emulator/cell.cpp
+++ b/src/dragonflygap/emulator/cell.cpp
@@ -1,10 +1,12 @@
 #include "dragonflygap/emulator/cell.hpp"
 
 #include <algorithm>
+#include <optional>
 #include <utility>
 
 #include <nlohmann/json.hpp>
 
+#include "dragonflygap/config/revision.hpp"
 #include "dragonflygap/emulator/answers.hpp"
 #include "dragonflygap/platform/json_codec.hpp"
 
@@ -14,11 +16,14 @@
 namespace
 {
 
-constexpr std::string_view config_key = "config/current";
-
-bool writes_config(const std::vector<platform::row_write>& writes)
+/// Number of the configuration's revision that the writes put in force.
+std::optional<std::uint64_t> written_revision(const std::vector<platform::row_write>& writes)
 {
-    return std::ranges::any_of(writes, [](const auto& write) { return write.m_key == config_key; });
+    const auto found = std::ranges::find(writes, config::current_key, &platform::row_write::m_key);
+    if (found == writes.end() || !found->m_value)
+        return std::nullopt;
+    const auto read = config::read_revision(*found->m_value);
+    return read ? std::optional(read->m_number) : std::nullopt;
 }
 
 } // namespace
@@ -127,8 +132,8 @@
     const auto writes =
         nlohmann::json::parse(request.m_body).get<std::vector<platform::row_write>>();
     auto result = m_table.commit(writes);
-    if (result.m_committed && writes_config(writes))
-        record(history::config_committed{m_table.scan(config_key).front().m_version}, now);
+    if (const auto revision = written_revision(writes); revision && result.m_committed)
+        record(history::config_committed{*revision}, now);
     if (m_faults.m_double_commits > 0)
     {
         --m_faults.m_double_commits;
--- a/src/dragonflygap/net/event_loop.cpp
+++ b/src/dragonflygap/net/event_loop.cpp
@@ -8,6 +8,8 @@
 #include <event2/event.h>
 #include <event2/thread.h>
 
+#include "dragonflygap/net/timer_queue.hpp"
+
 namespace dragonflygap
 {
 
@@ -60,10 +62,24 @@
     work->m_work();
 }
 
+class queued_timer : public event_loop::timer
+{
+public:
+    queued_timer(timer_queue& timers, timer_queue::timer_id id) : m_timers(timers), m_id(id) {}
+    ~queued_timer() override { m_timers.remove(m_id); }
+    queued_timer(const queued_timer&) = delete;
+    queued_timer& operator=(const queued_timer&) = delete;
+
+private:
+    timer_queue& m_timers;
+    timer_queue::timer_id m_id;
+};
+
 } // namespace
 
 struct event_loop::state
 {
+    timer_queue* m_timers = nullptr; ///< Set if the loop lives on virtual time.
     event_base* m_base = nullptr;
     event* m_wake = nullptr;
     std::mutex m_mutex;
@@ -98,6 +114,11 @@
     m_state->m_wake = event_new(m_state->m_base, -1, EV_PERSIST, &state::woken, m_state.get());
 }
 
+event_loop::event_loop(timer_queue& timers) : event_loop()
+{
+    m_state->m_timers = &timers;
+}
+
 event_loop::~event_loop()
 {
     event_free(m_state->m_wake);
@@ -116,6 +137,11 @@
 
 void event_loop::post(std::function<void()> work)
 {
+    if (m_state->m_timers != nullptr)
+    {
+        m_state->m_timers->add(monotonic_clock::now(), {}, std::move(work));
+        return;
+    }
     {
         const std::scoped_lock lock(m_state->m_mutex);
         m_state->m_posted.push_back(std::move(work));
@@ -125,6 +151,9 @@
 
 event_loop::timer_ptr event_loop::after(duration delay, std::function<void()> work)
 {
+    if (auto* timers = m_state->m_timers)
+        return std::make_unique<queued_timer>(
+            *timers, timers->add(monotonic_clock::now() + delay, {}, std::move(work)));
     auto result = std::make_unique<event_timer>(std::move(work));
     const timeval when = to_timeval(delay);
     result->arm(m_state->m_base, -1, 0, &when);
@@ -133,6 +162,11 @@
 
 void event_loop::defer(duration delay, std::function<void()> work)
 {
+    if (auto* timers = m_state->m_timers)
+    {
+        timers->add(monotonic_clock::now() + delay, {}, std::move(work));
+        return;
+    }
     const timeval when = to_timeval(delay);
     auto* argument = new deferred_work{std::move(work)};
     event_base_once(m_state->m_base, -1, EV_TIMEOUT, run_deferred, argument, &when);
@@ -140,6 +174,9 @@
 
 event_loop::timer_ptr event_loop::every(duration interval, std::function<void()> work)
 {
+    if (auto* timers = m_state->m_timers)
+        return std::make_unique<queued_timer>(
+            *timers, timers->add(monotonic_clock::now() + interval, interval, std::move(work)));
     auto result = std::make_unique<event_timer>(std::move(work));
     const timeval when = to_timeval(interval);
     result->arm(m_state->m_base, -1, EV_PERSIST, &when);
--- a/src/dragonflygap/net/event_loop.hpp
+++ b/src/dragonflygap/net/event_loop.hpp
@@ -10,6 +10,8 @@
 namespace dragonflygap
 {
 
+class timer_queue;
+
 /// The loop of one task. All but post() and stop() must be called from the loop's own thread.
 class event_loop
 {
@@ -23,6 +25,8 @@
     using timer_ptr = std::unique_ptr<timer>;
 
     event_loop();
+    /// A loop that isn't run: its posted work and its timers wait in a queue, for virtual time.
+    explicit event_loop(timer_queue& timers);
     ~event_loop();
     event_loop(const event_loop&) = delete;
     event_loop& operator=(const event_loop&) = delete;
--- /dev/null
+++ b/src/dragonflygap/net/timer_queue.hpp
@@ -0,0 +1,78 @@
+#pragma once
+
+#include <algorithm>
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <optional>
+#include <utility>
+
+#include "dragonflygap/core/time.hpp"
+
+namespace dragonflygap
+{
+
+/// Timers of an event loop that is driven step by step, on a clock that the driver sets.
+class timer_queue
+{
+public:
+    using timer_id = std::uint64_t;
+
+    /// Adds work that is due once, or again and again if an interval is given.
+    timer_id add(instant due, duration interval, std::function<void()> work)
+    {
+        const auto id = ++m_last;
+        m_timers[id] = {due, interval, std::move(work)};
+        m_due.insert({{due, id}, id});
+        return id;
+    }
+
+    void remove(timer_id id)
+    {
+        const auto found = m_timers.find(id);
+        if (found == m_timers.end())
+            return;
+        m_due.erase({found->second.m_due, id});
+        m_timers.erase(found);
+    }
+
+    /// When the next work is due.
+    std::optional<instant> next() const
+    {
+        if (m_due.empty())
+            return std::nullopt;
+        return m_due.begin()->first.first;
+    }
+
+    /// Runs the work that is due next, at an instant not before it.
+    void run_next(instant now)
+    {
+        const auto id = m_due.begin()->second;
+        m_due.erase(m_due.begin());
+        auto& timer = m_timers.at(id);
+        const auto work = timer.m_work;
+        if (timer.m_interval == duration{})
+            m_timers.erase(id);
+        else
+        {
+            // After a pause a timer fires once, not as often as it was missed.
+            timer.m_due = std::max(timer.m_due + timer.m_interval, now);
+            m_due.insert({{timer.m_due, id}, id});
+        }
+        work();
+    }
+
+private:
+    struct timer
+    {
+        instant m_due;
+        duration m_interval{};
+        std::function<void()> m_work;
+    };
+
+    timer_id m_last = 0;
+    std::map<timer_id, timer> m_timers;
+    std::map<std::pair<instant, timer_id>, timer_id> m_due;
+};
+
+} // namespace dragonflygap
--- a/src/dragonflygap/observe/history.cpp
+++ b/src/dragonflygap/observe/history.cpp
@@ -8,6 +8,12 @@
 namespace
 {
 
+std::function<void(const event& what, instant at)>& sink_in_use()
+{
+    static std::function<void(const event& what, instant at)> sink;
+    return sink;
+}
+
 struct described
 {
     std::string_view m_name;
@@ -180,8 +186,15 @@
     return format_fields({{"vm", vm}, {"event", text.m_name}}).substr(1) + timed(text, at);
 }
 
+void set_sink(std::function<void(const event& what, instant at)> sink)
+{
+    sink_in_use() = std::move(sink);
+}
+
 void record(const event& what)
 {
+    if (const auto& sink = sink_in_use())
+        return sink(what, monotonic_clock::now());
     const auto text = describe_any(what);
     log_line(log_level::info, text.m_name, timed(text, monotonic_clock::now()));
 }
--- a/src/dragonflygap/observe/history.hpp
+++ b/src/dragonflygap/observe/history.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstdint>
+#include <functional>
 #include <string>
 #include <string_view>
 #include <variant>
@@ -159,7 +160,10 @@
 /// One log line: vm=VM event=NAME at_us=MICROSECONDS and the event's keys.
 std::string format(std::string_view vm, const event& what, instant at);
 
-/// Writes an event to the log, whatever its level.
+/// Writes an event to the log, whatever its level, or gives it to the sink that is set.
 void record(const event& what);
 
+/// Takes the events in place of the log; nothing: the log. For tests of one thread.
+void set_sink(std::function<void(const event& what, instant at)> sink);
+
 } // namespace dragonflygap::history
--- a/src/dragonflygap/request/request_task.cpp
+++ b/src/dragonflygap/request/request_task.cpp
@@ -47,6 +47,11 @@
 
     std::uint16_t port() const { return m_server.port(); }
 
+    void serve(http_request request, const http_exchange_ptr& exchange)
+    {
+        on_caller(std::move(request), exchange);
+    }
+
     void handle(request_message message)
     {
         std::visit([this](auto& what) { on(std::move(what)); }, message);
@@ -365,6 +370,11 @@
     m_state->handle(std::move(message));
 }
 
+void request_task::serve(http_request request, const http_exchange_ptr& exchange)
+{
+    m_state->serve(std::move(request), exchange);
+}
+
 std::uint16_t request_task::port() const
 {
     return m_state->port();
--- a/src/dragonflygap/request/request_task.hpp
+++ b/src/dragonflygap/request/request_task.hpp
@@ -7,6 +7,7 @@
 
 #include "dragonflygap/cluster/message.hpp"
 #include "dragonflygap/core/endpoint.hpp"
+#include "dragonflygap/net/http_server.hpp"
 #include "dragonflygap/net/transport.hpp"
 #include "dragonflygap/request/request.hpp"
 
@@ -62,6 +63,9 @@
     /// Only from the task's own loop; others use a mailbox.
     void handle(request_message message);
 
+    /// Serves one caller's request, as its server does.
+    void serve(http_request request, const http_exchange_ptr& exchange);
+
     std::uint16_t port() const;
 
 private:
