--- a/src/dragonflygap/daemon/daemon.cpp
+++ b/src/dragonflygap/daemon/daemon.cpp
@@ -89,6 +89,7 @@
         request_loop, to_executors.transport(), counted,
         request::request_task_options{
             .m_vm = settings.m_vm,
+            .m_data_centre = settings.m_data_centre,
             .m_incarnation = incarnation,
             .m_listen = settings.m_caller_listen,
             .m_max_body_bytes = settings.m_max_body_bytes,
--- /dev/null
+++ b/src/dragonflygap/request/arrival_rate.cpp
@@ -0,0 +1,51 @@
+#include "dragonflygap/request/arrival_rate.hpp"
+
+#include <algorithm>
+#include <cmath>
+
+namespace dragonflygap::request
+{
+
+namespace
+{
+
+constexpr double fast_s = 1;
+constexpr double slow_s = 30;
+constexpr duration quiet_after = 30s;
+
+double seconds(duration value)
+{
+    return std::chrono::duration<double>(value).count();
+}
+
+} // namespace
+
+void arrival_rate::decay(instant now)
+{
+    const double passed = seconds(now - m_last);
+    m_fast *= std::exp(-passed / fast_s);
+    m_slow *= std::exp(-passed / slow_s);
+    m_last = now;
+}
+
+void arrival_rate::arrived(instant now)
+{
+    decay(now);
+    m_fast += 1 / fast_s;
+    m_slow += 1 / slow_s;
+    m_any = true;
+}
+
+double arrival_rate::per_second(instant now) const
+{
+    auto copy = *this;
+    copy.decay(now);
+    return std::max(copy.m_fast, copy.m_slow);
+}
+
+bool arrival_rate::quiet(instant now) const
+{
+    return !m_any || now - m_last > quiet_after;
+}
+
+} // namespace dragonflygap::request
--- /dev/null
+++ b/src/dragonflygap/request/peer_choice.cpp
@@ -0,0 +1,63 @@
+#include "dragonflygap/request/peer_choice.hpp"
+
+#include <algorithm>
+
+#include "dragonflygap/request/random_sequence.hpp"
+
+namespace dragonflygap::request
+{
+
+peer_choice::peer_choice(peer_choice_options options)
+    : m_options(std::move(options)), m_random(m_options.m_seed)
+{
+}
+
+void peer_choice::assign(std::span<const peer_room> peers)
+{
+    std::vector<peer_room> next(peers.begin(), peers.end());
+    for (auto& peer : next)
+        for (const auto& known : m_peers)
+            if (known.m_vm == peer.m_vm && known.m_heard == peer.m_heard)
+                peer.m_free_slots = std::min(peer.m_free_slots, known.m_free_slots);
+    m_peers = std::move(next);
+}
+
+const peer_room* peer_choice::take(instant now)
+{
+    std::vector<peer_room*> near;
+    std::vector<peer_room*> far;
+    for (auto& peer : m_peers)
+    {
+        if (now - peer.m_heard > m_options.m_fresh || peer.m_free_slots == 0)
+            continue;
+        (peer.m_data_centre == m_options.m_data_centre ? near : far).push_back(&peer);
+    }
+    auto* chosen = select(near.empty() ? far : near);
+    if (chosen != nullptr)
+        --chosen->m_free_slots;
+    return chosen;
+}
+
+peer_room* peer_choice::select(std::span<peer_room*> candidates)
+{
+    if (candidates.empty())
+        return nullptr;
+    const auto fewer = [](const peer_room* left, const peer_room* right)
+    { return left->m_free_slots < right->m_free_slots; };
+    if (m_options.m_selection == peer_selection::least_loaded)
+        return *std::ranges::max_element(candidates, fewer);
+    auto* first = candidates[next_random(m_random) % candidates.size()];
+    if (m_options.m_selection == peer_selection::random || candidates.size() == 1)
+        return first;
+    auto* second = candidates[next_random(m_random) % candidates.size()];
+    return std::max(first, second, fewer);
+}
+
+void peer_choice::refused(const vm_id& peer)
+{
+    for (auto& known : m_peers)
+        if (known.m_vm == peer)
+            known.m_free_slots = 0;
+}
+
+} // namespace dragonflygap::request
--- a/src/dragonflygap/request/request_task.cpp
+++ b/src/dragonflygap/request/request_task.cpp
@@ -23,6 +23,14 @@
 // An answer needs some time to get back to the caller by its deadline.
 constexpr duration peer_answer_margin = 200ms;
 
+scheduler_options scheduler_options_of(const request_task_options& options)
+{
+    // Entry VMs that choose alike would all send their work to the same peer at once.
+    const std::uint64_t seed = std::hash<vm_id>()(options.m_vm) + options.m_incarnation;
+    return {.m_retries = {.m_seed = seed},
+            .m_peers = {.m_data_centre = options.m_data_centre, .m_seed = seed}};
+}
+
 } // namespace
 
 class request_task::state
@@ -34,7 +42,7 @@
           m_executors(std::move(to_executors)),
           m_metrics(counted),
           m_options(std::move(options)),
-          m_scheduler(scheduler_options{}),
+          m_scheduler(scheduler_options_of(m_options)),
           m_server(loop,
                    {.m_listen = m_options.m_listen,
                     .m_max_body_bytes = m_options.m_max_body_bytes,
--- a/src/dragonflygap/request/request_task.hpp
+++ b/src/dragonflygap/request/request_task.hpp
@@ -37,6 +37,7 @@
 struct request_task_options
 {
     vm_id m_vm;
+    data_centre_id m_data_centre;
     std::uint64_t m_incarnation = 0;
     endpoint m_listen;
     std::size_t m_max_body_bytes = 1 << 20;
--- a/src/dragonflygap/request/scheduler.cpp
+++ b/src/dragonflygap/request/scheduler.cpp
@@ -6,7 +6,24 @@
 namespace dragonflygap::request
 {
 
-scheduler::scheduler(scheduler_options options) : m_options(options) {}
+namespace
+{
+
+failure not_run(reason why, const char* detail)
+{
+    return {verdict::not_run, why, detail};
+}
+
+} // namespace
+
+scheduler::scheduler(scheduler_options options)
+    : m_options(std::move(options)),
+      m_classes(m_options.m_reserve),
+      m_targets(m_options.m_health),
+      m_retries(m_options.m_retries),
+      m_peers(m_options.m_peers)
+{
+}
 
 std::vector<scheduler_action> scheduler::handle(const scheduler_event& event, instant now)
 {
@@ -16,291 +33,271 @@
     return out;
 }
 
-void scheduler::refuse(const request_id& id, reason why, const char* detail, actions& out)
+tracked_request_ptr scheduler::find(const request_id& id) const
+{
+    const auto found = m_requests.find(id);
+    return found == m_requests.end() ? nullptr : found->second;
+}
+
+int scheduler::weight_of(const caller_id& caller) const
+{
+    const auto found = m_weights.find(caller);
+    return found == m_weights.end() ? 1 : found->second;
+}
+
+admission_view scheduler::view_of(const class_state& which, const caller_id& caller) const
 {
-    out.emplace_back(refuse_request{id, {verdict::not_run, why, detail}});
+    const bool room = which.m_queue.size() == 0 &&
+                      m_classes.may_start(which, m_targets.free_slots(), m_targets.slots());
+    return {.m_queue = which.m_queue,
+            .m_run_time = which.m_run_time,
+            .m_max_queued = which.m_class.m_max_queued,
+            .m_weight = weight_of(caller),
+            .m_room = room,
+            .m_idle = which.idle(),
+            .m_slots = which.m_usable_slots,
+            .m_urgent_work = room ? duration{} : m_classes.work_before(which)};
 }
 
 void scheduler::on(const request_submitted& event, instant now, actions& out)
 {
-    const auto& request = event.m_request;
-    const auto found = m_queues.find(request.m_class);
+    const auto& submitted = event.m_request;
+    // The first of two with one id gets the answer.
+    if (m_requests.contains(submitted.m_id))
+        return;
+    const auto refuse = [&](failure why) {
+        out.emplace_back(refuse_request{submitted.m_id, std::move(why)});
+    };
     if (m_draining)
-        return refuse(request.m_id, reason::draining, "this entry VM is leaving", out);
-    if (found == m_queues.end())
-        return refuse(request.m_id, reason::unknown_class, "no class of this name", out);
-    if (request.m_deadline <= now)
-        return refuse(request.m_id, reason::deadline_passed, "the deadline has passed", out);
-    auto& queue = found->second;
-    request_state state{request, {}, {}};
-    if (free_slots() == 0 && forward(state, now, out))
+        return refuse(not_run(reason::draining, "this entry VM is leaving"));
+    auto* which = m_classes.find(submitted.m_class);
+    if (which == nullptr)
+        return refuse(not_run(reason::unknown_class, "no class of this name"));
+    which->m_arrivals.arrived(now);
+    m_retries.on_fresh();
+    const auto view = view_of(*which, submitted.m_caller);
+    auto request = std::make_shared<tracked_request>(tracked_request{.m_request = submitted});
+    const bool better_elsewhere =
+        !view.m_room && (m_targets.slots() == 0 ||
+                         expected_wait(view, submitted.m_caller) > m_options.m_forward_wait);
+    if (better_elsewhere && submitted.m_deadline > now && forward(request, now, out))
     {
-        m_requests[request.m_id] = std::move(state);
+        m_requests[submitted.m_id] = request;
+        m_deadlines.add(request);
         return;
     }
-    if (queue.m_waiting.size() >= queue.m_class.m_max_queued)
-        return refuse(request.m_id, reason::queue_full, "the queue of the class is full", out);
-    if (m_targets.empty())
-        return refuse(request.m_id, reason::no_target, "no executor is owned here", out);
-    m_requests[request.m_id] = std::move(state);
-    queue.m_waiting.push_back(request.m_id);
+    if (m_targets.slots() == 0)
+        return refuse(not_run(reason::no_target, "no executor that may be used is owned here"));
+    if (auto why = refuse_admission(view, submitted, now))
+        return refuse(std::move(*why));
+    m_requests[submitted.m_id] = request;
+    m_deadlines.add(request);
+    which->m_queue.push(request, m_weights);
 }
 
-void scheduler::free_slot(const target_id& target)
+void scheduler::conclude(const tracked_request_ptr& request, failure what, actions& out)
 {
-    if (const auto found = m_targets.find(target); found != m_targets.end())
-        --found->second.m_running;
+    if (request->m_may_have_run)
+        what.m_verdict = verdict::may_have_run;
+    const auto& id = request->m_request.m_id;
+    if (request->m_attempts == 0 && what.m_verdict == verdict::not_run)
+        out.emplace_back(refuse_request{id, std::move(what)});
+    else
+        out.emplace_back(fail_request{id, std::move(what)});
+    erase(request);
 }
 
-void scheduler::on(const request_ended& event, instant /*now*/, actions& out)
+void scheduler::erase(const tracked_request_ptr& request)
 {
-    const auto found = m_requests.find(event.m_id);
-    if (found == m_requests.end())
-        return;
-    const auto& ended = found->second;
-    const bool dispatched = !ended.m_target.empty();
-    if (dispatched && event.m_slot_free)
-        free_slot(ended.m_target);
-    if (dispatched && !event.m_slot_free)
-        m_occupied[event.m_id] = ended.m_target;
-    const auto queue = m_queues.find(ended.m_request.m_class);
-    if (dispatched && queue != m_queues.end())
-        --queue->second.m_running;
-    if (!event.m_outcome && !ended.m_aborted)
-        out.emplace_back(fail_request{event.m_id, event.m_outcome.error()});
-    m_requests.erase(found);
+    if (request->m_stage == stage::waiting)
+        leave_queue(request, stage::ended);
+    request->m_stage = stage::ended;
+    m_deadlines.note_ended();
+    m_requests.erase(request->m_request.m_id);
 }
 
-void scheduler::on(const slot_freed& event, instant /*now*/, actions& /*out*/)
+void scheduler::leave_queue(const tracked_request_ptr& request, stage next)
 {
-    const auto node = m_occupied.extract(event.m_id);
-    if (!node.empty())
-        free_slot(node.mapped());
+    request->m_stage = next;
+    if (auto* which = m_classes.find(request->m_request.m_class))
+        which->m_queue.removed(*request);
 }
 
-void scheduler::on(const forward_failed& event, instant /*now*/, actions& out)
+void scheduler::wait_again(const tracked_request_ptr& request, instant now, actions& out)
 {
-    const auto found = m_requests.find(event.m_id);
-    if (found == m_requests.end() || found->second.m_peer.empty())
-        return;
-    auto& request = found->second;
-    request.m_peer = {};
-    const auto queue = m_queues.find(request.m_request.m_class);
-    const bool again = !request.m_aborted && event.m_failure.m_verdict == verdict::not_run &&
-                       queue != m_queues.end() && !m_targets.empty();
-    if (again)
-    {
-        queue->second.m_waiting.push_back(event.m_id);
-        return;
-    }
-    if (!request.m_aborted)
-        out.emplace_back(fail_request{event.m_id, event.m_failure});
-    m_requests.erase(found);
+    auto* which = m_classes.find(request->m_request.m_class);
+    if (which == nullptr)
+        return conclude(request, not_run(reason::unknown_class, "the class was removed"), out);
+    if (request->m_request.m_deadline <= now)
+        return conclude(request, not_run(reason::deadline_passed, "the deadline has passed"), out);
+    request->m_stage = stage::waiting;
+    which->m_queue.push(request, m_weights, true);
 }
 
-void scheduler::on(const drain_started& /*event*/, instant now, actions& out)
+void scheduler::on(const request_ended& event, instant now, actions& out)
 {
-    m_draining = true;
-    for (auto& [name, queue] : m_queues)
-        std::erase_if(queue.m_waiting,
-                      [&](const request_id& id)
-                      {
-                          const auto found = m_requests.find(id);
-                          return found == m_requests.end() || forward(found->second, now, out);
-                      });
+    const auto request = find(event.m_id);
+    if (request == nullptr)
+        return;
+    if (request->m_stage == stage::forwarded && !event.m_outcome)
+        return on(forward_failed{event.m_id, event.m_outcome.error()}, now, out);
+    if (request->m_stage == stage::running)
+        end_attempt(*request, event, now);
+    else if (request->m_stage != stage::forwarded)
+        return;
+    if (event.m_outcome || request->m_aborted)
+        return erase(request);
+    after_failure(request, event, now, out);
 }
 
-void scheduler::on(const request_cancelled& event, instant /*now*/, actions& out)
+void scheduler::end_attempt(tracked_request& request, const request_ended& event, instant now)
 {
-    const auto found = m_requests.find(event.m_id);
-    if (found == m_requests.end() || found->second.m_aborted)
-        return;
-    auto& cancelled = found->second;
-    if (!cancelled.m_target.empty() || !cancelled.m_peer.empty())
-    {
-        cancelled.m_aborted = true;
-        out.emplace_back(abort_request{event.m_id});
-        return;
-    }
-    // Its place in the queue is dropped when it comes to the front.
-    refuse(event.m_id, reason::cancelled, "the caller left", out);
-    m_requests.erase(found);
+    if (event.m_slot_free)
+        m_targets.release(request.m_target);
+    else
+        m_occupied[event.m_id] = request.m_target;
+    if (!request.m_aborted)
+        learn(request, event.m_outcome, now);
+    if (auto* which = m_classes.find(request.m_request.m_class))
+        which->remove_running(request);
+    if (!event.m_outcome && event.m_outcome.error().m_verdict != verdict::not_run)
+        request.m_may_have_run = true;
 }
 
-void scheduler::on(const targets_changed& event, instant /*now*/, actions& /*out*/)
+void scheduler::learn(tracked_request& request, const outcome<void>& result, instant now)
 {
-    std::map<target_id, target_state> next;
-    for (const auto& item : event.m_targets)
-    {
-        auto& state = next[item.m_id];
-        state.m_target = item;
-        if (const auto old = m_targets.find(item.m_id); old != m_targets.end())
-            state.m_running = old->second.m_running;
-    }
-    m_targets = std::move(next);
+    constexpr double most_charged_run_times = 100;
+    constexpr int late_run_times = 2;
+    const auto ran = now - request.m_dispatched;
+    auto* which = m_classes.find(request.m_request.m_class);
+    const bool timed_out = !result && result.error().m_reason == reason::timeout;
+    // A timeout says little of the target where the usual run takes as long.
+    const bool target_late =
+        timed_out && which != nullptr && ran > which->m_run_time.high() * late_run_times;
+    if (result)
+        m_targets.succeeded(request.m_target);
+    else if (target_late || is_target_fault(result.error().m_reason))
+        m_targets.failed(request.m_target, now);
+    if (which == nullptr || (!result && !timed_out))
+        return;
+    const double usual = std::max(1.0, static_cast<double>(which->m_run_time.mean().count()));
+    const double beyond = static_cast<double>(ran.count()) / usual - 1;
+    if (beyond > 0)
+        which->m_queue.charge(request.m_request.m_caller, std::min(beyond, most_charged_run_times));
+    which->m_run_time.add(ran);
 }
 
-void scheduler::on(const classes_changed& event, instant /*now*/, actions& out)
+void scheduler::after_failure(const tracked_request_ptr& request, const request_ended& event,
+                              instant now, actions& out)
 {
-    std::unordered_map<class_id, class_queue> next;
-    m_by_urgency.clear();
-    for (const auto& item : event.m_classes)
-    {
-        auto node = m_queues.extract(item.m_name);
-        auto& queue = next[item.m_name];
-        if (!node.empty())
-            queue = std::move(node.mapped());
-        queue.m_class = item;
-        m_by_urgency[item.m_urgency].push_back(item.m_name);
-    }
-    for (auto& [name, queue] : m_queues)
-        for (const auto& id : queue.m_waiting)
-            if (m_requests.erase(id) != 0)
-                refuse(id, reason::unknown_class, "the class was removed", out);
-    m_queues = std::move(next);
+    const auto& what = event.m_outcome.error();
+    const auto* which = m_classes.find(request->m_request.m_class);
+    if (which == nullptr)
+        return conclude(request, what, out);
+    const auto backoff = m_retries.next(*request, what, event.m_slot_free);
+    if (!backoff || now + *backoff + which->m_run_time.median() > request->m_request.m_deadline)
+        return conclude(request, what, out);
+    request->m_stage = stage::backing_off;
+    m_delayed.push({now + *backoff, request});
 }
 
-void scheduler::on(const peers_changed& event, instant /*now*/, actions& /*out*/)
+void scheduler::on(const slot_freed& event, instant /*now*/, actions& /*out*/)
 {
-    m_peers = event.m_peers;
+    const auto node = m_occupied.extract(event.m_id);
+    if (!node.empty())
+        m_targets.release(node.mapped());
 }
 
-void scheduler::on(const scheduler_tick& /*event*/, instant now, actions& out)
+void scheduler::on(const forward_failed& event, instant now, actions& out)
 {
-    for (auto& [name, queue] : m_queues)
-        std::erase_if(queue.m_waiting,
-                      [&](const request_id& id)
-                      {
-                          const auto found = m_requests.find(id);
-                          if (found == m_requests.end())
-                              return true;
-                          if (found->second.m_request.m_deadline > now)
-                              return false;
-                          refuse(id, reason::deadline_passed, "the deadline passed in the queue",
-                                 out);
-                          m_requests.erase(found);
-                          return true;
-                      });
+    const auto request = find(event.m_id);
+    if (request == nullptr || request->m_stage != stage::forwarded)
+        return;
+    m_peers.refused(request->m_peer);
+    if (request->m_aborted)
+        return erase(request);
+    if (event.m_failure.m_verdict != verdict::not_run)
+        request->m_may_have_run = true;
+    // Only what the peer certainly did not run may come back, and only to slots of this entry VM.
+    if (event.m_failure.m_verdict != verdict::not_run || m_targets.slots() == 0)
+        return conclude(request, event.m_failure, out);
+    wait_again(request, now, out);
 }
 
-void scheduler::dispatch_waiting(instant now, actions& out)
+void scheduler::on(const drain_started& /*event*/, instant now, actions& out)
 {
-    for (auto& [urgency, names] : m_by_urgency)
-        for (const auto& name : names)
-            while (dispatch_one(m_queues[name], now, out))
-            {
-            }
+    m_draining = true;
+    forward_waiting(now, out);
 }
 
-bool scheduler::dispatch_one(class_queue& queue, instant now, actions& out)
+void scheduler::on(const request_cancelled& event, instant /*now*/, actions& out)
 {
-    if (queue.m_waiting.empty())
-        return false;
-    const int limit = std::max(1, static_cast<int>(queue.m_class.m_slot_share * slots()));
-    if (queue.m_running >= limit)
-        return false;
-    auto* chosen = freest_target();
-    if (chosen == nullptr)
-        return false;
-    const request_id id = queue.m_waiting.front();
-    queue.m_waiting.pop_front();
-    const auto found = m_requests.find(id);
-    if (found == m_requests.end())
-        return true;
-    if (found->second.m_request.m_deadline <= now)
+    const auto request = find(event.m_id);
+    if (request == nullptr || request->m_aborted)
+        return;
+    if (request->m_stage == stage::running || request->m_stage == stage::forwarded)
     {
-        refuse(id, reason::deadline_passed, "the deadline passed in the queue", out);
-        m_requests.erase(found);
-        return true;
+        request->m_aborted = true;
+        out.emplace_back(abort_request{event.m_id});
+        return;
     }
-    ++queue.m_running;
-    ++chosen->m_running;
-    found->second.m_target = chosen->m_target.m_id;
-    out.emplace_back(dispatch_request{id, chosen->m_target.m_id, chosen->m_target.m_address,
-                                      found->second.m_request.m_deadline,
-                                      ++found->second.m_attempts});
-    return true;
+    conclude(request, not_run(reason::cancelled, "the caller left"), out);
 }
 
-bool scheduler::forward(request_state& request, instant now, actions& out)
+void scheduler::on(const targets_changed& event, instant now, actions& /*out*/)
 {
-    if (request.m_forwarded)
-        return false;
-    auto* peer = peer_with_room(request.m_request, now);
-    if (peer == nullptr)
-        return false;
-    --peer->m_free_slots;
-    request.m_forwarded = true;
-    request.m_peer = peer->m_vm;
-    out.emplace_back(forward_request{request.m_request.m_id, peer->m_vm});
-    return true;
+    m_targets.assign(event.m_targets);
+    m_classes.refresh(now, m_targets.slots());
 }
 
-scheduler::target_state* scheduler::freest_target()
+void scheduler::on(const classes_changed& event, instant now, actions& out)
 {
-    target_state* best = nullptr;
-    int most = 0;
-    for (auto& [id, state] : m_targets)
-    {
-        const int free = state.m_target.m_leaving ? 0 : state.m_target.m_slots - state.m_running;
-        if (free <= most)
-            continue;
-        most = free;
-        best = &state;
-    }
-    return best;
+    m_weights.clear();
+    for (const auto& caller : event.m_callers)
+        m_weights[caller.m_name] = caller.m_weight;
+    for (const auto& removed : m_classes.assign(event.m_classes))
+        while (const auto request = removed->m_queue.pop())
+        {
+            request->m_stage = stage::backing_off;
+            conclude(request, not_run(reason::unknown_class, "the class was removed"), out);
+        }
+    m_classes.refresh(now, m_targets.slots());
 }
 
-peer_room* scheduler::peer_with_room(const pending_request& request, instant now)
+void scheduler::on(const peers_changed& event, instant now, actions& out)
 {
-    if (request.m_hops >= m_options.m_max_hops)
-        return nullptr;
-    peer_room* best = nullptr;
-    for (auto& peer : m_peers)
-    {
-        if (now - peer.m_heard > m_options.m_peer_fresh || peer.m_free_slots == 0)
-            continue;
-        if (best == nullptr || peer.m_free_slots > best->m_free_slots)
-            best = &peer;
-    }
-    return best;
+    m_peers.assign(event.m_peers);
+    forward_waiting(now, out);
 }
 
-int scheduler::slots() const
+void scheduler::on(const scheduler_tick& /*event*/, instant now, actions& out)
 {
-    int sum = 0;
-    for (const auto& [id, state] : m_targets)
-        sum += state.m_target.m_slots;
-    return sum;
+    m_targets.tick(now);
+    pass_deadlines(now, out);
+    start_retries(now, out);
+    if (now - m_refreshed < m_options.m_refresh_every)
+        return;
+    m_refreshed = now;
+    m_classes.refresh(now, m_targets.slots());
 }
 
-int scheduler::free_slots() const
+void scheduler::pass_deadlines(instant now, actions& out)
 {
-    int sum = 0;
-    for (const auto& [id, state] : m_targets)
-        if (!state.m_target.m_leaving)
-            sum += std::max(0, state.m_target.m_slots - state.m_running);
-    return sum;
+    while (const auto request = m_deadlines.take_passed(now))
+        if (request->m_stage == stage::waiting || request->m_stage == stage::backing_off)
+            conclude(request, not_run(reason::deadline_passed, "the deadline passed in the queue"),
+                     out);
 }
 
-cluster::load_digest scheduler::load(instant now) const
+void scheduler::start_retries(instant now, actions& out)
 {
-    cluster::load_digest digest{.m_slots = static_cast<std::uint32_t>(slots()),
-                                .m_free_slots = static_cast<std::uint32_t>(free_slots())};
-    for (const auto& [name, queue] : m_queues)
+    while (!m_delayed.empty() && m_delayed.top().m_due <= now)
     {
-        digest.m_classes.push_back({name, static_cast<std::uint32_t>(queue.m_waiting.size()),
-                                    static_cast<std::uint32_t>(queue.m_running)});
-        if (queue.m_waiting.empty())
-            continue;
-        const auto oldest = m_requests.find(queue.m_waiting.front());
-        if (oldest == m_requests.end())
-            continue;
-        const auto wait =
-            static_cast<std::uint32_t>(to_ms(now - oldest->second.m_request.m_arrived));
-        digest.m_oldest_wait_ms = std::max(digest.m_oldest_wait_ms, wait);
+        const auto request = m_delayed.top().m_request;
+        m_delayed.pop();
+        if (request->m_stage == stage::backing_off)
+            wait_again(request, now, out);
     }
-    return digest;
 }
 
 } // namespace dragonflygap::request
--- a/src/dragonflygap/request/scheduler.hpp
+++ b/src/dragonflygap/request/scheduler.hpp
@@ -1,23 +1,35 @@
 #pragma once
 
-#include <deque>
-#include <map>
+#include <queue>
 #include <unordered_map>
 #include <vector>
 
 #include "dragonflygap/cluster/message.hpp"
+#include "dragonflygap/request/admission.hpp"
+#include "dragonflygap/request/class_table.hpp"
+#include "dragonflygap/request/deadline_index.hpp"
+#include "dragonflygap/request/peer_choice.hpp"
 #include "dragonflygap/request/request.hpp"
+#include "dragonflygap/request/retry_policy.hpp"
+#include "dragonflygap/request/target_set.hpp"
 
 namespace dragonflygap::request
 {
 
 struct scheduler_options
 {
-    duration m_peer_fresh = 1500ms; ///< Older load digests are not trusted.
     std::uint32_t m_max_hops = 1;
+    duration m_forward_wait = 5ms;   ///< A shorter wait here is better than a way to a peer.
+    duration m_refresh_every = 50ms; ///< How often run times and reserves are worked out anew.
+    slot_reserve_options m_reserve = {};
+    target_health_options m_health = {};
+    retry_options m_retries = {};
+    peer_choice_options m_peers = {};
 };
 
-/// Decides what is admitted, which request takes which slot, and what goes to a peer. Pure.
+/// Decides what is admitted, which request takes which slot, what is tried again, and what goes to
+/// a peer. Pure. Every submitted request gets exactly one of refuse_request, fail_request and
+/// abort_request, or its task reports that it was answered.
 class scheduler
 {
 public:
@@ -26,32 +38,21 @@
     std::vector<scheduler_action> handle(const scheduler_event& event, instant now);
 
     /// What peers are told of this entry VM's room.
-    cluster::load_digest load(instant now) const;
+    cluster::load_digest load(instant now);
+
+    /// Requests that were submitted and not yet ended.
+    std::size_t open_requests() const { return m_requests.size(); }
+    int ejected_targets() const { return m_targets.ejected(); }
 
 private:
     using actions = std::vector<scheduler_action>;
 
-    struct class_queue
-    {
-        config::request_class m_class;
-        std::deque<request_id> m_waiting;
-        int m_running = 0;
-    };
-
-    struct target_state
+    struct delayed_retry
     {
-        target m_target;
-        int m_running = 0;
-    };
+        instant m_due{};
+        tracked_request_ptr m_request;
 
-    struct request_state
-    {
-        pending_request m_request;
-        target_id m_target; ///< Empty while it waits.
-        vm_id m_peer;       ///< Empty unless it was forwarded.
-        bool m_aborted = false;
-        bool m_forwarded = false; ///< It was forwarded once; never again from here.
-        int m_attempts = 0;
+        bool operator>(const delayed_retry& other) const { return m_due > other.m_due; }
     };
 
     void on(const request_submitted& event, instant now, actions& out);
@@ -65,23 +66,42 @@
     void on(const peers_changed& event, instant now, actions& out);
     void on(const scheduler_tick& event, instant now, actions& out);
 
-    void refuse(const request_id& id, reason why, const char* detail, actions& out);
-    void free_slot(const target_id& target);
-    bool forward(request_state& request, instant now, actions& out);
+    tracked_request_ptr find(const request_id& id) const;
+    int weight_of(const caller_id& caller) const;
+    admission_view view_of(const class_state& which, const caller_id& caller) const;
+
+    void conclude(const tracked_request_ptr& request, failure what, actions& out);
+    void erase(const tracked_request_ptr& request);
+    void leave_queue(const tracked_request_ptr& request, stage next);
+    void wait_again(const tracked_request_ptr& request, instant now, actions& out);
+
+    void end_attempt(tracked_request& request, const request_ended& event, instant now);
+    void learn(tracked_request& request, const outcome<void>& result, instant now);
+    void after_failure(const tracked_request_ptr& request, const request_ended& event, instant now,
+                       actions& out);
+
+    bool forward(const tracked_request_ptr& request, instant now, actions& out);
+    void forward_waiting(instant now, actions& out);
+
     void dispatch_waiting(instant now, actions& out);
-    bool dispatch_one(class_queue& queue, instant now, actions& out);
-    target_state* freest_target();
-    peer_room* peer_with_room(const pending_request& request, instant now);
-    int slots() const;
-    int free_slots() const;
+    bool start_next(class_state& which, instant now, actions& out);
+    void dispatch(const tracked_request_ptr& request, class_state& which, instant now,
+                  actions& out);
+
+    void pass_deadlines(instant now, actions& out);
+    void start_retries(instant now, actions& out);
 
     scheduler_options m_options;
-    std::map<int, std::vector<class_id>> m_by_urgency;
-    std::unordered_map<class_id, class_queue> m_queues;
-    std::map<target_id, target_state> m_targets;
-    std::unordered_map<request_id, request_state> m_requests;
+    class_table m_classes;
+    target_set m_targets;
+    retry_policy m_retries;
+    peer_choice m_peers;
+    class_queue::weights m_weights;
+    std::unordered_map<request_id, tracked_request_ptr> m_requests;
     std::unordered_map<request_id, target_id> m_occupied; ///< Slots of requests that ended.
-    std::vector<peer_room> m_peers;
+    deadline_index m_deadlines;
+    std::priority_queue<delayed_retry, std::vector<delayed_retry>, std::greater<>> m_delayed;
+    instant m_refreshed{};
     bool m_draining = false;
 };
 
--- /dev/null
+++ b/tests/request/scheduler_policy_test.cpp
@@ -0,0 +1,230 @@
+#include "support/scheduler_driver.hpp"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace dragonflygap;
+using namespace dragonflygap::request;
+
+TEST_GROUP(scheduler_policy)
+{
+    test::scheduler_driver m_driver;
+
+    void setup() override
+    {
+        m_driver.classes({{.m_name = class_id("tablet"), .m_urgency = 0, .m_expected = 10ms},
+                          {.m_name = class_id("plan"), .m_urgency = 6, .m_expected = 5s}});
+        m_driver.targets(8, 8);
+    }
+
+    int submit_plans(int count)
+    {
+        int dispatched = 0;
+        for (int i = 0; i < count; ++i)
+        {
+            m_driver.submit("plan" + std::to_string(m_plans++), "plan", 120s);
+            dispatched += static_cast<int>(m_driver.m_dispatched.size());
+        }
+        return dispatched;
+    }
+
+    void run_tablets(int count)
+    {
+        for (int i = 0; i < count; ++i)
+        {
+            const auto id = "tablet" + std::to_string(m_tablets++);
+            m_driver.submit(id, "tablet");
+            m_driver.pass(10ms);
+            m_driver.end(id);
+        }
+    }
+
+    void hear(const std::string& vm, const std::string& data_centre, std::uint32_t free)
+    {
+        m_driver.send(peers_changed{{{.m_vm = vm_id(vm),
+                                      .m_data_centre = data_centre_id(data_centre),
+                                      .m_free_slots = free,
+                                      .m_heard = m_driver.m_now}}});
+    }
+
+    int m_plans = 0;
+    int m_tablets = 0;
+};
+
+TEST(scheduler_policy, long_work_takes_all_slots_when_nobody_short_comes)
+{
+    CHECK_EQUAL(64, submit_plans(70));
+}
+
+TEST(scheduler_policy, long_work_leaves_room_while_short_work_comes)
+{
+    run_tablets(50);
+    CHECK(submit_plans(70) < 64);
+    m_driver.submit("t", "tablet");
+    CHECK(m_driver.dispatched("t"));
+}
+
+TEST(scheduler_policy, the_room_for_short_work_is_given_back_when_it_stops_coming)
+{
+    run_tablets(50);
+    submit_plans(70);
+    m_driver.pass(31s);
+    CHECK_EQUAL(0, m_driver.m_scheduler.load(m_driver.m_now).m_free_slots);
+    CHECK_EQUAL(64, m_driver.m_scheduler.load(m_driver.m_now).m_classes.back().m_running);
+}
+
+TEST(scheduler_policy, a_class_that_turns_out_long_loses_its_room)
+{
+    for (int i = 0; i < 40; ++i)
+    {
+        const auto id = "tablet" + std::to_string(i);
+        m_driver.submit(id, "tablet", 60s);
+        m_driver.pass(5s);
+        m_driver.end(id);
+    }
+    m_driver.pass(50ms);
+    CHECK_EQUAL(64, submit_plans(70));
+}
+
+TEST(scheduler_policy, the_slot_share_bounds_a_class_while_others_wait)
+{
+    m_driver.classes(
+        {{.m_name = class_id("tablet"), .m_urgency = 6, .m_expected = 1s},
+         {.m_name = class_id("plan"), .m_urgency = 0, .m_expected = 1s, .m_slot_share = 0.5}});
+    submit_plans(64);
+    m_driver.submit("t", "tablet");
+    submit_plans(8);
+    for (int i = 0; i < 40; ++i)
+        m_driver.end("plan" + std::to_string(i));
+    m_driver.pass(10ms);
+    const auto load = m_driver.m_scheduler.load(m_driver.m_now);
+    CHECK_EQUAL(32, load.m_classes.front().m_running);
+}
+
+TEST(scheduler_policy, what_can_not_end_by_its_deadline_is_refused_at_once)
+{
+    submit_plans(64);
+    for (int i = 0; i < 200; ++i)
+        m_driver.submit("more" + std::to_string(i), "plan", 12s);
+    CHECK(m_driver.m_refused["more199"].m_reason == reason::deadline_unreachable);
+    CHECK(m_driver.m_refused["more199"].m_verdict == verdict::not_run);
+}
+
+TEST(scheduler_policy, a_caller_within_its_share_is_admitted_beside_a_flood)
+{
+    submit_plans(64);
+    for (int i = 0; i < 200; ++i)
+        m_driver.submit("more" + std::to_string(i), "plan", 12s, "flood");
+    m_driver.submit("quiet", "plan", 12s, "grower");
+    CHECK(m_driver.m_refused.empty());
+}
+
+TEST(scheduler_policy, the_queue_of_a_class_is_bounded)
+{
+    m_driver.classes({{.m_name = class_id("plan"), .m_expected = 1ms, .m_max_queued = 100}});
+    submit_plans(64 + 100);
+    CHECK(m_driver.m_refused.empty());
+    submit_plans(1);
+    CHECK(m_driver.m_refused.begin()->second.m_reason == reason::queue_full);
+}
+
+TEST(scheduler_policy, a_wrong_estimate_does_not_keep_a_class_out_for_good)
+{
+    for (int i = 0; i < 40; ++i)
+    {
+        m_driver.submit(std::to_string(i), "tablet", 60s);
+        m_driver.pass(5s);
+        m_driver.end(std::to_string(i));
+    }
+    m_driver.submit("t", "tablet", 100ms);
+    CHECK(m_driver.dispatched("t"));
+}
+
+TEST(scheduler_policy, without_room_here_a_request_goes_to_a_peer_that_has_some)
+{
+    submit_plans(64);
+    hear("peer", "a", 1);
+    submit_plans(1);
+    CHECK(m_driver.m_forwarded["plan64"] == vm_id("peer"));
+    submit_plans(1);
+    CHECK(m_driver.m_forwarded.empty());
+}
+
+TEST(scheduler_policy, an_old_digest_is_not_trusted)
+{
+    submit_plans(64);
+    hear("peer", "a", 1);
+    m_driver.m_now += 2s;
+    submit_plans(1);
+    CHECK(m_driver.m_forwarded.empty());
+}
+
+TEST(scheduler_policy, a_forwarded_request_is_not_forwarded_on)
+{
+    submit_plans(64);
+    hear("peer", "a", 5);
+    m_driver.submit("1", "plan", 60s, "c", true, 1);
+    CHECK(m_driver.m_forwarded.empty());
+}
+
+TEST(scheduler_policy, what_a_peer_refuses_waits_here_and_is_not_forwarded_again)
+{
+    submit_plans(64);
+    hear("peer", "a", 5);
+    submit_plans(1);
+    m_driver.send(forward_failed{request_id("plan64"), {verdict::not_run, reason::queue_full, ""}});
+    CHECK(m_driver.m_failed.empty() && m_driver.m_refused.empty());
+    m_driver.m_now += 1s;
+    hear("peer", "a", 5);
+    CHECK(m_driver.m_forwarded.empty());
+    m_driver.end("plan0");
+    CHECK(m_driver.dispatched("plan64"));
+}
+
+TEST(scheduler_policy, what_a_peer_may_have_run_is_not_run_here)
+{
+    submit_plans(64);
+    hear("peer", "a", 5);
+    submit_plans(1);
+    m_driver.send(
+        forward_failed{request_id("plan64"), {verdict::may_have_run, reason::timeout, ""}});
+    CHECK(m_driver.m_failed["plan64"].m_verdict == verdict::may_have_run);
+}
+
+TEST(scheduler_policy, draining_hands_queued_requests_to_peers_and_serves_the_others)
+{
+    submit_plans(64);
+    submit_plans(2);
+    hear("peer", "a", 0);
+    m_driver.m_now += 1ms;
+    m_driver.send(drain_started{});
+    m_driver.submit("late", "plan", 60s);
+    CHECK(m_driver.m_refused["late"].m_reason == reason::draining);
+    hear("peer", "a", 1);
+    CHECK_EQUAL(1, m_driver.m_forwarded.size());
+    m_driver.end("plan0");
+    CHECK_EQUAL(1, m_driver.m_dispatched.size());
+    CHECK_EQUAL(0, m_driver.m_scheduler.load(m_driver.m_now).m_free_slots);
+}
+
+TEST_GROUP(peer_choice){};
+
+TEST(peer_choice, a_peer_of_the_same_data_centre_goes_first)
+{
+    peer_choice choice({.m_data_centre = data_centre_id("a")});
+    const instant now{1000s};
+    choice.assign(std::vector<peer_room>{{vm_id("far"), data_centre_id("b"), 90, 0, now},
+                                         {vm_id("near"), data_centre_id("a"), 1, 0, now}});
+    CHECK(choice.take(now)->m_vm == vm_id("near"));
+    CHECK(choice.take(now)->m_vm == vm_id("far"));
+}
+
+TEST(peer_choice, room_that_was_given_away_comes_back_only_with_a_newer_digest)
+{
+    peer_choice choice({});
+    const instant now{1000s};
+    const std::vector<peer_room> peers{{vm_id("p"), data_centre_id("a"), 1, 0, now}};
+    choice.assign(peers);
+    CHECK(choice.take(now) != nullptr);
+    choice.assign(peers);
+    CHECK(choice.take(now) == nullptr);
+}
