--- a/src/dragonflygap/request/class_queue.cpp
+++ b/src/dragonflygap/request/class_queue.cpp
@@ -64,7 +64,7 @@
     const caller_id caller = m_active.begin()->second;
     auto& flow = m_flows.find(caller)->second;
     drop_void_front(flow);
-    const auto request = flow.m_entries.front().m_request;
+    auto request = std::move(flow.m_entries.front().m_request);
     flow.m_entries.pop_front();
     m_virtual_time = std::max(m_virtual_time, flow.m_start);
     move_start(flow, caller, flow.m_start + 1.0 / flow.m_weight);
--- a/src/dragonflygap/request/class_table.cpp
+++ b/src/dragonflygap/request/class_table.cpp
@@ -62,6 +62,7 @@
     }
     std::swap(m_classes, next);
     std::vector<std::unique_ptr<class_state>> removed;
+    removed.reserve(next.size());
     for (auto& [name, state] : next)
         removed.push_back(std::move(state));
     m_order.clear();
--- a/tests/request/scheduler_property_test.cpp
+++ b/tests/request/scheduler_property_test.cpp
@@ -10,7 +10,7 @@
 namespace
 {
 
-constexpr int targets = 4;
+constexpr int targets = 2;
 constexpr int slots = 2;
 
 /// Plays callers, targets and peers at random and checks after every event what must always hold.
@@ -26,14 +26,14 @@
 
     void step()
     {
-        switch (*rc::gen::inRange(0, 13))
+        switch (*rc::gen::inRange(0, 15))
         {
         case 0:
         case 1:
         case 2:
         case 3:
-            return submit();
         case 4:
+            return submit();
         case 5:
             return succeed();
         case 6:
@@ -45,10 +45,14 @@
         case 9:
             return answer_forward();
         case 10:
-            return change_surroundings();
+        case 11:
+            return hear_peer();
+        case 12:
+            return change_targets();
         default:
             m_driver.pass(*rc::gen::inRange(0, 200) * 1ms);
-            return note_actions();
+            note_actions();
+            return check_deadlines();
         }
     }
 
@@ -79,6 +83,7 @@
         int m_finals = 0;
         int m_forwards = 0;
         target_id m_target;
+        instant m_deadline{};
     };
 
     bool all_ended() const
@@ -99,9 +104,11 @@
         const auto id = std::to_string(m_records.size());
         auto& record = m_records[id];
         record.m_idempotent = *rc::gen::arbitrary<bool>();
-        m_driver.submit(id, *rc::gen::element<std::string>("tablet", "plan", "none"),
-                        *rc::gen::inRange(1, 5000) * 1ms, *rc::gen::element<std::string>("a", "b"),
-                        record.m_idempotent, *rc::gen::inRange<std::uint32_t>(0, 2));
+        const duration deadline = *rc::gen::inRange(1, 5000) * 1ms;
+        record.m_deadline = m_driver.m_now + deadline;
+        m_driver.submit(id, *rc::gen::element<std::string>("tablet", "plan", "plan", "none"),
+                        deadline, *rc::gen::element<std::string>("a", "b"), record.m_idempotent,
+                        *rc::gen::inRange<std::uint32_t>(0, 2));
         note_actions();
     }
 
@@ -183,17 +190,28 @@
                         *rc::gen::arbitrary<bool>());
     }
 
-    void change_surroundings()
+    void change_targets()
     {
-        if (*rc::gen::arbitrary<bool>())
-            m_driver.targets(*rc::gen::inRange(0, targets + 1), slots, *rc::gen::arbitrary<bool>());
-        else
-            m_driver.send(peers_changed{{{.m_vm = vm_id("peer"),
-                                          .m_free_slots = *rc::gen::inRange<std::uint32_t>(0, 4),
-                                          .m_heard = m_driver.m_now}}});
+        m_driver.targets(*rc::gen::inRange(0, targets + 1), slots, *rc::gen::arbitrary<bool>());
         note_actions();
     }
 
+    void hear_peer()
+    {
+        m_driver.m_now += 1ms;
+        m_driver.send(peers_changed{{{.m_vm = vm_id("peer"),
+                                      .m_free_slots = *rc::gen::inRange<std::uint32_t>(0, 4),
+                                      .m_heard = m_driver.m_now}}});
+        note_actions();
+    }
+
+    void check_deadlines() const
+    {
+        for (const auto& [id, record] : m_records)
+            RC_ASSERT(record.m_finals == 1 || m_running.contains(id) || m_at_peers.contains(id) ||
+                      record.m_deadline > m_driver.m_now);
+    }
+
     void note_actions()
     {
         for (const auto& [id, action] : m_driver.m_dispatched)
@@ -266,7 +284,7 @@
         []
         {
             random_run run;
-            const int steps = *rc::gen::inRange(1, 300);
+            const int steps = *rc::gen::inRange(100, 500);
             for (int i = 0; i < steps; ++i)
                 run.step();
             run.finish();
