--- a/src/dragonflygap/daemon/control_task.cpp
+++ b/src/dragonflygap/daemon/control_task.cpp
@@ -7,14 +7,18 @@
 #include <nlohmann/json.hpp>
 
 #include "dragonflygap/daemon/config_driver.hpp"
+#include "dragonflygap/daemon/control_meter.hpp"
 #include "dragonflygap/daemon/job_driver.hpp"
 #include "dragonflygap/daemon/member_driver.hpp"
 #include "dragonflygap/daemon/operator_api.hpp"
 #include "dragonflygap/daemon/ownership_driver.hpp"
+#include "dragonflygap/net/counted_transport.hpp"
 #include "dragonflygap/net/event_loop.hpp"
 #include "dragonflygap/net/http_server.hpp"
+#include "dragonflygap/observe/history.hpp"
 #include "dragonflygap/observe/log.hpp"
 #include "dragonflygap/observe/metrics.hpp"
+#include "dragonflygap/platform/guarded_table.hpp"
 #include "dragonflygap/platform/http_platform.hpp"
 
 namespace dragonflygap::daemon
@@ -34,14 +38,18 @@
           control_task_options options)
         : m_loop(loop),
           m_options(std::move(options)),
-          m_platform{.m_address = m_options.m_platform, .m_transport = to_platform},
+          m_traffic(std::make_shared<call_traffic>()),
+          m_platform{.m_address = m_options.m_platform,
+                     .m_transport = make_counted_transport(to_platform, m_traffic)},
           m_vm_list(platform::make_http_vm_list(m_platform)),
+          m_table(loop, platform::make_http_table(m_platform), {.m_seed = m_options.m_incarnation},
+                  counted),
           m_members(loop, member_options()),
-          m_config(loop, platform::make_http_table(m_platform),
-                   [this](const config::versioned_document& changed) { on_config(changed); }),
-          m_ownership(loop, platform::make_http_table(m_platform), keeper_options(),
+          m_meter(loop, counted, m_members.link(), m_traffic),
+          m_config(loop, m_table.port(platform::call_priority::normal), config_options()),
+          m_ownership(loop, m_table.port(platform::call_priority::lease), keeper_options(),
                       [this](const auto& epochs) { on_groups(epochs); }),
-          m_jobs(loop, platform::make_http_table(m_platform),
+          m_jobs(loop, m_table.port(platform::call_priority::normal),
                  platform::make_http_workers(m_platform),
                  {.m_vm = m_options.m_settings.m_vm,
                   .m_incarnation = m_options.m_incarnation,
@@ -53,12 +61,7 @@
                           { answer_operator(m_api, request, exchange); }})
     {
         m_vm_timer = m_loop.every(vm_list_interval, [this] { poll_vms(); });
-        m_loop.post(
-            [this]
-            {
-                on_config(m_config.in_force());
-                poll_vms();
-            });
+        m_loop.post([this] { poll_vms(); });
     }
 
     std::uint16_t operator_port() const { return m_server.port(); }
@@ -86,6 +89,21 @@
                 .m_incarnation = m_options.m_incarnation};
     }
 
+    config_driver_options config_options()
+    {
+        return {
+            .m_change_prefix =
+                m_options.m_settings.m_vm.m_value + "." + std::to_string(m_options.m_incarnation),
+            .m_on_changed = [this](const auto& changed) { on_config(changed); },
+            .m_ask_peer = [this](const vm_id& peer)
+            { m_members.send(peer, cluster::config_wanted{m_config.in_force().m_version}); },
+            .m_publish =
+                [this](const auto& accepted)
+            {
+                m_members.send_to_all(cluster::config_update{accepted.m_version, accepted.m_text});
+            }};
+    }
+
     operator_api_options api_options(const metrics& counted)
     {
         return {.m_vm = m_options.m_settings.m_vm,
@@ -99,7 +117,7 @@
                 .m_drain = [this] { begin_stop(); }};
     }
 
-    bool ready() const { return !m_stopping && m_vms_known; }
+    bool ready() const { return !m_stopping && m_vms_known && m_config.known(); }
 
     void fill(cluster::heartbeat& beat) const
     {
@@ -114,7 +132,7 @@
         request::peers_changed changed;
         for (const auto& [vm, member] : m_members.members().members())
         {
-            m_config.on_peer_version(member.m_config_version);
+            m_config.on_peer_version(vm, member.m_config_version);
             if (member.m_status != cluster::member_status::alive)
                 continue;
             changed.m_peers.push_back({.m_vm = vm,
@@ -122,6 +140,9 @@
                                        .m_free_slots = member.m_load.m_free_slots,
                                        .m_heard = member.m_last_heard});
         }
+        // Peers that can't be heard may be cut off from us and still call the platform.
+        constexpr int self = 1;
+        m_table.set_sharers(self + static_cast<int>(m_members.members().members().size()));
         m_options.m_to_requests(std::move(changed));
     }
 
@@ -129,24 +150,47 @@
     {
         if (const auto* update = std::get_if<cluster::config_update>(&message.m_body))
             return m_config.offer(update->m_version, update->m_text);
+        if (const auto* wanted = std::get_if<cluster::config_wanted>(&message.m_body))
+            return answer_config_wanted(message.m_from, *wanted);
         m_options.m_to_requests(
             request::from_peer{message.m_from, message.m_incarnation, std::move(message.m_body)});
     }
 
+    void answer_config_wanted(const vm_id& peer, const cluster::config_wanted& wanted)
+    {
+        const auto& in_force = m_config.in_force();
+        if (in_force.m_version > wanted.m_known_version)
+            m_members.send(peer, cluster::config_update{in_force.m_version, in_force.m_text});
+    }
+
     void on_config(const config::versioned_document& changed)
     {
         m_options.m_to_requests(
             request::classes_changed{changed.m_document.m_classes, changed.m_document.m_callers});
-        if (changed.m_version != 0)
-            m_members.send_to_all(cluster::config_update{changed.m_version, changed.m_text});
+        if (m_options.m_settings.m_history)
+            history::record(history::config_in_force{changed.m_version});
     }
 
     void on_groups(const std::map<ownership::group_index, std::uint64_t>& epochs)
     {
+        if (m_options.m_settings.m_history)
+            record_leases(epochs);
         m_epochs = epochs;
         publish_workers();
     }
 
+    void record_leases(const std::map<ownership::group_index, std::uint64_t>& next) const
+    {
+        const auto& centre = m_options.m_settings.m_data_centre;
+        for (const auto& [group, epoch] : m_epochs)
+            if (const auto kept = next.find(group); kept == next.end() || kept->second != epoch)
+                history::record(history::lease_changed{centre, group, epoch, false});
+        for (const auto& [group, epoch] : next)
+            if (const auto old = m_epochs.find(group);
+                old == m_epochs.end() || old->second != epoch)
+                history::record(history::lease_changed{centre, group, epoch, true});
+    }
+
     void poll_vms()
     {
         m_vm_list.m_list(
@@ -194,7 +238,9 @@
         if (std::exchange(m_stopping, true))
             return;
         log_event(log_level::info, "draining", {});
-        m_members.send_heartbeats();
+        m_members.announce();
+        if (m_options.m_settings.m_history)
+            history::record(history::node_draining{});
         m_options.m_to_requests(request::start_draining{});
         m_drain_timer = m_loop.after(m_options.m_settings.m_drain, [this] { finish_stop(); });
     }
@@ -252,8 +298,10 @@
 
     event_loop& m_loop;
     control_task_options m_options;
+    std::shared_ptr<call_traffic> m_traffic;
     platform::http_platform_options m_platform;
     platform::vm_list_port m_vm_list;
+    platform::guarded_table m_table;
     cluster::load_digest m_load;
     std::map<ownership::group_index, std::uint64_t> m_epochs;
     std::vector<platform::worker> m_workers;
@@ -261,6 +309,7 @@
     bool m_stopping = false;
     bool m_stopped = false;
     member_driver m_members;
+    control_meter m_meter;
     config_driver m_config;
     ownership_driver m_ownership;
     job_driver m_jobs;
