--- a/src/dragonflygap/daemon/member_driver.hpp
+++ b/src/dragonflygap/daemon/member_driver.hpp
@@ -16,7 +16,6 @@
 {
     const config::settings* m_settings = nullptr;
     std::uint64_t m_incarnation = 0;
-    duration m_heartbeat_every = 500ms;
     /// Fills in what other parts know: load, versions, leaving.
     std::function<void(cluster::heartbeat&)> m_fill_heartbeat;
     /// Called after every heartbeat and every change of a member.
@@ -36,7 +35,9 @@
     /// False if the message was certainly not sent.
     bool send(const vm_id& peer, cluster::body body);
     void send_to_all(const cluster::body& body);
-    void send_heartbeats();
+
+    /// Sends a heartbeat to every peer now, for news that can't wait.
+    void announce() { run(cluster::announce_now{}); }
 
     /// Takes a message that came in.
     void receive(std::string_view bytes);
@@ -46,8 +47,12 @@
 
 private:
     bool carry(const vm_id& peer, std::string_view bytes);
-    void tick();
     void run(const cluster::membership_event& event);
+    void act(const cluster::member_changed& action);
+    void act(const cluster::dial_peer& action);
+    void act(const cluster::redial_peer& action);
+    void act(const cluster::forget_peer& action);
+    void act(const cluster::send_heartbeat& action);
 
     event_loop& m_loop;
     member_driver_options m_options;
