--- a/src/dragonflygap/request/request_task.cpp
+++ b/src/dragonflygap/request/request_task.cpp
@@ -23,6 +23,14 @@
 // An answer needs some time to get back to the caller by its deadline.
 constexpr duration peer_answer_margin = 200ms;
 
+scheduler_options scheduler_options_of(const request_task_options& options)
+{
+    // Entry VMs that choose alike would all send their work to the same peer at once.
+    const std::uint64_t seed = std::hash<vm_id>()(options.m_vm) + options.m_incarnation;
+    return {.m_retries = {.m_seed = seed},
+            .m_peers = {.m_data_centre = options.m_data_centre, .m_seed = seed}};
+}
+
 } // namespace
 
 class request_task::state
@@ -34,7 +42,7 @@
           m_executors(std::move(to_executors)),
           m_metrics(counted),
           m_options(std::move(options)),
-          m_scheduler(scheduler_options{}),
+          m_scheduler(scheduler_options_of(m_options)),
           m_server(loop,
                    {.m_listen = m_options.m_listen,
                     .m_max_body_bytes = m_options.m_max_body_bytes,
@@ -47,6 +55,11 @@
 
     std::uint16_t port() const { return m_server.port(); }
 
+    void serve(http_request request, const http_exchange_ptr& exchange)
+    {
+        on_caller(std::move(request), exchange);
+    }
+
     void handle(request_message message)
     {
         std::visit([this](auto& what) { on(std::move(what)); }, message);
@@ -365,6 +378,11 @@
     m_state->handle(std::move(message));
 }
 
+void request_task::serve(http_request request, const http_exchange_ptr& exchange)
+{
+    m_state->serve(std::move(request), exchange);
+}
+
 std::uint16_t request_task::port() const
 {
     return m_state->port();
