Let the stand-in name the revision that a commit puts in force

Cause: the row of the document in force is now config/head. Change: the stand-in's history reads the number from it.

--- a/src/dragonflygap/emulator/cell.cpp
+++ b/src/dragonflygap/emulator/cell.cpp
@@ -20,11 +20,10 @@
 /// Number of the configuration's revision that the writes put in force.
 std::optional<std::uint64_t> written_revision(const std::vector<platform::row_write>& writes)
 {
-    const auto found = std::ranges::find(writes, config::current_key, &platform::row_write::m_key);
+    const auto found = std::ranges::find(writes, config::head_key, &platform::row_write::m_key);
     if (found == writes.end() || !found->m_value)
         return std::nullopt;
-    const auto read = config::read_revision(*found->m_value);
-    return read ? std::optional(read->m_number) : std::nullopt;
+    return config::read_head(*found->m_value);
 }
 
 } // namespace
