--- a/src/dragonflygap/placement/engine.cpp
+++ b/src/dragonflygap/placement/engine.cpp
@@ -1,5 +1,7 @@
 #include "dragonflygap/placement/engine.hpp"
 
+#include <algorithm>
+
 namespace dragonflygap::placement
 {
 
@@ -57,13 +59,13 @@
                 mark_neighbours(slot, sign * tasks);
         if (m_wants_near)
             for (const auto& entry : m_engine.m_by_name.of(rules.m_near))
-                m_engine.m_near[entry.m_slot] = sign > 0;
+                m_engine.m_near[entry.m_slot] += sign;
         if (!rules.m_apart_from.empty())
             for (const auto& entry : m_engine.m_by_name.of(rules.m_apart_from))
-                m_engine.m_excluded[entry.m_slot] = sign > 0;
+                m_engine.m_excluded[entry.m_slot] += sign;
         // The rule holds both ways: it isn't broken by whoever comes second.
         for (const auto& entry : m_engine.m_avoiding.of(m_spec.m_name))
-            m_engine.m_excluded[entry.m_slot] = sign > 0;
+            m_engine.m_excluded[entry.m_slot] += sign;
     }
 
     void mark_neighbours(worker_slot slot, std::int32_t tasks)
@@ -124,6 +126,7 @@
     for (auto* groups : {&m_by_job, &m_by_name, &m_avoiding})
         groups->remove_worker(*slot);
     m_teams.remove_worker(*slot);
+    std::erase_if(m_holds, [&](const room_hold& each) { return each.m_slot == *slot; });
     m_workers[*slot] = {};
     m_slots.erase(worker);
     m_index.remove(*slot);
@@ -168,6 +171,44 @@
         state.m_reserved = false;
 }
 
+void engine::hold(const job_id& job, const worker_id& worker, const resources& size)
+{
+    const auto slot = slot_of(worker);
+    if (!slot)
+        return;
+    m_holds.push_back({job, *slot, size});
+    m_workers[*slot].m_held += size;
+    update_free(*slot);
+}
+
+void engine::drop_hold(const job_id& job, const worker_id& worker)
+{
+    const auto slot = slot_of(worker);
+    const auto found = std::ranges::find_if(m_holds, [&](const room_hold& each)
+                                            { return each.m_job == job && each.m_slot == slot; });
+    if (!slot || found == m_holds.end())
+        return;
+    m_workers[*slot].m_held -= found->m_size;
+    m_holds.erase(found);
+    update_free(*slot);
+}
+
+bool engine::place_on(const job_spec& spec, const worker_id& worker)
+{
+    const auto slot = slot_of(worker);
+    if (!slot || !admits(spec, worker) || !within_quota(spec))
+        return false;
+    const auto own =
+        std::ranges::find_if(m_holds, [&](const room_hold& each)
+                             { return each.m_job == spec.m_id && each.m_slot == slot; });
+    const auto held = own == m_holds.end() ? resources{} : own->m_size;
+    if (!spec.m_size.fits_in(m_index.free(*slot) + held))
+        return false;
+    drop_hold(spec.m_id, worker);
+    take(spec, *slot);
+    return true;
+}
+
 std::optional<worker_id> engine::place(const job_spec& spec)
 {
     const auto slot = choose(spec);
@@ -287,9 +328,9 @@
 {
     const auto& state = m_workers[slot];
     const bool closed = state.m_worker.m_leaving || state.m_suspended;
-    m_index.set_free(slot, closed
-                               ? closed_room
-                               : state.m_worker.m_capacity - state.m_committed - state.m_overuse);
+    m_index.set_free(slot, closed ? closed_room
+                                  : state.m_worker.m_capacity - state.m_committed -
+                                        state.m_overuse - state.m_held);
 }
 
 std::optional<worker_slot> engine::slot_of(const worker_id& worker) const
--- a/src/dragonflygap/placement/engine.hpp
+++ b/src/dragonflygap/placement/engine.hpp
@@ -49,6 +49,13 @@
     void reserve(const job_id& job, std::span<const worker_id> workers);
     void cancel_reservation();
 
+    /// Keeps room of a worker for a job, also room that isn't free yet: others get what is left.
+    void hold(const job_id& job, const worker_id& worker, const resources& size);
+    void drop_hold(const job_id& job, const worker_id& worker);
+
+    /// Takes room for one task on this worker, from what is held for its job first.
+    bool place_on(const job_spec& spec, const worker_id& worker);
+
     /// Takes room for one task of a job; nothing if no worker has it.
     std::optional<worker_id> place(const job_spec& spec);
 
@@ -86,12 +93,19 @@
         inverse_capacity m_inverse;
         resources m_committed;
         resources m_overuse;
+        resources m_held;
         std::int32_t m_rack = 0;
         std::int32_t m_data_centre = 0;
         bool m_used = false;
         bool m_suspended = false;
         bool m_reserved = false;
     };
+    struct room_hold
+    {
+        job_id m_job;
+        worker_slot m_slot = 0;
+        resources m_size;
+    };
     class search;
 
     std::optional<worker_slot> choose(const job_spec& spec);
@@ -110,6 +124,7 @@
     task_counts m_by_name;
     task_counts m_avoiding; ///< Tasks by the name of the job that they must be apart from.
     team_ledger m_teams;
+    std::vector<room_hold> m_holds;
     job_id m_reserved_for;
     std::unordered_map<std::string, std::int32_t> m_rack_numbers;
     std::unordered_map<std::string, std::int32_t> m_data_centre_numbers;
@@ -117,8 +132,8 @@
     std::vector<std::int32_t> m_in_worker;
     std::vector<std::int32_t> m_in_rack;
     std::vector<std::int32_t> m_in_data_centre;
-    std::vector<char> m_excluded;
-    std::vector<char> m_near;
+    std::vector<std::int32_t> m_excluded;
+    std::vector<std::int32_t> m_near;
 };
 
 } // namespace dragonflygap::placement
