--- a/src/dragonflygap/daemon/control_task.cpp
+++ b/src/dragonflygap/daemon/control_task.cpp
@@ -7,10 +7,12 @@
 #include <nlohmann/json.hpp>
 
 #include "dragonflygap/daemon/config_driver.hpp"
+#include "dragonflygap/daemon/control_meter.hpp"
 #include "dragonflygap/daemon/job_driver.hpp"
 #include "dragonflygap/daemon/member_driver.hpp"
 #include "dragonflygap/daemon/operator_api.hpp"
 #include "dragonflygap/daemon/ownership_driver.hpp"
+#include "dragonflygap/net/counted_transport.hpp"
 #include "dragonflygap/net/event_loop.hpp"
 #include "dragonflygap/net/http_server.hpp"
 #include "dragonflygap/observe/history.hpp"
@@ -36,11 +38,14 @@
           control_task_options options)
         : m_loop(loop),
           m_options(std::move(options)),
-          m_platform{.m_address = m_options.m_platform, .m_transport = to_platform},
+          m_traffic(std::make_shared<call_traffic>()),
+          m_platform{.m_address = m_options.m_platform,
+                     .m_transport = make_counted_transport(to_platform, m_traffic)},
           m_vm_list(platform::make_http_vm_list(m_platform)),
           m_table(loop, platform::make_http_table(m_platform), {.m_seed = m_options.m_incarnation},
                   counted),
           m_members(loop, member_options()),
+          m_meter(loop, counted, m_members.link(), m_traffic),
           m_config(loop, m_table.port(platform::call_priority::normal), config_options()),
           m_ownership(loop, m_table.port(platform::call_priority::lease), keeper_options(),
                       [this](const auto& epochs) { on_groups(epochs); }),
@@ -53,7 +58,7 @@
           m_server(loop, {.m_listen = m_options.m_settings.m_operator_listen,
                           .m_handler =
                               [this](const http_request& request, const http_exchange_ptr& exchange)
-                          { answer_operator(m_api, request, exchange); }})
+                          { serve(request, exchange); }})
     {
         m_vm_timer = m_loop.every(vm_list_interval, [this] { poll_vms(); });
         m_loop.post([this] { poll_vms(); });
@@ -61,6 +66,11 @@
 
     std::uint16_t operator_port() const { return m_server.port(); }
 
+    void serve(const http_request& request, const http_exchange_ptr& exchange)
+    {
+        answer_operator(m_api, request, exchange);
+    }
+
     void handle(control_message message)
     {
         std::visit([this](auto& what) { on(std::move(what)); }, message);
@@ -73,6 +83,7 @@
                 .m_incarnation = m_options.m_incarnation,
                 .m_fill_heartbeat = [this](cluster::heartbeat& beat) { fill(beat); },
                 .m_on_members = [this] { on_members(); },
+                .m_carry = m_options.m_carry,
                 .m_on_message = [this](cluster::message message)
                 { on_message(std::move(message)); }};
     }
@@ -226,6 +237,8 @@
 
     void on(to_peer message) { m_members.send(message.m_peer, std::move(message.m_body)); }
 
+    void on(const peer_bytes& message) { m_members.receive(message.m_bytes); }
+
     void on(const stop_requested& /*message*/) { begin_stop(); }
 
     void begin_stop()
@@ -233,7 +246,7 @@
         if (std::exchange(m_stopping, true))
             return;
         log_event(log_level::info, "draining", {});
-        m_members.send_heartbeats();
+        m_members.announce();
         if (m_options.m_settings.m_history)
             history::record(history::node_draining{});
         m_options.m_to_requests(request::start_draining{});
@@ -293,6 +306,7 @@
 
     event_loop& m_loop;
     control_task_options m_options;
+    std::shared_ptr<call_traffic> m_traffic;
     platform::http_platform_options m_platform;
     platform::vm_list_port m_vm_list;
     platform::guarded_table m_table;
@@ -303,6 +317,7 @@
     bool m_stopping = false;
     bool m_stopped = false;
     member_driver m_members;
+    control_meter m_meter;
     config_driver m_config;
     ownership_driver m_ownership;
     job_driver m_jobs;
@@ -325,6 +340,11 @@
     m_state->handle(std::move(message));
 }
 
+void control_task::serve(const http_request& request, const http_exchange_ptr& exchange)
+{
+    m_state->serve(request, exchange);
+}
+
 std::uint16_t control_task::operator_port() const
 {
     return m_state->operator_port();
