--- a/bench/placement/workload.cpp
+++ b/bench/placement/workload.cpp
@@ -49,7 +49,8 @@
     // Small sizes are common and large ones rare: the square of an even draw.
     const auto draw = static_cast<double>(between(0, 1000)) / 1000.0;
     const std::int64_t steps = m_options.m_most_millicores / step;
-    spec.m_size.m_millicores = step * (1 + static_cast<std::int64_t>(draw * draw * static_cast<double>(steps - 1)));
+    spec.m_size.m_millicores =
+        step * (1 + static_cast<std::int64_t>(draw * draw * static_cast<double>(steps - 1)));
     // 1 to 3 MB for each thousandth of a core; workers have 2.
     spec.m_size.m_memory_mb = spec.m_size.m_millicores * between(4, 12) / 4;
     const auto kind = between(0, 99);
