--- a/bench/placement/placement_main.cpp
+++ b/bench/placement/placement_main.cpp
@@ -11,9 +11,13 @@
         measure_decisions();
     else if (what == "packing")
         measure_packing();
+    else if (what == "gangs")
+        measure_gang_wait();
+    else if (what == "urgent")
+        measure_urgent();
     else
     {
-        std::cerr << "usage: bench-placement decisions | packing\n";
+        std::cerr << "usage: bench-placement decisions | packing | gangs | urgent\n";
         return 2;
     }
     return 0;
