Split the request task, claim keys before dispatch, and ask targets about silent calls

Cause: one file held callers, executors and peers; keys were carried but not claimed; a call that was given up freed its slot at once; a peer's death or a refused link left callers waiting for the deadline. Change: caller_server, in_flight, executor_calls and peer_forwards each have one job. Claims go through the control task (key_driver). Executors are asked on a new connection about calls that last; a slot is free only when the target says so, or after 60 s in which it can't be asked. Forwarded calls are told apart by number and incarnation, fail as not_run if the link refused them and as may_have_run if the peer died. DELETE /v1/requests cancels. Connections to an executor are bounded by 24 and 4 for questions, so two owners stay under 60 while ownership moves.

--- a/src/dragonflygap/daemon/control_task.cpp
+++ b/src/dragonflygap/daemon/control_task.cpp
@@ -8,6 +8,7 @@
 
 #include "dragonflygap/daemon/config_driver.hpp"
 #include "dragonflygap/daemon/job_driver.hpp"
+#include "dragonflygap/daemon/key_driver.hpp"
 #include "dragonflygap/daemon/member_driver.hpp"
 #include "dragonflygap/daemon/operator_api.hpp"
 #include "dragonflygap/daemon/ownership_driver.hpp"
@@ -49,6 +50,8 @@
                  {.m_vm = m_options.m_settings.m_vm,
                   .m_incarnation = m_options.m_incarnation,
                   .m_history = m_options.m_settings.m_history}),
+          m_keys(loop, m_table.port(platform::call_priority::normal), key_options(),
+                 m_options.m_to_requests),
           m_api(api_options(counted)),
           m_server(loop, {.m_listen = m_options.m_settings.m_operator_listen,
                           .m_handler =
@@ -84,6 +87,24 @@
                 .m_incarnation = m_options.m_incarnation};
     }
 
+    request::key_claims_options key_options() const
+    {
+        return {.m_vm = m_options.m_settings.m_vm,
+                .m_incarnation = m_options.m_incarnation,
+                .m_holder_lives = [this](const vm_id& vm, std::uint64_t incarnation)
+                { return lives(vm, incarnation); }};
+    }
+
+    bool lives(const vm_id& vm, std::uint64_t incarnation) const
+    {
+        if (vm == m_options.m_settings.m_vm)
+            return incarnation == m_options.m_incarnation;
+        const auto& members = m_members.members().members();
+        const auto found = members.find(vm);
+        return found != members.end() && found->second.m_incarnation == incarnation &&
+               found->second.m_status != cluster::member_status::dead;
+    }
+
     config_driver_options config_options()
     {
         return {
@@ -128,6 +149,7 @@
         for (const auto& [vm, member] : m_members.members().members())
         {
             m_config.on_peer_version(vm, member.m_config_version);
+            note_process(member);
             if (member.m_status != cluster::member_status::alive)
                 continue;
             changed.m_peers.push_back({.m_vm = vm,
@@ -224,7 +246,29 @@
 
     void on(load_changed message) { m_load = std::move(message.m_load); }
 
-    void on(to_peer message) { m_members.send(message.m_peer, std::move(message.m_body)); }
+    void note_process(const cluster::member& member)
+    {
+        const request::peer_process_changed seen{.m_vm = member.m_vm,
+                                                 .m_incarnation = member.m_incarnation,
+                                                 .m_dead = member.m_status ==
+                                                           cluster::member_status::dead};
+        auto& known = m_processes[member.m_vm];
+        if (known.m_incarnation == seen.m_incarnation && known.m_dead == seen.m_dead)
+            return;
+        known = seen;
+        m_options.m_to_requests(seen);
+    }
+
+    void on(to_peer message)
+    {
+        const auto* request = std::get_if<cluster::forwarded_request>(&message.m_body);
+        const auto call = request == nullptr ? 0 : request->m_call;
+        const bool sent = m_members.send(message.m_peer, std::move(message.m_body));
+        if (!sent && call != 0)
+            m_options.m_to_requests(request::forward_not_sent{call});
+    }
+
+    void on(request::claim_message message) { m_keys.handle(std::move(message)); }
 
     void on(const stop_requested& /*message*/) { begin_stop(); }
 
@@ -298,6 +342,7 @@
     platform::guarded_table m_table;
     cluster::load_digest m_load;
     std::map<ownership::group_index, std::uint64_t> m_epochs;
+    std::map<vm_id, request::peer_process_changed> m_processes;
     std::vector<platform::worker> m_workers;
     bool m_vms_known = false;
     bool m_stopping = false;
@@ -306,6 +351,7 @@
     config_driver m_config;
     ownership_driver m_ownership;
     job_driver m_jobs;
+    key_driver m_keys;
     operator_api_options m_api;
     http_server m_server;
     event_loop::timer_ptr m_vm_timer;
--- a/src/dragonflygap/daemon/control_task.hpp
+++ b/src/dragonflygap/daemon/control_task.hpp
@@ -38,7 +38,8 @@
 {
 };
 /// What other tasks tell the control task.
-using control_message = std::variant<load_changed, to_peer, requests_drained, stop_requested>;
+using control_message =
+    std::variant<load_changed, to_peer, requests_drained, stop_requested, request::claim_message>;
 
 struct control_task_options
 {
--- a/src/dragonflygap/daemon/daemon.cpp
+++ b/src/dragonflygap/daemon/daemon.cpp
@@ -24,7 +24,9 @@
 {
 
 constexpr int platform_connections = 16;
-constexpr int executor_connections = 16;
+// An executor allows about 60 connections. At a change of owner the old and the new one share them.
+constexpr int executor_connections = 24;
+constexpr int probe_connections = 4;
 
 std::uint64_t new_incarnation()
 {
@@ -55,15 +57,14 @@
 class outgoing
 {
 public:
-    outgoing(event_loop& loop, std::optional<emulator::cell>& cell, int connections,
-             const vm_id& vm)
+    outgoing(event_loop& loop, std::optional<emulator::cell>& cell,
+             const http_client_options& options, const vm_id& vm)
     {
         if (cell)
             m_transport = emulator::make_embedded_transport(loop, *cell);
         else
         {
-            m_client.emplace(loop,
-                             http_client_options{.m_max_connections_per_endpoint = connections});
+            m_client.emplace(loop, options);
             m_transport = named(vm, make_transport(*m_client));
         }
     }
@@ -89,8 +90,16 @@
 
     event_loop control_loop;
     event_loop request_loop;
-    const outgoing to_platform(control_loop, cell, platform_connections, settings.m_vm);
-    const outgoing to_executors(request_loop, cell, executor_connections, settings.m_vm);
+    const outgoing to_platform(control_loop, cell,
+                               {.m_max_connections_per_endpoint = platform_connections},
+                               settings.m_vm);
+    const outgoing to_executors(request_loop, cell,
+                                {.m_max_body_bytes = settings.m_max_body_bytes,
+                                 .m_max_connections_per_endpoint = executor_connections},
+                                settings.m_vm);
+    const outgoing probes(request_loop, cell,
+                          {.m_max_connections_per_endpoint = probe_connections, .m_reuse = false},
+                          settings.m_vm);
 
     std::unique_ptr<control_task> control;
     std::unique_ptr<request::request_task> requests;
@@ -101,17 +110,21 @@
                                                   { requests->handle(std::move(message)); });
 
     requests = std::make_unique<request::request_task>(
-        request_loop, to_executors.transport(), counted,
+        request_loop, counted,
         request::request_task_options{
             .m_vm = settings.m_vm,
             .m_incarnation = incarnation,
             .m_listen = settings.m_caller_listen,
             .m_max_body_bytes = settings.m_max_body_bytes,
             .m_history = settings.m_history,
+            .m_to_executors = to_executors.transport(),
+            .m_probes = probes.transport(),
             .m_to_peer =
                 [&to_control](vm_id peer, cluster::body body) {
                     to_control.send(to_peer{std::move(peer), std::move(body)});
                 },
+            .m_to_claims = [&to_control](request::claim_message message)
+            { to_control.send(std::move(message)); },
             .m_on_load = [&to_control](cluster::load_digest load)
             { to_control.send(load_changed{std::move(load)}); },
             .m_on_drained = [&to_control] { to_control.send(requests_drained{}); }});
--- a/src/dragonflygap/request/caller_api.cpp
+++ b/src/dragonflygap/request/caller_api.cpp
@@ -10,6 +10,7 @@
 {
 
 constexpr std::string_view path_prefix = "/v1/requests/";
+constexpr std::string_view all_path = "/v1/requests";
 constexpr std::size_t max_name_bytes = 64;
 constexpr std::size_t max_key_bytes = 128;
 constexpr long long max_deadline_ms = 3600000;
@@ -45,8 +46,33 @@
     return std::optional<bool>(text == "true");
 }
 
+outcome<caller_id> read_caller(const http_request& request)
+{
+    const auto caller = request.header(caller_header);
+    if (!caller.empty() && !is_plain_name(caller, max_name_bytes))
+        return bad(std::string(caller_header) + " must have 1 to 64 visible characters");
+    return caller_id(std::string(caller.empty() ? "anonymous" : caller));
+}
+
 } // namespace
 
+outcome<cancel_request> read_cancel_request(const http_request& request)
+{
+    const bool all = request.m_path == all_path;
+    if (!all && !request.m_path.starts_with(path_prefix))
+        return fail(verdict::not_run, reason::not_found, "requests are cancelled at /v1/requests");
+    if (all && request.header(caller_header).empty())
+        return bad("all requests are cancelled only for the caller in " +
+                   std::string(caller_header));
+    const auto caller = read_caller(request);
+    if (!caller)
+        return tl::make_unexpected(caller.error());
+    cancel_request result{.m_caller = *caller};
+    if (!all)
+        result.m_request = request_id(request.m_path.substr(path_prefix.size()));
+    return result;
+}
+
 outcome<caller_request> read_caller_request(const http_request& request)
 {
     if (!request.m_path.starts_with(path_prefix))
@@ -57,10 +83,10 @@
     result.m_class = class_id(request.m_path.substr(path_prefix.size()));
     if (!is_plain_name(result.m_class.m_value, max_name_bytes))
         return bad("the class in the path must have 1 to 64 visible characters");
-    const auto caller = request.header(caller_header);
-    if (!caller.empty() && !is_plain_name(caller, max_name_bytes))
-        return bad(std::string(caller_header) + " must have 1 to 64 visible characters");
-    result.m_caller = caller_id(std::string(caller.empty() ? "anonymous" : caller));
+    const auto caller = read_caller(request);
+    if (!caller)
+        return tl::make_unexpected(caller.error());
+    result.m_caller = *caller;
     const auto key = request.header(key_header);
     if (!key.empty() && !is_plain_name(key, max_key_bytes))
         return bad(std::string(key_header) + " must have 1 to 128 visible characters");
--- a/src/dragonflygap/request/caller_api.hpp
+++ b/src/dragonflygap/request/caller_api.hpp
@@ -24,6 +24,16 @@
     std::optional<bool> m_idempotent;
 };
 
+/// What a caller wants to cancel: one request, or all of its requests if the id is empty.
+struct cancel_request
+{
+    caller_id m_caller;
+    request_id m_request;
+};
+
+/// Reads DELETE /v1/requests/ID, or DELETE /v1/requests for all requests of the named caller.
+outcome<cancel_request> read_cancel_request(const http_request& request);
+
 /// Reads POST /v1/requests/CLASS; the failure names the header or the part that is wrong.
 outcome<caller_request> read_caller_request(const http_request& request);
 
--- a/src/dragonflygap/request/request_task.cpp
+++ b/src/dragonflygap/request/request_task.cpp
@@ -1,15 +1,17 @@
 #include "dragonflygap/request/request_task.hpp"
 
-#include <algorithm>
 #include <optional>
-#include <unordered_map>
+#include <set>
 #include <utility>
 
 #include "dragonflygap/net/event_loop.hpp"
-#include "dragonflygap/net/http_server.hpp"
 #include "dragonflygap/observe/history.hpp"
 #include "dragonflygap/observe/metrics.hpp"
 #include "dragonflygap/request/caller_api.hpp"
+#include "dragonflygap/request/caller_server.hpp"
+#include "dragonflygap/request/executor_calls.hpp"
+#include "dragonflygap/request/in_flight.hpp"
+#include "dragonflygap/request/peer_forwards.hpp"
 #include "dragonflygap/request/scheduler.hpp"
 
 namespace dragonflygap::request
@@ -20,32 +22,36 @@
 
 constexpr duration tick_interval = 10ms;
 constexpr duration load_interval = 100ms;
-// An answer needs some time to get back to the caller by its deadline.
-constexpr duration peer_answer_margin = 200ms;
+
+// The others belong to the target's connection, and are not carried between entry VMs.
+void keep_own_headers(http_response& answer)
+{
+    http_response kept;
+    for (const auto name : {std::string_view("Content-Type"), replay_header})
+        if (const auto value = answer.header(name); !value.empty())
+            kept.m_headers.push_back({std::string(name), std::string(value)});
+    answer.m_headers = std::move(kept.m_headers);
+}
 
 } // namespace
 
 class request_task::state
 {
 public:
-    state(event_loop& loop, http_transport to_executors, metrics& counted,
-          request_task_options options)
+    state(event_loop& loop, metrics& counted, request_task_options options)
         : m_loop(loop),
-          m_executors(std::move(to_executors)),
           m_metrics(counted),
           m_options(std::move(options)),
           m_scheduler(scheduler_options{}),
-          m_server(loop,
-                   {.m_listen = m_options.m_listen,
-                    .m_max_body_bytes = m_options.m_max_body_bytes,
-                    .m_handler = [this](http_request request, const http_exchange_ptr& exchange)
-                    { on_caller(std::move(request), exchange); }})
+          m_calls(loop, call_options()),
+          m_forwards(loop, forward_options()),
+          m_callers(loop, counted, m_in_flight, caller_options())
     {
         m_tick = m_loop.every(tick_interval, [this] { run({scheduler_tick{}}); });
         m_load_timer = m_loop.every(load_interval, [this] { report_load(); });
     }
 
-    std::uint16_t port() const { return m_server.port(); }
+    std::uint16_t port() const { return m_callers.port(); }
 
     void handle(request_message message)
     {
@@ -53,76 +59,81 @@
     }
 
 private:
-    using answer_hook = std::function<void(outcome<http_response>)>;
+    executor_calls_options call_options()
+    {
+        return {.m_calls = m_options.m_to_executors,
+                .m_probes = m_options.m_probes,
+                .m_on_end = [this](const request_id& id, attempt_end end)
+                { on_attempt_end(id, std::move(end)); },
+                .m_on_slot_freed = [this](const request_id& id) { run({slot_freed{id}}); }};
+    }
 
-    struct in_flight
+    caller_server_options caller_options()
     {
-        pending_request m_request;
-        std::string m_body;
-        answer_hook m_answer;
-        instant m_dispatched{};
-        http_transport::call_id m_call = 0;
-    };
-
-    struct forwarded
+        return {.m_vm = m_options.m_vm,
+                .m_incarnation = m_options.m_incarnation,
+                .m_listen = m_options.m_listen,
+                .m_max_body_bytes = m_options.m_max_body_bytes,
+                .m_on_request = [this](const request_id& id) { begin(id); },
+                .m_on_cancel = [this](const request_id& id) { cancel(id); }};
+    }
+
+    peer_forwards_options forward_options()
     {
-        request_id m_id;
-        vm_id m_peer;
-        event_loop::timer_ptr m_timer;
-    };
+        return {.m_to_peer = m_options.m_to_peer,
+                .m_on_answered =
+                    [this](const request_id& id, http_response answer)
+                {
+                    finish(id, std::move(answer));
+                    run({request_ended{id, {}}});
+                },
+                .m_on_failed =
+                    [this](const request_id& id, failure why) {
+                        run({forward_failed{id, std::move(why)}});
+                    }};
+    }
 
-    void on_caller(http_request request, const http_exchange_ptr& exchange)
+    void cancel(const request_id& id)
     {
-        auto read = read_caller_request(request);
-        if (!read)
-            return refuse_caller(read.error(), exchange);
-        if (m_draining)
-            return refuse_caller({verdict::not_run, reason::draining, "this entry VM is leaving"},
-                                 exchange);
-        const auto known = m_classes.find(read->m_class);
-        if (known == m_classes.end())
-            return refuse_caller({verdict::not_run, reason::unknown_class,
-                                  "no class '" + read->m_class.m_value + "' is configured"},
-                                 exchange);
-        const auto now = monotonic_clock::now();
-        pending_request pending{
-            .m_id = next_id(),
-            .m_caller = read->m_caller,
-            .m_class = read->m_class,
-            .m_key = read->m_key,
-            .m_idempotent = read->m_idempotent.value_or(known->second.m_idempotent),
-            .m_arrived = now,
-            .m_deadline = now + read->m_deadline.value_or(known->second.m_deadline)};
-        exchange->on_hangup([this, id = pending.m_id] { run({request_cancelled{id}}); });
-        accept(std::move(pending), std::move(request.m_body),
-               [exchange](outcome<http_response> answer)
-               { exchange->reply(answer ? *answer : failure_response(answer.error())); });
+        const auto* flight = m_in_flight.find(id);
+        if (flight == nullptr)
+            return;
+        if (flight->m_claim == claim_progress::asked)
+            return finish(id, fail(verdict::not_run, reason::cancelled, "the caller left"));
+        run({request_cancelled{id}});
     }
 
-    void refuse_caller(const failure& why, const http_exchange_ptr& exchange)
+    void begin(const request_id& id)
     {
-        m_metrics.count("dragonflygap_refused_total", {"reason", to_string(why.m_reason)});
-        exchange->reply(failure_response(why));
+        auto& flight = *m_in_flight.find(id);
+        record(history::request_accepted{.m_request = id,
+                                         .m_class = flight.m_request.m_class,
+                                         .m_caller = flight.m_request.m_caller,
+                                         .m_key = flight.m_request.m_key,
+                                         .m_idempotent = flight.m_request.m_idempotent,
+                                         .m_hops = flight.m_request.m_hops});
+        // A forwarded request was claimed where it came in.
+        const bool claims = !flight.m_row_key.empty() && !flight.m_request.m_idempotent;
+        if (!claims)
+            return run({request_submitted{flight.m_request}});
+        flight.m_claim = claim_progress::asked;
+        m_options.m_to_claims(claim_requested{id, flight.m_row_key, flight.m_fingerprint});
     }
 
-    request_id next_id()
+    void on(const claim_granted& event)
     {
-        return request_id(m_options.m_vm.m_value + "." + std::to_string(m_options.m_incarnation) +
-                          "." + std::to_string(++m_last_request));
+        auto* flight = m_in_flight.find(event.m_request);
+        if (flight == nullptr)
+            return m_options.m_to_claims(claim_ended{event.m_request, verdict::not_run, {}});
+        flight->m_claim = claim_progress::granted;
+        run({request_submitted{flight->m_request}});
     }
 
-    void accept(pending_request pending, std::string body, answer_hook answer)
+    void on(const claim_answered& event) { finish(event.m_request, replayed(event.m_answer)); }
+
+    void on(claim_refused event)
     {
-        record(history::request_accepted{.m_request = pending.m_id,
-                                         .m_class = pending.m_class,
-                                         .m_caller = pending.m_caller,
-                                         .m_key = pending.m_key,
-                                         .m_idempotent = pending.m_idempotent,
-                                         .m_hops = pending.m_hops});
-        const auto id = pending.m_id;
-        m_in_flight[id] = {
-            .m_request = pending, .m_body = std::move(body), .m_answer = std::move(answer)};
-        run({request_submitted{std::move(pending)}});
+        finish(event.m_request, tl::make_unexpected(std::move(event.m_failure)));
     }
 
     void run(const scheduler_event& event)
@@ -133,50 +144,48 @@
 
     void act(const dispatch_request& action)
     {
-        const auto found = m_in_flight.find(action.m_id);
-        if (found == m_in_flight.end())
+        auto* flight = m_in_flight.find(action.m_id);
+        if (flight == nullptr)
             return;
-        auto& flight = found->second;
-        flight.m_dispatched = monotonic_clock::now();
+        const auto now = monotonic_clock::now();
+        flight->m_target_error.reset();
         record(history::request_dispatched{action.m_id, action.m_target});
-        m_metrics.observe("dragonflygap_wait_seconds", {"class", flight.m_request.m_class.m_value},
-                          flight.m_dispatched - flight.m_request.m_arrived);
-        http_request call{
-            .m_method = "POST",
-            .m_path = "/execute",
-            .m_headers = {{std::string(request_header), action.m_id.m_value},
-                          {std::string(class_header), flight.m_request.m_class.m_value}},
-            .m_body = flight.m_body};
-        flight.m_call = m_executors.m_send(action.m_address, std::move(call),
-                                           action.m_deadline - flight.m_dispatched,
-                                           [this, id = action.m_id](outcome<http_response> answer)
-                                           { on_executor_answer(id, std::move(answer)); });
+        const auto& class_name = flight->m_request.m_class.m_value;
+        m_metrics.observe("dragonflygap_wait_seconds", {"class", class_name},
+                          now - flight->m_request.m_arrived);
+        http_request call{.m_method = "POST",
+                          .m_path = "/execute",
+                          .m_headers = {{std::string(request_header), action.m_id.m_value},
+                                        {std::string(class_header), class_name}},
+                          .m_body = flight->m_body};
+        m_calls.start(action.m_id, action.m_address, std::move(call), action.m_deadline - now);
     }
 
-    void on_executor_answer(const request_id& id, outcome<http_response> answer)
+    void on_attempt_end(const request_id& id, attempt_end end)
     {
-        if (answer && answer->m_status >= 400)
-            answer = tl::make_unexpected(failure_of_response(*answer));
-        outcome<void> ended;
-        if (!answer)
-            ended = tl::make_unexpected(answer.error());
-        else
-            finish(id, std::move(answer));
-        run({request_ended{id, ended}});
+        auto* flight = m_in_flight.find(id);
+        if (end.m_outcome)
+            finish(id, std::move(*end.m_response));
+        else if (flight != nullptr && end.m_outcome.error().m_verdict == verdict::ran)
+            flight->m_target_error = std::move(end.m_response);
+        run({request_ended{id, end.m_outcome, end.m_slot_free}});
     }
 
     void finish(const request_id& id, outcome<http_response> answer)
     {
-        auto node = m_in_flight.extract(id);
-        if (node.empty())
+        auto ended = m_in_flight.take(id);
+        if (!ended)
             return;
-        auto& flight = node.mapped();
-        const auto& class_name = flight.m_request.m_class.m_value;
+        // The target's own error says more than ours.
+        if (!answer && answer.error().m_verdict == verdict::ran && ended->m_target_error)
+            answer = std::move(*ended->m_target_error);
+        const auto& class_name = ended->m_request.m_class.m_value;
         m_metrics.observe("dragonflygap_total_seconds", {"class", class_name},
-                          monotonic_clock::now() - flight.m_request.m_arrived);
+                          monotonic_clock::now() - ended->m_request.m_arrived);
         if (answer)
         {
             record(history::request_answered{id});
+            keep_own_headers(*answer);
             answer->m_headers.push_back({std::string(verdict_header), "ran"});
             answer->m_headers.push_back({std::string(request_header), id.m_value});
         }
@@ -186,9 +195,12 @@
             m_metrics.count("dragonflygap_refused_total",
                             {"reason", to_string(answer.error().m_reason)});
         }
-        flight.m_answer(std::move(answer));
-        if (m_draining && m_in_flight.empty() && m_options.m_on_drained)
-            m_options.m_on_drained();
+        if (ended->m_claim == claim_progress::granted)
+            m_options.m_to_claims(claim_end_of(id, answer));
+        m_in_flight.keep_answer(*ended, answer);
+        for (const auto& waiter : ended->m_waiters)
+            waiter.m_answer(answer);
+        check_drained();
     }
 
     void act(const refuse_request& action)
@@ -203,118 +215,103 @@
 
     void act(const abort_request& action)
     {
-        const auto found = m_in_flight.find(action.m_id);
-        if (found == m_in_flight.end())
-            return;
-        m_executors.m_cancel(found->second.m_call);
-        finish(action.m_id, fail(verdict::may_have_run, reason::cancelled, "the caller left"));
-        run({request_ended{action.m_id, {}}});
+        const bool slot_free = m_forwards.cancel(action.m_id) || m_calls.abort(action.m_id);
+        const auto left = fail(verdict::may_have_run, reason::cancelled, "the caller left");
+        finish(action.m_id, left);
+        run({request_ended{action.m_id, left, slot_free}});
     }
 
     void act(const forward_request& action)
     {
-        const auto found = m_in_flight.find(action.m_id);
-        if (found == m_in_flight.end())
+        const auto* flight = m_in_flight.find(action.m_id);
+        if (flight == nullptr)
             return;
-        const auto& flight = found->second;
-        const auto call = ++m_last_forward;
-        const auto left = flight.m_request.m_deadline - monotonic_clock::now();
-        cluster::forwarded_request body{.m_call = call,
-                                        .m_request = action.m_id,
-                                        .m_caller = flight.m_request.m_caller,
-                                        .m_class = flight.m_request.m_class,
-                                        .m_key = flight.m_request.m_key,
-                                        .m_idempotent = flight.m_request.m_idempotent,
-                                        .m_hops = flight.m_request.m_hops + 1,
-                                        .m_deadline_ms = to_ms(left),
-                                        .m_body = flight.m_body};
         record(history::request_forwarded{action.m_id, action.m_peer});
-        m_forwards[call] = {action.m_id, action.m_peer,
-                            m_loop.after(left + peer_answer_margin,
-                                         [this, call] { fail_forward(call, reason::timeout); })};
-        m_options.m_to_peer(action.m_peer, std::move(body));
+        m_forwards.send(flight->m_request, flight->m_body, action.m_peer);
     }
 
-    void fail_forward(std::uint64_t call, reason why)
+    void on(const targets_changed& event)
     {
-        const auto node = m_forwards.extract(call);
-        if (!node.empty())
-            run({forward_failed{node.mapped().m_id,
-                                {verdict::may_have_run, why, "the peer gave no answer"}}});
+        std::set<endpoint> addresses;
+        for (const auto& item : event.m_targets)
+            addresses.insert(item.m_address);
+        // The next owner needs the executor's connections.
+        for (const auto& old : m_addresses)
+            if (!addresses.contains(old))
+                m_options.m_to_executors.m_forget(old);
+        m_addresses = std::move(addresses);
+        run(event);
     }
 
-    void on(const targets_changed& event) { run(event); }
-
     void on(const classes_changed& event)
     {
-        m_classes.clear();
-        for (const auto& item : event.m_classes)
-            m_classes[item.m_name] = item;
+        m_callers.set_classes(event.m_classes);
         run(event);
     }
 
     void on(const peers_changed& event) { run(event); }
 
-    void on(from_peer message)
-    {
-        if (auto* request = std::get_if<cluster::forwarded_request>(&message.m_body))
-            return on_forwarded(message.m_from, std::move(*request));
-        if (auto* answer = std::get_if<cluster::forwarded_answer>(&message.m_body))
-            return on_forwarded_answer(std::move(*answer));
-    }
+    void on(const forward_not_sent& event) { m_forwards.not_sent(event.m_call); }
 
-    void on_forwarded(const vm_id& from, cluster::forwarded_request request)
+    void on(const peer_process_changed& event)
     {
-        const auto now = monotonic_clock::now();
-        pending_request pending{.m_id = request.m_request,
-                                .m_caller = request.m_caller,
-                                .m_class = request.m_class,
-                                .m_key = request.m_key,
-                                .m_idempotent = request.m_idempotent,
-                                .m_hops = request.m_hops,
-                                .m_arrived = now,
-                                .m_deadline =
-                                    now + std::chrono::milliseconds(request.m_deadline_ms)};
-        accept(std::move(pending), std::move(request.m_body),
-               [this, from, call = request.m_call](const outcome<http_response>& answer)
-               { m_options.m_to_peer(from, make_answer(call, answer)); });
+        m_forwards.on_peer_heard(event.m_vm, event.m_incarnation);
+        if (event.m_dead)
+            m_forwards.on_peer_lost(event.m_vm);
     }
 
-    static cluster::forwarded_answer make_answer(std::uint64_t call,
-                                                 const outcome<http_response>& answer)
+    void on(from_peer message)
     {
-        if (!answer)
-            return {.m_call = call,
-                    .m_failed = true,
-                    .m_verdict = answer.error().m_verdict,
-                    .m_reason = answer.error().m_reason,
-                    .m_detail = answer.error().m_detail};
-        return {.m_call = call,
-                .m_status = answer->m_status,
-                .m_content_type = std::string(answer->header("Content-Type")),
-                .m_body = answer->m_body};
+        if (auto* request = std::get_if<cluster::forwarded_request>(&message.m_body))
+            return on_forwarded(message.m_from, message.m_incarnation, std::move(*request));
+        if (auto* answer = std::get_if<cluster::forwarded_answer>(&message.m_body))
+            return m_forwards.on_answer(message.m_from, std::move(*answer));
+        if (const auto* dropped = std::get_if<cluster::forwarded_cancel>(&message.m_body))
+            if (const auto id = m_received.request_of(message.m_from, dropped->m_call))
+                cancel(*id);
     }
 
-    void on_forwarded_answer(cluster::forwarded_answer answer)
+    void on_forwarded(const vm_id& from, std::uint64_t incarnation,
+                      cluster::forwarded_request request)
     {
-        const auto node = m_forwards.extract(answer.m_call);
-        if (node.empty())
+        const auto call = request.m_call;
+        const auto id = request.m_request;
+        if (!m_received.admit(from, incarnation, call, id))
             return;
-        const auto& id = node.mapped().m_id;
-        if (answer.m_failed)
-            return run({forward_failed{
-                id, {answer.m_verdict, answer.m_reason, std::move(answer.m_detail)}}});
-        finish(id, http_response{.m_status = answer.m_status,
-                                 .m_headers = {{"Content-Type", answer.m_content_type}},
-                                 .m_body = std::move(answer.m_body)});
-        run({request_ended{id, {}}});
+        answer_hook answer = [this, from, call](const outcome<http_response>& made)
+        {
+            m_received.answered(from, call);
+            m_options.m_to_peer(from, make_forwarded_answer(call, made));
+        };
+        // It came back to where it is in flight already.
+        if (m_in_flight.find(id) != nullptr)
+            return answer(fail(verdict::not_run, reason::conflict, "the request went in a circle"));
+        const auto now = monotonic_clock::now();
+        const auto left = std::chrono::milliseconds(request.m_deadline_ms);
+        m_in_flight.add({.m_request = {.m_id = id,
+                                       .m_caller = request.m_caller,
+                                       .m_class = request.m_class,
+                                       .m_key = request.m_key,
+                                       .m_idempotent = request.m_idempotent,
+                                       .m_hops = request.m_hops,
+                                       .m_arrived = now,
+                                       .m_deadline = now + left},
+                         .m_body = std::move(request.m_body)},
+                        std::move(answer));
+        begin(id);
     }
 
     void on(const start_draining& /*event*/)
     {
         m_draining = true;
+        m_callers.drain();
         run({drain_started{}});
-        if (m_in_flight.empty() && m_options.m_on_drained)
+        check_drained();
+    }
+
+    void check_drained()
+    {
+        if (m_draining && m_in_flight.empty() && m_options.m_on_drained)
             m_options.m_on_drained();
     }
 
@@ -326,6 +323,8 @@
             m_metrics.set("dragonflygap_queued", {"class", item.m_class.m_value}, item.m_queued);
             m_metrics.set("dragonflygap_running", {"class", item.m_class.m_value}, item.m_running);
         }
+        m_metrics.set("dragonflygap_slots_unsettled", {"vm", m_options.m_vm.m_value},
+                      static_cast<double>(m_calls.unsettled()));
         if (m_options.m_on_load)
             m_options.m_on_load(load);
     }
@@ -337,24 +336,22 @@
     }
 
     event_loop& m_loop;
-    http_transport m_executors;
     metrics& m_metrics;
     request_task_options m_options;
     scheduler m_scheduler;
-    std::unordered_map<class_id, config::request_class> m_classes;
-    std::unordered_map<request_id, in_flight> m_in_flight;
-    std::unordered_map<std::uint64_t, forwarded> m_forwards;
-    std::uint64_t m_last_request = 0;
-    std::uint64_t m_last_forward = 0;
+    std::set<endpoint> m_addresses;
+    in_flight_requests m_in_flight;
+    executor_calls m_calls;
+    forwarded_requests m_forwards;
+    received_calls m_received;
     bool m_draining = false;
     event_loop::timer_ptr m_tick;
     event_loop::timer_ptr m_load_timer;
-    http_server m_server;
+    caller_server m_callers;
 };
 
-request_task::request_task(event_loop& loop, http_transport to_executors, metrics& counted,
-                           request_task_options options)
-    : m_state(std::make_unique<state>(loop, std::move(to_executors), counted, std::move(options)))
+request_task::request_task(event_loop& loop, metrics& counted, request_task_options options)
+    : m_state(std::make_unique<state>(loop, counted, std::move(options)))
 {
 }
 
