--- a/src/dragonflygap/request/executor_calls.cpp
+++ b/src/dragonflygap/request/executor_calls.cpp
@@ -58,12 +58,15 @@
 }
 
 void executor_calls::start(const request_id& id, const endpoint& to, http_request request,
-                           duration timeout)
+                           instant deadline)
 {
     const auto now = monotonic_clock::now();
     auto& started = m_executions[id];
-    started = {.m_address = to, .m_next_probe = now + m_options.m_probe_after, .m_last_word = now};
-    started.m_call = m_options.m_calls.m_send(to, std::move(request), timeout,
+    started = {.m_address = to,
+               .m_deadline = deadline,
+               .m_next_probe = now + m_options.m_probe_after,
+               .m_last_word = now};
+    started.m_call = m_options.m_calls.m_send(to, std::move(request), deadline - now,
                                               [this, id](outcome<http_response> answer)
                                               { on_answer(id, std::move(answer)); });
 }
@@ -75,6 +78,7 @@
         return true;
     if (found->second.m_call)
         m_options.m_calls.m_cancel(*found->second.m_call);
+    found->second.m_end.reset();
     hold_slot(found->second);
     return false;
 }
@@ -99,13 +103,10 @@
         end.m_slot_free = answer.error().m_verdict != verdict::may_have_run;
     }
     if (!end.m_slot_free)
-        hold_slot(found->second);
-    else
-    {
-        if (found->second.m_probe)
-            m_options.m_probes.m_cancel(*found->second.m_probe);
-        m_executions.erase(found);
-    }
+        return settle(id, found->second, std::move(end));
+    if (found->second.m_probe)
+        m_options.m_probes.m_cancel(*found->second.m_probe);
+    m_executions.erase(found);
     m_options.m_on_end(id, std::move(end));
 }
 
@@ -113,29 +114,59 @@
 {
     const auto now = monotonic_clock::now();
     held.m_call.reset();
+    // A question that was asked before says nothing about what was still on its way then.
+    if (held.m_probe)
+        m_options.m_probes.m_cancel(*std::exchange(held.m_probe, std::nullopt));
     held.m_last_word = now;
     held.m_said.clear();
     // What was on its way when the call was dropped gets time to arrive before the question.
     held.m_next_probe = now + m_options.m_probe_again;
 }
 
+void executor_calls::settle(const request_id& id, execution& ended, attempt_end end)
+{
+    hold_slot(ended);
+    const auto now = monotonic_clock::now();
+    ended.m_settle_until = std::min(ended.m_deadline, now + m_options.m_settle);
+    ended.m_end = std::move(end);
+    if (now >= ended.m_settle_until)
+        stop_waiting(id, ended);
+}
+
+void executor_calls::stop_waiting(const request_id& id, execution& ended)
+{
+    auto end = std::move(*ended.m_end);
+    ended.m_end.reset();
+    m_options.m_on_end(id, std::move(end));
+}
+
 void executor_calls::free_slot(const request_id& id)
 {
-    m_executions.erase(id);
-    m_options.m_on_slot_freed(id);
+    auto freed = m_executions.extract(id);
+    auto& end = freed.mapped().m_end;
+    if (!end)
+        return m_options.m_on_slot_freed(id);
+    end->m_slot_free = true;
+    m_options.m_on_end(id, std::move(*end));
 }
 
 void executor_calls::tick()
 {
     const auto now = monotonic_clock::now();
     std::vector<request_id> lapsed;
+    std::vector<request_id> unsettled;
     for (auto& [id, item] : m_executions)
     {
+        if (item.m_end && now >= item.m_settle_until)
+            unsettled.push_back(id);
         if (!item.m_call && now - item.m_last_word >= m_options.m_lapse)
             lapsed.push_back(id);
         else if (!item.m_probe && now >= item.m_next_probe)
             probe(id, item);
     }
+    for (const auto& id : unsettled)
+        if (const auto found = m_executions.find(id); found != m_executions.end())
+            stop_waiting(id, found->second);
     for (const auto& id : lapsed)
     {
         log_event(log_level::warning, "slot_lapsed", {{"request", id.m_value}});
@@ -187,19 +218,16 @@
     m_options.m_calls.m_cancel(*silent.m_call);
     m_options.m_calls.m_forget(silent.m_address);
     attempt_end end;
-    if (state == "done")
-    {
-        end.m_outcome = fail(verdict::ran, reason::target_silent,
-                             "the target finished, but its answer was lost on the way");
-        m_executions.erase(id);
-    }
-    else
+    if (state != "done")
     {
         end.m_outcome = fail(verdict::may_have_run, reason::target_silent,
                              "the target doesn't know the request, and its connection is silent");
         end.m_slot_free = false;
-        hold_slot(silent);
+        return settle(id, silent, std::move(end));
     }
+    end.m_outcome = fail(verdict::ran, reason::target_silent,
+                         "the target finished, but its answer was lost on the way");
+    m_executions.erase(id);
     m_options.m_on_end(id, std::move(end));
 }
 
--- a/src/dragonflygap/request/executor_calls.hpp
+++ b/src/dragonflygap/request/executor_calls.hpp
@@ -31,6 +31,8 @@
     duration m_probe_every = 2s;
     duration m_probe_again = 500ms; ///< When the target's word has to be confirmed.
     duration m_probe_timeout = 1s;
+    /// How long the end of a call that may have run waits for the target's word.
+    duration m_settle = 3s;
     /// A slot whose target can't be asked is taken for free after this time.
     duration m_lapse = 60s;
     std::function<void(const request_id& id, attempt_end end)> m_on_end;
@@ -42,14 +44,15 @@
 /// While a call lasts, the target is asked on a new connection whether it still runs the request,
 /// which tells slow work from a dead path. After a call that may have run, or was aborted, the slot
 /// stays taken until the target says that it no longer runs the request, or cannot be asked for
-/// the lapse time.
+/// the lapse time. The end of a call that may have run is reported once the target has said so,
+/// that it may be tried again, or after the settle time.
 class executor_calls
 {
 public:
     executor_calls(event_loop& loop, executor_calls_options options);
 
     /// Starts an attempt; m_on_end is called once, later, unless it is aborted.
-    void start(const request_id& id, const endpoint& to, http_request request, duration timeout);
+    void start(const request_id& id, const endpoint& to, http_request request, instant deadline);
 
     /// Drops the attempt; true if the slot is free at once, else m_on_slot_freed follows.
     bool abort(const request_id& id);
@@ -63,6 +66,9 @@
         endpoint m_address;
         std::optional<http_transport::call_id> m_call; ///< Nothing: only the slot is held.
         std::optional<http_transport::call_id> m_probe;
+        std::optional<attempt_end> m_end; ///< To be reported when the target's word is known.
+        instant m_deadline{};
+        instant m_settle_until{};
         instant m_next_probe{};
         instant m_last_word{}; ///< When the target was last heard about this request.
         std::string m_said;    ///< What the target said last.
@@ -73,6 +79,8 @@
     void probe(const request_id& id, execution& asked);
     void on_probe(const request_id& id, const outcome<http_response>& answer);
     void hold_slot(execution& held);
+    void settle(const request_id& id, execution& ended, attempt_end end);
+    void stop_waiting(const request_id& id, execution& ended);
     void free_slot(const request_id& id);
     void give_up(const request_id& id, execution& silent, const std::string& state);
 
--- a/src/dragonflygap/request/request_task.cpp
+++ b/src/dragonflygap/request/request_task.cpp
@@ -33,6 +33,14 @@
     answer.m_headers = std::move(kept.m_headers);
 }
 
+scheduler_options scheduler_options_of(const request_task_options& options)
+{
+    // Entry VMs that choose alike would all send their work to the same peer at once.
+    const std::uint64_t seed = std::hash<vm_id>()(options.m_vm) + options.m_incarnation;
+    return {.m_retries = {.m_seed = seed},
+            .m_peers = {.m_data_centre = options.m_data_centre, .m_seed = seed}};
+}
+
 } // namespace
 
 class request_task::state
@@ -42,7 +50,7 @@
         : m_loop(loop),
           m_metrics(counted),
           m_options(std::move(options)),
-          m_scheduler(scheduler_options{}),
+          m_scheduler(scheduler_options_of(m_options)),
           m_calls(loop, call_options()),
           m_forwards(loop, forward_options()),
           m_callers(loop, counted, m_in_flight, caller_options())
@@ -158,7 +166,7 @@
                           .m_headers = {{std::string(request_header), action.m_id.m_value},
                                         {std::string(class_header), class_name}},
                           .m_body = flight->m_body};
-        m_calls.start(action.m_id, action.m_address, std::move(call), action.m_deadline - now);
+        m_calls.start(action.m_id, action.m_address, std::move(call), action.m_deadline);
     }
 
     void on_attempt_end(const request_id& id, attempt_end end)
@@ -167,7 +175,12 @@
         if (end.m_outcome)
             finish(id, std::move(*end.m_response));
         else if (flight != nullptr && end.m_outcome.error().m_verdict == verdict::ran)
+        {
             flight->m_target_error = std::move(end.m_response);
+            // An idempotent request whose answer was lost is worth another attempt.
+            if (!flight->m_target_error && flight->m_request.m_idempotent)
+                end.m_outcome.error().m_verdict = verdict::may_have_run;
+        }
         run({request_ended{id, end.m_outcome, end.m_slot_free}});
     }
 
