--- a/src/dragonflygap/request/caller_server.cpp
+++ b/src/dragonflygap/request/caller_server.cpp
@@ -33,7 +33,7 @@
       m_server(loop, {.m_listen = m_options.m_listen,
                       .m_max_body_bytes = m_options.m_max_body_bytes,
                       .m_handler = [this](http_request request, const http_exchange_ptr& exchange)
-                      { on_http(std::move(request), exchange); }})
+                      { serve(std::move(request), exchange); }})
 {
 }
 
@@ -44,7 +44,7 @@
         m_classes[item.m_name] = item;
 }
 
-void caller_server::on_http(http_request request, const http_exchange_ptr& exchange)
+void caller_server::serve(http_request request, const http_exchange_ptr& exchange)
 {
     if (request.m_method == "DELETE")
         return on_cancel(request, exchange);
--- a/src/dragonflygap/request/caller_server.hpp
+++ b/src/dragonflygap/request/caller_server.hpp
@@ -44,10 +44,12 @@
     /// Refuses new requests from now on.
     void drain() { m_draining = true; }
 
+    /// Serves one request, as the server does.
+    void serve(http_request request, const http_exchange_ptr& exchange);
+
     std::uint16_t port() const { return m_server.port(); }
 
 private:
-    void on_http(http_request request, const http_exchange_ptr& exchange);
     outcome<caller_request> read(const http_request& request) const;
     in_flight_request make_request(const caller_request& read, std::string body);
     bool answered_by_earlier(const in_flight_request& made, const http_exchange_ptr& exchange);
--- a/src/dragonflygap/request/request_task.cpp
+++ b/src/dragonflygap/request/request_task.cpp
@@ -63,7 +63,7 @@
 
     void serve(http_request request, const http_exchange_ptr& exchange)
     {
-        on_caller(std::move(request), exchange);
+        m_callers.serve(std::move(request), exchange);
     }
 
     void handle(request_message message)
