Admit by the load that lasts, not by the crest of the moment

Cause: admission took the arrival rate of the last second as lasting until the deadline, so plans with 15 s left were refused at a crest of 10 s. Change: the slots that a class can count on are worked out from the half-minute rate of what is served before it, at least a tenth of all.

--- a/src/dragonflygap/request/arrival_rate.cpp
+++ b/src/dragonflygap/request/arrival_rate.cpp
@@ -43,6 +43,13 @@
     return std::max(copy.m_fast, copy.m_slow);
 }
 
+double arrival_rate::lasting_per_second(instant now) const
+{
+    auto copy = *this;
+    copy.decay(now);
+    return copy.m_slow;
+}
+
 bool arrival_rate::quiet(instant now) const
 {
     return !m_any || now - m_last > quiet_after;
--- a/src/dragonflygap/request/arrival_rate.hpp
+++ b/src/dragonflygap/request/arrival_rate.hpp
@@ -13,6 +13,9 @@
 
     double per_second(instant now) const;
 
+    /// The rate that may be expected to last: a crest counts little until it has lasted.
+    double lasting_per_second(instant now) const;
+
     /// True if nothing has arrived for so long that no room need be kept.
     bool quiet(instant now) const;
 
--- a/src/dragonflygap/request/class_table.cpp
+++ b/src/dragonflygap/request/class_table.cpp
@@ -13,12 +13,19 @@
 // Work this many times shorter is worth an empty slot.
 constexpr int times_shorter = 4;
 
+// However busy the others are, a class can count on this share of the slots.
+constexpr double least_usable_share = 0.1;
+
+double run_seconds(const class_state& which)
+{
+    return std::chrono::duration<double>(which.m_run_time.mean()).count();
+}
+
 double offered_slots(const class_state& which, instant now)
 {
     if (which.m_arrivals.quiet(now))
         return 0;
-    const auto run_time = std::chrono::duration<double>(which.m_run_time.mean()).count();
-    return which.m_arrivals.per_second(now) * run_time;
+    return which.m_arrivals.per_second(now) * run_seconds(which);
 }
 
 } // namespace
@@ -101,22 +108,22 @@
 {
     which.m_shorter.clear();
     double shorter = 0;
-    double urgent = 0;
+    double lasting = 0;
     for (const auto* other : m_order)
     {
         if (other == &which || other->m_class.m_urgency > which.m_class.m_urgency)
             continue;
-        const double offered = offered_slots(*other, now);
-        if (other->m_run_time.mean() * times_shorter <= which.m_run_time.mean())
-        {
-            which.m_shorter.push_back(other);
-            shorter += offered;
-        }
-        else if (other->m_class.m_urgency < which.m_class.m_urgency)
-            urgent += offered;
+        const bool shorter_class =
+            other->m_run_time.mean() * times_shorter <= which.m_run_time.mean();
+        const bool before = shorter_class || other->m_class.m_urgency < which.m_class.m_urgency;
+        lasting += before ? other->m_arrivals.lasting_per_second(now) * run_seconds(*other) : 0;
+        if (!shorter_class)
+            continue;
+        which.m_shorter.push_back(other);
+        shorter += offered_slots(*other, now);
     }
     which.m_reserved = reserved_slots(shorter, slots, m_options);
-    which.m_usable_slots = std::max(1.0, slots - which.m_reserved - urgent);
+    which.m_usable_slots = std::max({1.0, least_usable_share * slots, slots - lasting});
 }
 
 int class_table::kept_free_by(const class_state& which)
