--- /dev/null
+++ b/tests/request_task/executor_calls_test.cpp
@@ -0,0 +1,191 @@
+#include "dragonflygap/request/executor_calls.hpp"
+
+#include <atomic>
+#include <mutex>
+#include <thread>
+
+#include <unistd.h>
+
+#include "dragonflygap/net/http_client.hpp"
+#include "support/raw_target.hpp"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace dragonflygap;
+using namespace dragonflygap::request;
+using namespace dragonflygap::test;
+
+namespace
+{
+
+std::string answer_of(const std::string& body, const std::string& status = "200 OK",
+                      const std::string& headers = "")
+{
+    return "HTTP/1.1 " + status + "\r\n" + headers +
+           "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+}
+
+} // namespace
+
+TEST_GROUP(executor_calls)
+{
+    const request_id m_id{"r"};
+    event_loop m_loop;
+    http_client m_client{m_loop, {}};
+    http_client m_fresh{m_loop, {.m_reuse = false}};
+    std::optional<attempt_end> m_end;
+    bool m_slot_freed = false;
+    std::string m_state = "running"; ///< What the target says of the request.
+    std::mutex m_mutex;
+    std::atomic<int> m_questions = 0;
+    executor_calls m_calls{m_loop,
+                           {.m_calls = make_transport(m_client),
+                            .m_probes = make_transport(m_fresh),
+                            .m_probe_after = 20ms,
+                            .m_probe_every = 20ms,
+                            .m_probe_again = 20ms,
+                            .m_settle = 5s,
+                            .m_lapse = 400ms,
+                            .m_on_end =
+                                [this](const request_id&, attempt_end end)
+                            {
+                                m_end = std::move(end);
+                                m_loop.stop();
+                            },
+                            .m_on_slot_freed =
+                                [this](const request_id&)
+                            {
+                                m_slot_freed = true;
+                                m_loop.stop();
+                            }}};
+
+    void say(const std::string& state)
+    {
+        const std::scoped_lock lock(m_mutex);
+        m_state = state;
+    }
+
+    /// Answers questions about the request; the request itself meets the given end.
+    std::function<void(int)> target(std::function<void(int)> execute)
+    {
+        return [this, execute = std::move(execute)](int socket)
+        {
+            if (read_http_request(socket).starts_with("POST"))
+                return execute(socket);
+            ++m_questions;
+            const std::scoped_lock lock(m_mutex);
+            write_all(socket, answer_of("{\"state\": \"" + m_state + "\"}"));
+        };
+    }
+
+    void start(const raw_target& at, duration timeout = 10s)
+    {
+        m_calls.start(m_id, at.address(), {.m_method = "POST", .m_path = "/execute"},
+                      monotonic_clock::now() + timeout);
+    }
+
+    void check_end(verdict what, reason why, bool slot_free)
+    {
+        CHECK(m_end.has_value());
+        CHECK_FALSE(m_end->m_outcome.has_value());
+        const auto& error = m_end->m_outcome.error();
+        CHECK_EQUAL(std::string(to_string(what)), std::string(to_string(error.m_verdict)));
+        CHECK_EQUAL(std::string(to_string(why)), std::string(to_string(error.m_reason)));
+        CHECK_EQUAL(slot_free, m_end->m_slot_free);
+    }
+};
+
+TEST(executor_calls, a_refusal_that_says_not_run_is_not_run)
+{
+    raw_target at(target(
+        [](int socket)
+        {
+            write_all(socket, answer_of("", "503 Service Unavailable",
+                                        "X-Dragonflygap-Verdict: not_run\r\n"
+                                        "X-Dragonflygap-Reason: target_refused\r\n"));
+        }));
+    start(at);
+    m_loop.run();
+    check_end(verdict::not_run, reason::target_refused, true);
+}
+
+TEST(executor_calls, an_error_of_a_target_that_ran_has_run)
+{
+    raw_target at(
+        target([](int socket) { write_all(socket, answer_of("broke", "500 Internal Error")); }));
+    start(at);
+    m_loop.run();
+    check_end(verdict::ran, reason::target_failed, true);
+    CHECK_EQUAL(std::string("broke"), m_end->m_response->m_body);
+}
+
+TEST(executor_calls, a_lost_answer_has_run_when_the_target_says_done_on_a_new_connection)
+{
+    say("done");
+    // Its first connection goes silent and stays open; another serves the questions.
+    raw_target at(
+        [&](int socket)
+        {
+            if (read_http_request(socket).starts_with("POST"))
+            {
+                std::thread(
+                    [socket = dup(socket)]
+                    {
+                        wait_for_close(socket);
+                        close(socket);
+                    })
+                    .detach();
+                return;
+            }
+            write_all(socket, answer_of("{\"state\": \"done\"}"));
+        });
+    start(at);
+    m_loop.run();
+    check_end(verdict::ran, reason::target_silent, true);
+}
+
+TEST(executor_calls, a_call_that_broke_is_reported_when_the_target_no_longer_runs_it)
+{
+    raw_target at(target([](int) {}));
+    start(at);
+    const auto timer = m_loop.after(100ms, [this] { say("done"); });
+    m_loop.run();
+    check_end(verdict::may_have_run, reason::target_failed, true);
+    CHECK(m_questions >= 2);
+}
+
+TEST(executor_calls, a_slot_stays_taken_while_the_target_says_that_it_runs)
+{
+    raw_target at(target([](int) {}));
+    start(at, 300ms);
+    m_loop.run();
+    check_end(verdict::may_have_run, reason::target_failed, false);
+    CHECK_FALSE(m_slot_freed);
+    CHECK_EQUAL(1, m_calls.unsettled());
+    say("done");
+    m_loop.run();
+    CHECK(m_slot_freed);
+    CHECK_EQUAL(0, m_calls.unsettled());
+}
+
+TEST(executor_calls, an_aborted_call_frees_its_slot_when_the_target_has_finished)
+{
+    raw_target at(target([](int) {}));
+    start(at);
+    CHECK_FALSE(m_calls.abort(m_id));
+    say("unknown");
+    m_loop.run();
+    CHECK(m_slot_freed);
+    CHECK_FALSE(m_end.has_value());
+}
+
+TEST(executor_calls, a_slot_lapses_when_the_target_cannot_be_asked)
+{
+    {
+        raw_target at(target([](int) {}));
+        start(at);
+        CHECK_FALSE(m_calls.abort(m_id));
+    }
+    m_loop.run();
+    CHECK(m_slot_freed);
+}
