Let workers report only what changed since the owner's cursor

Change: answers to renewals carry a cursor, the count and the changed tasks; report_cache puts the whole together and asks for everything when it doesn't add up; one renewal at a time for a worker. Conclusion: bytes no longer grow with running tasks, only with what changes.

--- a/src/dragonflygap/emulator/cell.cpp
+++ b/src/dragonflygap/emulator/cell.cpp
@@ -31,6 +31,8 @@
 cell::cell(cell_options options) : m_options(std::move(options))
 {
     const auto centres = m_options.m_data_centres.size();
+    const auto instance =
+        static_cast<std::uint64_t>(monotonic_clock::now().time_since_epoch().count());
     for (int i = 0; i < m_options.m_workers; ++i)
     {
         const auto& centre = m_options.m_data_centres[static_cast<std::size_t>(i) % centres];
@@ -51,7 +53,8 @@
         { record_task(id, task, at); };
         m_vms.emplace(info.m_address, vm{.m_info = info,
                                          .m_tasks = worker_model(info.m_capacity, on_change),
-                                         .m_executor = executor_model(m_options.m_slots)});
+                                         .m_executor = executor_model(m_options.m_slots),
+                                         .m_reports = report_log(instance)});
     }
 }
 
--- a/src/dragonflygap/emulator/cell.hpp
+++ b/src/dragonflygap/emulator/cell.hpp
@@ -13,12 +13,15 @@
 #include "dragonflygap/core/time.hpp"
 #include "dragonflygap/emulator/executor_model.hpp"
 #include "dragonflygap/emulator/faults.hpp"
+#include "dragonflygap/emulator/report_log.hpp"
 #include "dragonflygap/emulator/table_store.hpp"
 #include "dragonflygap/emulator/worker_model.hpp"
 #include "dragonflygap/net/http_message.hpp"
 #include "dragonflygap/observe/history.hpp"
 #include "dragonflygap/platform/vm_list.hpp"
 
+#include <nlohmann/json_fwd.hpp>
+
 namespace dragonflygap::emulator
 {
 
@@ -66,6 +69,7 @@
         platform::worker m_info;
         worker_model m_tasks;
         executor_model m_executor;
+        report_log m_reports;
         std::set<endpoint> m_connections; ///< Callers' ends of the connections seen so far.
         std::set<endpoint> m_silent;      ///< Those of them that give no answer any more.
     };
@@ -79,6 +83,7 @@
     void record_task(const worker_id& worker, const platform::task_report& task, instant at) const;
     void record(const history::event& what, instant at) const;
     emulated_answer handle_vm(vm& at, const http_request& request, instant now);
+    emulated_answer renew_tasks(vm& at, const nlohmann::json& body, instant now);
     emulated_answer handle_execute(vm& at, const http_request& request, instant now);
 
     std::mutex m_mutex;
--- a/src/dragonflygap/emulator/cell_vm.cpp
+++ b/src/dragonflygap/emulator/cell_vm.cpp
@@ -57,13 +57,21 @@
     if (request.m_path == "/tasks/start")
         return answer_of(at.m_tasks.start(body.get<platform::start_task>(), now));
     if (request.m_path == "/tasks/renew")
-        return answer_of(at.m_tasks.renew(body.get<platform::renew_leases>(), now));
+        return renew_tasks(at, body, now);
     if (request.m_path == "/tasks/stop")
         return answer_of(
             at.m_tasks.stop(body.at("epoch"), task_id(body.at("task").get<std::string>()), now));
     return not_found();
 }
 
+emulated_answer cell::renew_tasks(vm& at, const nlohmann::json& body, instant now)
+{
+    const auto reports = at.m_tasks.renew(body.get<platform::renew_leases>(), now);
+    if (!reports)
+        return {.m_response = failure_response(reports.error())};
+    return json_answer(at.m_reports.answer(*reports, body.value("cursor", "")));
+}
+
 emulated_answer cell::handle_execute(vm& at, const http_request& request, instant now)
 {
     const request_id id(std::string(request.header("X-Dragonflygap-Request")));
--- a/src/dragonflygap/platform/http_platform.cpp
+++ b/src/dragonflygap/platform/http_platform.cpp
@@ -6,6 +6,7 @@
 #include <nlohmann/json.hpp>
 
 #include "dragonflygap/platform/json_codec.hpp"
+#include "dragonflygap/platform/report_cache.hpp"
 
 namespace dragonflygap::platform
 {
@@ -57,6 +58,50 @@
     return std::optional(std::move(*list));
 }
 
+/// Renews leases at workers that tell only what changed.
+class lease_renewer
+{
+public:
+    explicit lease_renewer(http_platform_options options) : m_options(std::move(options)) {}
+
+    void renew(const worker& to, const renew_leases& what, const renew_done& done)
+    {
+        if (!m_cache.begin(to.m_id))
+            return done(fail(verdict::not_run, reason::timeout, "a renewal is under way"));
+        send(to, what, done);
+    }
+
+private:
+    void send(const worker& to, const renew_leases& what, const renew_done& done)
+    {
+        nlohmann::json body = what;
+        body["cursor"] = m_cache.cursor(to.m_id, what.m_epoch);
+        m_options.m_transport.m_send(to.m_address, json_post("/tasks/renew", body),
+                                     m_options.m_timeout,
+                                     [this, to, what, done](outcome<http_response> answer)
+                                     { on_answer(to, what, done, std::move(answer)); });
+    }
+
+    void on_answer(const worker& to, const renew_leases& what, const renew_done& done,
+                   outcome<http_response> answer)
+    {
+        const auto read = read_answer<renewal>(std::move(answer));
+        const auto reports = read ? m_cache.apply(to.m_id, what, *read) : std::nullopt;
+        if (read && !reports && !read->m_complete)
+            return send(to, what, done);
+        m_cache.end(to.m_id);
+        if (reports)
+            return done(*reports);
+        m_cache.forget(to.m_id);
+        if (!read)
+            return done(tl::make_unexpected(read.error()));
+        done(fail(verdict::may_have_run, reason::internal, "the worker's reports don't add up"));
+    }
+
+    http_platform_options m_options;
+    report_cache m_cache;
+};
+
 } // namespace
 
 table_port make_http_table(const http_platform_options& options)
@@ -102,13 +147,9 @@
             options.m_transport.m_send(to.m_address, json_post("/tasks/start", what),
                                        options.m_timeout, reading<task_report>(std::move(done)));
         },
-        .m_renew =
-            [options](const worker& to, const renew_leases& what, renew_done done)
-        {
-            options.m_transport.m_send(to.m_address, json_post("/tasks/renew", what),
-                                       options.m_timeout,
-                                       reading<std::vector<task_report>>(std::move(done)));
-        },
+        .m_renew = [renewer = std::make_shared<lease_renewer>(options)](
+                       const worker& to, const renew_leases& what, const renew_done& done)
+        { renewer->renew(to, what, done); },
         .m_stop =
             [options](const worker& to, std::uint64_t epoch, const task_id& task, start_done done)
         {
--- a/src/dragonflygap/platform/json_codec.cpp
+++ b/src/dragonflygap/platform/json_codec.cpp
@@ -152,6 +152,22 @@
     from.at("usage").get_to(to.m_usage);
 }
 
+void to_json(nlohmann::json& to, const renewal& from)
+{
+    to = {{"cursor", from.m_cursor},
+          {"complete", from.m_complete},
+          {"count", from.m_count},
+          {"tasks", from.m_tasks}};
+}
+
+void from_json(const nlohmann::json& from, renewal& to)
+{
+    from.at("cursor").get_to(to.m_cursor);
+    from.at("complete").get_to(to.m_complete);
+    from.at("count").get_to(to.m_count);
+    from.at("tasks").get_to(to.m_tasks);
+}
+
 void to_json(nlohmann::json& to, const renew_leases& from)
 {
     to = {{"epoch", from.m_epoch},
--- a/src/dragonflygap/platform/json_codec.hpp
+++ b/src/dragonflygap/platform/json_codec.hpp
@@ -23,6 +23,8 @@
 void from_json(const nlohmann::json& from, start_task& to);
 void to_json(nlohmann::json& to, const task_report& from);
 void from_json(const nlohmann::json& from, task_report& to);
+void to_json(nlohmann::json& to, const renewal& from);
+void from_json(const nlohmann::json& from, renewal& to);
 void to_json(nlohmann::json& to, const renew_leases& from);
 void from_json(const nlohmann::json& from, renew_leases& to);
 
--- a/src/dragonflygap/platform/worker_port.hpp
+++ b/src/dragonflygap/platform/worker_port.hpp
@@ -41,9 +41,12 @@
     task_state m_state = task_state::running;
     resources m_size;  ///< As declared at its start.
     resources m_usage; ///< As measured by the worker, some seconds ago.
+
+    bool operator==(const task_report&) const = default;
 };
 
-/// Renews the leases of all tasks of a worker and forgets ended ones that were dealt with.
+/// Renews the leases of all tasks of a worker, to be answered with all its reports, and forgets
+/// ended ones that were dealt with.
 struct renew_leases
 {
     std::uint64_t m_epoch = 0;
@@ -51,6 +54,15 @@
     std::vector<task_id> m_acknowledged;
 };
 
+/// A worker's answer on the wire: what changed since the cursor that the owner named.
+struct renewal
+{
+    std::string m_cursor;    ///< To be named in the next renewal.
+    bool m_complete = false; ///< Everything is told, not only what changed.
+    std::size_t m_count = 0; ///< Tasks that the worker has now, told or not.
+    std::vector<task_report> m_tasks;
+};
+
 using start_done = std::function<void(outcome<task_report>)>;
 using renew_done = std::function<void(outcome<std::vector<task_report>>)>;
 
