Tell stories of failures in Lua, to the daemons' own tasks on virtual time

Cause: failures were tried on single modules only. Change: tests/scenarios/*.lua read like the stories they test. A small world joins the control and request tasks of several nodes with the stand-in on one virtual clock; entry VMs are killed, paused, replaced and cut off, and the stand-in's faults are switched on. At the end the history checker judges the whole history.

--- a/tests/scenarios/support/world.hpp
+++ b/tests/scenarios/support/world.hpp
@@ -95,6 +95,7 @@
     int task_starts(std::string_view job) const;
 
     std::vector<history_checker::violation> violations();
+    std::string history() const;
 
     // For the nodes and the callers' exchanges:
     bool carry(const std::string& from, const std::string& to, std::string bytes);
@@ -123,6 +124,7 @@
     std::vector<std::function<void()>> m_hang_ups;
     std::uint64_t m_last_incarnation = 0;
     std::uint64_t m_last_call = 0;
+    std::set<std::string> m_draining;
     bool m_double_messages = false;
     std::string m_acting; ///< Whose code runs now.
     call_counts m_calls;
