--- a/src/dragonflygap/daemon/control_task.hpp
+++ b/src/dragonflygap/daemon/control_task.hpp
@@ -46,8 +46,8 @@
     std::string m_bytes;
 };
 /// What other tasks tell the control task.
-using control_message =
-    std::variant<load_changed, to_peer, requests_drained, stop_requested, peer_bytes>;
+using control_message = std::variant<load_changed, to_peer, requests_drained, stop_requested,
+                                     peer_bytes, request::claim_message>;
 
 struct control_task_options
 {
