Make a request task's options in one place

Cause: the scenarios' nodes repeated the wiring of the daemon, which changes often. Change: make_request_options joins a request task to its daemon, for the daemon and the scenarios.

--- a/src/dragonflygap/daemon/daemon.cpp
+++ b/src/dragonflygap/daemon/daemon.cpp
@@ -7,6 +7,7 @@
 #include <utility>
 
 #include "dragonflygap/daemon/control_task.hpp"
+#include "dragonflygap/daemon/request_options.hpp"
 #include "dragonflygap/emulator/cell.hpp"
 #include "dragonflygap/emulator/embedded_transport.hpp"
 #include "dragonflygap/net/event_loop.hpp"
@@ -111,24 +112,11 @@
 
     requests = std::make_unique<request::request_task>(
         request_loop, counted,
-        request::request_task_options{
-            .m_vm = settings.m_vm,
-            .m_data_centre = settings.m_data_centre,
-            .m_incarnation = incarnation,
-            .m_listen = settings.m_caller_listen,
-            .m_max_body_bytes = settings.m_max_body_bytes,
-            .m_history = settings.m_history,
-            .m_to_executors = to_executors.transport(),
-            .m_probes = probes.transport(),
-            .m_to_peer =
-                [&to_control](vm_id peer, cluster::body body) {
-                    to_control.send(to_peer{std::move(peer), std::move(body)});
-                },
-            .m_to_claims = [&to_control](request::claim_message message)
-            { to_control.send(std::move(message)); },
-            .m_on_load = [&to_control](cluster::load_digest load)
-            { to_control.send(load_changed{std::move(load)}); },
-            .m_on_drained = [&to_control] { to_control.send(requests_drained{}); }});
+        make_request_options(settings, {.m_incarnation = incarnation,
+                                        .m_to_executors = to_executors.transport(),
+                                        .m_probes = probes.transport(),
+                                        .m_to_control = [&to_control](control_message message)
+                                        { to_control.send(std::move(message)); }}));
     control = std::make_unique<control_task>(
         control_loop, to_platform.transport(), counted,
         control_task_options{.m_settings = settings,
--- a/tests/scenarios/support/node.cpp
+++ b/tests/scenarios/support/node.cpp
@@ -2,6 +2,7 @@
 
 #include <utility>
 
+#include "dragonflygap/daemon/request_options.hpp"
 #include "scenarios/support/world.hpp"
 
 namespace scenarios
@@ -21,6 +22,8 @@
 {
     const auto id = ++m_last;
     auto& idle = m_idle[to];
+    if (!m_reuse)
+        idle.clear();
     auto connection = static_cast<std::uint16_t>(m_last_connection + 1);
     if (idle.empty())
         m_last_connection = connection;
@@ -40,11 +43,12 @@
     constexpr duration one_way = 500us;
     // What was sent arrives even if the sender is paused or dies meanwhile.
     m_world.arrive(one_way + m_delay,
-                   [&around = m_world, vm = m_vm, id, to, request = std::move(request)]
+                   [this, &around = m_world, alive = std::weak_ptr(m_alive), id, to,
+                    request = std::move(request)]
                    {
                        const auto made = around.cell().handle(to, request, monotonic_clock::now());
-                       if (auto* sender = around.find(vm))
-                           sender->network().answer(id, made);
+                       if (!alive.expired())
+                           answer(id, made);
                    });
     return id;
 }
@@ -74,30 +78,18 @@
 }
 
 node::node(world& around, config::settings settings, std::uint64_t incarnation)
-    : m_loop(m_timers), m_network(around, m_loop, settings.m_vm.m_value)
+    : m_loop(m_timers),
+      m_network(around, m_loop, settings.m_vm.m_value, true),
+      m_probes(around, m_loop, settings.m_vm.m_value, false)
 {
     const auto vm = settings.m_vm;
     m_requests = std::make_unique<request::request_task>(
-        m_loop, m_network.transport(), m_metrics,
-        request::request_task_options{
-            .m_vm = vm,
-            .m_data_centre = settings.m_data_centre,
-            .m_incarnation = incarnation,
-            .m_listen = settings.m_caller_listen,
-            .m_max_body_bytes = settings.m_max_body_bytes,
-            .m_history = true,
-            .m_to_peer =
-                [this](vm_id peer, cluster::body body)
-            {
-                m_loop.post(
-                    [this, peer = std::move(peer), body = std::move(body)] {
-                        m_control->handle(daemon::to_peer{peer, body});
-                    });
-            },
-            .m_on_load = [this](cluster::load_digest load)
-            { m_loop.post([this, load] { m_control->handle(daemon::load_changed{load}); }); },
-            .m_on_drained = [this]
-            { m_loop.post([this] { m_control->handle(daemon::requests_drained{}); }); }});
+        m_loop, m_metrics,
+        daemon::make_request_options(settings, {.m_incarnation = incarnation,
+                                                .m_to_executors = m_network.transport(),
+                                                .m_probes = m_probes.transport(),
+                                                .m_to_control = [this](auto message)
+                                                { tell_control(std::move(message)); }}));
     m_control = std::make_unique<daemon::control_task>(
         m_loop, m_network.transport(), m_metrics,
         daemon::control_task_options{
@@ -111,4 +103,9 @@
             { return around.carry(vm.m_value, peer.m_value, std::string(bytes)); }});
 }
 
+void node::tell_control(daemon::control_message message)
+{
+    m_loop.post([this, message = std::move(message)] { m_control->handle(message); });
+}
+
 } // namespace scenarios
--- a/tests/scenarios/support/node.hpp
+++ b/tests/scenarios/support/node.hpp
@@ -24,8 +24,8 @@
 class virtual_network
 {
 public:
-    virtual_network(world& around, event_loop& loop, std::string vm)
-        : m_world(around), m_loop(loop), m_vm(std::move(vm))
+    virtual_network(world& around, event_loop& loop, std::string vm, bool reuse)
+        : m_world(around), m_loop(loop), m_vm(std::move(vm)), m_reuse(reuse)
     {
     }
 
@@ -49,6 +49,8 @@
     world& m_world;
     event_loop& m_loop;
     std::string m_vm;
+    bool m_reuse; ///< False: a new connection for each call.
+    std::shared_ptr<bool> m_alive = std::make_shared<bool>(true);
     duration m_delay{};
     http_transport::call_id m_last = 0;
     std::uint16_t m_last_connection = 0;
@@ -74,10 +76,13 @@
     bool m_stopped = false;
 
 private:
+    void tell_control(daemon::control_message message);
+
     timer_queue m_timers;
     event_loop m_loop;
     metrics m_metrics;
     virtual_network m_network;
+    virtual_network m_probes;
     std::unique_ptr<request::request_task> m_requests;
     std::unique_ptr<daemon::control_task> m_control;
 };
