--- a/src/dragonflygap/cluster/codec.cpp
+++ b/src/dragonflygap/cluster/codec.cpp
@@ -160,7 +160,11 @@
 {
     try
     {
-        const auto handle = msgpack::unpack(bytes.data(), bytes.size());
+        // Nothing in a message can have more parts than the message has bytes: a damaged size
+        // must not make the unpacker ask for gigabytes.
+        const auto most = bytes.size();
+        const auto handle = msgpack::unpack(bytes.data(), bytes.size(), nullptr, nullptr,
+                                            msgpack::unpack_limit(most, most, most, most, most));
         const msgpack::object& root = handle.get();
         constexpr std::size_t envelope_fields = 5;
         if (root.type != msgpack::type::ARRAY || root.via.array.size != envelope_fields)
--- a/src/dragonflygap/config/schema_check.cpp
+++ b/src/dragonflygap/config/schema_check.cpp
@@ -76,6 +76,10 @@
     {
         return {{"line " + line_of(text, error.byte), "not JSON: " + std::string(error.what())}};
     }
+    catch (const nlohmann::json::out_of_range& error)
+    {
+        return {{"$", "a number is out of range: " + std::string(error.what())}};
+    }
     return check_schema(document, schema);
 }
 
--- a/src/dragonflygap/daemon/operator_api.cpp
+++ b/src/dragonflygap/daemon/operator_api.cpp
@@ -22,7 +22,8 @@
 
 void reply_json(const http_exchange_ptr& exchange, int status, const nlohmann::json& body)
 {
-    exchange->reply(json_response(status, body.dump()));
+    exchange->reply(
+        json_response(status, body.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace)));
 }
 
 void reply_failure(const http_exchange_ptr& exchange, verdict what, reason why, std::string detail)
