Document the API, the settings, the assumptions and what is tried

Cause: the code had one page. Change: pages for the API with every reason, settings and configuration, assumptions with their ports, a glossary with the house style's clashes, scenarios and checks for each promise and failure, related reading and developers. The stand-in ignores SIGPIPE: it died when it answered late to a caller that had gone.

--- a/src/dragonflygap/emulator/emulator_main.cpp
+++ b/src/dragonflygap/emulator/emulator_main.cpp
@@ -46,6 +46,7 @@
 
 int serve(const emulator::cell_options& options)
 {
+    std::signal(SIGPIPE, SIG_IGN); // late answers are written to callers that have gone
     event_loop loop;
     emulator::cell cell(options);
     constexpr duration advance_interval = 100ms;
--- /dev/null
+++ b/tests/docs/docs_test.cpp
@@ -0,0 +1,152 @@
+#include <filesystem>
+#include <fstream>
+#include <iterator>
+#include <set>
+#include <string>
+#include <vector>
+
+#include <nlohmann/json.hpp>
+
+#include "dragonflygap/cli/commands.hpp"
+#include "dragonflygap/core/verdict.hpp"
+#include "dragonflygap/history_checker/checker.hpp"
+#include "dragonflygap/schemas.hpp"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace dragonflygap;
+
+namespace
+{
+
+const std::filesystem::path root = DRAGONFLYGAP_ROOT;
+
+std::string read(const std::filesystem::path& file)
+{
+    std::ifstream stream(root / file);
+    CHECK_TEXT(stream.good(), file.c_str());
+    return {std::istreambuf_iterator<char>(stream), {}};
+}
+
+/// Names of all members that a schema describes, at any depth.
+void collect_members(const nlohmann::json& schema, std::set<std::string>& names)
+{
+    if (schema.contains("properties"))
+        for (const auto& [name, member] : schema["properties"].items())
+        {
+            names.insert(name);
+            collect_members(member, names);
+        }
+    if (schema.contains("items"))
+        collect_members(schema["items"], names);
+}
+
+void check_names_in(const std::string& page, const std::set<std::string>& names)
+{
+    const auto text = read(page);
+    for (const auto& name : names)
+        CHECK_TEXT(text.find("`" + name + "`") != std::string::npos,
+                   (page + " says nothing of " + name).c_str());
+}
+
+std::vector<std::filesystem::path> pages()
+{
+    std::vector<std::filesystem::path> result{root / "README.md"};
+    for (const auto& file : std::filesystem::recursive_directory_iterator(root / "docs"))
+        if (file.path().extension() == ".md")
+            result.push_back(file.path());
+    return result;
+}
+
+/// Words that follow "dragonflygap " at the start of a line of code or in backquotes.
+std::set<std::string> commands_in(const std::string& text)
+{
+    std::set<std::string> result;
+    for (const std::string mark :
+         {"`dragonflygap ", "\n    dragonflygap ", "\n    build/dragonflygap "})
+        for (auto at = text.find(mark); at != std::string::npos; at = text.find(mark, at + 1))
+        {
+            const auto start = at + mark.size();
+            const auto word = text.substr(start, text.find_first_of(" `\n", start) - start);
+            if (!word.starts_with("-"))
+                result.insert(word);
+        }
+    return result;
+}
+
+std::set<std::string> names_of_scenarios()
+{
+    std::set<std::string> result;
+    for (const auto& file : std::filesystem::directory_iterator(root / "tests/scenarios"))
+        if (file.path().extension() == ".lua")
+            result.insert(file.path().stem().string());
+    return result;
+}
+
+} // namespace
+
+TEST_GROUP(docs){};
+
+TEST(docs, name_every_member_of_the_settings_the_configuration_and_of_jobs)
+{
+    std::set<std::string> names;
+    for (const auto schema : {schemas::settings, schemas::config, schemas::job})
+        collect_members(nlohmann::json::parse(schema), names);
+    check_names_in("docs/CONFIGURATION.md", names);
+}
+
+TEST(docs, name_every_reason_with_its_status)
+{
+    const auto text = read("docs/API.md");
+    for (int value = 0; value <= static_cast<int>(reason::internal); ++value)
+    {
+        const auto item = static_cast<reason>(value);
+        const auto line = "| `" + std::string(to_string(item)) + "` | " +
+                          std::to_string(http_status(item)) + " |";
+        CHECK_TEXT(text.find(line) != std::string::npos, line.c_str());
+    }
+}
+
+TEST(docs, use_only_commands_that_exist)
+{
+    for (const auto& page : pages())
+        for (const auto& word : commands_in(read(page)))
+            CHECK_TEXT(cli::usage().find("\n  " + word + " ") != std::string_view::npos,
+                       (page.string() + " uses dragonflygap " + word).c_str());
+}
+
+TEST(docs, name_every_scenario_and_every_rule)
+{
+    auto names = names_of_scenarios();
+    for (const auto& rule : history_checker::rules())
+        names.insert(std::string(rule.m_name));
+    check_names_in("docs/SCENARIOS.md", names);
+}
+
+TEST(docs, link_only_to_files_that_are_there)
+{
+    for (const auto& page : pages())
+    {
+        const auto text = read(page);
+        for (auto at = text.find("]("); at != std::string::npos; at = text.find("](", at + 1))
+        {
+            const auto link = text.substr(at + 2, text.find_first_of(")#", at) - at - 2);
+            if (link.empty() || link.starts_with("http"))
+                continue;
+            CHECK_TEXT(std::filesystem::exists(page.parent_path() / link),
+                       (page.string() + " links to " + link).c_str());
+        }
+    }
+}
+
+TEST(docs, the_index_leads_to_every_page)
+{
+    const auto index = read("docs/README.md");
+    for (const auto& page : pages())
+    {
+        const auto name = std::filesystem::relative(page, root / "docs").string();
+        // The pages of design/ and operations/ are found by the names of their folders.
+        if (name != "README.md" && name.find('/') == std::string::npos)
+            CHECK_TEXT(index.find("(" + name + ")") != std::string::npos, name.c_str());
+    }
+}
