Let a few observed run times outweigh the declared one

Cause: the declared run time counted as four observations, and the estimate was only worked out after every sixteenth; a class declared ten times too long was refused as late. Change: it counts as one, and each of the first 32 observations counts at once.

--- a/src/dragonflygap/request/run_time_estimate.cpp
+++ b/src/dragonflygap/request/run_time_estimate.cpp
@@ -11,11 +11,13 @@
 
 constexpr double buckets_per_octave = 4;
 constexpr double smallest_us = 64;
-constexpr double declared_weight = 4;
+constexpr double declared_weight = 1;
 // An observation counts half after about 180 later ones.
 constexpr double growth_per_observation = 1.0 / 256;
 constexpr double rescale_above = 1e9;
 constexpr int refresh_after = 16;
+// While little is known, every observation counts at once.
+constexpr double little_known = 32;
 constexpr double high_share = 0.9;
 
 } // namespace
@@ -61,7 +63,7 @@
         m_total_time /= m_next_weight;
         m_next_weight = 1;
     }
-    if (++m_since_refresh >= refresh_after)
+    if (++m_since_refresh >= refresh_after || m_total_weight < little_known)
         refresh({});
 }
 
