--- a/src/dragonflygap/request/arrival_rate.cpp
+++ b/src/dragonflygap/request/arrival_rate.cpp
@@ -1,6 +1,5 @@
 #include "dragonflygap/request/arrival_rate.hpp"
 
-#include <algorithm>
 #include <cmath>
 
 namespace dragonflygap::request
@@ -11,6 +10,7 @@
 
 constexpr double fast_s = 1;
 constexpr double slow_s = 30;
+constexpr double chance_deviations = 3;
 constexpr duration quiet_after = 30s;
 
 double seconds(duration value)
@@ -40,7 +40,10 @@
 {
     auto copy = *this;
     copy.decay(now);
-    return std::max(copy.m_fast, copy.m_slow);
+    // A short average swings by chance; only what goes beyond that is a rise.
+    const double by_chance = std::sqrt(copy.m_slow / (2 * fast_s));
+    const bool rising = copy.m_fast > copy.m_slow + chance_deviations * by_chance;
+    return rising ? copy.m_fast : copy.m_slow;
 }
 
 double arrival_rate::lasting_per_second(instant now) const
