--- a/src/dragonflygap/daemon/control_task.cpp
+++ b/src/dragonflygap/daemon/control_task.cpp
@@ -7,10 +7,13 @@
 #include <nlohmann/json.hpp>
 
 #include "dragonflygap/daemon/config_driver.hpp"
+#include "dragonflygap/daemon/control_meter.hpp"
 #include "dragonflygap/daemon/job_driver.hpp"
+#include "dragonflygap/daemon/key_driver.hpp"
 #include "dragonflygap/daemon/member_driver.hpp"
 #include "dragonflygap/daemon/operator_api.hpp"
 #include "dragonflygap/daemon/ownership_driver.hpp"
+#include "dragonflygap/net/counted_transport.hpp"
 #include "dragonflygap/net/event_loop.hpp"
 #include "dragonflygap/net/http_server.hpp"
 #include "dragonflygap/observe/history.hpp"
@@ -36,21 +39,26 @@
           control_task_options options)
         : m_loop(loop),
           m_options(std::move(options)),
-          m_platform{.m_address = m_options.m_platform, .m_transport = to_platform},
+          m_traffic(std::make_shared<call_traffic>()),
+          m_platform{.m_address = m_options.m_platform,
+                     .m_transport = make_counted_transport(to_platform, m_traffic)},
           m_vm_list(platform::make_http_vm_list(m_platform)),
           m_table(loop, platform::make_http_table(m_platform), {.m_seed = m_options.m_incarnation},
                   counted),
           m_members(loop, member_options()),
+          m_meter(loop, counted, m_members.link(), m_traffic),
           m_config(loop, m_table.port(platform::call_priority::normal), config_options()),
           m_ownership(loop, m_table.port(platform::call_priority::lease), keeper_options(),
                       [this](const auto& epochs) { on_groups(epochs); }),
           m_jobs(loop, m_table.port(platform::call_priority::normal),
                  platform::make_http_workers(m_platform), job_options()),
+          m_keys(loop, m_table.port(platform::call_priority::normal), key_options(),
+                 m_options.m_to_requests),
           m_api(api_options(counted)),
           m_server(loop, {.m_listen = m_options.m_settings.m_operator_listen,
                           .m_handler =
                               [this](const http_request& request, const http_exchange_ptr& exchange)
-                          { answer_operator(m_api, request, exchange); }})
+                          { serve(request, exchange); }})
     {
         m_vm_timer = m_loop.every(vm_list_interval, [this] { poll_vms(); });
         m_loop.post([this] { poll_vms(); });
@@ -58,6 +66,11 @@
 
     std::uint16_t operator_port() const { return m_server.port(); }
 
+    void serve(const http_request& request, const http_exchange_ptr& exchange)
+    {
+        answer_operator(m_api, request, exchange);
+    }
+
     void handle(control_message message)
     {
         std::visit([this](auto& what) { on(std::move(what)); }, message);
@@ -70,6 +83,7 @@
                 .m_incarnation = m_options.m_incarnation,
                 .m_fill_heartbeat = [this](cluster::heartbeat& beat) { fill(beat); },
                 .m_on_members = [this] { on_members(); },
+                .m_carry = m_options.m_carry,
                 .m_on_message = [this](cluster::message message)
                 { on_message(std::move(message)); }};
     }
@@ -81,6 +95,24 @@
                 .m_incarnation = m_options.m_incarnation};
     }
 
+    request::key_claims_options key_options() const
+    {
+        return {.m_vm = m_options.m_settings.m_vm,
+                .m_incarnation = m_options.m_incarnation,
+                .m_holder_lives = [this](const vm_id& vm, std::uint64_t incarnation)
+                { return lives(vm, incarnation); }};
+    }
+
+    bool lives(const vm_id& vm, std::uint64_t incarnation) const
+    {
+        if (vm == m_options.m_settings.m_vm)
+            return incarnation == m_options.m_incarnation;
+        const auto& members = m_members.members().members();
+        const auto found = members.find(vm);
+        return found != members.end() && found->second.m_incarnation == incarnation &&
+               found->second.m_status != cluster::member_status::dead;
+    }
+
     config_driver_options config_options()
     {
         return {
@@ -137,6 +169,7 @@
         for (const auto& [vm, member] : m_members.members().members())
         {
             m_config.on_peer_version(vm, member.m_config_version);
+            note_process(member);
             if (member.m_status != cluster::member_status::alive)
                 continue;
             changed.m_peers.push_back({.m_vm = vm,
@@ -204,12 +237,12 @@
     void poll_vms()
     {
         m_vm_list.m_list(
-            [this](outcome<std::vector<platform::worker>> list)
+            [this](outcome<std::optional<std::vector<platform::worker>>> list)
             {
-                if (!list)
+                if (!list || !*list)
                     return;
                 m_vms_known = true;
-                m_workers = std::move(*list);
+                m_workers = std::move(**list);
                 publish_workers();
             });
     }
@@ -240,7 +273,31 @@
 
     void on(load_changed message) { m_load = std::move(message.m_load); }
 
-    void on(to_peer message) { m_members.send(message.m_peer, std::move(message.m_body)); }
+    void note_process(const cluster::member& member)
+    {
+        const request::peer_process_changed seen{.m_vm = member.m_vm,
+                                                 .m_incarnation = member.m_incarnation,
+                                                 .m_dead = member.m_status ==
+                                                           cluster::member_status::dead};
+        auto& known = m_processes[member.m_vm];
+        if (known.m_incarnation == seen.m_incarnation && known.m_dead == seen.m_dead)
+            return;
+        known = seen;
+        m_options.m_to_requests(seen);
+    }
+
+    void on(to_peer message)
+    {
+        const auto* request = std::get_if<cluster::forwarded_request>(&message.m_body);
+        const auto call = request == nullptr ? 0 : request->m_call;
+        const bool sent = m_members.send(message.m_peer, std::move(message.m_body));
+        if (!sent && call != 0)
+            m_options.m_to_requests(request::forward_not_sent{call});
+    }
+
+    void on(request::claim_message message) { m_keys.handle(std::move(message)); }
+
+    void on(const peer_bytes& message) { m_members.receive(message.m_bytes); }
 
     void on(const stop_requested& /*message*/) { begin_stop(); }
 
@@ -249,7 +306,7 @@
         if (std::exchange(m_stopping, true))
             return;
         log_event(log_level::info, "draining", {});
-        m_members.send_heartbeats();
+        m_members.announce();
         if (m_options.m_settings.m_history)
             history::record(history::node_draining{});
         m_options.m_to_requests(request::start_draining{});
@@ -309,19 +366,23 @@
 
     event_loop& m_loop;
     control_task_options m_options;
+    std::shared_ptr<call_traffic> m_traffic;
     platform::http_platform_options m_platform;
     platform::vm_list_port m_vm_list;
     platform::guarded_table m_table;
     cluster::load_digest m_load;
     std::map<ownership::group_index, std::uint64_t> m_epochs;
+    std::map<vm_id, request::peer_process_changed> m_processes;
     std::vector<platform::worker> m_workers;
     bool m_vms_known = false;
     bool m_stopping = false;
     bool m_stopped = false;
     member_driver m_members;
+    control_meter m_meter;
     config_driver m_config;
     ownership_driver m_ownership;
     job_driver m_jobs;
+    key_driver m_keys;
     operator_api_options m_api;
     http_server m_server;
     event_loop::timer_ptr m_vm_timer;
@@ -341,6 +402,11 @@
     m_state->handle(std::move(message));
 }
 
+void control_task::serve(const http_request& request, const http_exchange_ptr& exchange)
+{
+    m_state->serve(request, exchange);
+}
+
 std::uint16_t control_task::operator_port() const
 {
     return m_state->operator_port();
--- a/src/dragonflygap/daemon/member_driver.hpp
+++ b/src/dragonflygap/daemon/member_driver.hpp
@@ -2,6 +2,7 @@
 
 #include <functional>
 #include <memory>
+#include <string_view>
 
 #include "dragonflygap/cluster/membership.hpp"
 #include "dragonflygap/config/settings.hpp"
@@ -15,11 +16,12 @@
 {
     const config::settings* m_settings = nullptr;
     std::uint64_t m_incarnation = 0;
-    duration m_heartbeat_every = 500ms;
     /// Fills in what other parts know: load, versions, leaving.
     std::function<void(cluster::heartbeat&)> m_fill_heartbeat;
     /// Called after every heartbeat and every change of a member.
     std::function<void()> m_on_members;
+    /// Carries messages in place of the peer link, as tests do; false: certainly not sent.
+    std::function<bool(const vm_id& peer, std::string_view bytes)> m_carry;
     /// Called for every message that isn't a heartbeat.
     std::function<void(cluster::message)> m_on_message;
 };
@@ -33,15 +35,24 @@
     /// False if the message was certainly not sent.
     bool send(const vm_id& peer, cluster::body body);
     void send_to_all(const cluster::body& body);
-    void send_heartbeats();
+
+    /// Sends a heartbeat to every peer now, for news that can't wait.
+    void announce() { run(cluster::announce_now{}); }
+
+    /// Takes a message that came in.
+    void receive(std::string_view bytes);
 
     const cluster::membership& members() const { return m_membership; }
     const peer_link& link() const { return m_link; }
 
 private:
-    void on_bytes(std::string_view bytes);
-    void tick();
+    bool carry(const vm_id& peer, std::string_view bytes);
     void run(const cluster::membership_event& event);
+    void act(const cluster::member_changed& action);
+    void act(const cluster::dial_peer& action);
+    void act(const cluster::redial_peer& action);
+    void act(const cluster::forget_peer& action);
+    void act(const cluster::send_heartbeat& action);
 
     event_loop& m_loop;
     member_driver_options m_options;
