Let owners go on while the table is down, on promises of their peers

Cause: an owner that couldn't renew its lease for 5 s gave up its workers, so a table outage stopped every data centre.

Change: the lease row names the holder's electors, the VMs with a live lease that may fence it. From 2.5 s after the last renewal an owner asks each elector once a second for a promise not to fence it for 5 s, counted from the sending, and goes on while all promises hold, at most 10 minutes after the last renewal. An elector that promised keeps it for 1.2 s longer; it refuses once it has tried to fence, and during its first 20 s, for it doesn't know what its earlier process sent. A VM that isn't an elector fences only after the 10 minutes and an eighth. No message is sent while renewals succeed.

Tests: keeper_test's "an owner that paused through its lease owns nothing when it wakes" used a lone owner, which nobody may fence now; it has a peer instead and is as strict. The property world also has table outages, cut links and calls cut in both directions (before, a cut only hit scans); found by it: a peer promised for a session that it had fenced already.

--- a/src/dragonflygap/cluster/codec.cpp
+++ b/src/dragonflygap/cluster/codec.cpp
@@ -39,6 +39,8 @@
                         m.m_reason, m.m_detail);
     else if constexpr (std::is_same_v<type, forwarded_cancel>)
         return std::tie(m.m_call);
+    else if constexpr (std::is_same_v<type, promise_wanted> || std::is_same_v<type, promise_given>)
+        return std::tie(m.m_incarnation, m.m_count, m.m_sequence);
     else if constexpr (std::is_same_v<type, room_wanted>)
         return std::tie(m.m_part, m.m_job, m.m_spec, m.m_count);
     else if constexpr (std::is_same_v<type, group_room>)
--- a/src/dragonflygap/cluster/message.hpp
+++ b/src/dragonflygap/cluster/message.hpp
@@ -100,6 +100,22 @@
     std::uint64_t m_known_version = 0; ///< Version in force at the sender.
 };
 
+/// The sender can't renew its ownership lease: asks the receiver not to fence it for a while.
+struct promise_wanted
+{
+    std::uint64_t m_incarnation = 0; ///< Of the lease's holder, the sender.
+    std::uint64_t m_count = 0;
+    std::uint64_t m_sequence = 0;
+};
+
+/// Grants promise_wanted, whose fields it repeats.
+struct promise_given
+{
+    std::uint64_t m_incarnation = 0;
+    std::uint64_t m_count = 0;
+    std::uint64_t m_sequence = 0;
+};
+
 /// Asks whether the receiver's workers have room for tasks of a job. Nothing is promised.
 struct room_wanted
 {
@@ -131,7 +147,8 @@
 };
 
 using body = std::variant<heartbeat, forwarded_request, forwarded_answer, forwarded_cancel,
-                          config_update, config_wanted, room_wanted, room_found, jobs_written>;
+                          config_update, config_wanted, room_wanted, room_found, jobs_written,
+                          promise_wanted, promise_given>;
 
 /// A message and its sender. The incarnation grows with every start of the sender.
 struct message
--- a/src/dragonflygap/daemon/control_task.cpp
+++ b/src/dragonflygap/daemon/control_task.cpp
@@ -48,8 +48,11 @@
           m_members(loop, member_options()),
           m_meter(loop, counted, m_members.link(), m_traffic),
           m_config(loop, m_table.port(platform::call_priority::normal), config_options()),
-          m_ownership(loop, m_table.port(platform::call_priority::lease), keeper_options(),
-                      [this](const auto& epochs) { on_groups(epochs); }),
+          m_ownership(
+              loop, m_table.port(platform::call_priority::lease), keeper_options(),
+              [this](const auto& epochs) { on_groups(epochs); },
+              [this](const vm_id& peer, cluster::body body)
+              { m_members.send(peer, std::move(body)); }),
           m_jobs(loop, m_table.port(platform::call_priority::normal),
                  platform::make_http_workers(m_platform), job_options()),
           m_keys(loop, m_table.port(platform::call_priority::normal), key_options(),
@@ -189,6 +192,10 @@
             return m_config.offer(update->m_version, update->m_text);
         if (const auto* wanted = std::get_if<cluster::config_wanted>(&message.m_body))
             return answer_config_wanted(message.m_from, *wanted);
+        if (const auto* wanted = std::get_if<cluster::promise_wanted>(&message.m_body))
+            return m_ownership.on_message(message.m_from, *wanted);
+        if (const auto* given = std::get_if<cluster::promise_given>(&message.m_body))
+            return m_ownership.on_message(message.m_from, *given);
         if (const auto* wanted = std::get_if<cluster::room_wanted>(&message.m_body))
             return m_jobs.on_message(message.m_from, *wanted);
         if (const auto* found = std::get_if<cluster::room_found>(&message.m_body))
--- a/src/dragonflygap/daemon/ownership_driver.cpp
+++ b/src/dragonflygap/daemon/ownership_driver.cpp
@@ -15,10 +15,13 @@
 } // namespace
 
 ownership_driver::ownership_driver(event_loop& loop, platform::table_port table,
-                                   ownership::keeper_options options, groups_hook on_groups)
+                                   const ownership::keeper_options& options, groups_hook on_groups,
+                                   send_hook to_peer)
     : m_table(std::move(table)),
-      m_keeper(std::move(options)),
+      m_keeper(options),
       m_on_groups(std::move(on_groups)),
+      m_to_peer(std::move(to_peer)),
+      m_vm(options.m_vm),
       m_timer(loop.every(tick_interval, [this] { run(ownership::keeper_tick{}); }))
 {
 }
@@ -51,6 +54,31 @@
     m_on_groups(action.m_epochs);
 }
 
+void ownership_driver::act(const ownership::ask_promise& action)
+{
+    m_to_peer(action.m_to, cluster::promise_wanted{action.m_holder.m_incarnation,
+                                                   action.m_holder.m_count, action.m_sequence});
+}
+
+void ownership_driver::act(const ownership::give_promise& action)
+{
+    m_to_peer(action.m_holder.m_vm,
+              cluster::promise_given{action.m_holder.m_incarnation, action.m_holder.m_count,
+                                     action.m_sequence});
+}
+
+void ownership_driver::on_message(const vm_id& from, const cluster::promise_wanted& message)
+{
+    run(ownership::promise_wanted{{from, message.m_incarnation, message.m_count},
+                                  message.m_sequence});
+}
+
+void ownership_driver::on_message(const vm_id& from, const cluster::promise_given& message)
+{
+    run(ownership::promise_given{
+        from, {m_vm, message.m_incarnation, message.m_count}, message.m_sequence});
+}
+
 void ownership_driver::act(const ownership::keeper_left& /*action*/)
 {
     log_event(log_level::info, "ownership_left", {});
--- a/src/dragonflygap/daemon/ownership_driver.hpp
+++ b/src/dragonflygap/daemon/ownership_driver.hpp
@@ -4,6 +4,7 @@
 #include <functional>
 #include <map>
 
+#include "dragonflygap/cluster/message.hpp"
 #include "dragonflygap/net/event_loop.hpp"
 #include "dragonflygap/ownership/keeper.hpp"
 #include "dragonflygap/platform/table.hpp"
@@ -16,10 +17,14 @@
 {
 public:
     using groups_hook = std::function<void(const std::map<ownership::group_index, std::uint64_t>&)>;
+    using send_hook = std::function<void(const vm_id& peer, cluster::body)>;
 
     ownership_driver(event_loop& loop, platform::table_port table,
-                     ownership::keeper_options options, groups_hook on_groups);
+                     const ownership::keeper_options& options, groups_hook on_groups,
+                     send_hook to_peer);
 
+    void on_message(const vm_id& from, const cluster::promise_wanted& message);
+    void on_message(const vm_id& from, const cluster::promise_given& message);
     void leave() { run(ownership::keeper_leaving{}); }
     const ownership::keeper& keeper() const { return m_keeper; }
 
@@ -29,10 +34,14 @@
     void act(const ownership::commit_rows& action);
     void act(const ownership::groups_changed& action);
     void act(const ownership::keeper_left& action);
+    void act(const ownership::ask_promise& action);
+    void act(const ownership::give_promise& action);
 
     platform::table_port m_table;
     ownership::keeper m_keeper;
     groups_hook m_on_groups;
+    send_hook m_to_peer;
+    vm_id m_vm;
     event_loop::timer_ptr m_timer;
 };
 
--- a/src/dragonflygap/ownership/keeper.cpp
+++ b/src/dragonflygap/ownership/keeper.cpp
@@ -1,5 +1,6 @@
 #include "dragonflygap/ownership/keeper.hpp"
 
+#include <algorithm>
 #include <set>
 #include <utility>
 
@@ -14,6 +15,8 @@
 std::vector<keeper_action> keeper::handle(const keeper_event& event, instant now)
 {
     actions out;
+    if (!m_started)
+        m_started = now;
     std::visit([&](const auto& what) { on(what, now, out); }, event);
     announce(now, out);
     return out;
@@ -28,6 +31,7 @@
 {
     if (m_left)
         return;
+    ask_promises(now, out);
     if (m_call && now - m_call->m_started >= m_options.m_call_timeout)
         give_up_call(now);
     if (m_call || now < m_not_before)
@@ -132,7 +136,10 @@
     }
     if (!std::exchange(m_holds_lease, true))
         m_acquired = now;
+    m_renewed = call->m_started;
     m_lease_end = call->m_started + m_options.m_lease;
+    m_electors = m_sent_electors;
+    m_asked.clear();
 }
 
 void keeper::read(const platform::row& row, instant now)
@@ -146,10 +153,15 @@
 void keeper::read_lease(const vm_id& vm, const platform::row& row, instant now)
 {
     auto& lease = m_leases[vm];
-    const auto holder = decode_lease(vm, row.m_value);
-    if (lease.m_version == row.m_version && lease.m_holder == holder)
+    auto value = decode_lease(vm, row.m_value);
+    if (lease.m_version == row.m_version && lease.m_holder == value.m_holder)
         return;
-    lease = {.m_version = row.m_version, .m_holder = holder, .m_seen = now};
+    // With a newer version no attempt of ours to delete the row can succeed any more.
+    m_fencing.erase(value.m_holder);
+    lease = {.m_version = row.m_version,
+             .m_holder = std::move(value.m_holder),
+             .m_electors = std::move(value.m_electors),
+             .m_seen = now};
 }
 
 void keeper::read_group(group_index group, const platform::row& row)
@@ -181,7 +193,7 @@
 
 bool keeper::own_lease_holds(instant now) const
 {
-    return m_holds_lease && now < m_lease_end;
+    return m_holds_lease && (now < m_lease_end || promised_by_all(now));
 }
 
 bool keeper::is_mine(const group_row& group) const
@@ -234,10 +246,16 @@
     if (!m_holds_lease)
         ++m_session;
     m_last_renewal = now;
+    m_sent_electors.clear();
+    for (const auto& [vm, lease] : m_leases)
+        if (vm != m_options.m_vm && !expired(lease, now))
+            m_sent_electors.insert(vm);
+    // Of an unclear renewal either set may be in the row.
+    m_electors.insert(m_sent_electors.begin(), m_sent_electors.end());
     commit(call_kind::renew,
            {{.m_key = lease_key(m_prefix, m_options.m_vm),
              .m_expected_version = own == m_leases.end() ? 0 : own->second.m_version,
-             .m_value = encode_lease(own_session())}},
+             .m_value = encode_lease({own_session(), m_sent_electors})}},
            now, out);
 }
 
@@ -245,7 +263,7 @@
 {
     for (const auto& [vm, lease] : m_leases)
     {
-        if (vm == m_options.m_vm || !expired(lease, now))
+        if (vm == m_options.m_vm || !may_fence(lease, now))
             continue;
         // One successor acts first, so that the others don't all run into conflicts.
         const auto* first = preferred(subject_of(vm), now);
@@ -257,6 +275,7 @@
         for (const auto& [index, group] : m_groups)
             if (group.m_value.m_owner == lease.m_holder)
                 writes.push_back(move(index, *preferred(index, now)));
+        m_fencing[lease.m_holder] = lease.m_version;
         commit(call_kind::move, std::move(writes), now, out);
         return true;
     }
--- a/src/dragonflygap/ownership/keeper.hpp
+++ b/src/dragonflygap/ownership/keeper.hpp
@@ -3,6 +3,7 @@
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <variant>
 #include <vector>
@@ -18,6 +19,9 @@
 /// Each entry VM renews one lease row. The workers of a data centre fall into a fixed number of
 /// groups, each a row with an owner and an epoch, written only when the owner changes. A takeover
 /// deletes the old owner's lease row and moves its groups in one transaction.
+///
+/// While the table can't be reached an owner goes on for as long as every VM that could fence it,
+/// its electors as its lease row names them, promises anew not to.
 namespace dragonflygap::ownership
 {
 
@@ -36,6 +40,11 @@
     duration m_second_fencer = 1s;    ///< How much longer all but the first successor wait.
     duration m_retry_after = 500ms;   ///< Pause after a call without a clear outcome.
     duration m_scan_gap = 3s;         ///< Without a scan for longer, silence proves nothing.
+    duration m_promise = 5s;          ///< From the asking; the asker counts from its sending.
+    duration m_first_promise = 20s;   ///< From the start: an earlier process may have fenced.
+    duration m_ask_after = 2500ms;    ///< Since the last renewal, to ask for promises.
+    duration m_ask_every = 1s;
+    duration m_extension_limit = 600s; ///< Longest time without a renewal, whoever promises.
 };
 
 /// Answer to scan_rows.
@@ -57,7 +66,21 @@
 struct keeper_tick
 {
 };
-using keeper_event = std::variant<rows_scanned, commit_finished, keeper_leaving, keeper_tick>;
+/// A peer that can't renew asks not to be fenced for the time of a promise.
+struct promise_wanted
+{
+    session m_holder;
+    std::uint64_t m_sequence = 0;
+};
+/// A peer's answer to ask_promise.
+struct promise_given
+{
+    vm_id m_from;
+    session m_holder; ///< As it was asked for.
+    std::uint64_t m_sequence = 0;
+};
+using keeper_event = std::variant<rows_scanned, commit_finished, keeper_leaving, keeper_tick,
+                                  promise_wanted, promise_given>;
 
 /// Read all rows that start with the prefix, in order of their keys, then report rows_scanned.
 struct scan_rows
@@ -80,7 +103,21 @@
 struct keeper_left
 {
 };
-using keeper_action = std::variant<scan_rows, commit_rows, groups_changed, keeper_left>;
+/// Send promise_wanted to a peer, then report promise_given.
+struct ask_promise
+{
+    vm_id m_to;
+    session m_holder;
+    std::uint64_t m_sequence = 0;
+};
+/// Send promise_given to the peer that asked.
+struct give_promise
+{
+    session m_holder;
+    std::uint64_t m_sequence = 0;
+};
+using keeper_action =
+    std::variant<scan_rows, commit_rows, groups_changed, keeper_left, ask_promise, give_promise>;
 
 /// Keeps this entry VM's lease and its share of the groups of its data centre. Pure.
 class keeper
@@ -101,6 +138,7 @@
     {
         std::uint64_t m_version = 0;
         session m_holder;
+        std::set<vm_id> m_electors;
         instant m_seen{}; ///< When this version was first read here.
     };
 
@@ -137,7 +175,12 @@
     void on(const commit_finished& event, instant now, actions& out);
     void on(const keeper_leaving& event, instant now, actions& out);
     void on(const keeper_tick& event, instant now, actions& out);
+    void on(const promise_wanted& event, instant now, actions& out);
+    void on(const promise_given& event, instant now, actions& out);
 
+    void ask_promises(instant now, actions& out);
+    bool promised_by_all(instant now) const;
+    bool may_fence(const lease_row& lease, instant now) const;
     std::optional<table_call> finish_call(std::uint64_t id);
     void give_up_call(instant now);
     void scan(instant now, actions& out);
@@ -180,6 +223,16 @@
     instant m_last_scan{};
     instant m_last_good_scan{};
     instant m_last_renewal{};
+    std::set<vm_id> m_electors; ///< All that our lease row may name.
+    std::set<vm_id> m_sent_electors;
+    std::map<vm_id, instant> m_promises;        ///< Made to us: when they end.
+    std::map<session, instant> m_promised;      ///< Made by us: when they end.
+    std::map<session, std::uint64_t> m_fencing; ///< Versions of lease rows we tried to delete.
+    std::map<std::uint64_t, instant> m_asked;   ///< When each sequence was sent.
+    std::uint64_t m_last_asked = 0;
+    instant m_last_asking{};
+    std::optional<instant> m_started;
+    instant m_renewed{};    ///< When the last successful renewal was sent.
     instant m_not_before{}; ///< No call earlier than this.
 };
 
--- /dev/null
+++ b/src/dragonflygap/ownership/keeper_promises.cpp
@@ -0,0 +1,63 @@
+#include <algorithm>
+
+#include "dragonflygap/ownership/keeper.hpp"
+
+namespace dragonflygap::ownership
+{
+
+bool keeper::may_fence(const lease_row& lease, instant now) const
+{
+    // A VM that the holder doesn't count on for promises waits until it relies on nobody's.
+    constexpr int clock_allowance = 8; // an eighth, for clocks of different rates
+    const auto limit = m_options.m_extension_limit;
+    if (!lease.m_electors.contains(m_options.m_vm))
+        return expired(lease, now, limit + limit / clock_allowance - m_options.m_lease);
+    const auto promised = m_promised.find(lease.m_holder);
+    return expired(lease, now) && (promised == m_promised.end() || promised->second <= now);
+}
+
+bool keeper::promised_by_all(instant now) const
+{
+    if (now >= m_renewed + m_options.m_extension_limit)
+        return false;
+    return std::ranges::all_of(m_electors,
+                               [&](const vm_id& vm)
+                               {
+                                   const auto promise = m_promises.find(vm);
+                                   return promise != m_promises.end() && now < promise->second;
+                               });
+}
+
+void keeper::ask_promises(instant now, actions& out)
+{
+    if (!m_holds_lease || now - m_renewed < m_options.m_ask_after ||
+        now - m_last_asking < m_options.m_ask_every)
+        return;
+    m_last_asking = now;
+    std::erase_if(m_asked,
+                  [&](const auto& asked) { return now - asked.second >= m_options.m_promise; });
+    m_asked[++m_last_asked] = now;
+    for (const auto& vm : m_electors)
+        out.emplace_back(ask_promise{vm, own_session(), m_last_asked});
+}
+
+void keeper::on(const promise_wanted& event, instant now, actions& out)
+{
+    if (m_left || m_fencing.contains(event.m_holder) ||
+        now - *m_started < m_options.m_first_promise)
+        return;
+    std::erase_if(m_promised, [now](const auto& entry) { return entry.second <= now; });
+    m_promised[event.m_holder] = now + m_options.m_promise + m_options.m_clock_margin;
+    out.emplace_back(give_promise{event.m_holder, event.m_sequence});
+}
+
+void keeper::on(const promise_given& event, instant /*now*/, actions& /*out*/)
+{
+    const auto asked = m_asked.find(event.m_sequence);
+    if (asked == m_asked.end() || event.m_holder != own_session())
+        return;
+    auto& until = m_promises[event.m_from];
+    until = std::max(until, asked->second + m_options.m_promise);
+}
+
+} // namespace dragonflygap::ownership
--- a/src/dragonflygap/ownership/rows.cpp
+++ b/src/dragonflygap/ownership/rows.cpp
@@ -81,9 +81,14 @@
     return index < groups_per_data_centre ? std::optional(index) : std::nullopt;
 }
 
-std::string encode_lease(const session& holder)
-{
-    return nlohmann::json{{"incarnation", holder.m_incarnation}, {"session", holder.m_count}}
+std::string encode_lease(const lease_value& value)
+{
+    auto electors = nlohmann::json::array();
+    for (const auto& vm : value.m_electors)
+        electors.push_back(vm.m_value);
+    return nlohmann::json{{"incarnation", value.m_holder.m_incarnation},
+                          {"session", value.m_holder.m_count},
+                          {"electors", electors}}
         .dump();
 }
 
@@ -96,10 +101,16 @@
         .dump();
 }
 
-session decode_lease(const vm_id& vm, std::string_view value)
+lease_value decode_lease(const vm_id& vm, std::string_view value)
 {
     const auto parsed = parse(value);
-    return {vm, number(parsed, "incarnation"), number(parsed, "session")};
+    lease_value result{.m_holder = {vm, number(parsed, "incarnation"), number(parsed, "session")}};
+    const auto electors = parsed.find("electors");
+    if (electors != parsed.end() && electors->is_array())
+        for (const auto& name : *electors)
+            if (name.is_string())
+                result.m_electors.insert(vm_id(name.get<std::string>()));
+    return result;
 }
 
 group_owner decode_group(std::string_view value)
--- a/src/dragonflygap/ownership/rows.hpp
+++ b/src/dragonflygap/ownership/rows.hpp
@@ -3,6 +3,7 @@
 #include <compare>
 #include <cstdint>
 #include <optional>
+#include <set>
 #include <string>
 #include <string_view>
 
@@ -47,11 +48,19 @@
 std::optional<vm_id> vm_of_key(std::string_view prefix, std::string_view key);
 std::optional<group_index> group_of_key(std::string_view prefix, std::string_view key);
 
-std::string encode_lease(const session& holder);
+/// Value of a lease row.
+struct lease_value
+{
+    session m_holder;
+    /// Who may fence the holder once its lease has run out, unless they promised not to.
+    std::set<vm_id> m_electors;
+};
+
+std::string encode_lease(const lease_value& value);
 std::string encode_group(const group_owner& owner);
 
 /// Unreadable values give a session that no process has: its row counts as foreign.
-session decode_lease(const vm_id& vm, std::string_view value);
+lease_value decode_lease(const vm_id& vm, std::string_view value);
 group_owner decode_group(std::string_view value);
 
 /// Rendezvous weight of a VM for a subject: the live VM with the highest one is preferred.
--- a/tests/ownership/keeper_property_test.cpp
+++ b/tests/ownership/keeper_property_test.cpp
@@ -63,12 +63,19 @@
         for (const auto end = m_now + length; m_now < end; m_now += step)
         {
             apply_late_commits();
+            if (chance(1))
+                m_table_down_until = m_now + some(30000);
+            if (chance(1))
+                m_links_cut_until[{m_nodes[m_random() % keepers].m_name,
+                                   m_nodes[m_random() % keepers].m_name}] = m_now + some(20000);
             for (auto& one : m_nodes)
                 run(one);
             check();
         }
     }
 
+    void fail_table(duration length) { m_table_down_until = m_now + length; }
+
     std::size_t owned() const
     {
         std::size_t sum = 0;
@@ -123,9 +130,22 @@
                 call_scan(one, *scan);
             if (const auto* commit = std::get_if<commit_rows>(&action))
                 call_commit(one, *commit);
+            if (const auto* ask = std::get_if<ask_promise>(&action))
+                send(one, ask->m_to, promise_wanted{ask->m_holder, ask->m_sequence});
+            if (const auto* give = std::get_if<give_promise>(&action))
+                send(one, give->m_holder.m_vm,
+                     promise_given{vm_id(one.m_name), give->m_holder, give->m_sequence});
         }
     }
 
+    void send(const node& from, const vm_id& to, const keeper_event& event)
+    {
+        auto& peer = *std::ranges::find(m_nodes, to.m_value, &node::m_name);
+        const bool cut = m_now < m_links_cut_until[{from.m_name, to.m_value}];
+        if (!cut && !chance(10))
+            reply(peer, event);
+    }
+
     void reply(node& one, const keeper_event& event)
     {
         const auto at = m_now + (chance(10) ? some(6000) : step);
@@ -135,6 +155,11 @@
         std::ranges::stable_sort(one.m_replies, {}, [](const auto& entry) { return entry.first; });
     }
 
+    bool unreachable(const node& one) const
+    {
+        return m_now < one.m_cut_until || m_now < m_table_down_until;
+    }
+
     void call_scan(node& one, const scan_rows& call)
     {
         if (chance(5))
@@ -149,9 +174,9 @@
     {
         const commit_finished unknown{call.m_call,
                                       fail(verdict::may_have_run, reason::timeout, "")};
-        if (m_now < one.m_cut_until || chance(5))
+        if (unreachable(one) || chance(5))
             return reply(one, unknown); // never arrives
-        if (chance(5))
+        if (unreachable(one) || chance(5))
         {
             m_late.emplace_back(m_now + some(15000), call.m_writes);
             return reply(one, unknown);
@@ -206,6 +231,8 @@
     std::array<node, keepers> m_nodes;
     std::vector<std::pair<instant, std::vector<platform::row_write>>> m_late;
     std::map<std::pair<group_index, std::uint64_t>, std::string> m_holders;
+    std::map<std::pair<std::string, std::string>, instant> m_links_cut_until;
+    instant m_table_down_until{};
     instant m_now{1000s};
     bool m_faults = false;
 };
@@ -235,3 +262,12 @@
                         RC_ASSERT(cell.owned() == groups_per_data_centre);
                     }));
 }
+
+TEST(keeper_property, while_the_table_is_down_owners_whose_peers_live_go_on)
+{
+    world cell(1);
+    cell.run(40s, false);
+    cell.fail_table(300s);
+    cell.run(290s, false);
+    CHECK_EQUAL(groups_per_data_centre, cell.owned());
+}
--- a/tests/ownership/keeper_test.cpp
+++ b/tests/ownership/keeper_test.cpp
@@ -97,7 +97,9 @@
 TEST(keeper, an_owner_that_paused_through_its_lease_owns_nothing_when_it_wakes)
 {
     kept a(m_table, "a", 1);
-    run({&a}, 2s);
+    kept b(m_table, "b", 1);
+    run({&a, &b}, 6s);
+    CHECK(a.owned() > 0);
     m_now += 20s;
     a.m_table_up = false;
     a.run(keeper_tick{}, m_now);
@@ -179,3 +181,25 @@
             a.m_keeper.handle(rows_scanned{scan->m_call, m_table.scan(scan->m_prefix)}, m_now);
     CHECK_EQUAL(kept_before, a.owned());
 }
+
+TEST(keeper, an_owner_without_a_table_stops_once_a_peer_that_could_fence_it_is_silent)
+{
+    kept a(m_table, "a", 1);
+    kept b(m_table, "b", 1);
+    run({&a, &b}, 6s);
+    a.m_table_up = false;
+    run({&a}, 5s);
+    CHECK_EQUAL(0, a.owned());
+}
+
+TEST(keeper,
+     an_entry_vm_that_the_owner_does_not_count_on_fences_it_only_after_the_longest_extension)
+{
+    kept a(m_table, "a", 1);
+    run({&a}, 3s);
+    kept b(m_table, "b", 1);
+    run({&b}, 600s);
+    CHECK_EQUAL(0, b.owned());
+    run({&b}, 90s);
+    CHECK_EQUAL(groups_per_data_centre, b.owned());
+}
--- a/tests/placement/job_recovery_property_test.cpp
+++ b/tests/placement/job_recovery_property_test.cpp
@@ -243,6 +243,21 @@
         to_jobs(one, owned);
     }
     void act(node&, const ownership::keeper_left&) {}
+    void act(node& one, const ownership::ask_promise& what)
+    {
+        auto& peer = of(what.m_to);
+        const auto asked = ownership::promise_wanted{what.m_holder, what.m_sequence};
+        if (one.m_paused_until <= m_now && !chance(100))
+            answer(peer, [this, &peer, asked] { to_keeper(peer, asked); });
+    }
+    void act(node& one, const ownership::give_promise& what)
+    {
+        auto& peer = of(what.m_holder.m_vm);
+        const ownership::promise_given given{vm_id(one.m_name), what.m_holder, what.m_sequence};
+        if (!chance(100))
+            answer(peer, [this, &peer, given] { to_keeper(peer, given); });
+    }
+    node& of(const vm_id& vm) { return *std::ranges::find(m_nodes, vm.m_value, &node::m_name); }
     void act(node& one, const scan_parts& what)
     {
         scan(one, prefix_of(what.m_home),
