Ask targets early enough for another attempt; go on serving until the balancer has noticed

Cause: the first question about a silent call came after 2 s, as late as a tablet's deadline; after SIGTERM callers were refused at once although the balancer still sent them.

--- a/src/dragonflygap/request/executor_calls.cpp
+++ b/src/dragonflygap/request/executor_calls.cpp
@@ -14,7 +14,10 @@
 namespace
 {
 
-constexpr duration tick_interval = 250ms;
+constexpr duration tick_interval = 100ms;
+// A question comes early enough that another attempt still fits before the deadline.
+constexpr int questions_before_deadline = 8;
+constexpr duration shortest_pace = 250ms;
 constexpr int first_client_error = 400;
 constexpr int first_server_error = 500;
 
@@ -62,9 +65,11 @@
 {
     const auto now = monotonic_clock::now();
     auto& started = m_executions[id];
+    const auto pace = std::max(shortest_pace, (deadline - now) / questions_before_deadline);
     started = {.m_address = to,
                .m_deadline = deadline,
-               .m_next_probe = now + m_options.m_probe_after,
+               .m_pace = pace,
+               .m_next_probe = now + std::min(pace, m_options.m_probe_after),
                .m_last_word = now};
     started.m_call = m_options.m_calls.m_send(to, std::move(request), deadline - now,
                                               [this, id](outcome<http_response> answer)
@@ -120,7 +125,7 @@
     held.m_last_word = now;
     held.m_said.clear();
     // What was on its way when the call was dropped gets time to arrive before the question.
-    held.m_next_probe = now + m_options.m_probe_again;
+    held.m_next_probe = now + std::min(held.m_pace, m_options.m_probe_again);
 }
 
 void executor_calls::settle(const request_id& id, execution& ended, attempt_end end)
@@ -204,7 +209,7 @@
     // The answer may be on its way, or the request, so the target is asked a second time.
     if (!confirmed)
     {
-        asked.m_next_probe = asked.m_last_word + m_options.m_probe_again;
+        asked.m_next_probe = asked.m_last_word + std::min(asked.m_pace, m_options.m_probe_again);
         return;
     }
     give_up(id, asked, state);
--- a/src/dragonflygap/request/executor_calls.hpp
+++ b/src/dragonflygap/request/executor_calls.hpp
@@ -68,6 +68,7 @@
         std::optional<http_transport::call_id> m_probe;
         std::optional<attempt_end> m_end; ///< To be reported when the target's word is known.
         instant m_deadline{};
+        duration m_pace{}; ///< Shorter times between questions, for a near deadline.
         instant m_settle_until{};
         instant m_next_probe{};
         instant m_last_word{}; ///< When the target was last heard about this request.
--- a/src/dragonflygap/request/request_task.cpp
+++ b/src/dragonflygap/request/request_task.cpp
@@ -320,6 +320,12 @@
     }
 
     void on(const start_draining& /*event*/)
+    {
+        // Until the balancer has noticed, callers still come here and are served.
+        m_drain_timer = m_loop.after(m_options.m_drain_notice, [this] { drain(); });
+    }
+
+    void drain()
     {
         m_draining = true;
         m_callers.drain();
@@ -365,6 +371,7 @@
     bool m_draining = false;
     event_loop::timer_ptr m_tick;
     event_loop::timer_ptr m_load_timer;
+    event_loop::timer_ptr m_drain_timer;
     caller_server m_callers;
 };
 
--- a/src/dragonflygap/request/request_task.hpp
+++ b/src/dragonflygap/request/request_task.hpp
@@ -58,6 +58,7 @@
     std::uint64_t m_incarnation = 0;
     endpoint m_listen;
     std::size_t m_max_body_bytes = 1 << 20;
+    duration m_drain_notice = 2s; ///< For the balancer to notice that readyz fails.
     bool m_history = false;
     http_transport m_to_executors;
     http_transport m_probes; ///< To executors as well, a new connection for each call.
