Bind the scenarios' words through JSON

Cause: each word had its own binding by hand. Change: a word takes its arguments and gives its results as JSON; one dispatcher turns its errors into Lua's, with nothing of C++ on the stack when Lua jumps.

--- a/tests/scenarios/node_dies.lua
+++ b/tests/scenarios/node_dies.lua
@@ -8,7 +8,7 @@
 swing("tablet", {rate = 100, seconds = 20})
 expect(running_tasks(service) == 3, "no task of the service stopped, not " .. running_tasks(service))
 expect(task_starts(service) == 3, "no task was started twice")
-expect(math.tointeger(status("entry-3", "groups_owned")) == 32, "its peer owns all workers")
+expect(status("entry-3", "groups_owned") == 32, "its peer owns all workers")
 local before = answered()
 swing("tablet", {rate = 100, seconds = 2})
 run(2)
--- a/tests/scenarios/support/prelude.lua
+++ b/tests/scenarios/support/prelude.lua
@@ -10,19 +10,23 @@
     teams = {{name = "looms", millicores = 64000, memory_mb = 131072}},
 }
 
+function expect(condition, text)
+    if not condition then error("expected: " .. text, 2) end
+end
+
 function status(vm, name)
     local _, body = operate(vm, "GET", "/v1/status")
-    return field(body, name)
+    return body[name]
 end
 
-function config_version(vm) return math.tointeger(status(vm, "config_version")) end
+function config_version(vm) return status(vm, "config_version") end
 
 -- Gives the answer's status and the version that is in force by it.
 function apply_config(vm, document, expected)
     expected = expected or config_version(vm)
     local code, body = operate(vm, "PUT", "/v1/config?expected=" .. expected,
                                document or usual_classes)
-    return code, field(body, "version")
+    return code, body and body.version
 end
 
 -- Gives the id of the job, or nil and the answer's status.
@@ -30,7 +34,12 @@
     job.team = job.team or "looms"
     job.size = job.size or {millicores = 1000, memory_mb = 512}
     local code, body = operate(vm, "POST", "/v1/jobs", job)
-    return field(body, "id"), code
+    return body and body.id, code
+end
+
+function cut(one, other)
+    cut_one_way(one, other)
+    cut_one_way(other, one)
 end
 
 function cut_platform(vm) faults{cuts = {{vm = vm, other = "*"}}} end
--- a/tests/scenarios/support/script.cpp
+++ b/tests/scenarios/support/script.cpp
@@ -1,7 +1,10 @@
 #include "scenarios/support/script.hpp"
 
+#include <functional>
+#include <map>
 #include <memory>
 #include <optional>
+#include <stdexcept>
 
 #include <nlohmann/json.hpp>
 
@@ -22,145 +25,99 @@
 
 using nlohmann::json;
 
-json to_json(lua_State* lua, int index);
-
-json table_to_json(lua_State* lua, int index)
-{
-    const bool list = lua_rawlen(lua, index) > 0;
-    json result = list ? json::array() : json::object();
-    lua_pushnil(lua);
-    while (lua_next(lua, index) != 0)
-    {
-        if (list)
-            result.push_back(to_json(lua, lua_gettop(lua)));
-        else
-            result[lua_tostring(lua, -2)] = to_json(lua, lua_gettop(lua));
-        lua_pop(lua, 1);
-    }
-    // An empty table stands for an empty list: no option is an empty object.
-    return result.empty() ? json::array() : result;
-}
+/// A word of the scenarios: takes its arguments as a JSON array, gives an array of results.
+using word = std::function<json(std::optional<world>& told, const json& arguments)>;
 
 json to_json(lua_State* lua, int index)
 {
-    if (lua_istable(lua, index))
-        return table_to_json(lua, index);
     if (lua_isboolean(lua, index))
         return lua_toboolean(lua, index) != 0;
-    if (lua_isinteger(lua, index))
+    if (lua_isinteger(lua, index) != 0)
         return lua_tointeger(lua, index);
     if (lua_type(lua, index) == LUA_TNUMBER)
         return lua_tonumber(lua, index);
-    return luaL_checkstring(lua, index);
-}
-
-/// The table at an index, or an empty object if there is none.
-json options_at(lua_State* lua, int index)
-{
+    if (lua_type(lua, index) == LUA_TSTRING)
+        return lua_tostring(lua, index);
     if (!lua_istable(lua, index))
-        return json::object();
-    auto result = to_json(lua, index);
-    return result.is_object() ? result : json::object();
-}
-
-duration seconds_at(lua_State* lua, int index)
-{
-    return duration(static_cast<duration::rep>(luaL_checknumber(lua, index) * 1e6));
-}
-
-std::optional<world>& current(lua_State* lua)
-{
-    return **static_cast<std::optional<world>**>(lua_getextraspace(lua));
-}
-
-world& running(lua_State* lua)
-{
-    auto& found = current(lua);
-    if (!found)
-        luaL_error(lua, "a scenario begins with start{}");
-    return *found;
-}
-
-int start(lua_State* lua)
-{
-    auto& world_here = current(lua);
-    if (lua_isstring(lua, 1) != 0)
+        return nullptr;
+    const bool list = lua_rawlen(lua, index) > 0;
+    json result = list ? json::array() : json::object();
+    for (lua_pushnil(lua); lua_next(lua, index) != 0; lua_pop(lua, 1))
     {
-        running(lua).start(luaL_checkstring(lua, 1));
-        return 0;
+        auto value = to_json(lua, lua_gettop(lua));
+        if (list)
+            result.push_back(std::move(value));
+        else
+            result[lua_tostring(lua, -2)] = std::move(value);
     }
-    const auto given = options_at(lua, 1);
-    world_here.emplace(world_options{.m_entry_vms = given.value("entry_vms", 3),
-                                     .m_data_centres = given.value("data_centres", 3),
-                                     .m_workers = given.value("workers", 6),
-                                     .m_slots = given.value("slots", 8),
-                                     .m_seed = given.value("seed", 1U)});
-    return 0;
-}
-
-int run(lua_State* lua)
-{
-    running(lua).run(seconds_at(lua, 1));
-    return 0;
-}
-
-template <void (world::*Act)(const std::string&)>
-int on_vm(lua_State* lua)
-{
-    const std::string vm = luaL_checkstring(lua, 1);
-    if (!running(lua).is_up(vm))
-        return luaL_error(lua, "%s is not up", vm.c_str());
-    (running(lua).*Act)(vm);
-    return 0;
-}
-
-int cut(lua_State* lua)
-{
-    running(lua).cut(luaL_checkstring(lua, 1), luaL_checkstring(lua, 2));
-    running(lua).cut(luaL_checkstring(lua, 2), luaL_checkstring(lua, 1));
-    return 0;
-}
-
-int cut_one_way(lua_State* lua)
-{
-    running(lua).cut(luaL_checkstring(lua, 1), luaL_checkstring(lua, 2));
-    return 0;
+    return result;
 }
 
-int heal(lua_State* lua)
-{
-    running(lua).heal();
-    return 0;
+void push(lua_State* lua, const json& value)
+{
+    if (value.is_boolean())
+        lua_pushboolean(lua, value.get<bool>() ? 1 : 0);
+    else if (value.is_number_integer())
+        lua_pushinteger(lua, value.get<lua_Integer>());
+    else if (value.is_number())
+        lua_pushnumber(lua, value.get<double>());
+    else if (value.is_string())
+        lua_pushstring(lua, value.get<std::string>().c_str());
+    else if (!value.is_structured())
+        lua_pushnil(lua);
+    else
+    {
+        lua_newtable(lua);
+        lua_Integer index = 0;
+        for (const auto& [key, item] : value.items())
+        {
+            push(lua, item);
+            if (value.is_array())
+                lua_rawseti(lua, -2, ++index);
+            else
+                lua_setfield(lua, -2, key.c_str());
+        }
+    }
 }
 
-int hang_up(lua_State* lua)
+world& running(std::optional<world>& told)
 {
-    running(lua).hang_up();
-    return 0;
+    if (!told)
+        throw std::runtime_error("a scenario begins with start{}");
+    return *told;
 }
 
-int slow_calls(lua_State* lua)
+duration seconds(const json& value)
 {
-    running(lua).slow_calls(luaL_checkstring(lua, 1), seconds_at(lua, 2));
-    return 0;
+    return duration(static_cast<duration::rep>(value.get<double>() * 1e6));
 }
 
-int double_messages(lua_State* lua)
+json option(const json& arguments, std::size_t index)
 {
-    running(lua).double_messages(lua_toboolean(lua, 1) != 0);
-    return 0;
+    return arguments.size() > index && arguments[index].is_object() ? arguments[index]
+                                                                    : json::object();
 }
 
-int faults(lua_State* lua)
+json start(std::optional<world>& told, const json& arguments)
 {
-    running(lua).faults(options_at(lua, 1).dump());
-    return 0;
+    if (arguments.at(0).is_string())
+    {
+        running(told).start(arguments[0]);
+        return json::array();
+    }
+    const auto given = option(arguments, 0);
+    told.emplace(world_options{.m_entry_vms = given.value("entry_vms", 3),
+                               .m_data_centres = given.value("data_centres", 3),
+                               .m_workers = given.value("workers", 6),
+                               .m_slots = given.value("slots", 8),
+                               .m_seed = given.value("seed", 1U)});
+    return json::array();
 }
 
-call_options read_call(lua_State* lua)
+call_options read_call(const json& arguments)
 {
-    const auto given = options_at(lua, 2);
-    call_options result{.m_class = luaL_checkstring(lua, 1),
+    const auto given = option(arguments, 1);
+    call_options result{.m_class = arguments.at(0),
                         .m_through = given.value("through", ""),
                         .m_key = given.value("key", ""),
                         .m_run_ms = given.value("run_ms", 10.0),
@@ -170,131 +127,120 @@
     return result;
 }
 
-int call(lua_State* lua)
+void call(world& here, const json& arguments)
 {
-    for (int times = options_at(lua, 2).value("times", 1); times > 0; --times)
-        running(lua).call(read_call(lua));
-    return 0;
+    for (int times = option(arguments, 1).value("times", 1); times > 0; --times)
+        here.call(read_call(arguments));
 }
 
-/// swing("tablet", {rate = 500, seconds = 2}): calls at an even rate.
-int swing(lua_State* lua)
+/// Calls at an even rate.
+void swing(world& here, const json& arguments)
 {
-    const auto given = options_at(lua, 2);
+    const auto given = option(arguments, 1);
     const double rate = given.value("rate", 100.0);
     const auto count = static_cast<int>(rate * given.value("seconds", 1.0));
-    const duration gap(static_cast<duration::rep>(1e6 / rate));
     for (int i = 0; i < count; ++i)
     {
-        running(lua).call(read_call(lua));
-        running(lua).run(gap);
+        here.call(read_call(arguments));
+        here.run(seconds(1 / rate));
     }
-    return 0;
 }
 
-int operate(lua_State* lua)
+/// An operator's call: gives the status and the body.
+json operate(world& here, const json& arguments)
 {
-    http_request request{.m_method = luaL_checkstring(lua, 2), .m_path = luaL_checkstring(lua, 3)};
+    http_request request{.m_method = arguments.at(1), .m_path = arguments.at(2)};
     if (const auto mark = request.m_path.find('?'); mark != std::string::npos)
     {
         request.m_query = request.m_path.substr(mark + 1);
         request.m_path.resize(mark);
     }
-    if (!lua_isnoneornil(lua, 4))
-        request.m_body = to_json(lua, 4).dump();
-    const auto answer = running(lua).operate(luaL_checkstring(lua, 1), std::move(request));
-    lua_pushinteger(lua, answer.m_status);
-    lua_pushlstring(lua, answer.m_body.data(), answer.m_body.size());
-    return 2;
-}
-
-/// field(BODY, "NAME"): a member of a JSON object, nil if there is none.
-int field(lua_State* lua)
-{
-    const auto body = json::parse(luaL_checkstring(lua, 1), nullptr, false);
-    const char* name = luaL_checkstring(lua, 2);
-    if (!body.is_object() || !body.contains(name))
-        lua_pushnil(lua);
-    else if (body[name].is_string())
-        lua_pushstring(lua, body[name].get<std::string>().c_str());
-    else if (body[name].is_boolean())
-        lua_pushboolean(lua, body[name].get<bool>() ? 1 : 0);
-    else
-        lua_pushnumber(lua, body[name].is_number() ? body[name].get<double>() : 0);
-    return 1;
+    if (arguments.size() > 3)
+        request.m_body = arguments[3].dump();
+    const auto answer = here.operate(arguments[0], std::move(request));
+    return {answer.m_status, json::parse(answer.m_body, nullptr, false)};
 }
 
-template <int call_counts::*Count>
-int count(lua_State* lua)
+/// A word that acts and gives nothing.
+word act(std::function<void(world& here, const json& arguments)> what)
 {
-    lua_pushinteger(lua, running(lua).calls().*Count);
-    return 1;
+    return [what = std::move(what)](std::optional<world>& told, const json& arguments)
+    {
+        what(running(told), arguments);
+        return json::array();
+    };
 }
 
-int pending(lua_State* lua)
+word see(std::function<json(world& here, const json& arguments)> what)
 {
-    lua_pushinteger(lua, running(lua).calls().pending());
-    return 1;
+    return [what = std::move(what)](std::optional<world>& told, const json& arguments)
+    { return json::array({what(running(told), arguments)}); };
 }
 
-int refused_for(lua_State* lua)
-{
-    const auto& reasons = running(lua).calls().m_reasons;
-    const auto found = reasons.find(luaL_checkstring(lua, 1));
-    lua_pushinteger(lua, found == reasons.end() ? 0 : found->second);
-    return 1;
-}
+const std::map<std::string, word> words{
+    {"start", start},
+    {"run", act([](world& here, const json& a) { here.run(seconds(a.at(0))); })},
+    {"kill", act([](world& here, const json& a) { here.kill(a.at(0)); })},
+    {"pause", act([](world& here, const json& a) { here.pause(a.at(0)); })},
+    {"resume", act([](world& here, const json& a) { here.resume(a.at(0)); })},
+    {"drain", act([](world& here, const json& a) { here.drain(a.at(0)); })},
+    {"cut_one_way", act([](world& here, const json& a) { here.cut(a.at(0), a.at(1)); })},
+    {"heal", act([](world& here, const json& /*a*/) { here.heal(); })},
+    {"hang_up", act([](world& here, const json& /*a*/) { here.hang_up(); })},
+    {"slow_calls",
+     act([](world& here, const json& a) { here.slow_calls(a.at(0), seconds(a.at(1))); })},
+    {"double_messages", act([](world& here, const json& a) { here.double_messages(a.at(0)); })},
+    {"faults", act([](world& here, const json& a) { here.faults(a.at(0).dump()); })},
+    {"call", act(call)},
+    {"swing", act(swing)},
+    {"operate", [](std::optional<world>& told, const json& arguments)
+     { return operate(running(told), arguments); }},
+    {"is_up", see([](world& here, const json& a) { return here.is_up(a.at(0)); })},
+    {"sent", see([](world& here, const json& /*a*/) { return here.calls().m_sent; })},
+    {"answered", see([](world& here, const json& /*a*/) { return here.calls().m_answered; })},
+    {"refused", see([](world& here, const json& /*a*/) { return here.calls().m_refused; })},
+    {"unknown", see([](world& here, const json& /*a*/) { return here.calls().m_unknown; })},
+    {"pending", see([](world& here, const json& /*a*/) { return here.calls().pending(); })},
+    {"running_tasks", see([](world& here, const json& a)
+                          { return here.running_tasks(a.at(0).get<std::string>()); })},
+    {"task_starts",
+     see([](world& here, const json& a) { return here.task_starts(a.at(0).get<std::string>()); })},
+};
 
-template <int (world::*Count)(std::string_view) const>
-int count_tasks(lua_State* lua)
+std::optional<world>& told_by(lua_State* lua)
 {
-    lua_pushinteger(lua, (running(lua).*Count)(luaL_checkstring(lua, 1)));
-    return 1;
+    return **static_cast<std::optional<world>**>(lua_getextraspace(lua));
 }
 
-int is_up(lua_State* lua)
+/// Runs the word in the closure; nothing of C++ is left on the stack when Lua jumps away.
+bool run_word(lua_State* lua, int& results)
 {
-    lua_pushboolean(lua, running(lua).is_up(luaL_checkstring(lua, 1)) ? 1 : 0);
-    return 1;
+    try
+    {
+        auto arguments = json::array();
+        for (int i = 1, count = lua_gettop(lua); i <= count; ++i)
+            arguments.push_back(to_json(lua, i));
+        const auto made = words.at(lua_tostring(lua, lua_upvalueindex(1)))(told_by(lua), arguments);
+        for (const auto& item : made)
+            push(lua, item);
+        results = static_cast<int>(made.size());
+        return true;
+    }
+    catch (const std::exception& error)
+    {
+        luaL_where(lua, 1);
+        lua_pushstring(lua, error.what());
+        lua_concat(lua, 2);
+        return false;
+    }
 }
 
-int expect(lua_State* lua)
+int call_word(lua_State* lua)
 {
-    if (lua_toboolean(lua, 1) == 0)
-        return luaL_error(lua, "expected: %s", luaL_checkstring(lua, 2));
-    return 0;
+    int results = 0;
+    return run_word(lua, results) ? results : lua_error(lua);
 }
 
-constexpr luaL_Reg words[] = {
-    {"start", start},
-    {"run", run},
-    {"kill", on_vm<&world::kill>},
-    {"pause", on_vm<&world::pause>},
-    {"resume", on_vm<&world::resume>},
-    {"drain", on_vm<&world::drain>},
-    {"is_up", is_up},
-    {"cut", cut},
-    {"cut_one_way", cut_one_way},
-    {"heal", heal},
-    {"hang_up", hang_up},
-    {"slow_calls", slow_calls},
-    {"double_messages", double_messages},
-    {"faults", faults},
-    {"call", call},
-    {"swing", swing},
-    {"operate", operate},
-    {"field", field},
-    {"sent", count<&call_counts::m_sent>},
-    {"answered", count<&call_counts::m_answered>},
-    {"refused", count<&call_counts::m_refused>},
-    {"unknown", count<&call_counts::m_unknown>},
-    {"pending", pending},
-    {"refused_for", refused_for},
-    {"running_tasks", count_tasks<&world::running_tasks>},
-    {"task_starts", count_tasks<&world::task_starts>},
-    {"expect", expect},
-};
-
 /// How the callers fared, to explain a failure.
 std::string summary(const std::optional<world>& told)
 {
@@ -313,14 +259,10 @@
 std::string broken_promises(std::optional<world>& told)
 {
     std::string result;
-    if (!told)
-        return "the scenario never began";
-    for (const auto& item : told->violations())
-    {
-        constexpr std::size_t shown = 1000;
+    constexpr std::size_t shown = 1000;
+    for (const auto& item : running(told).violations())
         if (result.size() < shown)
             result += std::string(item.m_rule) + ": " + item.m_detail + "\n";
-    }
     return result;
 }
 
@@ -332,13 +274,17 @@
     const std::unique_ptr<lua_State, decltype(&lua_close)> lua(luaL_newstate(), &lua_close);
     *static_cast<std::optional<world>**>(lua_getextraspace(lua.get())) = &told;
     luaL_openlibs(lua.get());
-    for (const auto& word : words)
-        lua_register(lua.get(), word.name, word.func);
+    for (const auto& [name, made] : words)
+    {
+        lua_pushstring(lua.get(), name.c_str());
+        lua_pushcclosure(lua.get(), call_word, 1);
+        lua_setglobal(lua.get(), name.c_str());
+    }
     const auto prelude = path.substr(0, path.rfind('/') + 1) + "support/prelude.lua";
     for (const auto& file : {prelude, path})
         if (luaL_dofile(lua.get(), file.c_str()) != LUA_OK)
             return {lua_tostring(lua.get(), -1) + summary(told), {}};
-    return {broken_promises(told), told ? told->history() : ""};
+    return {broken_promises(told), told->history()};
 }
 
 } // namespace scenarios
