Split the policy bench, and measure refusals at once and waves of cancellations

Change: contest, cost and the scenarios are files of their own; a column counts refusals within 10 ms; 50,000 requests are queued, ticked over and cancelled.

--- a/bench/policy/policy_main.cpp
+++ b/bench/policy/policy_main.cpp
@@ -1,13 +1,11 @@
 #include <algorithm>
 #include <array>
 #include <cstdio>
-#include <functional>
-#include <memory>
 #include <string>
 #include <vector>
 
-#include "baseline.hpp"
-#include "replay.hpp"
+#include "contest.hpp"
+#include "cost.hpp"
 #include "workload.hpp"
 
 using namespace dragonflygap;
@@ -17,88 +15,6 @@
 namespace
 {
 
-constexpr int targets_per_node = 8;
-constexpr int slots_per_target = 8;
-constexpr int slots_per_node = targets_per_node * slots_per_target;
-constexpr int seeds = 7;
-
-using classes = std::vector<config::request_class>;
-
-struct spread
-{
-    std::vector<double> m_values;
-
-    double median()
-    {
-        std::ranges::sort(m_values);
-        return m_values[m_values.size() / 2];
-    }
-
-    std::string text(const char* format = "%.2f")
-    {
-        char buffer[96];
-        const double middle = median();
-        std::string result;
-        for (const double value : {middle, m_values.front(), m_values.back()})
-        {
-            std::snprintf(buffer, sizeof buffer, format, value);
-            result += result.empty() ? std::string(buffer) + " [" : std::string(buffer) + " ";
-        }
-        result.back() = ']';
-        return result;
-    }
-};
-
-node make_ours(const classes& known, const request::scheduler_options& options = {},
-               const data_centre_id& data_centre = {})
-{
-    auto made = std::make_shared<request::scheduler>(options);
-    made->handle(request::classes_changed{known, {}}, instant(1000s));
-    request::targets_changed targets;
-    for (int i = 0; i < targets_per_node; ++i)
-        targets.m_targets.push_back(
-            {.m_id = target_id("t" + std::to_string(i)), .m_slots = slots_per_target});
-    made->handle(targets, instant(1000s));
-    return {.m_handle = [made](const auto& event, instant now) { return made->handle(event, now); },
-            .m_load = [made](instant now) { return made->load(now); },
-            .m_data_centre = data_centre};
-}
-
-node make_baseline(baseline_options options, const std::vector<arrival>& arrivals)
-{
-    options.m_slots = slots_per_node;
-    auto made = std::make_shared<baseline>(std::move(options), arrivals);
-    return {.m_handle = [made](const auto& event, instant now) { return made->handle(event, now); },
-            .m_load = {},
-            .m_data_centre = {}};
-}
-
-replay_result play_one(const std::vector<arrival>& arrivals, node only)
-{
-    std::vector<node> nodes{std::move(only)};
-    return replay(arrivals, nodes);
-}
-
-/// Plays the same arrivals under each policy.
-struct contest
-{
-    const char* m_name;
-    std::function<node(const classes&, const std::vector<arrival>&)> m_make;
-};
-
-std::vector<contest> contestants()
-{
-    return {{"FIFO", [](const classes&, const std::vector<arrival>& arrivals)
-             { return make_baseline({.m_order = first_come()}, arrivals); }},
-            {"priority", [](const classes& known, const std::vector<arrival>& arrivals)
-             { return make_baseline({.m_order = most_urgent(known)}, arrivals); }},
-            {"dragonflygap",
-             [](const classes& known, const std::vector<arrival>&) { return make_ours(known); }},
-            {"oracle", [](const classes&, const std::vector<arrival>& arrivals) {
-                 return make_baseline({.m_order = shortest(), .m_knows_run_times = true}, arrivals);
-             }}};
-}
-
 double p99_ms(const std::vector<arrival>& arrivals, const replay_result& result,
               const std::string& name, bool whole = false)
 {
@@ -129,12 +45,19 @@
     return used / static_cast<double>((until - from).count()) / slots_per_node;
 }
 
-void check(const replay_result& result)
+/// Share of the refusals that came within 10 ms, in percent; 100 without refusals.
+double refused_at_once(const replay_result& result)
 {
-    if (result.lost() + result.doubled() == 0)
-        return;
-    std::printf("FAILED: lost %zu, doubled %zu\n", result.lost(), result.doubled());
-    std::exit(1);
+    double refused = 0;
+    double at_once = 0;
+    for (const auto& item : result.m_fates)
+    {
+        if (item.m_starts != 0)
+            continue;
+        refused += 1;
+        at_once += item.m_end_at <= 10ms ? 1 : 0;
+    }
+    return refused == 0 ? 100 : 100 * at_once / refused;
 }
 
 void head_of_line(const char* title, const stream& tablets)
@@ -222,17 +145,19 @@
     const classes known{{.m_name = class_id("tablet"), .m_urgency = 0, .m_expected = declared(10)},
                         {.m_name = class_id("check"), .m_urgency = 3, .m_expected = declared(100)},
                         {.m_name = class_id("plan"), .m_urgency = 6, .m_expected = declared(2000)}};
-    std::printf("\n%s\n%-14s %-26s %-22s %-22s %-22s %-16s %s\n", title, "policy",
+    std::printf("\n%s\n%-14s %-26s %-22s %-22s %-22s %-16s %-24s %s\n", title, "policy",
                 "on time, % of the oracle's", "tablets on time %", "checks on time %",
-                "plans on time %", "most open", "quiet callers on time %");
+                "plans on time %", "most open", "quiet callers on time %",
+                "refused within 10 ms %");
     std::vector<double> best;
     auto all = contestants();
-    std::ranges::rotate(all, all.end() - 1);
+    std::rotate(all.begin(), all.end() - 1, all.end());
     for (const auto& who : all)
     {
         spread total;
         spread open;
         spread quiet;
+        spread at_once;
         std::vector<spread> by_class(known.size());
         for (std::uint64_t seed = 1; seed <= seeds; ++seed)
         {
@@ -260,6 +185,7 @@
                         on_time += result.m_fates[i].m_on_time ? 1 : 0;
                     }
             }
+            at_once.m_values.push_back(refused_at_once(result));
             quiet.m_values.push_back(100 * quiet_kept / quiet_asked);
             if (best.size() < seeds)
                 best.push_back(on_time);
@@ -268,10 +194,11 @@
             for (std::size_t c = 0; c < known.size(); ++c)
                 by_class[c].m_values.push_back(100 * kept[c] / asked[c]);
         }
-        std::printf("%-14s %-26s %-22s %-22s %-22s %-16s %s\n", who.m_name, total.text().c_str(),
-                    by_class[0].text("%.1f").c_str(), by_class[1].text("%.1f").c_str(),
-                    by_class[2].text("%.1f").c_str(), open.text("%.0f").c_str(),
-                    quiet.text("%.1f").c_str());
+        std::printf("%-14s %-26s %-22s %-22s %-22s %-16s %-24s %s\n", who.m_name,
+                    total.text().c_str(), by_class[0].text("%.1f").c_str(),
+                    by_class[1].text("%.1f").c_str(), by_class[2].text("%.1f").c_str(),
+                    open.text("%.0f").c_str(), quiet.text("%.1f").c_str(),
+                    at_once.text("%.1f").c_str());
     }
 }
 
@@ -336,33 +263,6 @@
     }
 }
 
-void cost(const char* title, double load)
-{
-    const classes known{
-        {.m_name = class_id("tablet"), .m_urgency = 0, .m_expected = 10ms},
-        {.m_name = class_id("check"), .m_urgency = 3, .m_expected = 20ms, .m_max_queued = 100000}};
-    spread each;
-    spread open;
-    for (std::uint64_t seed = 1; seed <= seeds; ++seed)
-    {
-        const auto arrivals = make_arrivals(
-            {{.m_class = "tablet", .m_per_second = 1500, .m_run_time = 10ms, .m_until = 10s},
-             {.m_class = "check",
-              .m_per_second = 1500 * load,
-              .m_run_time = 20ms,
-              .m_deadline = 60s,
-              .m_callers = 200,
-              .m_until = 10s}},
-            seed);
-        const auto result = play_one(arrivals, make_ours(known));
-        check(result);
-        each.m_values.push_back(1e6 * result.m_wall_seconds / static_cast<double>(result.m_events));
-        open.m_values.push_back(static_cast<double>(result.m_most_open));
-    }
-    std::printf("%-40s %-22s us/event   most open %s\n", title, each.text().c_str(),
-                open.text("%.0f").c_str());
-}
-
 } // namespace
 
 int main()
@@ -382,8 +282,6 @@
           {1.6, 1.2, 0.9, 0.9, 0.6, 0.6, 0.3, 0.3});
     peers("Forwarding: the same, 0.95 of the slots in all",
           {1.8, 1.4, 1.1, 1.0, 0.8, 0.7, 0.5, 0.3});
-    std::printf("\nCost of the scheduler\n");
-    cost("3,000 requests/s", 1);
-    cost("about 10,000 requests/s, long queue", 5.6);
+    print_costs();
     return 0;
 }
--- a/bench/policy/replay.cpp
+++ b/bench/policy/replay.cpp
@@ -167,7 +167,10 @@
     {
         const auto index = index_of(id);
         if (m_origin_peer[index] != static_cast<int>(n))
+        {
+            m_result.m_fates[index].m_end_at = m_now - m_arrivals[index].m_at;
             return end(m_result.m_fates[index]);
+        }
         m_origin_peer[index] = -1;
         schedule(m_now + one_way,
                  [this, id, index, why] {
