Read the rows of ownership only when they changed

Cause: each entry VM scanned its data centre's 32 group rows once a second, 3.5 KB that hardly ever differ. Change: reads of the table and of the VM list share conditional_reader; leases and groups are read apart, so that an unchanged group list costs a status line.

--- a/src/dragonflygap/daemon/ownership_driver.cpp
+++ b/src/dragonflygap/daemon/ownership_driver.cpp
@@ -31,8 +31,24 @@
 
 void ownership_driver::act(const ownership::scan_rows& action)
 {
-    m_table.m_scan(action.m_prefix,
-                   [this, call = action.m_call](outcome<std::vector<platform::row>> rows) {
+    // Leases change every second or two and groups hardly ever: read apart, the groups are not
+    // sent again. A group that moves in between shows, and its version is checked by every commit.
+    m_table.m_scan(action.m_prefix + "lease/",
+                   [this, action](outcome<std::vector<platform::row>> leases)
+                   { scan_groups(action, std::move(leases)); });
+}
+
+void ownership_driver::scan_groups(const ownership::scan_rows& action,
+                                   outcome<std::vector<platform::row>> leases)
+{
+    if (!leases)
+        return run(ownership::rows_scanned{action.m_call, std::move(leases)});
+    m_table.m_scan(action.m_prefix + "group/",
+                   [this, call = action.m_call,
+                    leases = std::move(*leases)](outcome<std::vector<platform::row>> rows)
+                   {
+                       if (rows)
+                           rows->insert(rows->end(), leases.begin(), leases.end());
                        run(ownership::rows_scanned{call, std::move(rows)});
                    });
 }
--- a/src/dragonflygap/daemon/ownership_driver.hpp
+++ b/src/dragonflygap/daemon/ownership_driver.hpp
@@ -26,6 +26,8 @@
 private:
     void run(const ownership::keeper_event& event);
     void act(const ownership::scan_rows& action);
+    void scan_groups(const ownership::scan_rows& action,
+                     outcome<std::vector<platform::row>> leases);
     void act(const ownership::commit_rows& action);
     void act(const ownership::groups_changed& action);
     void act(const ownership::keeper_left& action);
--- a/src/dragonflygap/emulator/cell.cpp
+++ b/src/dragonflygap/emulator/cell.cpp
@@ -26,6 +26,19 @@
     return config::read_head(*found->m_value);
 }
 
+// Sends a body that the caller has already as nothing but a status.
+emulated_answer tagged_answer(const http_request& request, const nlohmann::json& value)
+{
+    auto answer = json_answer(value);
+    const auto& body = answer.m_response.m_body;
+    const auto tag = "\"" + std::to_string(XXH64(body.data(), body.size(), 0)) + "\"";
+    constexpr int not_modified = 304;
+    if (request.header("If-None-Match") == tag)
+        return {.m_response = {.m_status = not_modified}};
+    answer.m_response.m_headers.push_back({"ETag", tag});
+    return answer;
+}
+
 } // namespace
 
 cell::cell(cell_options options) : m_options(std::move(options))
@@ -106,7 +119,7 @@
         return failed(verdict::not_run, reason::platform_unavailable, "the platform is down");
     if (request.m_path == "/table")
     {
-        auto answer = json_answer(m_table.scan(request.query_value("prefix")));
+        auto answer = tagged_answer(request, m_table.scan(request.query_value("prefix")));
         answer.m_delay = m_faults.m_table_delay;
         return answer;
     }
@@ -127,14 +140,7 @@
             record(history::worker_leaving{vm.m_info.m_id}, now);
         list.push_back(vm.m_info);
     }
-    auto answer = json_answer(list);
-    const auto& body = answer.m_response.m_body;
-    const auto tag = "\"" + std::to_string(XXH64(body.data(), body.size(), 0)) + "\"";
-    constexpr int not_modified = 304;
-    if (request.header("If-None-Match") == tag)
-        return {.m_response = {.m_status = not_modified}};
-    answer.m_response.m_headers.push_back({"ETag", tag});
-    return answer;
+    return tagged_answer(request, list);
 }
 
 emulated_answer cell::handle_commit(const http_request& request, instant now)
--- a/src/dragonflygap/platform/http_platform.cpp
+++ b/src/dragonflygap/platform/http_platform.cpp
@@ -1,5 +1,6 @@
 #include "dragonflygap/platform/http_platform.hpp"
 
+#include <map>
 #include <memory>
 #include <utility>
 
@@ -14,6 +15,12 @@
 namespace
 {
 
+using rows = std::vector<row>;
+using workers = std::vector<worker>;
+
+// Prefixes that are polled; scans of others take their places and lose them again.
+constexpr std::size_t max_kept_scans = 8;
+
 // Reads a 200 answer's body as T; anything else becomes a failure.
 template <class T>
 outcome<T> read_answer(outcome<http_response> answer)
@@ -44,19 +51,68 @@
     { done(read_answer<T>(std::move(answer))); };
 }
 
-outcome<std::optional<std::vector<worker>>> read_vm_list(outcome<http_response> answer,
-                                                         std::string& last_tag)
+constexpr int not_modified = 304;
+
+/// Reads things that change seldom: an answer that the platform has given already isn't sent again.
+template <class T>
+class conditional_reader
 {
-    constexpr int not_modified = 304;
-    if (answer && answer->m_status == not_modified)
-        return std::optional<std::vector<worker>>();
-    const std::string tag(answer ? answer->header("ETag") : "");
-    auto list = read_answer<std::vector<worker>>(std::move(answer));
-    if (!list)
-        return tl::make_unexpected(list.error());
-    last_tag = tag;
-    return std::optional(std::move(*list));
-}
+public:
+    /// What was read, and whether it is the same as at the last read of this path and query.
+    struct reading_result
+    {
+        std::shared_ptr<const T> m_value;
+        bool m_changed = false;
+    };
+    using done = std::function<void(outcome<reading_result>)>;
+
+    conditional_reader(http_platform_options options, std::size_t max_kept)
+        : m_options(std::move(options)), m_max_kept(max_kept)
+    {
+    }
+
+    void read(http_request request, const done& on_done)
+    {
+        const auto name = request.m_path + "?" + request.m_query;
+        const auto found = m_kept.find(name);
+        const auto known = found == m_kept.end() ? kept_value{} : found->second;
+        if (known.m_value != nullptr)
+            request.m_headers.push_back({"If-None-Match", known.m_tag});
+        m_options.m_transport.m_send(
+            m_options.m_address, std::move(request), m_options.m_timeout,
+            [this, name, known, on_done](outcome<http_response> answer)
+            {
+                if (answer && answer->m_status == not_modified && known.m_value != nullptr)
+                    return on_done(reading_result{known.m_value, false});
+                const std::string tag(answer ? answer->header("ETag") : "");
+                auto value = read_answer<T>(std::move(answer));
+                if (!value)
+                    return on_done(tl::make_unexpected(value.error()));
+                const kept_value fresh{tag, std::make_shared<const T>(std::move(*value))};
+                keep(name, fresh);
+                on_done(reading_result{fresh.m_value, true});
+            });
+    }
+
+private:
+    struct kept_value
+    {
+        std::string m_tag;
+        std::shared_ptr<const T> m_value;
+    };
+
+    void keep(const std::string& name, const kept_value& fresh)
+    {
+        if (m_kept.size() > m_max_kept)
+            m_kept.clear();
+        if (!fresh.m_tag.empty())
+            m_kept[name] = fresh;
+    }
+
+    http_platform_options m_options;
+    std::size_t m_max_kept;
+    std::map<std::string, kept_value> m_kept;
+};
 
 /// Renews leases at workers that tell only what changed.
 class lease_renewer
@@ -108,11 +164,12 @@
 {
     return {
         .m_scan =
-            [options](const std::string& prefix, read_done done)
+            [reader = std::make_shared<conditional_reader<rows>>(options, max_kept_scans)](
+                const std::string& prefix, const read_done& done)
         {
-            http_request request{.m_path = "/table", .m_query = "prefix=" + prefix};
-            options.m_transport.m_send(options.m_address, std::move(request), options.m_timeout,
-                                       reading<std::vector<row>>(std::move(done)));
+            reader->read({.m_path = "/table", .m_query = "prefix=" + prefix},
+                         [done](const auto& read)
+                         { done(read.map([](const auto& result) { return *result.m_value; })); });
         },
         .m_commit =
             [options](const std::vector<row_write>& writes, commit_done done)
@@ -125,16 +182,18 @@
 
 vm_list_port make_http_vm_list(const http_platform_options& options)
 {
-    // The list is long and changes a few hundred times a day: an unchanged one isn't sent again.
-    const auto last_tag = std::make_shared<std::string>();
-    return {.m_list = [options, last_tag](const vm_list_done& done)
+    return {.m_list = [reader = std::make_shared<conditional_reader<workers>>(options, 1)](
+                          const vm_list_done& done)
             {
-                http_request request{.m_path = "/vms"};
-                if (!last_tag->empty())
-                    request.m_headers.push_back({"If-None-Match", *last_tag});
-                options.m_transport.m_send(options.m_address, std::move(request), options.m_timeout,
-                                           [last_tag, done](outcome<http_response> answer)
-                                           { done(read_vm_list(std::move(answer), *last_tag)); });
+                reader->read({.m_path = "/vms"},
+                             [done](const auto& read)
+                             {
+                                 done(read.map(
+                                     [](const auto& result) {
+                                         return result.m_changed ? std::optional(*result.m_value)
+                                                                 : std::nullopt;
+                                     }));
+                             });
             }};
 }
 
