--- a/src/dragonflygap/placement/job_manager_commits.cpp
+++ b/src/dragonflygap/placement/job_manager_commits.cpp
@@ -192,6 +192,7 @@
         if (has_ended(live.m_part) && live.m_claimed && !live.m_in_commit && !live.m_dirty &&
             now - live.m_ended_at >= m_options.m_keep_ended)
             ended[live.m_part.m_home.m_group].emplace_back(live.m_ended_at, id);
+    bool trimmed = false;
     for (auto& [group, parts] : ended)
     {
         std::ranges::sort(parts);
@@ -201,6 +202,9 @@
             auto& live = m_parts.at(parts[i].second);
             if (i + keep >= parts.size() && !live.m_part.m_job.m_tasks.empty())
                 continue;
+            // One at a time, so that a wave of ended jobs isn't followed by a wave of writes.
+            if (std::exchange(trimmed, true))
+                return;
             live.m_in_commit = true;
             const auto entry = m_commits.add(
                 {{.m_key = key_of(live.m_part), .m_expected_version = live.m_version}});
