--- a/src/dragonflygap/placement/engine.cpp
+++ b/src/dragonflygap/placement/engine.cpp
@@ -110,6 +110,8 @@
         m_workers[*slot] = {.m_used = true};
     }
     auto& state = m_workers[*slot];
+    if (state.m_worker == worker)
+        return;
     state.m_worker = worker;
     state.m_inverse = invert(worker.m_capacity);
     state.m_rack = number_of(m_rack_numbers, m_in_rack, worker.m_rack.m_value);
--- a/src/dragonflygap/placement/engine.hpp
+++ b/src/dragonflygap/placement/engine.hpp
@@ -26,6 +26,8 @@
     rack_id m_rack;
     resources m_capacity;
     bool m_leaving = false;
+
+    bool operator==(const placement_worker&) const = default;
 };
 
 /// Chooses workers for tasks and keeps account of their room. Pure: no I/O, no clock.
