--- a/src/dragonflygap/emulator/cell.cpp
+++ b/src/dragonflygap/emulator/cell.cpp
@@ -5,6 +5,7 @@
 #include <utility>
 
 #include <nlohmann/json.hpp>
+#include <xxhash.h>
 
 #include "dragonflygap/config/revision.hpp"
 #include "dragonflygap/emulator/answers.hpp"
@@ -19,11 +20,10 @@
 /// Number of the configuration's revision that the writes put in force.
 std::optional<std::uint64_t> written_revision(const std::vector<platform::row_write>& writes)
 {
-    const auto found = std::ranges::find(writes, config::current_key, &platform::row_write::m_key);
+    const auto found = std::ranges::find(writes, config::head_key, &platform::row_write::m_key);
     if (found == writes.end() || !found->m_value)
         return std::nullopt;
-    const auto read = config::read_revision(*found->m_value);
-    return read ? std::optional(read->m_number) : std::nullopt;
+    return config::read_head(*found->m_value);
 }
 
 } // namespace
@@ -31,6 +31,8 @@
 cell::cell(cell_options options) : m_options(std::move(options))
 {
     const auto centres = m_options.m_data_centres.size();
+    const auto instance =
+        static_cast<std::uint64_t>(monotonic_clock::now().time_since_epoch().count());
     for (int i = 0; i < m_options.m_workers; ++i)
     {
         const auto& centre = m_options.m_data_centres[static_cast<std::size_t>(i) % centres];
@@ -51,7 +53,8 @@
         { record_task(id, task, at); };
         m_vms.emplace(info.m_address, vm{.m_info = info,
                                          .m_tasks = worker_model(info.m_capacity, on_change),
-                                         .m_executor = executor_model(m_options.m_slots)});
+                                         .m_executor = executor_model(m_options.m_slots),
+                                         .m_reports = report_log(instance)});
     }
 }
 
@@ -98,7 +101,7 @@
 emulated_answer cell::handle_platform(const http_request& request, instant now)
 {
     if (request.m_path == "/vms")
-        return list_vms(now);
+        return list_vms(request, now);
     if (m_faults.m_table_down)
         return failed(verdict::not_run, reason::platform_unavailable, "the platform is down");
     if (request.m_path == "/table")
@@ -112,7 +115,7 @@
     return not_found();
 }
 
-emulated_answer cell::list_vms(instant now)
+emulated_answer cell::list_vms(const http_request& request, instant now)
 {
     auto list = nlohmann::json::array();
     for (auto& [at, vm] : m_vms)
@@ -124,7 +127,14 @@
             record(history::worker_leaving{vm.m_info.m_id}, now);
         list.push_back(vm.m_info);
     }
-    return json_answer(list);
+    auto answer = json_answer(list);
+    const auto& body = answer.m_response.m_body;
+    const auto tag = "\"" + std::to_string(XXH64(body.data(), body.size(), 0)) + "\"";
+    constexpr int not_modified = 304;
+    if (request.header("If-None-Match") == tag)
+        return {.m_response = {.m_status = not_modified}};
+    answer.m_response.m_headers.push_back({"ETag", tag});
+    return answer;
 }
 
 emulated_answer cell::handle_commit(const http_request& request, instant now)
