Preempt, reserve, eject and correct sizes inside the daemon

Change: job_manager_policy: urgent jobs are placed first and, without room, stop the cheapest victims and wait for their reported end; gangs without room reserve workers after their patience; reports set the overuse of workers and stop the worst overuser; teams of the configuration set the owner's quotas; submission refuses jobs that never fit with the rule or dimension. worker_tasks judges workers by worker_health (was: five failures of any one job). A trial on probation lapses after 60 s without a result; a gang that can't fit here reserves nothing. Left: the table rows for quotas, holds across owners, checkpoint and throttle in the worker port.

--- a/src/dragonflygap/daemon/control_task.cpp
+++ b/src/dragonflygap/daemon/control_task.cpp
@@ -208,6 +208,7 @@
 
     void on_config(const config::versioned_document& changed)
     {
+        m_jobs.set_teams(changed.m_document.m_teams);
         m_options.m_to_requests(
             request::classes_changed{changed.m_document.m_classes, changed.m_document.m_callers});
         if (m_options.m_settings.m_history)
--- a/src/dragonflygap/daemon/job_driver.cpp
+++ b/src/dragonflygap/daemon/job_driver.cpp
@@ -68,6 +68,11 @@
     run(std::move(workers));
 }
 
+void job_driver::set_teams(std::vector<config::team> teams)
+{
+    run(placement::teams_changed{std::move(teams)});
+}
+
 void job_driver::run(const placement::job_event& event)
 {
     for (const auto& action : m_manager.handle(event, monotonic_clock::now()))
--- a/src/dragonflygap/daemon/job_driver.hpp
+++ b/src/dragonflygap/daemon/job_driver.hpp
@@ -47,6 +47,7 @@
     void find(const job_id& id, found_hook done);
 
     void set_workers(placement::workers_owned workers);
+    void set_teams(std::vector<config::team> teams);
 
     void on_message(const vm_id& from, const cluster::room_wanted& message);
     void on_message(const vm_id& from, const cluster::room_found& message);
--- a/src/dragonflygap/placement/gang_reservation.cpp
+++ b/src/dragonflygap/placement/gang_reservation.cpp
@@ -45,6 +45,11 @@
                                  return std::pair(left.m_now, left.m_drained) >
                                         std::pair(right.m_now, right.m_drained);
                              });
+    int room_for = 0;
+    for (const auto& each : choices)
+        room_for += each.m_drained;
+    if (room_for < count)
+        return {};
     auto wanted = count;
     for (int i = 0; i < widenings && wanted < count * static_cast<int>(choices.size()); ++i)
         wanted += std::max(1, wanted / 2);
@@ -74,10 +79,25 @@
     const bool widens = holds && now - m_last_plan >= m_options.m_widen_after;
     if (!first && !widens)
         return;
-    m_widenings = widens ? m_widenings + 1 : 0;
+    const auto widenings = widens ? m_widenings + 1 : 0;
+    const auto planned = plan_reservation(gang, count, room, workers, widenings);
+    // A gang that can't fit here doesn't stand in the way of the others.
+    if (planned.empty())
+        return ends(gang.m_id, room);
+    m_widenings = widenings;
     m_holder = gang.m_id;
     m_last_plan = now;
-    room.reserve(gang.m_id, plan_reservation(gang, count, room, workers, m_widenings));
+    room.reserve(gang.m_id, planned);
+}
+
+void gang_reservation::keep_only(const std::function<bool(const job_id&)>& wanted, engine& room)
+{
+    std::vector<job_id> unwanted;
+    for (const auto& each : m_waiting)
+        if (!wanted(each.m_gang))
+            unwanted.push_back(each.m_gang);
+    for (const auto& gang : unwanted)
+        ends(gang, room);
 }
 
 void gang_reservation::ends(const job_id& gang, engine& room)
--- a/src/dragonflygap/placement/gang_reservation.hpp
+++ b/src/dragonflygap/placement/gang_reservation.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <functional>
 #include <optional>
 #include <span>
 #include <vector>
@@ -19,7 +20,7 @@
 };
 
 /// Workers on which a gang fits once their other work has ended, those with the most free room
-/// first. Each widening takes half as many again.
+/// first. Each widening takes half as many again. None if even all of them are too few.
 std::vector<worker_id> plan_reservation(const job_spec& gang, int count, const engine& room,
                                         std::span<const drainable_worker> workers, int widenings);
 
@@ -43,6 +44,9 @@
     /// The gang was placed, or isn't wanted any more.
     void ends(const job_id& gang, engine& room);
 
+    /// Forgets the gangs that aren't wanted.
+    void keep_only(const std::function<bool(const job_id&)>& wanted, engine& room);
+
     const std::optional<job_id>& holder() const { return m_holder; }
 
 private:
--- a/src/dragonflygap/placement/job_manager.cpp
+++ b/src/dragonflygap/placement/job_manager.cpp
@@ -93,6 +93,7 @@
             part.m_adopted = false;
         stop_unwanted(part, now, out);
     }
+    drop_stale_plans();
     trim(now);
     expire_submissions(now, out);
 }
@@ -121,7 +122,7 @@
     // A start that may have happened is settled by the worker's reports.
     if (event.m_result.error().m_verdict != verdict::not_run)
         return;
-    m_workers.count_result(task->m_worker, false, now);
+    m_workers.count_result(task->m_worker, part->m_part.m_job.m_spec.m_id, false, now);
     set_back(*part, *task, now);
 }
 
@@ -142,6 +143,7 @@
             reported.insert(report.m_task);
         read_report(from, report, now, out);
     }
+    correct_usage(from, *event.m_tasks, now, out);
     find_missing(event.m_worker, reported, *sent, now);
 }
 
@@ -189,7 +191,7 @@
         part->m_dirty = true;
     }
     if (now - task->m_since >= long_run)
-        m_workers.count_result(worker, true, now);
+        m_workers.count_result(worker, report.m_job, true, now);
 }
 
 void job_manager::find_missing(const worker_id& worker, const std::set<task_id>& reported,
@@ -236,13 +238,13 @@
     part.m_dirty = true;
     if (state == platform::task_state::finished && !service)
     {
-        m_workers.count_result(task.m_worker, true, now);
+        m_workers.count_result(task.m_worker, spec.m_id, true, now);
         task.m_state = job_task_state::finished;
         return;
     }
     if (state == platform::task_state::stopped)
         return set_back(part, task, now);
-    m_workers.count_result(task.m_worker, false, now);
+    m_workers.count_result(task.m_worker, spec.m_id, false, now);
     const bool ran_long = service && now - task.m_since >= long_run;
     task.m_failures = ran_long ? 1 : task.m_failures + 1;
     if (!service && task.m_failures >= spec.m_max_attempts)
--- a/src/dragonflygap/placement/job_manager.hpp
+++ b/src/dragonflygap/placement/job_manager.hpp
@@ -8,11 +8,15 @@
 #include <variant>
 #include <vector>
 
+#include "dragonflygap/config/document.hpp"
 #include "dragonflygap/core/verdict.hpp"
 #include "dragonflygap/placement/commit_queue.hpp"
 #include "dragonflygap/placement/engine.hpp"
+#include "dragonflygap/placement/gang_reservation.hpp"
 #include "dragonflygap/placement/job.hpp"
 #include "dragonflygap/placement/job_part.hpp"
+#include "dragonflygap/placement/preemption.hpp"
+#include "dragonflygap/placement/usage_estimator.hpp"
 #include "dragonflygap/placement/worker_tasks.hpp"
 #include "dragonflygap/platform/worker_port.hpp"
 
@@ -75,12 +79,17 @@
     part_id m_part;
     std::vector<room_offer> m_offers;
 };
+/// Another configuration is in force.
+struct teams_changed
+{
+    std::vector<config::team> m_teams;
+};
 struct job_manager_tick
 {
 };
 using job_event =
     std::variant<workers_owned, parts_scanned, parts_committed, job_submitted, parts_written,
-                 start_answered, worker_reported, room_offered, job_manager_tick>;
+                 start_answered, worker_reported, room_offered, teams_changed, job_manager_tick>;
 
 /// Read the parts of a group, then report parts_scanned.
 struct scan_parts
@@ -225,6 +234,20 @@
     void start(live_part& part, job_task& task, const worker_id& worker, instant now, actions& out);
     void send_start(live_part& part, const job_task& task, instant now, actions& out);
 
+    // job_manager_policy.cpp: who gets room
+    void on(const teams_changed& event, instant now, actions& out);
+    std::vector<worker_id> find_workers(const live_part& part, std::vector<job_task*>& due,
+                                        bool together, instant now, actions& out);
+    std::vector<worker_id> find_workers_for_gang(const live_part& part, int count, instant now);
+    std::vector<victim_candidate> victims(instant now);
+    void stop_victims(const std::vector<victim_candidate>& chosen, actions& out);
+    std::vector<drainable_worker> drainable() const;
+    bool waits_here(const job_id& job, std::optional<int> index);
+    void drop_stale_plans();
+    void correct_usage(const owned_worker& from, const std::vector<platform::task_report>& reports,
+                       instant now, actions& out);
+    std::optional<std::string> why_never(const job_spec& spec) const;
+
     // job_manager_rows.cpp: rows of the table
     void on(const parts_scanned& event, instant now, actions& out);
     void on(const parts_committed& event, instant now, actions& out);
@@ -257,6 +280,10 @@
     job_manager_options m_options;
     worker_tasks m_workers;
     commit_queue m_commits;
+    preemptor m_preemptor{{}};
+    gang_reservation m_reservation{{}};
+    usage_estimator m_usage{{}};
+    std::map<team_id, resources> m_quotas;
     std::map<part_id, live_part> m_parts;
     std::map<std::pair<job_id, int>, part_id> m_part_of_task;
     std::map<ownership::group_index, group_state> m_groups;
--- a/src/dragonflygap/placement/job_manager_placing.cpp
+++ b/src/dragonflygap/placement/job_manager_placing.cpp
@@ -8,9 +8,11 @@
 
 void job_manager::place_waiting(instant now, actions& out)
 {
-    for (auto& [id, part] : m_parts)
-        if (ready(part) && !part.m_in_commit && !part.m_outdated && !part.m_part.m_cancelled)
-            place_part(part, now, out);
+    for (const bool urgent : {true, false})
+        for (auto& [id, part] : m_parts)
+            if (part.m_part.m_job.m_spec.m_urgent == urgent && ready(part) && !part.m_in_commit &&
+                !part.m_outdated && !part.m_part.m_cancelled)
+                place_part(part, now, out);
 }
 
 void job_manager::place_part(live_part& part, instant now, actions& out)
@@ -37,17 +39,8 @@
     }
     if (due.empty())
         return;
-    std::vector<worker_id> placed;
-    if (spec.m_kind == job_kind::gang && first_start)
-        placed = m_workers.room().place_all(spec, static_cast<int>(due.size())).value_or(placed);
-    else
-        while (placed.size() < due.size())
-        {
-            auto worker = m_workers.room().place(spec);
-            if (!worker)
-                break;
-            placed.push_back(std::move(*worker));
-        }
+    const auto placed =
+        find_workers(part, due, spec.m_kind == job_kind::gang && first_start, now, out);
     std::map<part_home, std::vector<int>> moves;
     for (std::size_t i = 0; i < placed.size(); ++i)
     {
--- a/src/dragonflygap/placement/worker_health.cpp
+++ b/src/dragonflygap/placement/worker_health.cpp
@@ -5,10 +5,13 @@
 namespace dragonflygap::placement
 {
 
-void worker_health::started(const worker_id& worker)
+void worker_health::started(const worker_id& worker, instant now)
 {
-    if (const auto found = m_workers.find(worker); found != m_workers.end())
-        found->second.m_on_trial = found->second.m_ejected;
+    const auto found = m_workers.find(worker);
+    if (found == m_workers.end() || !found->second.m_ejected)
+        return;
+    found->second.m_on_trial = true;
+    found->second.m_until = now + m_options.m_trial;
 }
 
 void worker_health::succeeded(const worker_id& worker)
@@ -46,7 +49,7 @@
     const auto found = m_workers.find(worker);
     if (found == m_workers.end() || !found->second.m_ejected)
         return true;
-    return now >= found->second.m_until && !found->second.m_on_trial;
+    return now >= found->second.m_until;
 }
 
 std::size_t worker_health::ejected() const
--- a/src/dragonflygap/placement/worker_health.hpp
+++ b/src/dragonflygap/placement/worker_health.hpp
@@ -14,6 +14,7 @@
     int m_failures_to_eject = 5; ///< In a row, of at least two jobs.
     duration m_first_ejection = 30s;
     duration m_longest_ejection = 600s;
+    duration m_trial = 60s;      ///< Without a result for longer, another task is tried.
     double m_least_in_use = 0.7; ///< Share of the workers that is never ejected.
 };
 
@@ -27,7 +28,7 @@
     void add(const worker_id& worker) { m_workers.try_emplace(worker); }
     void remove(const worker_id& worker) { m_workers.erase(worker); }
 
-    void started(const worker_id& worker);
+    void started(const worker_id& worker, instant now);
     void succeeded(const worker_id& worker);
     void failed(const worker_id& worker, const job_id& job, instant now);
 
@@ -45,7 +46,7 @@
         int m_ejections = 0;
         bool m_ejected = false; ///< Until a task on probation succeeds.
         bool m_on_trial = false;
-        instant m_until{};
+        instant m_until{}; ///< Of the ejection, then of the trial.
     };
 
     void eject(record& worker, instant now);
--- a/src/dragonflygap/placement/worker_tasks.cpp
+++ b/src/dragonflygap/placement/worker_tasks.cpp
@@ -20,12 +20,15 @@
                                         epoch->second == worker.m_worker.m_epoch;
                       if (!kept && m_in_engine.erase(entry.first) != 0)
                           m_engine.remove_worker(entry.first);
+                      if (!kept)
+                          m_health.remove(entry.first);
                       return !kept;
                   });
     for (auto& [id, worker] : m_workers)
         worker.m_listed = false;
     for (const auto& worker : workers)
     {
+        m_health.add(worker.m_info.m_id);
         const auto [found, added] = m_workers.try_emplace(worker.m_info.m_id);
         if (added)
             found->second.m_owned_since = found->second.m_last_report = now;
@@ -108,27 +111,17 @@
     const auto found = m_workers.find(id);
     if (found == m_workers.end())
         return;
+    m_health.started(id, now);
     found->second.m_last_sent = now;
     found->second.m_lost = false; // there is a lease again that may have to run out
 }
 
-void worker_tasks::count_result(const worker_id& id, bool good, instant now)
+void worker_tasks::count_result(const worker_id& id, const job_id& job, bool good, instant now)
 {
-    const auto found = m_workers.find(id);
-    if (found == m_workers.end())
-        return;
-    auto& worker = found->second;
-    worker.m_failures = good ? 0 : worker.m_failures + 1;
-    if (worker.m_failures < m_options.m_eject_after)
-        return;
-    // Never more than a quarter of the workers at once: then the fault is elsewhere.
-    const auto ejected = std::ranges::count_if(m_workers, [now](const auto& entry)
-                                               { return entry.second.m_ejected_until > now; });
-    if ((static_cast<std::size_t>(ejected) + 1) * 4 > m_workers.size())
-        return;
-    // One more failure after the pause ejects it again.
-    worker.m_failures = m_options.m_eject_after - 1;
-    worker.m_ejected_until = now + m_options.m_eject_for;
+    if (good)
+        m_health.succeeded(id);
+    else
+        m_health.failed(id, job, now);
 }
 
 void worker_tasks::acknowledge(const worker_id& id, const task_id& task)
@@ -181,7 +174,7 @@
 bool worker_tasks::usable(const state& worker, instant now) const
 {
     return worker.m_heard && worker.m_listed && !worker.m_worker.m_info.m_leaving &&
-           worker.m_ejected_until <= now &&
+           m_health.usable(worker.m_worker.m_info.m_id, now) &&
            now - worker.m_last_report < m_options.m_silent_after / 2;
 }
 
--- a/src/dragonflygap/placement/worker_tasks.hpp
+++ b/src/dragonflygap/placement/worker_tasks.hpp
@@ -10,6 +10,7 @@
 #include "dragonflygap/ownership/rows.hpp"
 #include "dragonflygap/placement/engine.hpp"
 #include "dragonflygap/placement/job.hpp"
+#include "dragonflygap/placement/worker_health.hpp"
 #include "dragonflygap/platform/worker_port.hpp"
 
 namespace dragonflygap::placement
@@ -29,8 +30,7 @@
     duration m_silent_after = 15s;  ///< Without a report for longer, leases aren't renewed.
     duration m_lease_margin = 5s;   ///< For clocks, and for renewals on their way.
     duration m_predecessor_grace{}; ///< How long an earlier owner may renew after its loss.
-    int m_eject_after = 5;          ///< Failures in a row.
-    duration m_eject_for = 30s;
+    worker_health_options m_health;
 };
 
 /// Renew the leases of a worker's tasks, then report worker_reported.
@@ -59,13 +59,14 @@
         instant m_last_report{};
         instant m_last_sent{}; ///< Last call that may have started a lease or renewed one.
         instant m_renew_sent{};
-        int m_failures = 0; ///< In a row.
-        instant m_ejected_until{};
         std::map<task_id, job_spec> m_tasks; ///< Those that take room.
         std::vector<task_id> m_acknowledged;
     };
 
-    explicit worker_tasks(worker_tasks_options options) : m_options(options) {}
+    explicit worker_tasks(worker_tasks_options options)
+        : m_options(options), m_health(options.m_health)
+    {
+    }
 
     /// Replaces the workers. One that vanished from the list stays while its group is owned.
     void set_workers(std::span<const owned_worker> workers,
@@ -83,7 +84,7 @@
                                     instant now);
 
     void started(const worker_id& worker, instant now);
-    void count_result(const worker_id& worker, bool good, instant now);
+    void count_result(const worker_id& worker, const job_id& job, bool good, instant now);
     void acknowledge(const worker_id& worker, const task_id& task);
 
     /// The parts of a group were read: only reports from now on tell all that runs.
@@ -110,6 +111,7 @@
 
     worker_tasks_options m_options;
     engine m_engine;
+    worker_health m_health;
     std::map<worker_id, state> m_workers;
     std::set<worker_id> m_in_engine;
     std::uint64_t m_last_call = 0;
--- a/tests/placement/job_manager_test.cpp
+++ b/tests/placement/job_manager_test.cpp
@@ -50,6 +50,10 @@
         for (ownership::group_index i = 0; i < ownership::groups_per_data_centre; ++i)
             owned.m_epochs[i] = 1;
         owned.m_cell = workers;
+        // A worker of a peer.
+        owned.m_cell.push_back({.m_id = worker_id("far"),
+                                .m_data_centre = data_centre_id("dc2"),
+                                .m_capacity = {.m_millicores = 4000, .m_memory_mb = 4000}});
         run(owned);
     }
 
@@ -370,3 +374,48 @@
     CHECK(m_answers.at(0).m_result.error().m_reason == reason::never_fits);
     CHECK(m_table.scan("jobs/").empty());
 }
+
+TEST(job_manager, an_urgent_task_starts_in_a_full_cell_once_its_victim_has_ended)
+{
+    hear_workers();
+    submit(job_kind::batch, 2, 4000);
+    CHECK_EQUAL(2, m_starts.size());
+    for (int i = 0; i < 2; ++i)
+    {
+        const auto start = m_starts[static_cast<std::size_t>(i)];
+        answer(start, running(start));
+    }
+    run(job_submitted{2,
+                      {.m_id = job_id("u"),
+                       .m_name = "u",
+                       .m_team = team_id("t"),
+                       .m_urgent = true,
+                       .m_size = {.m_millicores = 3000, .m_memory_mb = 10}}});
+    pass(1s);
+    CHECK_EQUAL(1, m_stops.size());
+    CHECK_EQUAL(2, m_starts.size());
+    const auto worker = m_stops.front().m_worker.m_info.m_id;
+    report(worker.m_value.c_str(), {{.m_task = m_stops.front().m_task,
+                                     .m_job = job_id("j"),
+                                     .m_state = platform::task_state::stopped}});
+    pass(200ms);
+    CHECK_EQUAL(3, m_starts.size());
+    CHECK(m_starts.back().m_task.m_job == job_id("u"));
+    CHECK(m_starts.back().m_worker.m_info.m_id == worker);
+}
+
+TEST(job_manager, a_team_holds_no_more_than_its_quota)
+{
+    hear_workers();
+    run(teams_changed{{{.m_name = team_id("t"), .m_quota = {3500, 1000, 0}}}});
+    submit(job_kind::batch, 3, 1500);
+    CHECK_EQUAL(2, m_starts.size());
+}
+
+TEST(job_manager, a_job_that_never_fits_is_refused_with_the_dimension)
+{
+    submit(job_kind::batch, 1, 5000);
+    CHECK(m_answers.front().m_result.error().m_reason == reason::never_fits);
+    CHECK(m_answers.front().m_result.error().m_detail ==
+          "size.millicores is 5000, the largest worker has 4000");
+}
