--- a/src/dragonflygap/placement/quota_share.cpp
+++ b/src/dragonflygap/placement/quota_share.cpp
@@ -36,9 +36,10 @@
 {
     if (total <= 0)
         return 0;
-    // Doubles are exact enough here as the result is rounded down by one part in a thousand.
+    const std::int64_t half = quota / 2;
     const auto share = static_cast<double>(capacity) / static_cast<double>(total);
-    return static_cast<std::int64_t>(static_cast<double>(quota / 2) * share * 0.999);
+    // A thousandth less, so that rounding can't add up to more than the half.
+    return static_cast<std::int64_t>(static_cast<double>(half) * share * 0.999);
 }
 
 } // namespace
