--- a/src/dragonflygap/request/request_task.cpp
+++ b/src/dragonflygap/request/request_task.cpp
@@ -164,6 +164,8 @@
         flight->m_target_error.reset();
         record(history::request_dispatched{action.m_id, action.m_target});
         const auto& class_name = flight->m_request.m_class.m_value;
+        if (action.m_attempt > 1)
+            m_metrics.count("dragonflygap_retries_total", {"class", class_name});
         m_metrics.observe("dragonflygap_wait_seconds", {"class", class_name},
                           now - flight->m_request.m_arrived);
         http_request call{.m_method = "POST",
@@ -349,6 +351,8 @@
         }
         m_metrics.set("dragonflygap_slots_unsettled", {"vm", m_options.m_vm.m_value},
                       static_cast<double>(m_calls.unsettled()));
+        m_metrics.set("dragonflygap_targets_ejected", {"vm", m_options.m_vm.m_value},
+                      m_scheduler.ejected_targets());
         if (m_options.m_on_load)
             m_options.m_on_load(load);
     }
