Free the connections of calls that end in the loop's last round

Cause: the address sanitizer found evhttp connections that a client's posted clean-up never freed, because its loop was stopped first. Change: the client keeps the calls that ended and frees their connections itself.

--- a/src/dragonflygap/net/http_client.cpp
+++ b/src/dragonflygap/net/http_client.cpp
@@ -2,6 +2,7 @@
 
 #include <deque>
 #include <map>
+#include <set>
 #include <unordered_map>
 #include <utility>
 #include <vector>
@@ -118,6 +119,8 @@
     call_id m_last_call = 0;
     std::map<endpoint, pool> m_pools;
     std::unordered_map<call_id, std::shared_ptr<call>> m_calls;
+    std::set<std::shared_ptr<call>>
+        m_ending; ///< Ended; their connections are still to be dealt with.
 
     explicit state(event_loop& loop) : m_loop(loop) {}
 
@@ -264,7 +267,13 @@
         ended->m_timer.reset();
         ended->m_connect_timer.reset();
         // The request's callback runs within the connection, which must not be used again yet.
-        m_loop.post([this, ended] { give_back(*ended); });
+        m_ending.insert(ended);
+        m_loop.post(
+            [this, ended]
+            {
+                m_ending.erase(ended);
+                give_back(*ended);
+            });
         ended->m_done(std::move(response));
     }
 
@@ -284,9 +293,11 @@
         if (ended->m_connection == nullptr)
             return;
         // Until the connection is freed, libevent may still call back with the call's address.
+        m_ending.insert(ended);
         m_loop.post(
             [this, ended]
             {
+                m_ending.erase(ended);
                 close(*ended->m_connection, m_pools[ended->m_to]);
                 serve_waiting(ended->m_to);
             });
@@ -342,6 +353,10 @@
     for (auto& [id, ended] : m_state->m_calls)
         if (ended->m_connection != nullptr)
             evhttp_connection_free(ended->m_connection->m_http);
+    // Calls that ended in the loop's last round, which nobody will run any more.
+    for (const auto& ended : m_state->m_ending)
+        if (ended->m_connection != nullptr)
+            evhttp_connection_free(ended->m_connection->m_http);
     for (auto& [to, connections] : m_state->m_pools)
         for (auto& idle : connections.m_idle)
             evhttp_connection_free(idle->m_http);
