Renew a due lease before the next scan

Cause: the scenario store_is_slow. With a second for each table call a scan was due again whenever the last one ended, so that the lease was never renewed and no entry VM owned anything. Change: the keeper renews a lease that is due before it scans again. Conclusion: a table as slow as the scan interval costs freshness, no ownership.

--- a/src/dragonflygap/ownership/keeper.cpp
+++ b/src/dragonflygap/ownership/keeper.cpp
@@ -32,6 +32,12 @@
         give_up_call(now);
     if (m_call || now < m_not_before)
         return;
+    // A table as slow as the interval of the scans must not keep the lease from its renewal.
+    if (m_scanned && m_holds_lease && !m_leaving &&
+        now - m_last_renewal >= m_options.m_renew_every)
+        renew(now, out);
+    if (m_call)
+        return;
     if (!m_scanned || now - m_last_scan >= m_options.m_scan_every)
         return scan(now, out);
     if (m_leaving)
