--- a/src/dragonflygap/ownership/keeper.cpp
+++ b/src/dragonflygap/ownership/keeper.cpp
@@ -33,8 +33,7 @@
     if (m_call || now < m_not_before)
         return;
     // A table as slow as the interval of the scans must not keep the lease from its renewal.
-    if (m_scanned && m_holds_lease && !m_leaving &&
-        now - m_last_renewal >= m_options.m_renew_every)
+    if (m_scanned && m_holds_lease && !m_leaving && now - m_last_renewal >= m_options.m_renew_every)
         renew(now, out);
     if (m_call)
         return;
