Keep a request's name while the property test removes it from its set

Cause: end() and answer_peer() were given a reference into the set that they erase from; the address sanitizer stopped test-request with a use after free. Change: both take the name by value; nothing that is checked changes. Conclusion: net, request_task and request pass under address and undefined-behaviour sanitizers.

--- a/tests/request/scheduler_property_test.cpp
+++ b/tests/request/scheduler_property_test.cpp
@@ -112,7 +112,7 @@
         note_actions();
     }
 
-    void end(const std::string& id, const outcome<void>& result, bool slot_free)
+    void end(std::string id, const outcome<void>& result, bool slot_free)
     {
         auto& record = m_records[id];
         m_running.erase(id);
@@ -165,7 +165,7 @@
         note_actions();
     }
 
-    void answer_peer(const std::string& id, verdict what, bool ran)
+    void answer_peer(std::string id, verdict what, bool ran)
     {
         auto& record = m_records[id];
         m_at_peers.erase(id);
