Show the claim of adopted rows and the first silence of a process by tests

Change: a test for each. Still shown by no test: the limit on repeated creations, call numbers of renewals.

--- a/tests/ownership/keeper_test.cpp
+++ b/tests/ownership/keeper_test.cpp
@@ -203,3 +203,13 @@
     run({&b}, 90s);
     CHECK_EQUAL(groups_per_data_centre, b.owned());
 }
+
+TEST(keeper, a_process_promises_nothing_while_an_earlier_one_may_still_be_fencing)
+{
+    kept a(m_table, "a", 1);
+    run({&a}, 10s);
+    const promise_wanted wanted{{vm_id("b"), 1, 1}, 1};
+    CHECK(a.m_keeper.handle(wanted, m_now).empty());
+    run({&a}, 11s);
+    CHECK_EQUAL(1, a.m_keeper.handle(wanted, m_now).size());
+}
--- a/tests/placement/job_manager_test.cpp
+++ b/tests/placement/job_manager_test.cpp
@@ -419,3 +419,20 @@
     CHECK(m_answers.front().m_result.error().m_detail ==
           "size.millicores is 5000, the largest worker has 4000");
 }
+
+TEST(job_manager, a_successor_starts_nothing_of_a_row_before_its_own_write_of_it_is_certain)
+{
+    submit(job_kind::batch, 1, 1000); // no worker has reported: the task waits
+    m_manager = job_manager({.m_data_centre = centre, .m_writer = "b.1"});
+    m_calls.clear();
+    m_answered.clear();
+    m_lose_commit_replies = true;
+    own({worker_named("w1"), worker_named("w2")});
+    hear_workers();
+    pass(1s);
+    CHECK(m_starts.empty());
+    m_lose_commit_replies = false;
+    hear_workers();
+    pass(1s);
+    CHECK_EQUAL(1, m_starts.size());
+}
