Test that a peer's answer gives its room back to what waits

Change: one test; it fails when peer_choice::returned does nothing (tried). Conclusion: the rule is held.

--- a/tests/request/scheduler_policy_test.cpp
+++ b/tests/request/scheduler_policy_test.cpp
@@ -149,6 +149,15 @@
     CHECK(m_driver.m_forwarded.empty());
 }
 
+TEST(scheduler_policy, the_answer_of_a_peer_gives_its_room_back_to_what_waits)
+{
+    submit_plans(64);
+    hear("peer", "a", 1);
+    submit_plans(2);
+    m_driver.end("plan64");
+    CHECK(m_driver.m_forwarded["plan65"] == vm_id("peer"));
+}
+
 TEST(scheduler_policy, an_old_digest_is_not_trusted)
 {
     submit_plans(64);
