--- a/src/dragonflygap/cluster/membership.hpp
+++ b/src/dragonflygap/cluster/membership.hpp
@@ -49,7 +49,7 @@
     vm_id m_self;
     data_centre_id m_data_centre;
     duration m_near_every = 500ms;
-    duration m_far_every = 1s;
+    duration m_far_every = 1250ms;
     duration m_near_suspect = 2s;
     duration m_far_suspect = 4s;
     duration m_near_dead = 5s;
--- a/src/dragonflygap/emulator/cell.cpp
+++ b/src/dragonflygap/emulator/cell.cpp
@@ -155,6 +155,9 @@
         --m_faults.m_double_commits;
         result = m_table.commit(writes);
     }
+    if (result.m_committed)
+        for (auto& written : result.m_rows)
+            written.m_value.clear(); // the caller knows what it wrote
     auto answer = json_answer(result);
     answer.m_delay = m_faults.m_table_delay;
     if (m_faults.m_late_replies > 0)
--- a/src/dragonflygap/net/counted_transport.cpp
+++ b/src/dragonflygap/net/counted_transport.cpp
@@ -8,13 +8,15 @@
 namespace
 {
 
-// Request line or status line, Host or Date, Content-Length and the empty line.
-constexpr std::uint64_t fixed_head_bytes = 110;
+// Method, version, Host, Content-Length and the empty line, which the client adds by itself.
+constexpr std::uint64_t request_head_bytes = 70;
+// Status line and the empty line; the headers of an answer are all known.
+constexpr std::uint64_t response_head_bytes = 19;
 constexpr std::uint64_t header_framing_bytes = 4;
 
-std::uint64_t head_bytes(const std::vector<http_header>& headers)
+std::uint64_t header_bytes(const std::vector<http_header>& headers)
 {
-    std::uint64_t sum = fixed_head_bytes;
+    std::uint64_t sum = 0;
     for (const auto& header : headers)
         sum += header.m_name.size() + header.m_value.size() + header_framing_bytes;
     return sum;
@@ -30,14 +32,16 @@
                                                     duration timeout, http_transport::done on_done)
     {
         ++traffic->m_calls;
-        traffic->m_bytes_sent += head_bytes(request.m_headers) + request.m_path.size() +
-                                 request.m_query.size() + request.m_body.size();
+        traffic->m_bytes_sent += request_head_bytes + header_bytes(request.m_headers) +
+                                 request.m_path.size() + request.m_query.size() +
+                                 request.m_body.size();
         return send(to, std::move(request), timeout,
                     [traffic, done = std::move(on_done)](outcome<http_response> answer)
                     {
                         if (answer)
-                            traffic->m_bytes_received +=
-                                head_bytes(answer->m_headers) + answer->m_body.size();
+                            traffic->m_bytes_received += response_head_bytes +
+                                                         header_bytes(answer->m_headers) +
+                                                         answer->m_body.size();
                         done(std::move(answer));
                     });
     };
--- a/src/dragonflygap/net/counted_transport.hpp
+++ b/src/dragonflygap/net/counted_transport.hpp
@@ -8,7 +8,8 @@
 namespace dragonflygap
 {
 
-/// Bytes of requests and answers, their headers estimated, without the framing below HTTP.
+/// Bytes of requests and answers as HTTP writes them, without the framing below; the head of a
+/// request is estimated.
 struct call_traffic
 {
     std::uint64_t m_calls = 0;
--- a/src/dragonflygap/platform/http_platform.cpp
+++ b/src/dragonflygap/platform/http_platform.cpp
@@ -1,5 +1,6 @@
 #include "dragonflygap/platform/http_platform.hpp"
 
+#include <algorithm>
 #include <map>
 #include <memory>
 #include <utility>
@@ -114,6 +115,31 @@
     std::map<std::string, kept_value> m_kept;
 };
 
+// The platform doesn't send back the values that it was sent.
+void fill_values(const std::vector<row_write>& writes, commit_result& result)
+{
+    for (auto& written : result.m_rows)
+    {
+        const auto found = std::ranges::find(writes, written.m_key, &row_write::m_key);
+        if (found != writes.end())
+            written.m_value = found->m_value.value_or("");
+    }
+}
+
+void commit(const http_platform_options& options, const std::vector<row_write>& writes,
+            const commit_done& done)
+{
+    options.m_transport.m_send(options.m_address, json_post("/table/commit", writes),
+                               options.m_timeout,
+                               [writes, done](outcome<http_response> answer)
+                               {
+                                   auto result = read_answer<commit_result>(std::move(answer));
+                                   if (result && result->m_committed)
+                                       fill_values(writes, *result);
+                                   done(std::move(result));
+                               });
+}
+
 /// Renews leases at workers that tell only what changed.
 class lease_renewer
 {
@@ -171,12 +197,8 @@
                          [done](const auto& read)
                          { done(read.map([](const auto& result) { return *result.m_value; })); });
         },
-        .m_commit =
-            [options](const std::vector<row_write>& writes, commit_done done)
-        {
-            options.m_transport.m_send(options.m_address, json_post("/table/commit", writes),
-                                       options.m_timeout, reading<commit_result>(std::move(done)));
-        },
+        .m_commit = [options](const std::vector<row_write>& writes, const commit_done& done)
+        { commit(options, writes, done); },
     };
 }
 
