Let a request wait for a peer's room where no executor is owned

Cause: an entry VM without executors refused with no_target whenever the digests of the last second showed no free slot, so that a wave of cancellations or a restart cost callers who could have waited. Ruled out: the cancellations themselves; slots came free as soon as the executors said so. Change: such a request waits up to 500 ms for a fresh digest with room, within the bounds of its class's queue; without any peer heard it is still refused at once.

--- a/src/dragonflygap/request/peer_choice.cpp
+++ b/src/dragonflygap/request/peer_choice.cpp
@@ -27,6 +27,12 @@
     return peer.m_free_slots != 0 && now - peer.m_heard <= m_options.m_fresh;
 }
 
+bool peer_choice::any_fresh(instant now) const
+{
+    return std::ranges::any_of(m_peers, [&](const peer_room& peer)
+                               { return now - peer.m_heard <= m_options.m_fresh; });
+}
+
 std::uint32_t peer_choice::room(instant now) const
 {
     std::uint32_t sum = 0;
--- a/src/dragonflygap/request/peer_choice.hpp
+++ b/src/dragonflygap/request/peer_choice.hpp
@@ -37,6 +37,9 @@
     /// The peer for one request, whose room is then one less. Null if none has room.
     const peer_room* take(instant now);
 
+    /// True if a peer was heard lately, whether or not it has room now.
+    bool any_fresh(instant now) const;
+
     /// Room that the fresh digests show and that was not given away.
     std::uint32_t room(instant now) const;
 
--- a/src/dragonflygap/request/scheduler.cpp
+++ b/src/dragonflygap/request/scheduler.cpp
@@ -86,7 +86,7 @@
         m_deadlines.add(request);
         return;
     }
-    if (m_targets.slots() == 0)
+    if (m_targets.slots() == 0 && !may_wait_for_peer(submitted, now))
         return refuse(not_run(reason::no_target, "no executor that may be used is owned here"));
     if (auto why = refuse_admission(view, submitted, now))
         return refuse(std::move(*why));
@@ -287,6 +287,7 @@
         return;
     m_refreshed = now;
     m_classes.refresh(now, m_targets.slots());
+    refuse_without_target(now, out);
 }
 
 void scheduler::pass_deadlines(instant now, actions& out)
--- a/src/dragonflygap/request/scheduler.hpp
+++ b/src/dragonflygap/request/scheduler.hpp
@@ -19,7 +19,8 @@
 struct scheduler_options
 {
     std::uint32_t m_max_hops = 1;
-    duration m_forward_wait = 5ms;   ///< A shorter wait here is better than a way to a peer.
+    duration m_forward_wait = 5ms; ///< A shorter wait here is better than a way to a peer.
+    duration m_longest_without_target = 500ms; ///< Wait for a peer's room where nothing is owned.
     duration m_refresh_every = 50ms; ///< How often run times and reserves are worked out anew.
     slot_reserve_options m_reserve = {};
     target_health_options m_health = {};
@@ -82,6 +83,8 @@
 
     bool forward(const tracked_request_ptr& request, instant now, actions& out);
     void forward_waiting(instant now, actions& out);
+    bool may_wait_for_peer(const pending_request& request, instant now) const;
+    void refuse_without_target(instant now, actions& out);
 
     void dispatch_waiting(instant now, actions& out);
     bool start_next(class_state& which, instant now, actions& out);
--- a/src/dragonflygap/request/scheduler_dispatch.cpp
+++ b/src/dragonflygap/request/scheduler_dispatch.cpp
@@ -77,6 +77,29 @@
     return true;
 }
 
+bool scheduler::may_wait_for_peer(const pending_request& request, instant now) const
+{
+    return request.m_hops < m_options.m_max_hops && m_peers.any_fresh(now);
+}
+
+void scheduler::refuse_without_target(instant now, actions& out)
+{
+    if (m_targets.slots() != 0)
+        return;
+    std::vector<tracked_request_ptr> given_up;
+    for (auto* which : m_classes.in_order())
+        which->m_queue.visit(
+            [&](const tracked_request_ptr& request)
+            {
+                if (now - request->m_request.m_arrived >= m_options.m_longest_without_target)
+                    given_up.push_back(request);
+                return true;
+            });
+    for (const auto& request : given_up)
+        conclude(request,
+                 {verdict::not_run, reason::no_target, "neither executor nor peer in time"}, out);
+}
+
 void scheduler::forward_waiting(instant now, actions& out)
 {
     for (auto* which : m_classes.in_order())
--- a/tests/request/scheduler_policy_test.cpp
+++ b/tests/request/scheduler_policy_test.cpp
@@ -199,6 +199,24 @@
     CHECK(m_driver.m_failed["plan64"].m_verdict == verdict::may_have_run);
 }
 
+TEST(scheduler_policy, where_nothing_is_owned_a_request_waits_for_a_peers_room_but_not_for_long)
+{
+    m_driver.targets(0, 0);
+    hear("p", "a", 0);
+    m_driver.submit("1", "tablet");
+    m_driver.submit("2", "tablet");
+    CHECK(m_driver.m_refused.empty());
+    m_driver.m_now += 200ms;
+    hear("p", "a", 1);
+    CHECK_EQUAL(1, m_driver.m_forwarded.size());
+    m_driver.pass(200ms);
+    CHECK(m_driver.m_refused.empty());
+    m_driver.pass(100ms);
+    CHECK_EQUAL(1, m_driver.m_refused.size());
+    CHECK(m_driver.m_refused.begin()->second.m_reason == reason::no_target);
+    CHECK(m_driver.m_refused.begin()->second.m_verdict == verdict::not_run);
+}
+
 TEST(scheduler_policy, draining_hands_queued_requests_to_peers_and_serves_the_others)
 {
     submit_plans(64);
