Give the workers' ownership a module of its own in the daemon

Change: worker_directory holds the platform's list and the owned groups, and tells owned workers, targets and the operators' list; load_metrics publishes queue lengths. Conclusion: no behaviour changed.

--- a/src/dragonflygap/daemon/control_task.cpp
+++ b/src/dragonflygap/daemon/control_task.cpp
@@ -13,6 +13,7 @@
 #include "dragonflygap/daemon/member_driver.hpp"
 #include "dragonflygap/daemon/operator_api.hpp"
 #include "dragonflygap/daemon/ownership_driver.hpp"
+#include "dragonflygap/daemon/worker_directory.hpp"
 #include "dragonflygap/net/counted_transport.hpp"
 #include "dragonflygap/net/event_loop.hpp"
 #include "dragonflygap/net/http_server.hpp"
@@ -45,6 +46,7 @@
           m_vm_list(platform::make_http_vm_list(m_platform)),
           m_table(loop, platform::make_http_table(m_platform), {.m_seed = m_options.m_incarnation},
                   counted),
+          m_workers(m_options.m_settings.m_data_centre, m_options.m_settings.m_history),
           m_members(loop, member_options()),
           m_meter(loop, counted, m_members.link(), m_traffic),
           m_config(loop, m_table.port(platform::call_priority::normal), config_options()),
@@ -152,17 +154,17 @@
                 .m_members = &m_members,
                 .m_ready = [this] { return ready(); },
                 .m_status = [this] { return status(); },
-                .m_workers = [this] { return workers(); },
+                .m_workers = [this] { return m_workers.to_json(m_jobs.manager().placements()); },
                 .m_drain = [this] { begin_stop(); }};
     }
 
-    bool ready() const { return !m_stopping && m_vms_known && m_config.known(); }
+    bool ready() const { return !m_stopping && m_workers.known() && m_config.known(); }
 
     void fill(cluster::heartbeat& beat) const
     {
         beat.m_leaving = m_stopping;
         beat.m_config_version = m_config.in_force().m_version;
-        beat.m_groups_owned = static_cast<std::uint32_t>(m_epochs.size());
+        beat.m_groups_owned = static_cast<std::uint32_t>(m_workers.owned_groups().size());
         beat.m_load = m_load;
     }
 
@@ -224,24 +226,10 @@
 
     void on_groups(const std::map<ownership::group_index, std::uint64_t>& epochs)
     {
-        if (m_options.m_settings.m_history)
-            record_leases(epochs);
-        m_epochs = epochs;
+        m_workers.set_owned_groups(epochs);
         publish_workers();
     }
 
-    void record_leases(const std::map<ownership::group_index, std::uint64_t>& next) const
-    {
-        const auto& centre = m_options.m_settings.m_data_centre;
-        for (const auto& [group, epoch] : m_epochs)
-            if (const auto kept = next.find(group); kept == next.end() || kept->second != epoch)
-                history::record(history::lease_changed{centre, group, epoch, false});
-        for (const auto& [group, epoch] : next)
-            if (const auto old = m_epochs.find(group);
-                old == m_epochs.end() || old->second != epoch)
-                history::record(history::lease_changed{centre, group, epoch, true});
-    }
-
     void poll_vms()
     {
         m_vm_list.m_list(
@@ -249,34 +237,16 @@
             {
                 if (!list || !*list)
                     return;
-                m_vms_known = true;
-                m_workers = std::move(**list);
+                m_workers.set_listed(std::move(**list));
                 publish_workers();
             });
     }
 
     void publish_workers()
     {
-        request::targets_changed targets;
-        std::vector<placement::owned_worker> owned;
-        for (const auto& worker : m_workers)
-        {
-            const auto epoch = m_epochs.find(ownership::group_of(worker.m_id));
-            if (worker.m_data_centre != m_options.m_settings.m_data_centre ||
-                epoch == m_epochs.end())
-                continue;
-            owned.push_back({worker, epoch->second});
-            for (const auto& executor : worker.m_executors)
-                targets.m_targets.push_back({.m_id = executor.m_id,
-                                             .m_worker = worker.m_id,
-                                             .m_address = executor.m_address,
-                                             .m_slots = executor.m_slots,
-                                             .m_connections = executor.m_connections,
-                                             .m_leaving = worker.m_leaving});
-        }
-        if (m_vms_known)
-            m_jobs.set_workers({std::move(owned), m_epochs, m_workers});
-        m_options.m_to_requests(std::move(targets));
+        if (m_workers.known())
+            m_jobs.set_workers(m_workers.owned());
+        m_options.m_to_requests(request::targets_changed{m_workers.targets()});
     }
 
     void on(load_changed message) { m_load = std::move(message.m_load); }
@@ -344,34 +314,13 @@
                               {"ready", ready()},
                               {"draining", m_stopping},
                               {"config_version", m_config.in_force().m_version},
-                              {"groups_owned", m_epochs.size()},
+                              {"groups_owned", m_workers.owned_groups().size()},
                               {"slots", m_load.m_slots},
                               {"free_slots", m_load.m_free_slots},
                               {"jobs", m_jobs.manager().jobs().size()}}
             .dump();
     }
 
-    std::string workers() const
-    {
-        auto list = nlohmann::json::array();
-        for (const auto& worker : m_workers)
-        {
-            const auto epoch = m_epochs.find(ownership::group_of(worker.m_id));
-            const bool owned = worker.m_data_centre == m_options.m_settings.m_data_centre &&
-                               epoch != m_epochs.end();
-            const auto committed = m_jobs.manager().placements().committed(worker.m_id);
-            list.push_back({{"id", worker.m_id.m_value},
-                            {"data_centre", worker.m_data_centre.m_value},
-                            {"rack", worker.m_rack.m_value},
-                            {"leaving", worker.m_leaving},
-                            {"owned", owned},
-                            {"epoch", owned ? epoch->second : 0},
-                            {"millicores", worker.m_capacity.m_millicores},
-                            {"committed_millicores", committed.m_millicores}});
-        }
-        return list.dump();
-    }
-
     event_loop& m_loop;
     control_task_options m_options;
     std::shared_ptr<call_traffic> m_traffic;
@@ -379,10 +328,8 @@
     platform::vm_list_port m_vm_list;
     platform::guarded_table m_table;
     cluster::load_digest m_load;
-    std::map<ownership::group_index, std::uint64_t> m_epochs;
     std::map<vm_id, request::peer_process_changed> m_processes;
-    std::vector<platform::worker> m_workers;
-    bool m_vms_known = false;
+    worker_directory m_workers;
     bool m_stopping = false;
     bool m_stopped = false;
     member_driver m_members;
--- a/src/dragonflygap/request/request_task.cpp
+++ b/src/dragonflygap/request/request_task.cpp
@@ -1,6 +1,5 @@
 #include "dragonflygap/request/request_task.hpp"
 
-#include <optional>
 #include <set>
 #include <utility>
 
@@ -11,6 +10,7 @@
 #include "dragonflygap/request/caller_server.hpp"
 #include "dragonflygap/request/executor_calls.hpp"
 #include "dragonflygap/request/in_flight.hpp"
+#include "dragonflygap/request/load_metrics.hpp"
 #include "dragonflygap/request/peer_forwards.hpp"
 #include "dragonflygap/request/scheduler.hpp"
 
@@ -344,11 +344,7 @@
     void report_load()
     {
         const auto load = m_scheduler.load(monotonic_clock::now());
-        for (const auto& item : load.m_classes)
-        {
-            m_metrics.set("dragonflygap_queued", {"class", item.m_class.m_value}, item.m_queued);
-            m_metrics.set("dragonflygap_running", {"class", item.m_class.m_value}, item.m_running);
-        }
+        publish_load(m_metrics, load);
         m_metrics.set("dragonflygap_slots_unsettled", {"vm", m_options.m_vm.m_value},
                       static_cast<double>(m_calls.unsettled()));
         m_metrics.set("dragonflygap_targets_ejected", {"vm", m_options.m_vm.m_value},
