--- a/src/dragonflygap/cli/table.cpp
+++ b/src/dragonflygap/cli/table.cpp
@@ -1,6 +1,7 @@
 #include "dragonflygap/cli/table.hpp"
 
 #include <algorithm>
+#include <map>
 #include <vector>
 
 #include <nlohmann/json.hpp>
@@ -15,12 +16,44 @@
 
 constexpr std::size_t column_gap = 2;
 
+void append_item(std::string& text, const std::string& item)
+{
+    if (!text.empty())
+        text += ", ";
+    text += item;
+}
+
+// A list of things with states is told as "2 running, 1 waiting", any other by its length.
+std::string count_states(const nlohmann::json& list)
+{
+    std::map<std::string, int> counts;
+    for (const auto& item : list)
+        if (item.is_object() && item.contains("state"))
+            ++counts[item["state"].get<std::string>()];
+    if (counts.empty())
+        return std::to_string(list.size());
+    std::string text;
+    for (const auto& [state, count] : counts)
+        append_item(text, std::to_string(count) + " " + state);
+    return text;
+}
+
+std::string join_members(const nlohmann::json& object)
+{
+    std::string text;
+    for (const auto& [name, value] : object.items())
+        append_item(text, name + " " + value.dump());
+    return text;
+}
+
 std::string cell_text(const nlohmann::json& value)
 {
     if (value.is_string())
         return value.get<std::string>();
     if (value.is_array())
-        return std::to_string(value.size());
+        return count_states(value);
+    if (value.is_object())
+        return join_members(value);
     return value.dump();
 }
 
