Part the job manager's tests from the cell that they run in

Cause: two test files of 438 and 418 lines held a fixture or a cell of fakes and the tests together. Ruled out: one cell for the keeper's and the jobs' property tests. They share their shape, but the one joins keepers alone and the other keepers, job managers and workers.

--- /dev/null
+++ b/tests/placement/support/recovery_cell.hpp
@@ -0,0 +1,394 @@
+#pragma once
+
+#include <algorithm>
+#include <array>
+#include <deque>
+#include <memory>
+#include <random>
+
+#include <rapidcheck.h>
+
+#include "dragonflygap/emulator/table_store.hpp"
+#include "dragonflygap/emulator/worker_model.hpp"
+#include "dragonflygap/ownership/keeper.hpp"
+#include "dragonflygap/placement/job_manager.hpp"
+
+namespace dragonflygap::placement::test
+{
+
+constexpr duration step = 100ms;
+constexpr int vms = 3;
+constexpr int worker_count = 6;
+inline const data_centre_id centre("d");
+
+/// A keeper and a job manager of one process, with a clock of its own rate.
+struct node
+{
+    std::string m_name;
+    std::uint64_t m_incarnation = 0;
+    double m_rate = 1;
+    std::unique_ptr<ownership::keeper> m_keeper;
+    std::unique_ptr<job_manager> m_jobs;
+    instant m_paused_until{};
+    instant m_cut_until{};
+    std::vector<std::pair<instant, std::function<void()>>> m_inbox;
+
+    instant local(instant real) const
+    {
+        return instant(
+            duration(static_cast<duration::rep>(m_rate * double(real.time_since_epoch().count()))));
+    }
+};
+
+/// Three entry VMs, six workers and a table; calls and replies are lost, late and doubled.
+class cell
+{
+public:
+    explicit cell(unsigned seed) : m_random(seed)
+    {
+        for (int i = 0; i < worker_count; ++i)
+        {
+            platform::worker info{.m_id = worker_id("w" + std::to_string(i)),
+                                  .m_data_centre = centre,
+                                  .m_capacity = {.m_millicores = 4000, .m_memory_mb = 4000}};
+            m_list.push_back(info);
+            m_workers.emplace(info.m_id, emulator::worker_model(info.m_capacity));
+        }
+        constexpr std::array names{"a", "b", "c"};
+        for (int i = 0; i < vms; ++i)
+        {
+            m_nodes[i].m_name = names[i];
+            m_nodes[i].m_rate = 0.95 + 0.05 * double(i);
+            start(m_nodes[i]);
+        }
+    }
+
+    void run(duration length, bool faults)
+    {
+        m_faults = faults;
+        for (const auto end = m_now + length; m_now < end; m_now += step)
+        {
+            deliver(m_late);
+            for (auto& one : m_nodes)
+                run(one);
+            check();
+        }
+    }
+
+    void submit(job_kind kind, int count, duration length)
+    {
+        auto& one = m_nodes[m_random() % vms];
+        job_spec spec{.m_id = job_id("j" + std::to_string(++m_last_job)),
+                      .m_name = "j",
+                      .m_team = team_id("t"),
+                      .m_kind = kind,
+                      .m_count = count,
+                      .m_size = {.m_millicores = 1000, .m_memory_mb = 100},
+                      .m_expected = length};
+        m_submitted[m_last_job] = spec;
+        to_jobs(one, job_submitted{m_last_job, spec});
+    }
+
+    /// Jobs that were accepted and whose tasks don't all run or have finished.
+    int unfinished()
+    {
+        int sum = 0;
+        for (const auto& id : m_accepted)
+        {
+            const auto& spec = m_submitted.at(id);
+            for (int i = 0; i < spec.m_count; ++i)
+            {
+                const std::pair task{spec.m_id, i};
+                const bool good = spec.m_kind == job_kind::service ? m_running.contains(task)
+                                                                   : m_finished.contains(task);
+                sum += good ? 0 : 1;
+            }
+        }
+        return sum;
+    }
+
+    std::size_t accepted() const { return m_accepted.size(); }
+
+private:
+    using work = std::vector<std::pair<instant, std::function<void()>>>;
+
+    void start(node& one)
+    {
+        ++one.m_incarnation;
+        one.m_inbox.clear();
+        one.m_keeper = std::make_unique<ownership::keeper>(
+            ownership::keeper_options{.m_vm = vm_id(one.m_name),
+                                      .m_data_centre = centre,
+                                      .m_incarnation = one.m_incarnation});
+        one.m_jobs = std::make_unique<job_manager>(
+            job_manager_options{.m_data_centre = centre,
+                                .m_writer = one.m_name + "." + std::to_string(one.m_incarnation)});
+    }
+
+    bool chance(int per_mille) { return m_faults && int(m_random() % 1000) < per_mille; }
+    duration some(int most_ms) { return std::chrono::milliseconds(m_random() % most_ms); }
+
+    void deliver(work& from)
+    {
+        work due;
+        std::erase_if(from,
+                      [&](auto& entry)
+                      {
+                          if (entry.first > m_now)
+                              return false;
+                          due.push_back(std::move(entry));
+                          return true;
+                      });
+        std::ranges::stable_sort(due, {}, [](const auto& entry) { return entry.first; });
+        for (auto& [at, what] : due)
+            what();
+    }
+
+    void run(node& one)
+    {
+        if (m_now < one.m_paused_until)
+            return;
+        if (chance(3))
+        {
+            one.m_paused_until = m_now + some(20000);
+            return;
+        }
+        if (chance(3))
+            one.m_cut_until = m_now + some(15000);
+        if (chance(1))
+            start(one);
+        to_keeper(one, ownership::keeper_tick{});
+        deliver(one.m_inbox);
+        to_jobs(one, job_manager_tick{});
+    }
+
+    // Hands an answer to the process that asked, some time later, perhaps twice or never.
+    void answer(node& one, std::function<void()> what)
+    {
+        if (chance(20))
+            return;
+        const auto incarnation = one.m_incarnation;
+        const auto guarded = [&one, incarnation, what = std::move(what)]
+        {
+            if (one.m_incarnation == incarnation)
+                what();
+        };
+        one.m_inbox.emplace_back(m_now + (chance(50) ? some(5000) : step), guarded);
+        if (chance(20))
+            one.m_inbox.emplace_back(m_now + some(5000), guarded);
+    }
+
+    bool cut(const node& one) const { return m_now < one.m_cut_until; }
+
+    void to_keeper(node& one, const ownership::keeper_event& event)
+    {
+        for (const auto& action : one.m_keeper->handle(event, one.local(m_now)))
+            std::visit([&](const auto& what) { act(one, what); }, action);
+    }
+
+    void to_jobs(node& one, const job_event& event)
+    {
+        for (const auto& action : one.m_jobs->handle(event, one.local(m_now)))
+            std::visit([&](const auto& what) { act(one, what); }, action);
+    }
+
+    template <class Done>
+    void scan(node& one, const std::string& prefix, Done done)
+    {
+        outcome<std::vector<platform::row>> rows = m_table.scan(prefix);
+        if (cut(one) || chance(20))
+            rows = fail(verdict::not_run, reason::timeout, "");
+        answer(one, [rows, done] { done(rows); });
+    }
+
+    template <class Done>
+    void commit(node& one, const std::vector<platform::row_write>& writes, Done done)
+    {
+        outcome<platform::commit_result> result = fail(verdict::may_have_run, reason::timeout, "");
+        if (!cut(one) && !chance(20))
+        {
+            if (chance(20))
+                m_late.emplace_back(m_now + some(15000),
+                                    [this, writes] { m_table.commit(writes); });
+            else if (auto now = m_table.commit(writes); !chance(20))
+                result = now;
+        }
+        answer(one, [result, done] { done(result); });
+    }
+
+    void act(node& one, const ownership::scan_rows& what)
+    {
+        scan(one, what.m_prefix,
+             [this, &one, call = what.m_call](const auto& rows) {
+                 to_keeper(one, ownership::rows_scanned{call, rows});
+             });
+    }
+    void act(node& one, const ownership::commit_rows& what)
+    {
+        commit(one, what.m_writes,
+               [this, &one, call = what.m_call](const auto& result) {
+                   to_keeper(one, ownership::commit_finished{call, result});
+               });
+    }
+    void act(node& one, const ownership::groups_changed& what)
+    {
+        workers_owned owned{.m_epochs = what.m_epochs, .m_cell = m_list};
+        for (const auto& worker : m_list)
+            if (const auto epoch = what.m_epochs.find(ownership::group_of(worker.m_id));
+                epoch != what.m_epochs.end())
+                owned.m_workers.push_back({worker, epoch->second});
+        to_jobs(one, owned);
+    }
+    void act(node&, const ownership::keeper_left&) {}
+    void act(node& one, const ownership::ask_promise& what)
+    {
+        auto& peer = of(what.m_to);
+        const auto asked = ownership::promise_wanted{what.m_holder, what.m_sequence};
+        if (one.m_paused_until <= m_now && !chance(100))
+            answer(peer, [this, &peer, asked] { to_keeper(peer, asked); });
+    }
+    void act(node& one, const ownership::give_promise& what)
+    {
+        auto& peer = of(what.m_holder.m_vm);
+        const ownership::promise_given given{vm_id(one.m_name), what.m_holder, what.m_sequence};
+        if (!chance(100))
+            answer(peer, [this, &peer, given] { to_keeper(peer, given); });
+    }
+    node& of(const vm_id& vm) { return *std::ranges::find(m_nodes, vm.m_value, &node::m_name); }
+    void act(node& one, const scan_parts& what)
+    {
+        scan(one, prefix_of(what.m_home),
+             [this, &one, what](const auto& rows) {
+                 to_jobs(one, parts_scanned{what.m_home.m_group, what.m_holding, rows});
+             });
+    }
+    void act(node& one, const commit_parts& what)
+    {
+        commit(one, what.m_writes,
+               [this, &one, call = what.m_call](const auto& result) {
+                   to_jobs(one, parts_committed{call, result});
+               });
+    }
+    void act(node&, const submission_answered& what)
+    {
+        if (what.m_result)
+            m_accepted.insert(what.m_submission);
+        else if (what.m_result.error().m_verdict == verdict::not_run)
+            m_refused.insert(m_submitted.at(what.m_submission).m_id);
+    }
+    void act(node& one, const announce_parts& what)
+    {
+        for (auto& peer : m_nodes)
+            if (&peer != &one && !chance(200))
+                answer(peer, [this, &peer, what] { to_jobs(peer, parts_written{what.m_homes}); });
+    }
+    void act(node& one, const ask_for_room& what)
+    {
+        for (auto& peer : m_nodes)
+            if (&peer != &one)
+                answer(peer,
+                       [this, &one, &peer, what]
+                       {
+                           const auto offers = peer.m_jobs->room_for(what.m_spec, what.m_count);
+                           if (!offers.empty())
+                               answer(one,
+                                      [this, &one, what, offers] {
+                                          to_jobs(one, room_offered{what.m_part, offers});
+                                      });
+                       });
+    }
+    void act(node& one, const start_on_worker& what)
+    {
+        call_worker(
+            one, what.m_worker,
+            [what](emulator::worker_model& worker, instant now)
+            { return worker.start(what.m_task, now); },
+            [this, &one, what](const outcome<platform::task_report>& result) {
+                to_jobs(one, start_answered{what.m_part, what.m_index, what.m_attempt, result});
+            });
+    }
+    void act(node& one, const stop_on_worker& what)
+    {
+        call_worker(
+            one, what.m_worker,
+            [what](emulator::worker_model& worker, instant now)
+            { return worker.stop(what.m_worker.m_epoch, what.m_task, now); },
+            [](const outcome<platform::task_report>&) {});
+    }
+    void act(node& one, const renew_worker& what)
+    {
+        const platform::renew_leases leases{.m_epoch = what.m_worker.m_epoch,
+                                            .m_lease = worker_tasks_options{}.m_task_lease,
+                                            .m_acknowledged = what.m_acknowledged};
+        call_worker(
+            one, what.m_worker,
+            [leases](emulator::worker_model& worker, instant now)
+            { return worker.renew(leases, now); },
+            [this, &one, what](const outcome<std::vector<platform::task_report>>& result) {
+                to_jobs(one, worker_reported{what.m_worker.m_info.m_id, what.m_call, result});
+            });
+    }
+
+    template <class Call, class Done>
+    void call_worker(node& one, const owned_worker& at, Call call, Done done)
+    {
+        auto& worker = m_workers.at(at.m_info.m_id);
+        using result_type = decltype(call(worker, m_now));
+        result_type result = fail(verdict::may_have_run, reason::target_silent, "");
+        // A worker may be out of reach of one entry VM and not of another.
+        const auto& silent = m_silent[{one.m_name, at.m_info.m_id}];
+        if (chance(1))
+            m_silent[{one.m_name, at.m_info.m_id}] = m_now + some(60000);
+        if (m_now >= silent && !chance(10))
+        {
+            if (chance(10))
+                m_late.emplace_back(m_now + some(2000),
+                                    [this, call, &worker] { call(worker, m_now); });
+            else if (auto now = call(worker, m_now); !chance(10))
+                result = now;
+        }
+        one.m_inbox.emplace_back(m_now + (chance(50) ? some(1500) : step),
+                                 [&one, incarnation = one.m_incarnation, result, done]
+                                 {
+                                     if (one.m_incarnation == incarnation)
+                                         done(result);
+                                 });
+    }
+
+    void check()
+    {
+        m_running.clear();
+        for (auto& [id, worker] : m_workers)
+        {
+            RC_ASSERT(worker.committed().fits_in({.m_millicores = 4000, .m_memory_mb = 4000}));
+            for (const auto& report : worker.reports(m_now))
+            {
+                const auto name = read_task_name(report.m_job, report.m_task);
+                const std::pair task{report.m_job, name->first};
+                RC_ASSERT(!m_refused.contains(report.m_job));
+                if (report.m_state == platform::task_state::running)
+                    RC_ASSERT(m_running.insert(task).second);
+                if (report.m_state == platform::task_state::finished)
+                    m_finished.insert(task);
+            }
+        }
+    }
+
+    std::mt19937 m_random;
+    emulator::table_store m_table;
+    std::vector<platform::worker> m_list;
+    std::map<worker_id, emulator::worker_model> m_workers;
+    std::map<std::pair<std::string, worker_id>, instant> m_silent;
+    std::array<node, vms> m_nodes;
+    work m_late;
+    std::map<std::uint64_t, job_spec> m_submitted;
+    std::set<std::uint64_t> m_accepted;
+    std::set<job_id> m_refused;
+    std::set<std::pair<job_id, int>> m_running;
+    std::set<std::pair<job_id, int>> m_finished;
+    std::uint64_t m_last_job = 0;
+    instant m_now{1000s};
+    bool m_faults = false;
+};
+
+} // namespace dragonflygap::placement::test
