--- /dev/null
+++ b/src/dragonflygap/cell/approvals.cpp
@@ -0,0 +1,59 @@
+#include "dragonflygap/cell/approvals.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace dragonflygap::cell
+{
+
+const std::string* step_approval::usable(const worker_id& worker, instant now) const
+{
+    const auto found = m_tickets.find(worker);
+    return found != m_tickets.end() && now < found->second.m_until ? &found->second.m_text : nullptr;
+}
+
+void approval_desk::set_members(std::vector<vm_id> members)
+{
+    m_members = std::move(members);
+    std::sort(m_members.begin(), m_members.end());
+    std::erase_if(m_busy_until,
+                  [this](const auto& entry)
+                  { return !std::binary_search(m_members.begin(), m_members.end(), entry.first); });
+}
+
+duration approval_desk::wait(const vm_id& through, instant now) const
+{
+    const auto found = m_busy_until.find(through);
+    return found == m_busy_until.end() ? duration{} : std::max(duration{}, found->second - now);
+}
+
+std::optional<vm_id> approval_desk::choose(duration cost, duration longest_wait, instant now)
+{
+    const std::size_t long_ones = (m_members.size() + 1) / 2;
+    const bool is_long = cost > m_options.m_long_call;
+    const vm_id* best = nullptr;
+    duration best_wait{};
+    for (std::size_t i = 0; i < m_members.size(); ++i)
+    {
+        if (is_long && i >= long_ones)
+            break;
+        const auto queued = wait(m_members[i], now);
+        // Among equals the short ones prefer the other half.
+        if (best == nullptr || queued < best_wait || (!is_long && queued == best_wait))
+        {
+            best = &m_members[i];
+            best_wait = queued;
+        }
+    }
+    if (best == nullptr || best_wait > longest_wait)
+        return std::nullopt;
+    return *best;
+}
+
+void approval_desk::asked(const vm_id& through, duration cost, instant now)
+{
+    auto& busy = m_busy_until[through];
+    busy = std::max(busy, now) + cost;
+}
+
+} // namespace dragonflygap::cell
--- /dev/null
+++ b/src/dragonflygap/cell/approvals.hpp
@@ -0,0 +1,64 @@
+#pragma once
+
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "dragonflygap/cell/ports.hpp"
+#include "dragonflygap/core/time.hpp"
+
+namespace dragonflygap::cell
+{
+
+/// What is known of the workers that may run one step. The policy's decision never changes;
+/// tickets lapse and are asked for again.
+struct step_approval
+{
+    struct valid_ticket
+    {
+        std::string m_text;
+        instant m_until{};
+    };
+    std::map<worker_id, valid_ticket> m_tickets;
+    std::set<worker_id> m_approved;
+    std::set<worker_id> m_denied;
+    bool m_asking = false;
+    instant m_next_ask{};
+
+    /// A ticket that is valid until an order has arrived; nullptr if there is none.
+    const std::string* usable(const worker_id& worker, instant now) const;
+};
+
+struct approval_desk_options
+{
+    duration m_long_call = 150ms; ///< Calls beyond it go through one half of the VMs.
+    duration m_timeout_margin = 1s;
+};
+
+/// Spreads calls to the approval service over the VMs: it serves each of them one call at a time.
+/// Long calls use one half of the VMs only, so that short ones needn't wait behind them. Pure.
+class approval_desk
+{
+public:
+    explicit approval_desk(approval_desk_options options) : m_options(options) {}
+
+    void set_members(std::vector<vm_id> members);
+
+    /// The VM through which a call would be served first; nothing if the wait would be longer
+    /// than the limit.
+    std::optional<vm_id> choose(duration cost, duration longest_wait, instant now);
+
+    void asked(const vm_id& through, duration cost, instant now);
+
+    /// How long a call through this VM would wait.
+    duration wait(const vm_id& through, instant now) const;
+
+private:
+    approval_desk_options m_options;
+    std::vector<vm_id> m_members;
+    std::map<vm_id, instant> m_busy_until;
+};
+
+} // namespace dragonflygap::cell
--- /dev/null
+++ b/src/dragonflygap/cell/coordinator.cpp
@@ -0,0 +1,283 @@
+#include "dragonflygap/cell/coordinator.hpp"
+
+#include <algorithm>
+#include <utility>
+
+#include "dragonflygap/observe/log.hpp"
+
+namespace dragonflygap::cell
+{
+
+coordinator::coordinator(coordinator_options options, const inherited& found, instant now)
+    : m_options(options), m_chain(options.m_commits, found.m_self, found.m_version),
+      m_desk(options.m_approvals), m_now(now), m_taken_over(now)
+{
+    const auto& workers = m_options.m_workers;
+    m_blind_until = now + workers.m_lease * 102 / 100 + workers.m_clock_slack;
+    if (!found.m_predecessor_gone)
+        m_blind_until += m_options.m_renew_without_store;
+    for (const auto& [id, address] : found.m_workers)
+    {
+        auto& worker = m_workers[id];
+        worker.m_info.m_id = id;
+        worker.m_info.m_address = parse_endpoint(address).value_or(endpoint{});
+        worker.m_listed = false;
+        worker.m_missing_since = now;
+    }
+    inherit_jobs(found);
+}
+
+void coordinator::inherit_jobs(const inherited& found)
+{
+    for (const auto& row : found.m_jobs)
+    {
+        auto record = unpack<job_record>(row.m_value);
+        if (!record)
+        {
+            log_event(log_level::error, "job_row_unreadable", {{"job", row.m_name.m_key}});
+            continue;
+        }
+        auto job = std::make_shared<job_state>(job_id(row.m_name.m_key), std::move(*record));
+        job->restore({});
+        job->m_since = m_now;
+        // Runs of an earlier epoch have lower numbers.
+        job->m_next_run = (m_chain.record().m_epoch - 1) * m_options.m_runs_per_epoch + 1;
+        if (job->record().m_request.m_occurrences > 0)
+            m_timed.push_back(job->id());
+        m_jobs[job->id()] = std::move(job);
+    }
+    for (const auto& row : found.m_progress)
+    {
+        const auto job = m_jobs.find(job_id(row.m_name.m_key));
+        const auto progress = unpack<progress_record>(row.m_value);
+        if (job == m_jobs.end() || !progress)
+            continue;
+        job->second->restore(*progress);
+    }
+    for (auto& [id, job] : m_jobs)
+        if (job->all_done())
+            end_job(*job, job_outcome::completed);
+        else
+            refresh(*job);
+}
+
+std::vector<action> coordinator::handle(const event& what, instant now, std::int64_t unix_ms)
+{
+    actions out;
+    if (m_deposed)
+        return out;
+    m_now = now;
+    m_unix_ms = unix_ms;
+    m_out = &out;
+    std::visit([this](const auto& event) { on(event); }, what);
+    m_out = nullptr;
+    return out;
+}
+
+void coordinator::on(const tick&)
+{
+    expire_calls();
+    check_times();
+    for (auto& [id, worker] : m_workers)
+        if (!worker.m_placements.empty() && m_now >= worker.m_lease_until)
+            lose(worker, "lease_over");
+    place_all();
+    send_stops();
+    build_commit();
+    renew_workers();
+}
+
+void coordinator::on(const job_submitted& event)
+{
+    const auto ended = m_ended.find(event.m_job);
+    if (ended != m_ended.end())
+    {
+        m_out->push_back(answer_call{event.m_call, call_status::accepted});
+        return;
+    }
+    if (const job_state* known = find(event.m_job); known != nullptr)
+    {
+        if (known->m_stored)
+            m_out->push_back(answer_call{event.m_call, call_status::accepted});
+        else
+            m_calls[event.m_job].push_back({event.m_call, m_now});
+        return;
+    }
+    constexpr std::int64_t store_retry_ms = 1000;
+    constexpr std::int64_t full_retry_ms = 2000;
+    if (store_is_away() || m_ready.size() >= m_options.m_most_waiting)
+    {
+        const auto wait = store_is_away() ? store_retry_ms : full_retry_ms;
+        m_out->push_back(answer_call{event.m_call, call_status::rejected, wait});
+        return;
+    }
+    auto job = std::make_shared<job_state>(
+        event.m_job, job_record{event.m_queue, event.m_request, m_unix_ms});
+    job->m_since = m_now;
+    job->m_next_run = (m_chain.record().m_epoch - 1) * m_options.m_runs_per_epoch + 1;
+    if (event.m_request.m_occurrences > 0)
+        m_timed.push_back(event.m_job);
+    m_dirty.insert(event.m_job);
+    m_calls[event.m_job].push_back({event.m_call, m_now});
+    m_jobs[event.m_job] = job;
+    refresh(*job);
+}
+
+void coordinator::on(const job_cancelled& event)
+{
+    job_state* job = find(event.m_job);
+    if (job == nullptr)
+    {
+        const bool known = m_ended.count(event.m_job) != 0;
+        m_out->push_back(
+            answer_call{event.m_call, known ? call_status::accepted : call_status::not_here});
+        return;
+    }
+    if (!job->m_outcome)
+        end_job(*job, job_outcome::cancelled);
+    m_calls[event.m_job].push_back({event.m_call, m_now, true});
+}
+
+void coordinator::on(const members_changed& event)
+{
+    m_desk.set_members(event.m_members);
+}
+
+void coordinator::on(const config_changed&)
+{
+    // A job keeps the rules under which it was accepted.
+}
+
+void coordinator::on(const approval_answered& event)
+{
+    const auto found = m_approvals.find(event.m_step);
+    if (found == m_approvals.end())
+        return;
+    auto& approved = found->second;
+    approved.m_asking = false;
+    constexpr duration ask_again = 100ms;
+    approved.m_next_ask = m_now;
+    if (!event.m_result)
+    {
+        approved.m_next_ask = m_now + ask_again;
+        return;
+    }
+    // Tickets must still be valid when the order arrives.
+    constexpr duration way = 250ms;
+    const auto until = m_now + std::chrono::milliseconds(event.m_result->m_valid_ms) - way;
+    for (const auto& worker : event.m_workers)
+        approved.m_denied.insert(worker);
+    for (const auto& ticket : event.m_result->m_tickets)
+    {
+        approved.m_denied.erase(ticket.m_worker);
+        approved.m_approved.insert(ticket.m_worker);
+        approved.m_tickets[ticket.m_worker] = {ticket.m_text, until};
+    }
+}
+
+job_state* coordinator::find(const job_id& job)
+{
+    const auto found = m_jobs.find(job);
+    return found == m_jobs.end() ? nullptr : found->second.get();
+}
+
+const job_state* coordinator::find_job(const job_id& job) const
+{
+    const auto found = m_jobs.find(job);
+    return found == m_jobs.end() ? nullptr : found->second.get();
+}
+
+void coordinator::answer(job_state& job, call_status status)
+{
+    const auto calls = m_calls.find(job.id());
+    if (calls == m_calls.end())
+        return;
+    for (const auto& call : calls->second)
+        m_out->push_back(answer_call{call.m_call, status});
+    m_calls.erase(calls);
+}
+
+void coordinator::end_job(job_state& job, job_outcome outcome)
+{
+    job.m_outcome = outcome;
+    job.m_ended_at = m_now;
+    job.m_dirty = true;
+    m_dirty.insert(job.id());
+    for (int k = 0; k < job.occurrences(); ++k)
+        for (int s = 0; s < job.steps(); ++s)
+        {
+            const step_key key{job.id(), k, s};
+            m_ready.erase(rank_of(job, key));
+            m_approvals.erase(key);
+        }
+    stop_all(job);
+}
+
+coordinator::rank coordinator::rank_of(const job_state& job, const step_key& step)
+{
+    return {job.record().m_queue.m_priority, job.m_since, step};
+}
+
+void coordinator::refresh(job_state& job)
+{
+    if (job.m_outcome)
+        return;
+    for (int k = 0; k < job.occurrences(); ++k)
+        for (int s = 0; s < job.steps(); ++s)
+        {
+            auto& step = job.step(k, s);
+            const step_key key{job.id(), k, s};
+            if (step.m_waiting > 0 && job.is_due(k, s, m_unix_ms))
+                m_ready.insert(rank_of(job, key));
+            else
+                m_ready.erase(rank_of(job, key));
+            if (step.m_done == static_cast<int>(step.m_tasks.size()))
+                m_approvals.erase(key);
+        }
+}
+
+void coordinator::check_times()
+{
+    std::erase_if(m_timed,
+                  [this](const job_id& id)
+                  {
+                      job_state* job = find(id);
+                      if (job != nullptr)
+                          refresh(*job);
+                      return job == nullptr;
+                  });
+}
+
+std::string_view coordinator::state_of(const job_id& id) const
+{
+    const auto ended = m_ended.find(id);
+    if (ended != m_ended.end())
+    {
+        switch (ended->second.first)
+        {
+        case job_outcome::completed:
+            return "completed";
+        case job_outcome::failed:
+            return "failed";
+        case job_outcome::cancelled:
+            return "cancelled";
+        }
+    }
+    const job_state* job = find_job(id);
+    if (job == nullptr || !job->m_stored)
+        return {};
+    return job->started() ? "running" : "queued";
+}
+
+std::int64_t coordinator::waiting(const queue_id& queue) const
+{
+    return std::count_if(m_jobs.begin(), m_jobs.end(),
+                         [&queue](const auto& entry)
+                         {
+                             const auto& job = *entry.second;
+                             return job.m_stored && !job.started() && !job.m_outcome &&
+                                    job.record().m_queue.m_name == queue;
+                         });
+}
+
+} // namespace dragonflygap::cell
--- /dev/null
+++ b/src/dragonflygap/cell/coordinator.hpp
@@ -0,0 +1,196 @@
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+#include "dragonflygap/cell/approvals.hpp"
+#include "dragonflygap/cell/commit_chain.hpp"
+#include "dragonflygap/cell/events.hpp"
+#include "dragonflygap/cell/job_state.hpp"
+#include "dragonflygap/cell/worker_state.hpp"
+
+namespace dragonflygap::cell
+{
+
+struct coordinator_options
+{
+    worker_options m_workers;
+    commit_chain_options m_commits;
+    approval_desk_options m_approvals;
+    std::size_t m_most_entries = 96;     ///< Of a transaction; the platform takes 100.
+    std::size_t m_most_bytes = 600000;   ///< Of its values; the platform takes 1 MB encoded.
+    duration m_store_silence = 700ms;    ///< After it submissions are rejected at once.
+    duration m_unknown_after = 1s;       ///< After it a submission whose write hangs is answered.
+    duration m_renew_without_store = 6s; ///< Leases aren't prolonged for longer without the store.
+    duration m_keep_ended = 150s;        ///< How long the end of a job is remembered.
+    duration m_missing_limit = 30s;      ///< After it a worker that left the list is forgotten.
+    std::size_t m_most_waiting = 3000;   ///< Jobs beyond it are rejected.
+    std::uint64_t m_runs_per_epoch = 1000000; ///< Runs of a task that one epoch can number.
+};
+
+/// What a new leader found in the store.
+struct inherited
+{
+    leader_record m_self;         ///< As written by the take-over.
+    std::uint64_t m_version = 0;  ///< Of the leader's row.
+    std::vector<stored_row> m_jobs;
+    std::vector<stored_row> m_progress;
+    std::vector<std::pair<worker_id, std::string>> m_workers;
+    bool m_predecessor_gone = false; ///< The last leader's process is known to have ended.
+};
+
+/// The leader of a cell: takes jobs from their submission to their end on all of its workers. Every
+/// change of a job is stored before anybody is told of it. Pure: no I/O, no clock.
+class coordinator
+{
+public:
+    coordinator(coordinator_options options, const inherited& found, instant now);
+
+    /// Takes an event; unix_ms is the time of day, for occurrences at set times.
+    std::vector<action> handle(const event& what, instant now, std::int64_t unix_ms);
+
+    /// queued, running, completed, failed or cancelled; empty if the job isn't known here.
+    std::string_view state_of(const job_id& job) const;
+
+    /// Accepted jobs of a queue of which no task has started.
+    std::int64_t waiting(const queue_id& queue) const;
+
+    const leader_record& record() const { return m_chain.record(); }
+    instant last_commit() const { return m_chain.last_success(); }
+    std::size_t live_jobs() const { return m_jobs.size(); }
+    std::size_t ready_steps() const { return m_ready.size(); }
+    const std::map<worker_id, worker_state>& workers() const { return m_workers; }
+    const job_state* find_job(const job_id& job) const;
+
+private:
+    using actions = std::vector<action>;
+    using job_ptr = std::shared_ptr<job_state>;
+
+    /// Order in which steps get room: urgent queues first, then by arrival.
+    struct rank
+    {
+        int m_priority = 0;
+        instant m_since{};
+        step_key m_step;
+
+        auto operator<=>(const rank&) const = default;
+    };
+    struct open_call
+    {
+        std::uint64_t m_call = 0;
+        instant m_since{};
+        bool m_cancels = false;
+    };
+    /// One transaction's worth of changes.
+    struct batch
+    {
+        std::vector<job_id> m_jobs;
+        std::vector<job_id> m_forgotten;
+        std::map<worker_id, std::uint64_t> m_ends; ///< That may be acknowledged afterwards.
+        bool m_workers = false;
+    };
+    struct choice
+    {
+        task_key m_task;
+        worker_id m_worker;
+    };
+
+    void on(const job_submitted& event);
+    void on(const job_cancelled& event);
+    void on(const workers_listed& event);
+    void on(const commit_answered& event);
+    void on(const renewal_answered& event);
+    void on(const start_answered& event);
+    void on(const stop_answered& event);
+    void on(const approval_answered& event);
+    void on(const members_changed& event);
+    void on(const config_changed& event);
+    void on(const tick& event);
+
+    // coordinator.cpp: jobs and calls
+    void inherit_jobs(const inherited& found);
+    void answer(job_state& job, call_status status);
+    void end_job(job_state& job, job_outcome outcome);
+    void refresh(job_state& job);
+    void check_times();
+    job_state* find(const job_id& job);
+    static rank rank_of(const job_state& job, const step_key& step);
+
+    // coordinator_commits.cpp: what is stored and what follows from it
+    void build_commit();
+    bool add_job(job_state& job, transaction& change, batch& what);
+    void committed();
+    void drop_duplicates(const transaction_result& result);
+    void expire_calls();
+    bool store_is_away() const;
+
+    // coordinator_workers.cpp: leases, reports, losses
+    void renew_workers();
+    void renew(worker_state& worker);
+    void take_report(worker_state& worker, const worker_report& report, instant sent);
+    void adopt(worker_state& worker, const running_task& running);
+    void take_end(worker_state& worker, const ended_task& end);
+    void count_failure(job_state& job, const task_key& key, std::uint64_t run);
+    void finish_gang(job_state& job, const task_key& key);
+    void release(worker_state& worker, const task_key& task);
+    void settle(worker_state& worker, const worker_report& report, instant sent);
+    void lose(worker_state& worker, std::string_view cause);
+    void want_stop(worker_state& worker, placement& placed);
+    void send_stops();
+    void stop_gang(job_state& job, const step_key& step, std::uint64_t run);
+    void stop_task(job_state& job, const task_key& key);
+    void stop_all(job_state& job);
+    bool blind_for(const job_state& job) const;
+
+    // coordinator_placing.cpp: who gets room
+    void place_all();
+    void place_step(job_state& job, const step_key& key);
+    void place_tasks(job_state& job, const step_key& key, step_approval* approved);
+    void place_gang(job_state& job, const step_key& key, step_approval* approved);
+    std::optional<std::vector<choice>> choose_gang(job_state& job, const step_key& key,
+                                                   const step_approval* approved, bool ticketed);
+    worker_state* choose(const job_state& job, const step_key& key, const step_approval* approved,
+                         bool ticketed, const rack_id* only_rack,
+                         const std::map<worker_id, resources>& taken);
+    bool usable(const worker_state& worker, const job_state& job, const step_spec& spec) const;
+    resources room(const worker_state& worker) const;
+    int fitting(const worker_state& worker, const step_spec& spec) const;
+    void start(job_state& job, const task_key& task, worker_state& worker, std::uint64_t run,
+               const step_approval* approved);
+    void want_approval(job_state& job, const step_key& key, step_approval& approved);
+    void hold_for_gang(job_state& job, const step_key& key, const step_approval* approved);
+    step_approval* approval_of(const job_state& job, const step_key& key);
+    int on_worker(const worker_state& worker, const step_key& key) const;
+
+    coordinator_options m_options;
+    commit_chain m_chain;
+    approval_desk m_desk;
+    instant m_now;
+    std::int64_t m_unix_ms = 0;
+    instant m_taken_over;
+    instant m_blind_until{}; ///< Until then workers not heard of may run tasks of a predecessor.
+    actions* m_out = nullptr;
+    bool m_deposed = false;
+
+    std::unordered_map<job_id, job_ptr> m_jobs;  ///< Not ended, or ended and not yet stored.
+    std::unordered_map<job_id, std::pair<job_outcome, instant>> m_ended;
+    std::map<job_id, std::vector<open_call>> m_calls;
+    std::set<job_id> m_dirty;
+    std::vector<job_id> m_timed;                 ///< Jobs with occurrences at set times.
+    std::set<rank> m_ready;
+    std::map<step_key, step_approval> m_approvals;
+    std::map<worker_id, worker_state> m_workers;
+    bool m_workers_dirty = false;
+    std::optional<batch> m_batch;
+    std::map<worker_id, resources> m_reserved;   ///< Room kept for gangs in one pass.
+    std::set<worker_id> m_closed;                ///< Workers kept for gangs in one pass.
+    instant m_last_trim{};
+};
+
+} // namespace dragonflygap::cell
--- /dev/null
+++ b/src/dragonflygap/cell/coordinator_commits.cpp
@@ -0,0 +1,207 @@
+#include <algorithm>
+#include <utility>
+
+#include "dragonflygap/cell/coordinator.hpp"
+#include "dragonflygap/observe/log.hpp"
+
+namespace dragonflygap::cell
+{
+
+namespace
+{
+
+row_name row_of(std::string_view table, const job_id& job)
+{
+    return {std::string(table), job.m_value};
+}
+
+std::size_t bytes_of(const transaction& change)
+{
+    std::size_t bytes = 0;
+    for (const auto& write : change.m_writes)
+        bytes += write.m_value.size();
+    return bytes;
+}
+
+} // namespace
+
+bool coordinator::store_is_away() const
+{
+    return m_chain.in_flight() && m_now - std::max(m_chain.last_success(), m_taken_over) >
+                                      m_options.m_store_silence;
+}
+
+// Adds one job's changes; false if the transaction has no room for them.
+bool coordinator::add_job(job_state& job, transaction& change, batch& what)
+{
+    constexpr std::size_t most_entries_per_job = 4;
+    if (change.entries() + most_entries_per_job > m_options.m_most_entries ||
+        bytes_of(change) > m_options.m_most_bytes)
+        return false;
+    what.m_jobs.push_back(job.id());
+    if (!job.m_stored)
+        change.m_conditions.push_back({row_of(ended_table, job.id()), 0});
+    if (job.m_outcome)
+    {
+        change.m_writes.push_back({row_of(ended_table, job.id()),
+                                   pack(ended_record{static_cast<int>(*job.m_outcome)})});
+        if (job.m_stored)
+        {
+            change.m_deletes.push_back(row_of(job_table, job.id()));
+            change.m_deletes.push_back(row_of(progress_table, job.id()));
+        }
+    }
+    else if (!job.m_stored)
+        change.m_writes.push_back({row_of(job_table, job.id()), pack(job.record())});
+    else
+        change.m_writes.push_back({row_of(progress_table, job.id()), pack(job.progress())});
+    return true;
+}
+
+void coordinator::build_commit()
+{
+    if (const auto again = m_chain.retry_at(); again && m_now >= *again)
+    {
+        m_out->push_back(send_commit{m_chain.again()});
+        return;
+    }
+    const bool changed = !m_dirty.empty() || m_workers_dirty;
+    if (!(changed && m_chain.idle(m_now)) && !m_chain.due(m_now))
+        return;
+    transaction change;
+    batch what;
+    std::vector<job_id> added;
+    for (const auto& id : m_dirty)
+    {
+        job_state* job = find(id);
+        if (job != nullptr && !add_job(*job, change, what))
+            break;
+        added.push_back(id);
+        if (job != nullptr)
+            job->m_dirty = false;
+    }
+    for (const auto& id : added)
+        m_dirty.erase(id);
+    if (m_workers_dirty)
+    {
+        workers_record record;
+        for (const auto& [id, worker] : m_workers)
+            record.m_workers.emplace_back(id, to_string(worker.m_info.m_address));
+        change.m_writes.push_back(
+            {{std::string(workers_table), std::string(workers_key)}, pack(record)});
+        what.m_workers = true;
+        m_workers_dirty = false;
+    }
+    // All that the ends seen so far have changed is in this transaction or in an earlier one.
+    if (m_dirty.empty())
+        for (const auto& [id, worker] : m_workers)
+            if (worker.m_ends_seen > worker.m_ends_stored)
+                what.m_ends[id] = worker.m_ends_seen;
+    m_batch = std::move(what);
+    m_out->push_back(send_commit{m_chain.begin(std::move(change), m_now)});
+}
+
+void coordinator::on(const commit_answered& event)
+{
+    switch (m_chain.finish(event.m_result, m_now))
+    {
+    case commit_chain::status::committed:
+        committed();
+        break;
+    case commit_chain::status::conflict:
+        drop_duplicates(*event.m_result);
+        break;
+    case commit_chain::status::deposed:
+        m_deposed = true;
+        m_out->push_back(step_down{"another VM has written the leader's row"});
+        return;
+    case commit_chain::status::retry:
+        break;
+    }
+    build_commit();
+}
+
+void coordinator::committed()
+{
+    const batch what = std::exchange(m_batch, std::nullopt).value_or(batch{});
+    for (const auto& id : what.m_jobs)
+    {
+        job_state* job = find(id);
+        if (job == nullptr)
+            continue;
+        const bool accepted_now = !job->m_stored;
+        job->m_stored = true;
+        if (job->m_outcome && m_dirty.count(id) == 0)
+        {
+            m_ended[id] = {*job->m_outcome, m_now};
+            answer(*job, call_status::accepted);
+            m_jobs.erase(id);
+            continue;
+        }
+        // A cancellation that came meanwhile waits for its own transaction.
+        if (accepted_now && !job->m_outcome)
+            answer(*job, call_status::accepted);
+    }
+    for (const auto& [id, number] : what.m_ends)
+    {
+        const auto worker = m_workers.find(id);
+        if (worker == m_workers.end() || number < worker->second.m_ends_stored)
+            continue;
+        worker->second.m_ends_stored = number;
+        worker->second.m_next_renewal = m_now;
+    }
+    place_all();
+    renew_workers();
+}
+
+void coordinator::drop_duplicates(const transaction_result& result)
+{
+    const batch what = std::exchange(m_batch, std::nullopt).value_or(batch{});
+    std::set<std::string> known;
+    for (const auto& row : result.m_conflicts)
+        if (row.m_name.m_table == ended_table && row.m_version != 0)
+            known.insert(row.m_name.m_key);
+    for (const auto& id : what.m_jobs)
+    {
+        job_state* job = find(id);
+        if (job == nullptr)
+            continue;
+        if (known.count(id.m_value) == 0)
+        {
+            m_dirty.insert(id);
+            continue;
+        }
+        // It ended under an earlier leader; this is a late copy of its submission.
+        log_event(log_level::info, "submission_repeated", {{"job", id.m_value}});
+        answer(*job, call_status::accepted);
+        end_job(*job, job_outcome::cancelled);
+        m_dirty.erase(id);
+        m_jobs.erase(id);
+    }
+    m_workers_dirty = m_workers_dirty || what.m_workers;
+}
+
+void coordinator::expire_calls()
+{
+    constexpr duration trim_every = 5s;
+    if (m_now - m_last_trim > trim_every)
+    {
+        m_last_trim = m_now;
+        std::erase_if(m_ended, [this](const auto& entry)
+                      { return m_now - entry.second.second > m_options.m_keep_ended; });
+    }
+    for (auto entry = m_calls.begin(); entry != m_calls.end();)
+    {
+        std::erase_if(entry->second,
+                      [this](const open_call& call)
+                      {
+                          if (m_now - call.m_since < m_options.m_unknown_after)
+                              return false;
+                          m_out->push_back(answer_call{call.m_call, call_status::unknown});
+                          return true;
+                      });
+        entry = entry->second.empty() ? m_calls.erase(entry) : std::next(entry);
+    }
+}
+
+} // namespace dragonflygap::cell
--- /dev/null
+++ b/src/dragonflygap/cell/coordinator_placing.cpp
@@ -0,0 +1,372 @@
+#include <algorithm>
+#include <utility>
+
+#include "dragonflygap/cell/coordinator.hpp"
+#include "dragonflygap/observe/log.hpp"
+
+namespace dragonflygap::cell
+{
+
+namespace
+{
+
+// A filler takes what the others leave: its processor time isn't counted.
+resources size_of(const step_spec& spec)
+{
+    auto size = spec.m_size;
+    if (spec.m_filler)
+        size.m_millicores = 0;
+    return size;
+}
+
+int times_in(const resources& size, const resources& room)
+{
+    constexpr std::int64_t many = 1000000;
+    auto fits = [](std::int64_t part, std::int64_t whole)
+    { return part <= 0 ? many : std::max<std::int64_t>(0, whole / part); };
+    return static_cast<int>(std::min({fits(size.m_millicores, room.m_millicores),
+                                      fits(size.m_memory_mb, room.m_memory_mb),
+                                      fits(size.m_accelerators, room.m_accelerators)}));
+}
+
+} // namespace
+
+step_approval* coordinator::approval_of(const job_state& job, const step_key& key)
+{
+    return job.record().m_queue.m_approval.required() ? &m_approvals[key] : nullptr;
+}
+
+void coordinator::place_all()
+{
+    m_reserved.clear();
+    m_closed.clear();
+    const std::vector<rank> order(m_ready.begin(), m_ready.end());
+    for (const auto& next : order)
+    {
+        job_state* job = find(next.m_step.m_job);
+        if (job != nullptr && !job->m_outcome && m_ready.count(next) != 0)
+            place_step(*job, next.m_step);
+    }
+}
+
+void coordinator::place_step(job_state& job, const step_key& key)
+{
+    auto& step = job.step(key.m_occurrence, key.m_step);
+    if (m_now < step.m_not_before || blind_for(job))
+        return;
+    step_approval* approved = approval_of(job, key);
+    if (job.m_stored)
+    {
+        if (job.spec(key.m_step).m_gang)
+            place_gang(job, key, approved);
+        else
+            place_tasks(job, key, approved);
+    }
+    if (approved != nullptr && step.m_waiting > 0)
+        want_approval(job, key, *approved);
+}
+
+resources coordinator::room(const worker_state& worker) const
+{
+    const auto reserved = m_reserved.find(worker.m_info.m_id);
+    return reserved == m_reserved.end() ? worker.free() : worker.free() - reserved->second;
+}
+
+bool coordinator::usable(const worker_state& worker, const job_state& job,
+                         const step_spec& spec) const
+{
+    return worker.m_listed && worker.m_synced && !worker.m_info.m_leaving &&
+           m_now >= worker.m_avoid_until && worker.m_info.m_service == job.record().m_queue.m_service &&
+           (spec.m_label.empty() || worker.m_info.has_label(spec.m_label));
+}
+
+int coordinator::on_worker(const worker_state& worker, const step_key& key) const
+{
+    return static_cast<int>(std::count_if(worker.m_placements.begin(), worker.m_placements.end(),
+                                          [&key](const auto& entry)
+                                          { return step_of(entry.first) == key; }));
+}
+
+// The worker that is left with the least free processor time, near the data if there is one.
+worker_state* coordinator::choose(const job_state& job, const step_key& key,
+                                  const step_approval* approved, bool ticketed,
+                                  const rack_id* only_rack,
+                                  const std::map<worker_id, resources>& taken)
+{
+    const auto& spec = job.spec(key.m_step);
+    const auto size = size_of(spec);
+    worker_state* best = nullptr;
+    std::int64_t best_score = 0;
+    for (auto& [id, worker] : m_workers)
+    {
+        if (!usable(worker, job, spec) || m_closed.count(id) != 0)
+            continue;
+        if (only_rack != nullptr && worker.m_info.m_rack != *only_rack)
+            continue;
+        if (approved != nullptr &&
+            (ticketed ? approved->usable(id, m_now) == nullptr : approved->m_approved.count(id) == 0))
+            continue;
+        auto left = room(worker);
+        int here = 0;
+        if (const auto also = taken.find(id); also != taken.end())
+        {
+            left -= also->second;
+            here = times_in(size, also->second);
+        }
+        if (!size.fits_in(left))
+            continue;
+        if (spec.m_most_per_worker > 0 &&
+            on_worker(worker, key) + here >= spec.m_most_per_worker)
+            continue;
+        constexpr std::int64_t far_penalty = 1000000;
+        std::int64_t score = left.m_millicores - size.m_millicores;
+        if (!spec.m_data_rack.empty() && worker.m_info.m_rack != spec.m_data_rack)
+            score += far_penalty;
+        if (best == nullptr || score < best_score)
+        {
+            best = &worker;
+            best_score = score;
+        }
+    }
+    return best;
+}
+
+void coordinator::place_tasks(job_state& job, const step_key& key, step_approval* approved)
+{
+    auto& step = job.step(key.m_occurrence, key.m_step);
+    const std::map<worker_id, resources> none;
+    for (std::size_t i = 0; i < step.m_tasks.size() && step.m_waiting > 0; ++i)
+    {
+        if (step.m_tasks[i].m_status != task_status::waiting)
+            continue;
+        worker_state* worker = choose(job, key, approved, true, nullptr, none);
+        if (worker == nullptr)
+            return;
+        start(job, {key.m_job, key.m_occurrence, key.m_step, static_cast<int>(i)}, *worker,
+              job.m_next_run++, approved);
+    }
+    refresh(job);
+}
+
+std::optional<std::vector<coordinator::choice>>
+coordinator::choose_gang(job_state& job, const step_key& key, const step_approval* approved,
+                         bool ticketed)
+{
+    const auto& spec = job.spec(key.m_step);
+    auto try_on = [&](const rack_id* rack) -> std::optional<std::vector<choice>>
+    {
+        std::vector<choice> chosen;
+        std::map<worker_id, resources> taken;
+        for (int i = 0; i < spec.m_count; ++i)
+        {
+            worker_state* worker = choose(job, key, approved, ticketed, rack, taken);
+            if (worker == nullptr)
+                return std::nullopt;
+            taken[worker->m_info.m_id] += size_of(spec);
+            chosen.push_back(
+                {{key.m_job, key.m_occurrence, key.m_step, i}, worker->m_info.m_id});
+        }
+        return chosen;
+    };
+    if (spec.m_same_rack)
+    {
+        std::set<rack_id> racks;
+        for (const auto& [id, worker] : m_workers)
+            racks.insert(worker.m_info.m_rack);
+        for (const auto& rack : racks)
+            if (auto chosen = try_on(&rack))
+                return chosen;
+    }
+    return try_on(nullptr);
+}
+
+void coordinator::place_gang(job_state& job, const step_key& key, step_approval* approved)
+{
+    auto& step = job.step(key.m_occurrence, key.m_step);
+    if (step.m_waiting < static_cast<int>(step.m_tasks.size()))
+        return; // members of an earlier run are still being stopped
+    if (auto chosen = choose_gang(job, key, approved, true))
+    {
+        const auto run = job.m_next_run++;
+        for (const auto& [task, worker] : *chosen)
+            start(job, task, m_workers.at(worker), run, approved);
+        refresh(job);
+        return;
+    }
+    hold_for_gang(job, key, approved);
+}
+
+// Keeps room for a gang from what comes behind it: the places that it would take while its
+// tickets are asked for, or the approved workers that are nearest to having the room.
+void coordinator::hold_for_gang(job_state& job, const step_key& key, const step_approval* approved)
+{
+    constexpr std::size_t most_closed = 24; // half of the workers of the sites at hand
+    const auto& spec = job.spec(key.m_step);
+    if (auto chosen = choose_gang(job, key, approved, false))
+    {
+        for (const auto& [task, worker] : *chosen)
+            m_reserved[worker] += size_of(spec);
+        return;
+    }
+    std::vector<std::pair<std::int64_t, worker_id>> nearest;
+    for (const auto& [id, worker] : m_workers)
+        if (usable(worker, job, spec) && m_closed.count(id) == 0 &&
+            (approved == nullptr || approved->m_approved.count(id) != 0))
+            nearest.emplace_back(-room(worker).m_millicores, id);
+    std::sort(nearest.begin(), nearest.end());
+    int places = 0;
+    std::vector<worker_id> kept;
+    for (const auto& [free, id] : nearest)
+    {
+        if (places >= spec.m_count)
+            break;
+        places += times_in(size_of(spec), m_workers.at(id).m_info.m_capacity);
+        kept.push_back(id);
+    }
+    if (places < spec.m_count || m_closed.size() + kept.size() > most_closed)
+        return;
+    m_closed.insert(kept.begin(), kept.end());
+}
+
+int coordinator::fitting(const worker_state& worker, const step_spec& spec) const
+{
+    const int fits = times_in(size_of(spec), room(worker));
+    return spec.m_most_per_worker > 0 ? std::min(fits, spec.m_most_per_worker) : fits;
+}
+
+void coordinator::want_approval(job_state& job, const step_key& key, step_approval& approved)
+{
+    if (approved.m_asking || m_now < approved.m_next_ask)
+        return;
+    constexpr std::size_t most_named = 100;    // the service takes no more
+    constexpr double approval_rate = 0.35;     // of workers not asked about yet
+    constexpr double wanted_share = 1.3;       // some room is gone when the answer comes
+    const auto& spec = job.spec(key.m_step);
+    const auto& cost = job.record().m_queue.m_approval;
+    const int waiting = job.step(key.m_occurrence, key.m_step).m_waiting;
+    double expected = 0;
+    std::vector<std::pair<double, worker_id>> candidates;
+    for (const auto& [id, worker] : m_workers)
+    {
+        if (!usable(worker, job, spec) || approved.m_denied.count(id) != 0)
+            continue;
+        const bool known = approved.m_approved.count(id) != 0;
+        const int fits = m_closed.count(id) != 0 ? 0 : fitting(worker, spec);
+        if (approved.usable(id, m_now) != nullptr)
+            expected += fits;
+        else if (fits > 0 || (spec.m_gang && !known))
+            candidates.emplace_back(-fits * (known ? 1.0 : approval_rate), id);
+    }
+    if (candidates.empty() || expected >= wanted_share * waiting)
+        return;
+    std::sort(candidates.begin(), candidates.end());
+    std::vector<worker_id> named;
+    for (const auto& [gain, id] : candidates)
+    {
+        if (expected >= wanted_share * waiting + 1 || named.size() >= most_named)
+            break;
+        expected -= gain;
+        named.push_back(id);
+    }
+    const auto time = std::chrono::duration_cast<duration>(std::chrono::duration<double, std::milli>(
+        cost.m_decision_ms + cost.m_per_worker_ms * static_cast<double>(named.size())));
+    const duration patience = std::max<duration>(300ms, 3 * time);
+    const auto through = m_desk.choose(time, patience, m_now);
+    if (!through)
+        return;
+    const auto expected_wait = m_desk.wait(*through, m_now) + time;
+    m_desk.asked(*through, time, m_now);
+    approved.m_asking = true;
+    m_out->push_back(ask_approval{*through, key, std::move(named), expected_wait});
+}
+
+void coordinator::start(job_state& job, const task_key& key, worker_state& worker,
+                        std::uint64_t run, const step_approval* approved)
+{
+    const auto& options = m_options.m_workers;
+    const auto& spec = job.spec(key.m_step);
+    const auto& task = *job.find(key);
+    placement placed{.m_run = run, .m_size = size_of(spec), .m_gang = spec.m_gang,
+                     .m_order_deadline = m_now + options.m_order_window + options.m_clock_slack,
+                     .m_started = m_now, .m_percent_since = m_now};
+    worker.m_used += placed.m_size;
+    worker.m_placements[key] = placed;
+    worker.m_lease_until = std::max(worker.m_lease_until, placed.m_order_deadline);
+    start_order order{.m_task = key,
+                      .m_run = run,
+                      .m_payload = job.record().m_request.m_payload,
+                      .m_checkpoint = task.m_checkpoint,
+                      .m_deadline_ms = worker.clock_at(m_now) + to_ms(options.m_order_window)};
+    if (approved != nullptr)
+        if (const auto* ticket = approved->usable(worker.m_info.m_id, m_now))
+            order.m_ticket = *ticket;
+    job.set_placed(key, worker.m_info.m_id, run);
+    m_out->push_back(send_start{{worker.m_info.m_id, worker.m_info.m_address}, std::move(order)});
+}
+
+void coordinator::on(const start_answered& event)
+{
+    const auto found = m_workers.find(event.m_worker);
+    if (found == m_workers.end())
+        return;
+    auto& worker = found->second;
+    const auto entry = worker.m_placements.find(event.m_task);
+    if (entry == worker.m_placements.end() || entry->second.m_run != event.m_run ||
+        entry->second.m_phase != placement_phase::starting)
+        return;
+    auto& placed = entry->second;
+    job_state* job = find(event.m_task.m_job);
+    if (event.m_result && event.m_result->m_refusal == start_refusal::none)
+    {
+        placed.m_phase = placement_phase::running;
+        placed.m_settled_at = m_now;
+        worker.m_next_renewal = std::min(worker.m_next_renewal, m_now);
+        return;
+    }
+    const auto refusal = event.m_result ? event.m_result->m_refusal : start_refusal::none;
+    log_event(log_level::info, "start_failed",
+              {{"job", event.m_task.m_job.m_value},
+               {"worker", event.m_worker.m_value},
+               {"run", event.m_run},
+               {"refusal", static_cast<int>(refusal)},
+               {"detail", event.m_result ? "" : event.m_result.error().m_detail}});
+    if (refusal == start_refusal::fenced)
+    {
+        m_deposed = true;
+        m_out->push_back(step_down{"a worker knows a higher token"});
+        return;
+    }
+    constexpr duration setback = 100ms;
+    constexpr duration avoid_unhealthy = 1s;
+    const bool unanswered = !event.m_result && event.m_result.error().m_verdict != verdict::not_run;
+    if (unanswered || refusal == start_refusal::outdated)
+    {
+        // It may run, or begin later: a stop that is acknowledged settles it.
+        placed.m_phase = placement_phase::unknown;
+        want_stop(worker, placed);
+        worker.m_avoid_until = std::max(worker.m_avoid_until, m_now + avoid_unhealthy);
+        worker.m_next_renewal = std::min(worker.m_next_renewal, m_now);
+    }
+    else
+    {
+        if (refusal == start_refusal::no_ticket)
+            if (const auto approved = m_approvals.find(step_of(event.m_task));
+                approved != m_approvals.end())
+                approved->second.m_tickets.erase(event.m_worker);
+        if (!event.m_result || refusal == start_refusal::unhealthy ||
+            refusal == start_refusal::no_room)
+            worker.m_avoid_until = std::max(worker.m_avoid_until, m_now + avoid_unhealthy);
+        release(worker, event.m_task);
+        if (job != nullptr)
+        {
+            job->set_waiting(event.m_task);
+            job->step(event.m_task.m_occurrence, event.m_task.m_step).m_not_before =
+                m_now + setback;
+            refresh(*job);
+        }
+    }
+    if (job != nullptr && job->spec(event.m_task.m_step).m_gang)
+        stop_gang(*job, step_of(event.m_task), event.m_run);
+}
+
+} // namespace dragonflygap::cell
--- /dev/null
+++ b/src/dragonflygap/cell/events.hpp
@@ -0,0 +1,128 @@
+#pragma once
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <variant>
+#include <vector>
+
+#include "dragonflygap/cell/ports.hpp"
+#include "dragonflygap/cell/records.hpp"
+
+/// What happens to the leader, and what it wants done.
+namespace dragonflygap::cell
+{
+
+struct job_submitted
+{
+    std::uint64_t m_call = 0;
+    job_id m_job;
+    queue_rules m_queue;
+    job_request m_request;
+};
+struct job_cancelled
+{
+    std::uint64_t m_call = 0;
+    job_id m_job;
+};
+struct workers_listed
+{
+    std::vector<worker_info> m_workers;
+};
+struct commit_answered
+{
+    outcome<transaction_result> m_result;
+};
+struct renewal_answered
+{
+    worker_id m_worker;
+    outcome<worker_report> m_result;
+};
+struct start_answered
+{
+    worker_id m_worker;
+    task_key m_task;
+    std::uint64_t m_run = 0;
+    outcome<start_result> m_result;
+};
+struct stop_answered
+{
+    worker_id m_worker;
+    task_key m_task;
+    std::uint64_t m_run = 0;
+    outcome<start_result> m_result;
+};
+struct approval_answered
+{
+    step_key m_step;
+    vm_id m_asked_by;
+    std::vector<worker_id> m_workers; ///< That were named.
+    outcome<approval> m_result;
+};
+/// VMs that answer heartbeats: approvals may be asked through them.
+struct members_changed
+{
+    std::vector<vm_id> m_members;
+};
+struct config_changed
+{
+    cell_config m_config;
+};
+struct tick
+{
+};
+using event = std::variant<job_submitted, job_cancelled, workers_listed, commit_answered,
+                           renewal_answered, start_answered, stop_answered, approval_answered,
+                           members_changed, config_changed, tick>;
+
+enum class call_status
+{
+    accepted,       ///< Stored, or cancelled for good.
+    rejected,       ///< Not accepted and never runs; come back later.
+    unknown,        ///< May have been stored.
+    not_here,       ///< The leader doesn't know the job; it may have ended long ago.
+};
+
+/// Answers a submission or a cancellation.
+struct answer_call
+{
+    std::uint64_t m_call = 0;
+    call_status m_status = call_status::accepted;
+    std::int64_t m_retry_after_ms = 0;
+};
+struct send_commit
+{
+    transaction m_change;
+};
+struct send_renewal
+{
+    worker_address m_worker;
+    renewal m_renewal;
+};
+struct send_start
+{
+    worker_address m_worker;
+    start_order m_order;
+};
+struct send_stop
+{
+    worker_address m_worker;
+    task_key m_task;
+    std::uint64_t m_run = 0;
+};
+struct ask_approval
+{
+    vm_id m_through; ///< The VM that is to ask.
+    step_key m_step;
+    std::vector<worker_id> m_workers;
+    duration m_expected{};
+};
+/// Another leader has taken over.
+struct step_down
+{
+    std::string m_cause;
+};
+using action = std::variant<answer_call, send_commit, send_renewal, send_start, send_stop,
+                            ask_approval, step_down>;
+
+} // namespace dragonflygap::cell
--- /dev/null
+++ b/src/dragonflygap/cell/peer_messages.hpp
@@ -0,0 +1,116 @@
+#pragma once
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <variant>
+#include <vector>
+
+#include "dragonflygap/cell/job_request.hpp"
+#include "dragonflygap/cell/ports.hpp"
+#include "dragonflygap/cell/queue_rules.hpp"
+
+/// What entry VMs tell each other.
+namespace dragonflygap::cell
+{
+
+/// From the leader to every member, several times a second.
+struct leader_heartbeat
+{
+    std::uint64_t m_epoch = 0;
+    std::uint64_t m_commit = 0;       ///< Number of the leader's last transaction.
+    std::int64_t m_store_age_ms = 0;  ///< Since the store last answered the leader.
+    std::uint64_t m_config_version = 0;
+    std::string m_address;            ///< Of the leader, for answers.
+    bool m_resigns = false;           ///< The receiver is to take over at once.
+
+    MSGPACK_DEFINE(m_epoch, m_commit, m_store_age_ms, m_config_version, m_address, m_resigns)
+};
+
+/// A member's answer to a heartbeat.
+struct member_heartbeat
+{
+    std::uint64_t m_incarnation = 0;
+    std::uint64_t m_config_version = 0;
+    bool m_stopping = false;
+
+    MSGPACK_DEFINE(m_incarnation, m_config_version, m_stopping)
+};
+
+/// A configuration that the receiver doesn't have yet.
+struct config_news
+{
+    cell_config m_config;
+
+    MSGPACK_DEFINE(m_config)
+};
+
+enum class call_kind
+{
+    submit,
+    cancel,
+    state,
+    waiting,
+};
+
+/// A caller's request, passed on to the leader.
+struct caller_call
+{
+    std::uint64_t m_call = 0;
+    int m_kind = 0; ///< A call_kind.
+    job_id m_job;
+    queue_rules m_queue;
+    job_request m_request;
+
+    MSGPACK_DEFINE(m_call, m_kind, m_job, m_queue, m_request)
+};
+
+/// The leader's answer to a caller_call.
+struct caller_answer
+{
+    std::uint64_t m_call = 0;
+    int m_status = 0; ///< A call_status.
+    std::int64_t m_number = 0; ///< Jobs that wait, or ms after which to come back.
+    std::string m_state;
+
+    MSGPACK_DEFINE(m_call, m_status, m_number, m_state)
+};
+
+/// Asks a member to ask for an approval.
+struct approval_call
+{
+    std::uint64_t m_epoch = 0;
+    step_key m_step;
+    std::vector<worker_id> m_workers;
+    std::int64_t m_timeout_ms = 0;
+
+    MSGPACK_DEFINE(m_epoch, m_step, m_workers, m_timeout_ms)
+};
+
+struct approval_answer
+{
+    std::uint64_t m_epoch = 0;
+    step_key m_step;
+    std::vector<worker_id> m_workers;
+    bool m_given = false; ///< False: the call failed.
+    approval m_approval;
+
+    MSGPACK_DEFINE(m_epoch, m_step, m_workers, m_given, m_approval)
+};
+
+using peer_message = std::variant<leader_heartbeat, member_heartbeat, config_news, caller_call,
+                                  caller_answer, approval_call, approval_answer>;
+
+struct peer_envelope
+{
+    vm_id m_from;
+    peer_message m_message;
+};
+
+std::string encode(const vm_id& from, const peer_message& message);
+
+/// Nothing if the bytes are no message of this version.
+std::optional<peer_envelope> decode_peer(std::string_view bytes);
+
+} // namespace dragonflygap::cell
--- /dev/null
+++ b/src/dragonflygap/cell/ports.hpp
@@ -0,0 +1,161 @@
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "dragonflygap/cell/queue_rules.hpp"
+#include "dragonflygap/cell/worker.hpp"
+#include "dragonflygap/core/time.hpp"
+#include "dragonflygap/core/verdict.hpp"
+
+/// What the scheduler asks of its surroundings. Each hook answers once, later, in the loop of the
+/// task that called it. A failure's verdict is not_run only if the call certainly had no effect.
+namespace dragonflygap::cell
+{
+
+struct row_name
+{
+    std::string m_table;
+    std::string m_key;
+
+    auto operator<=>(const row_name&) const = default;
+};
+
+struct stored_row
+{
+    row_name m_name;
+    std::uint64_t m_version = 0; ///< 0: there is no such row.
+    std::string m_value;
+};
+
+/// Takes effect as a whole, and only if every row named has the version named.
+struct transaction
+{
+    struct condition
+    {
+        row_name m_row;
+        std::uint64_t m_version = 0;
+    };
+    struct write
+    {
+        row_name m_row;
+        std::string m_value;
+    };
+    std::vector<condition> m_conditions;
+    std::vector<write> m_writes;
+    std::vector<row_name> m_deletes;
+
+    std::size_t entries() const
+    {
+        return m_conditions.size() + m_writes.size() + m_deletes.size();
+    }
+};
+
+struct transaction_result
+{
+    bool m_committed = false;
+    std::uint64_t m_version = 0; ///< Of all rows that a committed transaction wrote.
+    std::vector<stored_row> m_conflicts; ///< Present rows of the conditions, if not committed.
+};
+
+struct store_port
+{
+    std::function<void(transaction, duration timeout,
+                       std::function<void(outcome<transaction_result>)>)>
+        m_commit;
+    /// All rows of a table in the cell's part.
+    std::function<void(std::string table, duration timeout,
+                       std::function<void(outcome<std::vector<stored_row>>)>)>
+        m_scan;
+    /// One row of the cell's part; its version is 0 if there is none.
+    std::function<void(row_name, duration timeout, std::function<void(outcome<stored_row>)>)>
+        m_read;
+};
+
+/// What the platform tells about its workers and its operators' wishes.
+struct directory_port
+{
+    std::function<void(duration timeout, std::function<void(outcome<std::vector<worker_info>>)>)>
+        m_list_workers;
+    /// Waits for a configuration other than the one known, or for the wait to end (nothing).
+    std::function<void(std::uint64_t known_position, duration wait,
+                       std::function<void(outcome<std::optional<cell_config>>, std::uint64_t)>)>
+        m_watch_config;
+};
+
+struct start_order
+{
+    task_key m_task;
+    std::uint64_t m_run = 0;
+    std::string m_payload;
+    std::string m_checkpoint;
+    std::string m_ticket;
+    std::int64_t m_deadline_ms = 0; ///< On the worker's clock.
+};
+
+struct start_result
+{
+    start_refusal m_refusal = start_refusal::none;
+    std::int64_t m_clock_ms = 0;
+};
+
+/// Where a call to a worker goes; another life at that address refuses it.
+struct worker_address
+{
+    worker_id m_id;
+    endpoint m_endpoint;
+};
+
+struct renewal
+{
+    std::optional<std::int64_t> m_deadline_ms; ///< On the worker's clock; nothing: only look.
+    std::uint64_t m_acknowledged = 0;          ///< Ends up to this number may be forgotten.
+    duration m_wait{};                         ///< How long to wait for an end.
+};
+
+/// Workers run tasks under leases; every call carries the caller's fencing token.
+struct worker_port
+{
+    std::function<void(const worker_address&, std::uint64_t token, start_order,
+                       std::function<void(outcome<start_result>)>)>
+        m_start;
+    std::function<void(const worker_address&, std::uint64_t token, const task_key&,
+                       std::uint64_t run, std::function<void(outcome<start_result>)>)>
+        m_stop;
+    /// A fenced or wrong worker is a failure with stale_epoch or not_found.
+    std::function<void(const worker_address&, std::uint64_t token, renewal,
+                       std::function<void(outcome<worker_report>)>)>
+        m_renew;
+    /// Lets a task work at a share of its pace, in percent.
+    std::function<void(const worker_address&, std::uint64_t token, const task_key&,
+                       std::uint64_t run, int percent, std::function<void(outcome<start_result>)>)>
+        m_pace;
+};
+
+struct ticket
+{
+    worker_id m_worker;
+    std::string m_text;
+
+    MSGPACK_DEFINE(m_worker, m_text)
+};
+
+struct approval
+{
+    std::vector<ticket> m_tickets; ///< For the workers that may run the step.
+    std::int64_t m_valid_ms = 0;
+
+    MSGPACK_DEFINE(m_tickets, m_valid_ms)
+};
+
+struct approval_port
+{
+    std::function<void(const step_key&, std::vector<worker_id> workers, duration timeout,
+                       std::function<void(outcome<approval>)>)>
+        m_ask;
+};
+
+} // namespace dragonflygap::cell
--- /dev/null
+++ b/src/dragonflygap/cell/queue_rules.hpp
@@ -0,0 +1,77 @@
+#pragma once
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "dragonflygap/cell/packing.hpp"
+#include "dragonflygap/core/identifier.hpp"
+
+namespace dragonflygap::cell
+{
+
+using queue_id = identifier<struct queue_tag>;
+using service_id = identifier<struct service_tag>; ///< A pool of workers.
+
+/// The approval that a step needs from the platform's policy before its tasks may start.
+struct approval_cost
+{
+    double m_decision_ms = 0; ///< 0: the queue needs no approval.
+    double m_per_worker_ms = 0;
+    std::int64_t m_valid_ms = 0;
+
+    bool required() const { return m_decision_ms > 0 || m_per_worker_ms > 0 || m_valid_ms > 0; }
+    bool operator==(const approval_cost&) const = default;
+
+    MSGPACK_DEFINE(m_decision_ms, m_per_worker_ms, m_valid_ms)
+};
+
+/// A queue as the operator configured it.
+struct queue_rules
+{
+    queue_id m_name;
+    std::string m_host;
+    std::string m_path_prefix;
+    service_id m_service;
+    int m_priority = 0; ///< 0 comes first.
+    int m_max_attempts = 3;
+    double m_stretch = 2; ///< Objective: this often the longest chain of work, and the slack.
+    std::int64_t m_slack_ms = 1000;
+    approval_cost m_approval;
+
+    bool operator==(const queue_rules&) const = default;
+
+    MSGPACK_DEFINE(m_name, m_host, m_path_prefix, m_service, m_priority, m_max_attempts, m_stretch,
+                   m_slack_ms, m_approval)
+};
+
+/// The operator's configuration of the cell, whole.
+struct cell_config
+{
+    std::uint64_t m_version = 0;
+    std::vector<queue_rules> m_queues;
+
+    MSGPACK_DEFINE(m_version, m_queues)
+
+    /// The queue with the longest path prefix that fits; nullptr if none does.
+    const queue_rules* find(std::string_view host, std::string_view path) const
+    {
+        const queue_rules* best = nullptr;
+        for (const auto& queue : m_queues)
+            if (queue.m_host == host && path.starts_with(queue.m_path_prefix) &&
+                (best == nullptr || queue.m_path_prefix.size() > best->m_path_prefix.size()))
+                best = &queue;
+        return best;
+    }
+
+    const queue_rules* find(const queue_id& name) const
+    {
+        for (const auto& queue : m_queues)
+            if (queue.m_name == name)
+                return &queue;
+        return nullptr;
+    }
+};
+
+} // namespace dragonflygap::cell
--- a/src/dragonflygap/config/settings.cpp
+++ b/src/dragonflygap/config/settings.cpp
@@ -42,6 +42,22 @@
     return peer;
 }
 
+cell_settings read_cell(const nlohmann::json& object, endpoint_reader& endpoints)
+{
+    cell_settings cell;
+    endpoints.read(object, "store", "$.cell", cell.m_store);
+    endpoints.read(object, "ready_listen", "$.cell", cell.m_ready_listen);
+    if (!object.value("approvals", "").empty())
+    {
+        cell.m_approvals.emplace();
+        endpoints.read(object, "approvals", "$.cell", *cell.m_approvals);
+    }
+    cell.m_longest_lease = std::chrono::milliseconds(
+        object.value("longest_lease_ms", to_ms(cell.m_longest_lease)));
+    cell.m_stop = std::chrono::milliseconds(object.value("stop_ms", to_ms(cell.m_stop)));
+    return cell;
+}
+
 } // namespace
 
 tl::expected<settings, std::vector<fault>> parse_settings(std::string_view text)
@@ -67,6 +83,8 @@
         result.m_platform.emplace();
         endpoints.read(platform, "address", "$.platform", *result.m_platform);
     }
+    if (document.contains("cell"))
+        result.m_cell = read_cell(document["cell"], endpoints);
     result.m_log_level = log_level_from_string(document.value("log_level", "info"));
     result.m_history = document.value("history", false);
     result.m_max_body_bytes = document.value("max_body_bytes", result.m_max_body_bytes);
--- a/src/dragonflygap/config/settings.hpp
+++ b/src/dragonflygap/config/settings.hpp
@@ -24,6 +24,16 @@
     endpoint m_address;
 };
 
+/// Where the platform serves a cell, and what it grants there.
+struct cell_settings
+{
+    endpoint m_store;
+    std::optional<endpoint> m_approvals;
+    endpoint m_ready_listen;
+    duration m_longest_lease = 10s; ///< Workers shorten longer ones.
+    duration m_stop = 6s;           ///< From SIGTERM until the process is killed.
+};
+
 /// What one daemon is told at its start; schemas/settings.schema.json describes the document.
 struct settings
 {
@@ -34,6 +44,7 @@
     endpoint m_peer_listen{"127.0.0.1", 8082};
     std::vector<peer_settings> m_peers;
     std::optional<endpoint> m_platform; ///< Nothing: the embedded platform.
+    std::optional<cell_settings> m_cell; ///< Nothing: serve requests and jobs of the own platform.
     log_level m_log_level = log_level::info;
     bool m_history = false;
     std::size_t m_max_body_bytes = 1 << 20;
--- /dev/null
+++ b/src/dragonflygap/daemon/cell_daemon.cpp
@@ -0,0 +1,141 @@
+#include "dragonflygap/daemon/cell_daemon.hpp"
+
+#include <chrono>
+#include <csignal>
+#include <memory>
+#include <utility>
+
+#include <nlohmann/json.hpp>
+
+#include "dragonflygap/net/event_loop.hpp"
+#include "dragonflygap/net/http_client.hpp"
+#include "dragonflygap/net/http_server.hpp"
+#include "dragonflygap/net/peer_link.hpp"
+#include "dragonflygap/net/transport.hpp"
+#include "dragonflygap/node/node.hpp"
+#include "dragonflygap/observe/log.hpp"
+#include "dragonflygap/observe/metrics.hpp"
+#include "platform/caller_server.hpp"
+#include "platform/directory_client.hpp"
+#include "platform/store_client.hpp"
+#include "platform/worker_client.hpp"
+
+namespace dragonflygap::daemon
+{
+
+namespace
+{
+
+// A worker allows 64 connections in all; after a take-over two leaders share them for a while.
+constexpr int worker_connections = 16;
+constexpr int store_connections = 8;
+constexpr std::size_t largest_answer_bytes = 4 << 20; // the store sends at most 1 MB of rows
+
+std::uint64_t new_incarnation()
+{
+    return static_cast<std::uint64_t>(std::chrono::duration_cast<std::chrono::milliseconds>(
+                                          std::chrono::system_clock::now().time_since_epoch())
+                                          .count());
+}
+
+node::node_options make_options(const config::settings& settings, peer_link& link,
+                                const http_transport& to_store, const http_transport& to_workers)
+{
+    const auto& cell = *settings.m_cell;
+    node::node_options options{.m_vm = settings.m_vm,
+                               .m_data_centre = settings.m_data_centre,
+                               .m_incarnation = new_incarnation(),
+                               .m_peer_address = settings.m_peer_listen,
+                               .m_store = wire::make_store(to_store, cell.m_store),
+                               .m_directory = wire::make_directory(to_store, cell.m_store),
+                               .m_workers = wire::make_workers(to_workers)};
+    if (cell.m_approvals)
+        options.m_approvals = wire::make_approvals(to_workers, *cell.m_approvals);
+    options.m_peers = {
+        .m_add = [&link](const vm_id& peer, const endpoint& address) { link.add(peer, address); },
+        .m_send = [&link](const vm_id& peer, std::string_view bytes)
+        { return link.send(peer, bytes); },
+        .m_redial = [&link](const vm_id& peer) { link.redial(peer); }};
+    auto& lease = options.m_coordinator.m_workers.m_lease;
+    lease = std::min(lease, cell.m_longest_lease);
+    constexpr duration exit_margin = 800ms;
+    options.m_stop_most = std::max<duration>(cell.m_stop - exit_margin, 500ms);
+    options.m_stop_least = std::min(options.m_stop_least, options.m_stop_most);
+    return options;
+}
+
+std::string status_text(const node::node& served)
+{
+    nlohmann::json status{{"ready", served.ready()},
+                          {"leader", served.leader().value_or(vm_id{}).m_value}};
+    if (const auto* config = served.config())
+        status["config_version"] = config->m_version;
+    if (const auto* leader = served.leading())
+    {
+        status["epoch"] = leader->state().record().m_epoch;
+        status["jobs"] = leader->state().live_jobs();
+        status["steps_waiting"] = leader->state().ready_steps();
+        status["workers"] = leader->state().workers().size();
+    }
+    return status.dump();
+}
+
+} // namespace
+
+int run_cell_daemon(const config::settings& settings)
+{
+    start_logging(settings.m_log_level, settings.m_vm.m_value);
+    std::signal(SIGPIPE, SIG_IGN);
+    metrics counted;
+    event_loop loop;
+    http_client store_client(loop, {.m_max_body_bytes = largest_answer_bytes,
+                                    .m_max_connections_per_endpoint = store_connections});
+    http_client worker_client(loop, {.m_max_connections_per_endpoint = worker_connections});
+    const auto to_store = make_transport(store_client);
+    const auto to_workers = make_transport(worker_client);
+    std::unique_ptr<node::node> served;
+    peer_link link(loop, {.m_listen = settings.m_peer_listen,
+                          .m_on_message = [&served](std::string_view bytes)
+                          {
+                              if (served)
+                                  served->received(bytes);
+                          }});
+    auto options = make_options(settings, link, to_store, to_workers);
+    options.m_on_stopped = [&loop] { loop.stop(); };
+    served = std::make_unique<node::node>(loop, counted, std::move(options));
+
+    const http_server callers(
+        loop,
+        {.m_listen = settings.m_caller_listen,
+         .m_max_body_bytes = settings.m_max_body_bytes,
+         .m_handler = wire::make_caller_handler(
+             {.m_config = [&served] { return served->config(); },
+              .m_call = [&served](cell::caller_call call,
+                                  std::function<void(const cell::caller_answer&)> done)
+              { served->callers().call(std::move(call), std::move(done)); },
+              .m_stopping = [&served] { return served->stopping(); }})});
+    const http_server readiness(
+        loop, {.m_listen = settings.m_cell->m_ready_listen,
+               .m_handler = wire::make_ready_handler([&served] { return served->ready(); })});
+    const http_server operators(
+        loop, {.m_listen = settings.m_operator_listen,
+               .m_handler = [&served, &counted](const http_request& request,
+                                                const http_exchange_ptr& exchange)
+               {
+                   if (request.m_path == "/metrics")
+                       exchange->reply({.m_headers = {{"Content-Type", "text/plain"}},
+                                        .m_body = counted.text()});
+                   else
+                       exchange->reply(json_response(200, status_text(*served)));
+               }});
+    const auto on_terminate = loop.on_signal(SIGTERM, [&served] { served->stop(); });
+    const auto on_interrupt = loop.on_signal(SIGINT, [&served] { served->stop(); });
+    const auto on_hangup =
+        loop.on_signal(SIGHUP, [] { log_event(log_level::info, "reload_ignored", {}); });
+    log_event(log_level::info, "started", {{"data_centre", settings.m_data_centre.m_value}});
+    loop.run();
+    log_event(log_level::info, "stopped", {});
+    return 0;
+}
+
+} // namespace dragonflygap::daemon
--- a/src/dragonflygap/daemon/daemon_main.cpp
+++ b/src/dragonflygap/daemon/daemon_main.cpp
@@ -8,6 +8,7 @@
 
 #include <boost/program_options.hpp>
 
+#include "dragonflygap/daemon/cell_daemon.hpp"
 #include "dragonflygap/daemon/daemon.hpp"
 
 namespace po = boost::program_options;
@@ -45,7 +46,7 @@
         std::cout << "settings are valid\n";
         return 0;
     }
-    return daemon::run_daemon(settings);
+    return settings.m_cell ? daemon::run_cell_daemon(settings) : daemon::run_daemon(settings);
 }
 
 } // namespace
--- /dev/null
+++ b/src/dragonflygap/node/caller_task.cpp
@@ -0,0 +1,175 @@
+#include "dragonflygap/node/caller_task.hpp"
+
+#include <utility>
+
+#include "dragonflygap/cell/records.hpp"
+#include "dragonflygap/observe/log.hpp"
+#include "dragonflygap/observe/metrics.hpp"
+
+namespace dragonflygap::node
+{
+
+namespace
+{
+
+using cell::call_kind;
+using cell::call_status;
+
+cell::caller_answer with(call_status status)
+{
+    return {.m_status = static_cast<int>(status)};
+}
+
+std::string_view name_of(call_status status)
+{
+    constexpr std::string_view names[] = {"accepted", "rejected", "unknown", "not_here"};
+    return names[static_cast<int>(status)];
+}
+
+std::string_view name_of(cell::job_outcome outcome)
+{
+    constexpr std::string_view names[] = {"completed", "failed", "cancelled"};
+    return names[static_cast<int>(outcome)];
+}
+
+} // namespace
+
+caller_task::caller_task(event_loop& loop, metrics& counted, caller_task_options options)
+    : m_loop(loop), m_counted(counted), m_options(std::move(options))
+{
+}
+
+void caller_task::call(cell::caller_call what, done on_done)
+{
+    const auto id = ++m_last_call;
+    what.m_call = id;
+    const auto kind = static_cast<call_kind>(what.m_kind);
+    auto& open = m_open[id];
+    open.m_done = std::move(on_done);
+    open.m_since = monotonic_clock::now();
+    open.m_call = std::move(what);
+    open.m_sent = m_options.m_to_leader(open.m_call);
+    if (m_open.count(id) == 0)
+        return; // the leader is this VM, and it has answered
+    const bool looks = kind == call_kind::state;
+    if (!open.m_sent && looks)
+        return read_store(id);
+    if (!open.m_sent)
+    {
+        auto answer = with(call_status::rejected);
+        answer.m_number = m_options.m_no_leader_retry_ms;
+        return finish(id, answer);
+    }
+    open.m_timer = m_loop.after(looks ? m_options.m_state_limit : m_options.m_submit_limit,
+                                [this, id] { expire(id); });
+}
+
+const caller_task::open_call* caller_task::find(std::uint64_t call) const
+{
+    const auto found = m_open.find(call);
+    return found == m_open.end() ? nullptr : &found->second;
+}
+
+void caller_task::answered(const cell::caller_answer& answer)
+{
+    const auto* open = find(answer.m_call);
+    if (open == nullptr)
+        return;
+    const auto kind = static_cast<call_kind>(open->m_call.m_kind);
+    const bool may_have_ended = static_cast<call_status>(answer.m_status) == call_status::not_here;
+    if (may_have_ended && (kind == call_kind::state || kind == call_kind::cancel))
+        return read_store(answer.m_call);
+    finish(answer.m_call, answer);
+}
+
+void caller_task::leader_changed()
+{
+    std::vector<cell::caller_call> again;
+    for (const auto& [id, open] : m_open)
+        again.push_back(open.m_call);
+    for (const auto& call : again)
+        m_options.m_to_leader(call);
+}
+
+void caller_task::expire(std::uint64_t call)
+{
+    const auto* open = find(call);
+    if (open == nullptr)
+        return;
+    if (static_cast<call_kind>(open->m_call.m_kind) == call_kind::state)
+        return read_store(call);
+    finish(call, with(call_status::unknown));
+}
+
+// The leader doesn't know the job, or doesn't answer: its row tells whether and how it ended.
+void caller_task::read_store(std::uint64_t call)
+{
+    const auto* open = find(call);
+    if (open == nullptr)
+        return;
+    const cell::row_name row{std::string(cell::ended_table), open->m_call.m_job.m_value};
+    m_options.m_store.m_read(
+        row, m_options.m_store_limit,
+        [this, call](const outcome<cell::stored_row>& found)
+        {
+            const auto* open = find(call);
+            if (open == nullptr)
+                return;
+            if (!found)
+                return finish(call, with(call_status::unknown));
+            const auto record = cell::unpack<cell::ended_record>(found->m_value);
+            if (found->m_version == 0 || !record)
+                return read_job_row(call);
+            auto answer = with(call_status::accepted);
+            answer.m_state = name_of(static_cast<cell::job_outcome>(record->m_outcome));
+            finish(call, answer);
+        });
+}
+
+void caller_task::read_job_row(std::uint64_t call)
+{
+    const auto* open = find(call);
+    const cell::row_name row{std::string(cell::job_table), open->m_call.m_job.m_value};
+    m_options.m_store.m_read(
+        row, m_options.m_store_limit,
+        [this, call](const outcome<cell::stored_row>& found)
+        {
+            const auto* open = find(call);
+            if (open == nullptr)
+                return;
+            if (!found)
+                return finish(call, with(call_status::unknown));
+            if (found->m_version == 0)
+                return finish(call, with(call_status::not_here));
+            // It lives, so only the leader can cancel it.
+            const bool looks = static_cast<call_kind>(open->m_call.m_kind) == call_kind::state;
+            auto answer = with(looks ? call_status::accepted : call_status::unknown);
+            answer.m_state = "running";
+            finish(call, answer);
+        });
+}
+
+void caller_task::finish(std::uint64_t call, cell::caller_answer answer)
+{
+    const auto found = m_open.find(call);
+    if (found == m_open.end())
+        return;
+    const auto open = std::move(found->second);
+    m_open.erase(found);
+    constexpr std::string_view kinds[] = {"submit", "cancel", "state", "waiting"};
+    const auto kind = static_cast<call_kind>(open.m_call.m_kind);
+    const auto status = static_cast<call_status>(answer.m_status);
+    const auto waited = monotonic_clock::now() - open.m_since;
+    m_counted.count("dragonflygap_caller_answers_total", {"verdict", name_of(status)});
+    m_counted.observe("dragonflygap_caller_wait_seconds", {"kind", kinds[open.m_call.m_kind]},
+                      waited);
+    if (kind == call_kind::submit || kind == call_kind::cancel || status == call_status::unknown)
+        log_event(log_level::info, "call_answered",
+                  {{"kind", kinds[open.m_call.m_kind]},
+                   {"job", open.m_call.m_job.m_value},
+                   {"verdict", name_of(status)},
+                   {"waited_ms", to_ms(waited)}});
+    open.m_done(answer);
+}
+
+} // namespace dragonflygap::node
--- /dev/null
+++ b/src/dragonflygap/node/caller_task.hpp
@@ -0,0 +1,76 @@
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <optional>
+#include <string>
+
+#include "dragonflygap/cell/events.hpp"
+#include "dragonflygap/cell/peer_messages.hpp"
+#include "dragonflygap/cell/ports.hpp"
+#include "dragonflygap/net/event_loop.hpp"
+
+namespace dragonflygap
+{
+
+class metrics;
+
+namespace node
+{
+
+struct caller_task_options
+{
+    cell::store_port m_store;
+    /// Passes a call to the leader; false if there is none that could be reached.
+    std::function<bool(const cell::caller_call&)> m_to_leader;
+    duration m_submit_limit = 2200ms; ///< Below the 3 s for which callers of the sites wait.
+    duration m_state_limit = 600ms;   ///< After it the store is read instead.
+    duration m_store_limit = 1s;      ///< For one reading of the store.
+    std::int64_t m_no_leader_retry_ms = 1000; ///< A take-over lasts one to two seconds.
+};
+
+/// Takes the calls of callers, has the leader answer them, and reads the store where it can't.
+class caller_task
+{
+public:
+    using done = std::function<void(const cell::caller_answer&)>;
+
+    caller_task(event_loop& loop, metrics& counted, caller_task_options options);
+
+    /// Starts a call; done is called once. The call's number is set here.
+    void call(cell::caller_call what, done on_done);
+
+    void answered(const cell::caller_answer& answer);
+
+    /// Another VM leads now: what waits for an answer is sent again. All calls are idempotent.
+    void leader_changed();
+
+    std::size_t open() const { return m_open.size(); }
+
+private:
+    struct open_call
+    {
+        cell::caller_call m_call;
+        done m_done;
+        event_loop::timer_ptr m_timer;
+        instant m_since{};
+        bool m_sent = false;
+    };
+
+    void finish(std::uint64_t call, cell::caller_answer answer);
+    void expire(std::uint64_t call);
+    void read_store(std::uint64_t call);
+    void read_job_row(std::uint64_t call);
+    const open_call* find(std::uint64_t call) const;
+
+    event_loop& m_loop;
+    metrics& m_counted;
+    caller_task_options m_options;
+    std::uint64_t m_last_call = 0;
+    std::map<std::uint64_t, open_call> m_open;
+};
+
+} // namespace node
+
+} // namespace dragonflygap
--- /dev/null
+++ b/src/dragonflygap/node/leader_task.cpp
@@ -0,0 +1,302 @@
+#include "dragonflygap/node/leader_task.hpp"
+
+#include <algorithm>
+#include <chrono>
+#include <utility>
+
+#include "dragonflygap/observe/log.hpp"
+#include "dragonflygap/observe/metrics.hpp"
+
+namespace dragonflygap::node
+{
+
+namespace
+{
+
+std::int64_t unix_ms()
+{
+    return std::chrono::duration_cast<std::chrono::milliseconds>(
+               std::chrono::system_clock::now().time_since_epoch())
+        .count();
+}
+
+} // namespace
+
+leader_task::leader_task(event_loop& loop, metrics& counted, leader_task_options options,
+                         const cell::inherited& found)
+    : m_loop(loop), m_counted(counted), m_options(std::move(options)),
+      m_coordinator(m_options.m_coordinator, found, monotonic_clock::now()),
+      m_epoch(found.m_self.m_epoch)
+{
+    m_members[m_options.m_vm].m_address = m_options.m_address;
+    m_timers.push_back(m_loop.every(m_options.m_tick, [this] { feed(cell::tick{}); }));
+    m_timers.push_back(m_loop.every(m_options.m_heartbeat_every,
+                                    [this]
+                                    {
+                                        check_members();
+                                        send_heartbeats();
+                                    }));
+    m_timers.push_back(m_loop.every(m_options.m_list_every, [this] { list_workers(); }));
+    m_timers.push_back(m_loop.every(m_options.m_members_every, [this] { read_members(); }));
+    list_workers();
+    read_members();
+    check_members();
+    feed(cell::tick{});
+}
+
+leader_task::~leader_task()
+{
+    *m_alive = false;
+}
+
+void leader_task::feed(const cell::event& event)
+{
+    if (m_ended)
+        return;
+    for (const auto& action : m_coordinator.handle(event, monotonic_clock::now(), unix_ms()))
+        std::visit([this](const auto& what) { act(what); }, action);
+}
+
+void leader_task::act(const cell::answer_call& action)
+{
+    const auto found = m_origins.find(action.m_call);
+    if (found == m_origins.end())
+        return;
+    const auto origin = found->second;
+    m_origins.erase(found);
+    m_options.m_send(origin.m_vm, cell::caller_answer{.m_call = origin.m_call,
+                                                      .m_status = static_cast<int>(action.m_status),
+                                                      .m_number = action.m_retry_after_ms});
+}
+
+void leader_task::act(const cell::send_commit& action)
+{
+    const auto sent = monotonic_clock::now();
+    m_options.m_store.m_commit(
+        action.m_change, m_options.m_commit_timeout,
+        [this, sent, alive = m_alive](outcome<cell::transaction_result> result)
+        {
+            if (!*alive)
+                return;
+            m_counted.observe("dragonflygap_store_wait_seconds",
+                              {"outcome", result ? "answered" : to_string(result.error().m_reason)},
+                              monotonic_clock::now() - sent);
+            feed(cell::commit_answered{std::move(result)});
+        });
+}
+
+void leader_task::act(const cell::send_renewal& action)
+{
+    m_options.m_workers.m_renew(
+        action.m_worker, m_epoch, action.m_renewal,
+        [this, id = action.m_worker.m_id, alive = m_alive](outcome<cell::worker_report> result)
+        {
+            if (*alive)
+                feed(cell::renewal_answered{id, std::move(result)});
+        });
+}
+
+void leader_task::act(const cell::send_start& action)
+{
+    m_options.m_workers.m_start(
+        action.m_worker, m_epoch, action.m_order,
+        [this, id = action.m_worker.m_id, task = action.m_order.m_task, run = action.m_order.m_run,
+         alive = m_alive](outcome<cell::start_result> result)
+        {
+            if (*alive)
+                feed(cell::start_answered{id, task, run, std::move(result)});
+        });
+}
+
+void leader_task::act(const cell::send_stop& action)
+{
+    m_options.m_workers.m_stop(
+        action.m_worker, m_epoch, action.m_task, action.m_run,
+        [this, id = action.m_worker.m_id, task = action.m_task, run = action.m_run,
+         alive = m_alive](outcome<cell::start_result> result)
+        {
+            if (*alive)
+                feed(cell::stop_answered{id, task, run, std::move(result)});
+        });
+}
+
+void leader_task::act(const cell::ask_approval& action)
+{
+    constexpr duration margin = 600ms; // beyond what the service should take
+    const auto number = ++m_asks[action.m_step];
+    m_options.m_send(action.m_through,
+                     cell::approval_call{.m_epoch = m_epoch,
+                                         .m_step = action.m_step,
+                                         .m_workers = action.m_workers,
+                                         .m_timeout_ms = to_ms(action.m_expected + margin)});
+    // The member answers, or its silence is the answer.
+    m_loop.defer(action.m_expected + 2 * margin,
+                 [this, number, step = action.m_step, through = action.m_through, alive = m_alive]
+                 {
+                     if (!*alive)
+                         return;
+                     const auto open = m_asks.find(step);
+                     if (open != m_asks.end() && open->second == number)
+                         feed(cell::approval_answered{
+                             step, through, {}, fail(verdict::may_have_run, reason::timeout, "")});
+                 });
+}
+
+void leader_task::act(const cell::step_down& action)
+{
+    m_ended = true;
+    // The owner destroys this task, which must not happen while it acts.
+    m_loop.post([on_deposed = m_options.m_on_deposed, cause = action.m_cause]
+                { on_deposed(cause); });
+}
+
+void leader_task::handle(const vm_id& from, const cell::caller_call& call)
+{
+    const auto kind = static_cast<cell::call_kind>(call.m_kind);
+    if (kind == cell::call_kind::submit || kind == cell::call_kind::cancel)
+    {
+        const auto id = ++m_last_call;
+        m_origins[id] = {from, call.m_call};
+        if (kind == cell::call_kind::submit)
+            feed(cell::job_submitted{id, call.m_job, call.m_queue, call.m_request});
+        else
+            feed(cell::job_cancelled{id, call.m_job});
+        return;
+    }
+    cell::caller_answer answer{.m_call = call.m_call};
+    if (kind == cell::call_kind::waiting)
+        answer.m_number = m_coordinator.waiting(call.m_queue.m_name);
+    else
+        answer.m_state = m_coordinator.state_of(call.m_job);
+    const bool missing = kind == cell::call_kind::state && answer.m_state.empty();
+    answer.m_status =
+        static_cast<int>(missing ? cell::call_status::not_here : cell::call_status::accepted);
+    m_options.m_send(from, answer);
+}
+
+void leader_task::handle(const vm_id& from, const cell::member_heartbeat& heartbeat)
+{
+    const auto found = m_members.find(from);
+    if (found == m_members.end())
+        return;
+    found->second.m_heard = monotonic_clock::now();
+    found->second.m_stopping = heartbeat.m_stopping;
+}
+
+void leader_task::handle(const vm_id& from, const cell::approval_answer& answer)
+{
+    if (answer.m_epoch != m_epoch)
+        return;
+    m_asks.erase(answer.m_step);
+    outcome<cell::approval> result =
+        fail(verdict::not_run, reason::target_failed, "the member got no approval");
+    if (answer.m_given)
+        result = answer.m_approval;
+    feed(cell::approval_answered{answer.m_step, from, answer.m_workers, std::move(result)});
+}
+
+cell::leader_heartbeat leader_task::heartbeat() const
+{
+    const auto age = monotonic_clock::now() - m_coordinator.last_commit();
+    return {.m_epoch = m_epoch,
+            .m_commit = m_coordinator.record().m_commit,
+            .m_store_age_ms = m_coordinator.last_commit() == instant{} ? 0 : to_ms(age),
+            .m_config_version = m_options.m_config_version(),
+            .m_address = m_options.m_address};
+}
+
+void leader_task::send_heartbeats()
+{
+    if (m_ended)
+        return;
+    const auto message = heartbeat();
+    for (const auto& [vm, member] : m_members)
+        m_options.m_send(vm, message);
+}
+
+void leader_task::resign()
+{
+    auto message = heartbeat();
+    message.m_resigns = true;
+    const vm_id* successor = nullptr;
+    instant best{};
+    for (const auto& [vm, member] : m_members)
+        if (vm != m_options.m_vm && !member.m_stopping && member.m_heard > best)
+        {
+            best = member.m_heard;
+            successor = &vm;
+        }
+    m_ended = true;
+    if (successor != nullptr)
+        m_options.m_send(*successor, message);
+    log_event(log_level::info, "leader_resigned",
+              {{"epoch", m_epoch}, {"successor", successor == nullptr ? "" : successor->m_value}});
+}
+
+void leader_task::list_workers()
+{
+    if (m_listing || m_ended)
+        return;
+    m_listing = true;
+    m_options.m_directory.m_list_workers(
+        m_options.m_commit_timeout,
+        [this, alive = m_alive](outcome<std::vector<cell::worker_info>> workers)
+        {
+            if (!*alive)
+                return;
+            m_listing = false;
+            if (workers)
+                feed(cell::workers_listed{std::move(*workers)});
+            else
+                log_event(log_level::warning, "workers_not_listed",
+                          {{"detail", workers.error().m_detail}});
+        });
+}
+
+void leader_task::read_members()
+{
+    m_options.m_store.m_scan(
+        std::string(cell::member_table), m_options.m_commit_timeout,
+        [this, alive = m_alive](const outcome<std::vector<cell::stored_row>>& rows)
+        {
+            if (!*alive || !rows)
+                return;
+            for (const auto& row : *rows)
+            {
+                const auto record = cell::unpack<cell::member_record>(row.m_value);
+                if (!record || record->m_vm == m_options.m_vm)
+                    continue;
+                auto& member = m_members[record->m_vm];
+                if (member.m_address == record->m_address)
+                    continue;
+                member.m_address = record->m_address;
+                member.m_redialled = monotonic_clock::now();
+                m_options.m_introduce(record->m_vm, record->m_address);
+                m_options.m_send(record->m_vm, heartbeat());
+            }
+        });
+}
+
+void leader_task::check_members()
+{
+    const auto now = monotonic_clock::now();
+    std::vector<vm_id> helpers;
+    for (auto& [vm, member] : m_members)
+    {
+        const bool self = vm == m_options.m_vm;
+        if (self || (now - member.m_heard < m_options.m_member_limit && !member.m_stopping))
+            helpers.push_back(vm);
+        else if (now - std::max(member.m_heard, member.m_redialled) > m_options.m_redial_after)
+        {
+            member.m_redialled = now;
+            m_options.m_redial(vm);
+        }
+    }
+    if (helpers == m_helpers)
+        return;
+    m_helpers = helpers;
+    log_event(log_level::info, "members_changed", {{"members", helpers.size()}});
+    feed(cell::members_changed{std::move(helpers)});
+}
+
+} // namespace dragonflygap::node
--- /dev/null
+++ b/src/dragonflygap/node/node.cpp
@@ -0,0 +1,362 @@
+#include "dragonflygap/node/node.hpp"
+
+#include <algorithm>
+#include <utility>
+
+#include "dragonflygap/node/takeover.hpp"
+#include "dragonflygap/observe/log.hpp"
+#include "dragonflygap/observe/metrics.hpp"
+
+namespace dragonflygap::node
+{
+
+namespace
+{
+
+constexpr duration store_timeout = 1500ms;
+constexpr duration register_retry = 500ms;
+
+} // namespace
+
+node::node(event_loop& loop, metrics& counted, node_options options)
+    : m_loop(loop), m_counted(counted), m_options(std::move(options)),
+      m_election(m_options.m_election, m_options.m_vm, monotonic_clock::now()),
+      m_callers(loop, counted,
+                [this]
+                {
+                    auto callers = m_options.m_callers;
+                    callers.m_store = m_options.m_store;
+                    callers.m_to_leader = [this](const cell::caller_call& call)
+                    { return to_leader(call); };
+                    return callers;
+                }())
+{
+    register_member();
+    watch_config();
+    m_timers.push_back(m_loop.every(m_options.m_tick, [this] { tick(); }));
+}
+
+node::~node() = default;
+
+void node::register_member()
+{
+    const cell::member_record self{m_options.m_vm, m_options.m_data_centre,
+                                   to_string(m_options.m_peer_address), m_options.m_incarnation};
+    cell::transaction change;
+    change.m_writes.push_back(
+        {{std::string(cell::member_table), m_options.m_vm.m_value}, cell::pack(self)});
+    m_options.m_store.m_commit(
+        std::move(change), store_timeout,
+        [this](const outcome<cell::transaction_result>& result)
+        {
+            if (!result)
+                m_loop.defer(register_retry, [this] { register_member(); });
+        });
+}
+
+void node::watch_config()
+{
+    m_options.m_directory.m_watch_config(
+        m_config_position, m_options.m_config_wait,
+        [this](outcome<std::optional<cell::cell_config>> config, std::uint64_t position)
+        {
+            m_config_position = position;
+            if (!config)
+            {
+                log_event(log_level::warning, "config_not_read",
+                          {{"detail", config.error().m_detail}});
+                m_loop.defer(m_options.m_config_retry, [this] { watch_config(); });
+                return;
+            }
+            if (*config)
+                apply_config(std::move(**config), "store");
+            // An empty first reading: the operator hasn't written a configuration yet.
+            const bool early = m_config_position <= 1;
+            m_loop.defer(early ? m_options.m_config_retry : duration{}, [this] { watch_config(); });
+        });
+}
+
+void node::apply_config(cell::cell_config config, std::string_view source)
+{
+    if (m_config && config.m_version <= m_config->m_version)
+        return;
+    log_event(log_level::info, "config_in_force",
+              {{"version", config.m_version},
+               {"queues", config.m_queues.size()},
+               {"source", source}});
+    m_config = std::move(config);
+    m_counted.set("dragonflygap_config_version", {"source", source},
+                  static_cast<double>(m_config->m_version));
+}
+
+bool node::ready() const
+{
+    const bool led = m_leader != nullptr ||
+                     monotonic_clock::now() - m_leader_heard < m_options.m_ready_limit;
+    return m_config && !m_stopping && led;
+}
+
+std::optional<vm_id> node::leader() const
+{
+    if (m_leader != nullptr)
+        return m_options.m_vm;
+    if (m_known_leader.empty() ||
+        monotonic_clock::now() - m_leader_heard >= m_options.m_leader_limit)
+        return std::nullopt;
+    return m_known_leader;
+}
+
+void node::tick()
+{
+    if (m_stopping)
+    {
+        const auto since = monotonic_clock::now() - m_stop_since;
+        const bool idle = m_callers.open() == 0 && since >= m_options.m_stop_least;
+        if (idle || since >= m_options.m_stop_most)
+            m_options.m_on_stopped();
+        return;
+    }
+    if (m_leader != nullptr)
+        return;
+    switch (m_election.next(monotonic_clock::now()))
+    {
+    case cell::election::advice::wait:
+        break;
+    case cell::election::advice::read_row:
+        read_row();
+        break;
+    case cell::election::advice::campaign:
+        campaign();
+        break;
+    }
+}
+
+void node::read_row()
+{
+    m_options.m_store.m_scan(
+        std::string(cell::member_table), store_timeout,
+        [this](const outcome<std::vector<cell::stored_row>>& rows)
+        {
+            if (!rows)
+                return;
+            for (const auto& row : *rows)
+                if (const auto member = cell::unpack<cell::member_record>(row.m_value))
+                    m_incarnations[member->m_vm] = member->m_incarnation;
+        });
+    m_options.m_store.m_read(
+        {std::string(cell::leader_table), std::string(cell::leader_key)}, store_timeout,
+        [this](const outcome<cell::stored_row>& row)
+        {
+            const auto now = monotonic_clock::now();
+            if (!row)
+                return m_election.read_failed(now);
+            const auto self = m_incarnations.find(m_options.m_vm);
+            const auto rank = std::distance(m_incarnations.begin(), self);
+            m_election.row_read(cell::unpack<cell::leader_record>(row->m_value), row->m_version,
+                                static_cast<int>(rank), now);
+        });
+}
+
+void node::campaign()
+{
+    const auto& before = m_election.row();
+    log_event(log_level::info, "leader_campaign",
+              {{"epoch", before ? before->m_epoch + 1 : 1},
+               {"before", before ? before->m_vm.m_value : ""},
+               {"silent_ms", to_ms(monotonic_clock::now() - m_leader_heard)}});
+    // A member that has registered anew since is a new process: the old one has ended.
+    const auto seen = before ? m_incarnations.find(before->m_vm) : m_incarnations.end();
+    const bool gone = !before || (seen != m_incarnations.end() &&
+                                  seen->second != before->m_incarnation);
+    take_over({.m_store = m_options.m_store,
+               .m_vm = m_options.m_vm,
+               .m_incarnation = m_options.m_incarnation,
+               .m_before = before,
+               .m_version = m_election.row_version(),
+               .m_predecessor_gone = gone},
+              [this](const outcome<cell::inherited>& found)
+              {
+                  if (found && !m_stopping)
+                      return lead(*found);
+                  if (!found)
+                      log_event(log_level::info, "campaign_failed",
+                                {{"reason", to_string(found.error().m_reason)}});
+                  m_election.campaign_failed(monotonic_clock::now());
+              });
+}
+
+void node::lead(const cell::inherited& found)
+{
+    log_event(log_level::info, "leader_started",
+              {{"epoch", found.m_self.m_epoch},
+               {"jobs", found.m_jobs.size()},
+               {"workers", found.m_workers.size()}});
+    m_counted.count("dragonflygap_takeovers_total", {"vm", m_options.m_vm.m_value});
+    m_leader_epoch = found.m_self.m_epoch;
+    m_leader = std::make_unique<leader_task>(
+        m_loop, m_counted,
+        leader_task_options{
+            .m_vm = m_options.m_vm,
+            .m_address = to_string(m_options.m_peer_address),
+            .m_coordinator = m_options.m_coordinator,
+            .m_store = m_options.m_store,
+            .m_directory = m_options.m_directory,
+            .m_workers = m_options.m_workers,
+            .m_send = [this](const vm_id& to, const cell::peer_message& message)
+            { send(to, message); },
+            .m_introduce =
+                [this](const vm_id& peer, const std::string& address)
+            {
+                if (const auto parsed = parse_endpoint(address))
+                    m_options.m_peers.m_add(peer, *parsed);
+            },
+            .m_redial = [this](const vm_id& peer) { m_options.m_peers.m_redial(peer); },
+            .m_config_version = [this]() -> std::uint64_t
+            { return m_config ? m_config->m_version : 0; },
+            .m_on_deposed =
+                [this](const std::string& cause)
+            {
+                log_event(log_level::warning, "leader_deposed",
+                          {{"epoch", m_leader_epoch}, {"cause", cause}});
+                m_leader.reset();
+                m_election.campaign_failed(monotonic_clock::now());
+            }},
+        found);
+    m_callers.leader_changed();
+}
+
+bool node::to_leader(const cell::caller_call& call)
+{
+    const auto to = leader();
+    if (!to)
+        return false;
+    if (m_leader != nullptr)
+    {
+        m_leader->handle(m_options.m_vm, call);
+        return true;
+    }
+    return m_options.m_peers.m_send(*to, cell::encode(m_options.m_vm, call));
+}
+
+void node::send(const vm_id& to, const cell::peer_message& message)
+{
+    if (to != m_options.m_vm)
+    {
+        m_options.m_peers.m_send(to, cell::encode(m_options.m_vm, message));
+        return;
+    }
+    // Messages to itself take their turn too: no handler is entered twice.
+    m_loop.post([this, message] { dispatch(m_options.m_vm, message); });
+}
+
+void node::received(std::string_view bytes)
+{
+    const auto read = cell::decode_peer(bytes);
+    if (!read)
+    {
+        log_event(log_level::warning, "peer_message_unreadable", {{"bytes", bytes.size()}});
+        return;
+    }
+    dispatch(read->m_from, read->m_message);
+}
+
+void node::dispatch(const vm_id& from, const cell::peer_message& message)
+{
+    std::visit([this, &from](const auto& body) { on(from, body); }, message);
+}
+
+void node::on(const vm_id& from, const cell::leader_heartbeat& message)
+{
+    if (from == m_options.m_vm || message.m_epoch < m_leader_epoch)
+        return;
+    const auto now = monotonic_clock::now();
+    m_election.heartbeat(message.m_epoch, message.m_commit,
+                         std::chrono::milliseconds(message.m_store_age_ms), message.m_resigns, now);
+    const bool changed = message.m_epoch > m_leader_epoch || from != m_known_leader;
+    m_leader_epoch = message.m_epoch;
+    m_known_leader = from;
+    m_leader_heard = message.m_resigns ? instant{} : now;
+    if (message.m_address != m_leader_address)
+        if (const auto address = parse_endpoint(message.m_address))
+            m_options.m_peers.m_add(from, *address);
+    m_leader_address = message.m_address;
+    if (changed)
+    {
+        log_event(log_level::info, "leader_known",
+                  {{"leader", from.m_value}, {"epoch", message.m_epoch}});
+        if (m_leader != nullptr)
+            m_leader.reset();
+        m_callers.leader_changed();
+    }
+    send(from, cell::member_heartbeat{m_options.m_incarnation,
+                                      m_config ? m_config->m_version : 0, m_stopping});
+    if (m_config && m_config->m_version > message.m_config_version)
+        send(from, cell::config_news{*m_config});
+}
+
+void node::on(const vm_id& from, const cell::member_heartbeat& message)
+{
+    if (m_leader == nullptr)
+        return;
+    m_leader->handle(from, message);
+    if (m_config && m_config->m_version > message.m_config_version)
+        send(from, cell::config_news{*m_config});
+}
+
+void node::on(const vm_id&, const cell::config_news& message)
+{
+    apply_config(message.m_config, "peer");
+}
+
+void node::on(const vm_id& from, const cell::caller_call& message)
+{
+    if (m_leader != nullptr)
+        m_leader->handle(from, message);
+}
+
+void node::on(const vm_id&, const cell::caller_answer& message)
+{
+    m_callers.answered(message);
+}
+
+void node::on(const vm_id& from, const cell::approval_call& message)
+{
+    m_options.m_approvals.m_ask(
+        message.m_step, message.m_workers, std::chrono::milliseconds(message.m_timeout_ms),
+        [this, from, message](outcome<cell::approval> result)
+        {
+            cell::approval_answer answer{.m_epoch = message.m_epoch,
+                                         .m_step = message.m_step,
+                                         .m_workers = message.m_workers,
+                                         .m_given = result.has_value()};
+            if (result)
+                answer.m_approval = std::move(*result);
+            else
+                log_event(log_level::info, "approval_failed",
+                          {{"job", message.m_step.m_job.m_value},
+                           {"detail", result.error().m_detail}});
+            send(from, answer);
+        });
+}
+
+void node::on(const vm_id& from, const cell::approval_answer& message)
+{
+    if (m_leader != nullptr)
+        m_leader->handle(from, message);
+}
+
+void node::stop()
+{
+    if (m_stopping)
+        return;
+    m_stopping = true;
+    m_stop_since = monotonic_clock::now();
+    log_event(log_level::info, "stopping",
+              {{"leads", m_leader != nullptr ? "true" : "false"}, {"open", m_callers.open()}});
+    if (m_leader == nullptr)
+        return;
+    m_leader->resign();
+    m_leader.reset();
+}
+
+} // namespace dragonflygap::node
--- /dev/null
+++ b/src/dragonflygap/node/node.hpp
@@ -0,0 +1,111 @@
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+
+#include "dragonflygap/cell/election.hpp"
+#include "dragonflygap/cell/peer_messages.hpp"
+#include "dragonflygap/cell/ports.hpp"
+#include "dragonflygap/cell/records.hpp"
+#include "dragonflygap/net/event_loop.hpp"
+#include "dragonflygap/node/caller_task.hpp"
+#include "dragonflygap/node/leader_task.hpp"
+
+namespace dragonflygap::node
+{
+
+/// How messages get to other entry VMs.
+struct peer_port
+{
+    std::function<void(const vm_id& peer, const endpoint& address)> m_add;
+    std::function<bool(const vm_id& peer, std::string_view bytes)> m_send;
+    std::function<void(const vm_id& peer)> m_redial;
+};
+
+struct node_options
+{
+    vm_id m_vm;
+    data_centre_id m_data_centre;
+    std::uint64_t m_incarnation = 0;
+    endpoint m_peer_address;
+    cell::store_port m_store;
+    cell::directory_port m_directory;
+    cell::worker_port m_workers;
+    cell::approval_port m_approvals;
+    peer_port m_peers;
+    cell::coordinator_options m_coordinator;
+    cell::election_options m_election;
+    caller_task_options m_callers; ///< Its hooks are set by the node.
+    std::function<void()> m_on_stopped;
+    duration m_tick = 100ms;
+    duration m_config_wait = 1500ms;   ///< A silent connection is noticed after it.
+    duration m_config_retry = 300ms;
+    duration m_leader_limit = 1s;      ///< A leader that is silent for longer isn't called.
+    duration m_ready_limit = 3s;       ///< Without a leader for longer, the VM isn't ready.
+    duration m_stop_least = 2500ms;    ///< The balancer needs two checks to notice.
+    duration m_stop_most = 5200ms;     ///< The platform kills a process that takes 6 s.
+};
+
+/// One entry VM: takes callers' calls, follows the leader or leads.
+class node
+{
+public:
+    node(event_loop& loop, metrics& counted, node_options options);
+    ~node();
+    node(const node&) = delete;
+    node& operator=(const node&) = delete;
+
+    /// The configuration in force here; nullptr before the first one.
+    const cell::cell_config* config() const { return m_config ? &*m_config : nullptr; }
+    bool ready() const;
+    bool stopping() const { return m_stopping; }
+    caller_task& callers() { return m_callers; }
+    const leader_task* leading() const { return m_leader.get(); }
+    std::optional<vm_id> leader() const;
+
+    void received(std::string_view bytes);
+    void stop();
+
+private:
+    void register_member();
+    void watch_config();
+    void apply_config(cell::cell_config config, std::string_view source);
+    void tick();
+    void read_row();
+    void campaign();
+    void lead(const cell::inherited& found);
+    bool to_leader(const cell::caller_call& call);
+    void send(const vm_id& to, const cell::peer_message& message);
+    void dispatch(const vm_id& from, const cell::peer_message& message);
+
+    void on(const vm_id& from, const cell::leader_heartbeat& message);
+    void on(const vm_id& from, const cell::member_heartbeat& message);
+    void on(const vm_id& from, const cell::config_news& message);
+    void on(const vm_id& from, const cell::caller_call& message);
+    void on(const vm_id& from, const cell::caller_answer& message);
+    void on(const vm_id& from, const cell::approval_call& message);
+    void on(const vm_id& from, const cell::approval_answer& message);
+
+    event_loop& m_loop;
+    metrics& m_counted;
+    node_options m_options;
+    cell::election m_election;
+    caller_task m_callers;
+    std::unique_ptr<leader_task> m_leader;
+    std::optional<cell::cell_config> m_config;
+    std::uint64_t m_config_position = 0;
+    vm_id m_known_leader;
+    std::string m_leader_address;
+    std::uint64_t m_leader_epoch = 0;
+    instant m_leader_heard{};
+    std::map<vm_id, std::uint64_t> m_incarnations; ///< Of the members, as last read.
+    bool m_stopping = false;
+    instant m_stop_since{};
+    std::vector<event_loop::timer_ptr> m_timers;
+};
+
+} // namespace dragonflygap::node
