Give adopted workers a lease, place once a tick, pass over workers that don't answer

Cause: after a take-over every adopted worker's lease counted as over, so its tasks were started again; placing ran at every event, and 200 waiting steps took the leader's whole processor.

--- a/src/dragonflygap/cell/coordinator.cpp
+++ b/src/dragonflygap/cell/coordinator.cpp
@@ -12,8 +12,7 @@
     : m_options(options), m_chain(options.m_commits, found.m_self, found.m_version),
       m_desk(options.m_approvals), m_now(now), m_taken_over(now)
 {
-    const auto& workers = m_options.m_workers;
-    m_blind_until = now + workers.m_lease * 102 / 100 + workers.m_clock_slack;
+    m_blind_until = lease_end();
     if (!found.m_predecessor_gone)
         m_blind_until += m_options.m_renew_without_store;
     for (const auto& [id, address] : found.m_workers)
--- a/src/dragonflygap/cell/coordinator.hpp
+++ b/src/dragonflygap/cell/coordinator.hpp
@@ -133,6 +133,7 @@
     // coordinator_workers.cpp: leases, reports, losses
     void renew_workers();
     void renew(worker_state& worker);
+    instant lease_end() const;
     void take_report(worker_state& worker, const worker_report& report, instant sent);
     void adopt(worker_state& worker, const running_task& running);
     void take_end(worker_state& worker, const ended_task& end);
--- a/src/dragonflygap/cell/coordinator_commits.cpp
+++ b/src/dragonflygap/cell/coordinator_commits.cpp
@@ -150,8 +150,6 @@
         worker->second.m_ends_stored = number;
         worker->second.m_next_renewal = m_now;
     }
-    place_all();
-    renew_workers();
 }
 
 void coordinator::drop_duplicates(const transaction_result& result)
--- a/src/dragonflygap/cell/coordinator_placing.cpp
+++ b/src/dragonflygap/cell/coordinator_placing.cpp
@@ -75,7 +75,8 @@
 bool coordinator::usable(const worker_state& worker, const job_state& job,
                          const step_spec& spec) const
 {
-    return worker.m_listed && worker.m_synced && !worker.m_info.m_leaving &&
+    return worker.m_listed && worker.m_synced && worker.m_failing_since == instant{} &&
+           !worker.m_info.m_leaving &&
            m_now >= worker.m_avoid_until && worker.m_info.m_service == job.record().m_queue.m_service &&
            (spec.m_label.empty() || worker.m_info.has_label(spec.m_label));
 }
--- a/src/dragonflygap/cell/coordinator_workers.cpp
+++ b/src/dragonflygap/cell/coordinator_workers.cpp
@@ -78,6 +78,13 @@
     }
 }
 
+// When a lease granted now has surely run out, by clocks that are 2% slow.
+instant coordinator::lease_end() const
+{
+    const auto& options = m_options.m_workers;
+    return m_now + options.m_lease * 102 / 100 + options.m_clock_slack;
+}
+
 void coordinator::renew(worker_state& worker)
 {
     const auto& options = m_options.m_workers;
@@ -91,8 +98,7 @@
     if (worker.m_synced && answers && lead_proven && !worker.m_placements.empty())
     {
         order.m_deadline_ms = worker.clock_at(m_now) + to_ms(options.m_lease);
-        worker.m_lease_until = std::max(worker.m_lease_until,
-                                        m_now + options.m_lease * 102 / 100 + options.m_clock_slack);
+        worker.m_lease_until = std::max(worker.m_lease_until, lease_end());
     }
     if (worker.m_synced && worker.m_ends_stored == worker.m_ends_seen &&
         !worker.m_placements.empty())
@@ -129,10 +135,6 @@
         return;
     }
     take_report(worker, *event.m_result, worker.m_renewal_sent);
-    place_all();
-    send_stops();
-    build_commit();
-    renew_workers();
 }
 
 void coordinator::take_report(worker_state& worker, const worker_report& report, instant sent)
@@ -150,6 +152,9 @@
     worker.m_clock_ms = report.m_clock_ms;
     worker.m_ends_acked = std::max(worker.m_ends_acked, worker.m_ends_stored);
     worker.m_next_renewal = m_now;
+    // What an earlier leader granted there is at most a lease as long as this one's.
+    if (!worker.m_synced)
+        worker.m_lease_until = std::max(worker.m_lease_until, lease_end());
     for (const auto& running : report.m_running)
         adopt(worker, running);
     for (const auto& end : report.m_ended)
--- a/src/dragonflygap/node/leader_task.hpp
+++ b/src/dragonflygap/node/leader_task.hpp
@@ -32,7 +32,7 @@
     std::function<void(const vm_id& peer)> m_redial;
     std::function<std::uint64_t()> m_config_version;
     std::function<void(std::string cause)> m_on_deposed;
-    duration m_tick = 20ms;
+    duration m_tick = 10ms;
     duration m_heartbeat_every = 250ms;
     duration m_list_every = 700ms;     ///< A third of the shortest notice of a leaving worker.
     duration m_members_every = 1s;
