--- a/src/dragonflygap/node/caller_task.cpp
+++ b/src/dragonflygap/node/caller_task.cpp
@@ -101,13 +101,14 @@
     finish(call, with(call_status::unknown));
 }
 
-// The leader doesn't know the job, or doesn't answer: its row tells whether and how it ended.
+// The leader doesn't know the job, or doesn't answer: its rows tell whether it lives and how it
+// ended. A job moves from the one table to the other, so they are read in this order.
 void caller_task::read_store(std::uint64_t call)
 {
     const auto* open = find(call);
     if (open == nullptr)
         return;
-    const cell::row_name row{std::string(cell::ended_table), open->m_call.m_job.m_value};
+    const cell::row_name row{std::string(cell::job_table), open->m_call.m_job.m_value};
     m_options.m_store.m_read(
         row, m_options.m_store_limit,
         [this, call](const outcome<cell::stored_row>& found)
@@ -117,34 +118,35 @@
                 return;
             if (!found)
                 return finish(call, with(call_status::unknown));
-            const auto record = cell::unpack<cell::ended_record>(found->m_value);
-            if (found->m_version == 0 || !record)
-                return read_job_row(call);
-            auto answer = with(call_status::accepted);
-            answer.m_state = name_of(static_cast<cell::job_outcome>(record->m_outcome));
+            if (found->m_version == 0)
+                return read_end(call);
+            // It lives, so only the leader can cancel it.
+            const bool looks = static_cast<call_kind>(open->m_call.m_kind) == call_kind::state;
+            auto answer = with(looks ? call_status::accepted : call_status::unknown);
+            answer.m_state = "running";
             finish(call, answer);
         });
 }
 
-void caller_task::read_job_row(std::uint64_t call)
+void caller_task::read_end(std::uint64_t call)
 {
     const auto* open = find(call);
-    const cell::row_name row{std::string(cell::job_table), open->m_call.m_job.m_value};
+    const cell::row_name row{std::string(cell::ended_table), open->m_call.m_job.m_value};
     m_options.m_store.m_read(
         row, m_options.m_store_limit,
         [this, call](const outcome<cell::stored_row>& found)
         {
-            const auto* open = find(call);
-            if (open == nullptr)
+            if (find(call) == nullptr)
                 return;
             if (!found)
                 return finish(call, with(call_status::unknown));
             if (found->m_version == 0)
                 return finish(call, with(call_status::not_here));
-            // It lives, so only the leader can cancel it.
-            const bool looks = static_cast<call_kind>(open->m_call.m_kind) == call_kind::state;
-            auto answer = with(looks ? call_status::accepted : call_status::unknown);
-            answer.m_state = "running";
+            const auto record = cell::unpack<cell::ended_record>(found->m_value);
+            if (!record)
+                return finish(call, with(call_status::unknown));
+            auto answer = with(call_status::accepted);
+            answer.m_state = name_of(static_cast<cell::job_outcome>(record->m_outcome));
             finish(call, answer);
         });
 }
--- a/src/dragonflygap/node/caller_task.hpp
+++ b/src/dragonflygap/node/caller_task.hpp
@@ -61,7 +61,7 @@
     void finish(std::uint64_t call, cell::caller_answer answer);
     void expire(std::uint64_t call);
     void read_store(std::uint64_t call);
-    void read_job_row(std::uint64_t call);
+    void read_end(std::uint64_t call);
     const open_call* find(std::uint64_t call) const;
 
     event_loop& m_loop;
