--- a/src/dragonflygap/cell/coordinator.cpp
+++ b/src/dragonflygap/cell/coordinator.cpp
@@ -156,6 +156,12 @@
     approved.m_asking = false;
     constexpr duration ask_again = 100ms;
     approved.m_next_ask = m_now;
+    log_event(log_level::info, "approval_answered",
+              {{"job", event.m_step.m_job.m_value},
+               {"step", event.m_step.m_step},
+               {"asked", event.m_workers.size()},
+               {"approved", event.m_result ? event.m_result->m_tickets.size() : 0},
+               {"outcome", event.m_result ? "answered" : "failed"}});
     if (!event.m_result)
     {
         approved.m_next_ask = m_now + ask_again;
--- a/src/dragonflygap/cell/coordinator.hpp
+++ b/src/dragonflygap/cell/coordinator.hpp
@@ -153,6 +153,7 @@
     void place_all();
     void place_step(job_state& job, const step_key& key);
     void place_tasks(job_state& job, const step_key& key, step_approval* approved);
+    void log_started(const job_state& job, const step_key& key, int count) const;
     void place_gang(job_state& job, const step_key& key, step_approval* approved);
     std::optional<std::vector<choice>> choose_gang(job_state& job, const step_key& key,
                                                    const step_approval* approved, bool ticketed);
--- a/src/dragonflygap/cell/coordinator_placing.cpp
+++ b/src/dragonflygap/cell/coordinator_placing.cpp
@@ -55,15 +55,21 @@
     if (m_now < step.m_not_before || blind_for(job))
         return;
     step_approval* approved = approval_of(job, key);
+    const bool gang = job.spec(key.m_step).m_gang;
     if (job.m_stored)
     {
-        if (job.spec(key.m_step).m_gang)
+        if (gang)
             place_gang(job, key, approved);
         else
             place_tasks(job, key, approved);
     }
-    if (approved != nullptr && step.m_waiting > 0)
+    if (step.m_waiting == 0)
+        return;
+    if (approved != nullptr)
         want_approval(job, key, *approved);
+    // Only now: the places kept for it are those that it asks tickets for.
+    if (gang)
+        hold_for_gang(job, key, approved);
 }
 
 resources coordinator::room(const worker_state& worker) const
@@ -132,20 +138,35 @@
     return best;
 }
 
+void coordinator::log_started(const job_state& job, const step_key& key, int count) const
+{
+    log_event(log_level::info, "tasks_started",
+              {{"job", key.m_job.m_value},
+               {"step", key.m_step},
+               {"count", count},
+               {"waiting", job.step(key.m_occurrence, key.m_step).m_waiting},
+               {"age_ms", to_ms(m_now - job.m_since)}});
+}
+
 void coordinator::place_tasks(job_state& job, const step_key& key, step_approval* approved)
 {
     auto& step = job.step(key.m_occurrence, key.m_step);
     const std::map<worker_id, resources> none;
+    int started = 0;
     for (std::size_t i = 0; i < step.m_tasks.size() && step.m_waiting > 0; ++i)
     {
         if (step.m_tasks[i].m_status != task_status::waiting)
             continue;
         worker_state* worker = choose(job, key, approved, true, nullptr, none);
         if (worker == nullptr)
-            return;
+            break;
+        ++started;
         start(job, {key.m_job, key.m_occurrence, key.m_step, static_cast<int>(i)}, *worker,
               job.m_next_run++, approved);
     }
+    if (started == 0)
+        return;
+    log_started(job, key, started);
     refresh(job);
 }
 
@@ -191,10 +212,9 @@
         const auto run = job.m_next_run++;
         for (const auto& [task, worker] : *chosen)
             start(job, task, m_workers.at(worker), run, approved);
+        log_started(job, key, static_cast<int>(chosen->size()));
         refresh(job);
-        return;
     }
-    hold_for_gang(job, key, approved);
 }
 
 // Keeps room for a gang from what comes behind it: the places that it would take while its
@@ -278,6 +298,12 @@
     const auto expected_wait = m_desk.wait(*through, m_now) + time;
     m_desk.asked(*through, time, m_now);
     approved.m_asking = true;
+    log_event(log_level::info, "approval_asked",
+              {{"job", key.m_job.m_value},
+               {"step", key.m_step},
+               {"through", through->m_value},
+               {"workers", named.size()},
+               {"expected_ms", to_ms(expected_wait)}});
     m_out->push_back(ask_approval{*through, key, std::move(named), expected_wait});
 }
 
--- a/src/dragonflygap/cell/coordinator_workers.cpp
+++ b/src/dragonflygap/cell/coordinator_workers.cpp
@@ -51,8 +51,9 @@
         {
             if (std::exchange(worker.m_listed, false))
                 worker.m_missing_since = m_now;
-            if (worker.m_placements.empty() && m_now >= m_blind_until &&
-                m_now - worker.m_missing_since > m_options.m_missing_limit)
+            const bool forgotten = m_now >= m_blind_until &&
+                                   m_now - worker.m_missing_since > m_options.m_missing_limit;
+            if (worker.m_placements.empty() && (worker.m_gone || forgotten))
             {
                 entry = m_workers.erase(entry);
                 m_workers_dirty = true;
@@ -67,7 +68,7 @@
 {
     for (auto& [id, worker] : m_workers)
     {
-        if (worker.m_renewing || m_now < worker.m_next_renewal ||
+        if (worker.m_gone || worker.m_renewing || m_now < worker.m_next_renewal ||
             (!worker.m_listed && worker.m_synced && worker.m_placements.empty()))
             continue;
         const bool needed = !worker.m_synced || !worker.m_placements.empty() ||
@@ -129,8 +130,7 @@
         {
             // Another life listens there: nothing of this one runs any more.
             lose(worker, "replaced");
-            m_workers.erase(found);
-            m_workers_dirty = true;
+            worker.m_gone = true;
         }
         return;
     }
@@ -180,7 +180,10 @@
     task_state* task = job == nullptr ? nullptr : job->find(running.m_task);
     if (known == worker.m_placements.end() || known->second.m_run < running.m_run)
     {
-        placement placed{.m_run = running.m_run, .m_phase = placement_phase::running,
+        // Of a job that has ended no size is known: the worker takes nothing until it is stopped.
+        placement placed{.m_run = running.m_run,
+                         .m_size = worker.m_info.m_capacity,
+                         .m_phase = placement_phase::running,
                          .m_started = m_now};
         const bool expected = task != nullptr && !job->m_outcome &&
                               task->m_status == task_status::waiting;
@@ -425,7 +428,8 @@
     if (!job.m_restored || m_now >= m_blind_until)
         return false;
     return std::any_of(m_workers.begin(), m_workers.end(),
-                       [](const auto& entry) { return !entry.second.m_synced; });
+                       [](const auto& entry)
+                       { return !entry.second.m_synced && !entry.second.m_gone; });
 }
 
 } // namespace dragonflygap::cell
--- a/src/dragonflygap/cell/worker_state.hpp
+++ b/src/dragonflygap/cell/worker_state.hpp
@@ -52,6 +52,7 @@
     worker_info m_info;
     bool m_listed = true;      ///< The platform's newest list has it.
     instant m_missing_since{}; ///< If it isn't listed.
+    bool m_gone = false;       ///< Another process answers at its address: it has ended.
     bool m_synced = false;     ///< A renewal under this epoch has told what runs there.
     std::uint64_t m_started_at = 0;
     resources m_used;
