--- a/tests/node/node_property_test.cpp
+++ b/tests/node/node_property_test.cpp
@@ -129,7 +129,9 @@
             calm(world);
             for (const auto& text : world.m_referee.m_violations)
                 RC_FAIL(text);
-            RC_ASSERT(world.all_accepted_are_done());
+            for (const auto& task : world.accepted_not_done())
+                RC_FAIL("accepted and not done: " + task + ", its job is " +
+                        world.state("vm0", task.substr(0, 16)));
         });
     CHECK_TRUE(held);
 }
--- a/tests/node/support/cell_world.cpp
+++ b/tests/node/support/cell_world.cpp
@@ -446,21 +446,22 @@
     return count;
 }
 
-bool cell_world::all_accepted_are_done() const
-{
-    return std::all_of(m_submissions.begin(), m_submissions.end(),
-                       [this](const auto& entry)
-                       {
-                           if (!entry.second.m_accepted)
-                               return true;
-                           const auto& steps = m_jobs.at(entry.first);
-                           for (std::size_t s = 0; s < steps.size(); ++s)
-                               for (int i = 0; i < steps[s].m_gang_size; ++i)
-                                   if (m_referee.m_done.count(wire::task_name(
-                                           {job_id(entry.first), 0, static_cast<int>(s), i})) == 0)
-                                       return false;
-                           return true;
-                       });
+std::vector<std::string> cell_world::accepted_not_done() const
+{
+    std::vector<std::string> result;
+    for (const auto& [job, seen] : m_submissions)
+    {
+        const auto& steps = m_jobs.at(job);
+        for (std::size_t s = 0; s < steps.size() && seen.m_accepted; ++s)
+            for (int i = 0; i < steps[s].m_gang_size; ++i)
+            {
+                const auto task =
+                    wire::task_name({job_id(job), 0, static_cast<int>(s), i});
+                if (m_referee.m_done.count(task) == 0)
+                    result.push_back(task);
+            }
+    }
+    return result;
 }
 
 } // namespace stand_in
--- a/tests/node/support/cell_world.hpp
+++ b/tests/node/support/cell_world.hpp
@@ -69,7 +69,8 @@
     std::string queue_config(int version) const;
 
     int completed() const; ///< Jobs whose tasks have all ended done, as the workers saw it.
-    bool all_accepted_are_done() const;
+    bool all_accepted_are_done() const { return accepted_not_done().empty(); }
+    std::vector<std::string> accepted_not_done() const;
     worker& at(int number) { return *m_workers.at(static_cast<std::size_t>(number)); }
     static std::string address_of(int number);
 
--- a/tests/node/support/stand_in_worker.cpp
+++ b/tests/node/support/stand_in_worker.cpp
@@ -82,9 +82,12 @@
 
 void worker::crash(std::string new_id)
 {
-    for (const auto& [task, run] : m_running)
+    const auto lost = std::exchange(m_running, {});
+    for (const auto& [task, run] : lost)
+    {
         m_watch.ended(m_id, task, "lost");
-    m_running.clear();
+        leave_gang(task, run.m_number, "lost");
+    }
     m_closed_runs.clear();
     m_ends.clear();
     m_last_end = 0;
@@ -154,7 +157,7 @@
         return refused(clock(), "late");
     m_watch.started(m_id, task, number);
     m_lease = std::max(m_lease, std::min(deadline, clock() + longest_lease_ms));
-    m_running[task] = {number, clock() + to_ms(nature->m_run_time)};
+    m_running[task] = {number, nature->m_gang ? 0 : clock() + to_ms(nature->m_run_time)};
     std::int64_t cpu = 0;
     std::int64_t memory = 0;
     for (const auto& [name, run] : m_running)
@@ -169,18 +172,72 @@
     if (cpu > m_cpu || memory > m_memory_mb)
         m_watch.violation("capacity of " + m_id + ": " + std::to_string(cpu));
     const bool fails = m_faults.m_fails_all || nature->m_always_fails;
-    m_later(nature->m_run_time,
-            [this, task, number, fails, life = m_life]
-            {
-                const auto found = m_running.find(task);
-                if (life == m_life && found != m_running.end() && found->second.m_number == number)
-                    finish(task, fails ? "failed" : "done");
-            });
+    const std::string how = fails ? "failed" : "done";
+    if (nature->m_gang)
+        join_gang(task, number, *nature, how);
+    else
+        m_later(nature->m_run_time, [this, task, number, how, life = m_life]
+                { end_if_running(task, number, life, how); });
     m_later(std::chrono::milliseconds(m_lease - clock()),
             [this, life = m_life] { check_lease(life); });
     return json_response(200, json{{"clock_ms", clock()}}.dump());
 }
 
+void worker::end_if_running(const std::string& task, std::uint64_t number, std::uint64_t life,
+                            const std::string& how)
+{
+    const auto found = m_running.find(task);
+    if (life == m_life && found != m_running.end() && found->second.m_number == number)
+        finish(task, how);
+}
+
+void worker::join_gang(const std::string& task, std::uint64_t number, const task_nature& nature,
+                       const std::string& how)
+{
+    constexpr duration gang_timeout = 3s;
+    const std::pair key(wire::step_name(step_of(*wire::parse_task_name(task))), number);
+    auto& gang = m_watch.m_gangs[key];
+    gang.m_members[task] = [this, task, number, life = m_life](const std::string& end)
+    { end_if_running(task, number, life, end); };
+    m_later(gang_timeout,
+            [this, key, task, number, life = m_life]
+            {
+                const auto found = m_watch.m_gangs.find(key);
+                if (found != m_watch.m_gangs.end() && !found->second.m_whole)
+                    end_if_running(task, number, life, "alone");
+            });
+    if (static_cast<int>(gang.m_members.size()) < nature.m_gang_size)
+        return;
+    gang.m_whole = true;
+    m_later(nature.m_run_time,
+            [this, key, how]
+            {
+                const auto found = m_watch.m_gangs.find(key);
+                if (found == m_watch.m_gangs.end())
+                    return;
+                const auto members = std::exchange(found->second.m_members, {});
+                m_watch.m_gangs.erase(found);
+                for (const auto& [member, end] : members)
+                    end(how);
+            });
+}
+
+// A gang of which one member has ended is over for all.
+void worker::leave_gang(const std::string& task, std::uint64_t number, const std::string& how)
+{
+    const std::pair key(wire::step_name(step_of(*wire::parse_task_name(task))), number);
+    const auto found = m_watch.m_gangs.find(key);
+    if (found == m_watch.m_gangs.end())
+        return;
+    found->second.m_members.erase(task);
+    if (how == "alone")
+        return;
+    const auto members = std::exchange(found->second.m_members, {});
+    m_watch.m_gangs.erase(found);
+    for (const auto& [member, end] : members)
+        end("broken");
+}
+
 void worker::check_lease(std::uint64_t life)
 {
     if (life != m_life || m_running.empty())
@@ -199,6 +256,7 @@
     m_closed_runs[task] = std::max(m_closed_runs[task], number);
     m_ends.push_back({++m_last_end, task, number, how});
     m_watch.ended(m_id, task, how);
+    leave_gang(task, number, how);
 }
 
 std::string worker::report() const
--- a/tests/node/support/stand_in_worker.hpp
+++ b/tests/node/support/stand_in_worker.hpp
@@ -41,6 +41,14 @@
     void acknowledged_done(const std::string& task) { m_done_known.insert(task); }
     void violation(std::string text) { m_violations.push_back(std::move(text)); }
 
+    /// The members of one run of a gang work while all of them are there, and end together.
+    struct gang
+    {
+        std::map<std::string, std::function<void(const std::string& how)>> m_members;
+        bool m_whole = false;
+    };
+    std::map<std::pair<std::string, std::uint64_t>, gang> m_gangs; ///< By step and run.
+
     std::vector<std::string> m_violations;
     std::map<std::string, std::set<std::string>> m_running; ///< Task: the workers that run it.
     std::set<std::string> m_done;
@@ -103,6 +111,11 @@
     http_response start(const std::string& task, std::uint64_t number, std::int64_t deadline);
     void finish(const std::string& task, const std::string& how);
     void check_lease(std::uint64_t life);
+    void end_if_running(const std::string& task, std::uint64_t number, std::uint64_t life,
+                        const std::string& how);
+    void join_gang(const std::string& task, std::uint64_t number, const task_nature& nature,
+                   const std::string& how);
+    void leave_gang(const std::string& task, std::uint64_t number, const std::string& how);
     void hold(const http_request& request, std::int64_t until, const reply& done);
     std::string report() const;
 
