Count failed runs one by one, settle unanswered orders by stops, believe no single rejection

Change: the set of failed runs is stored; older reports are dropped; only an acknowledged stop settles, also after the worker was lost; refused batches are rebuilt and what wasn't sent is rejected at once; a call sent to two leaders is rejected only by both.

--- a/src/dragonflygap/cell/commit_chain.cpp
+++ b/src/dragonflygap/cell/commit_chain.cpp
@@ -24,7 +24,7 @@
     change.m_conditions.push_back({leader_row, m_version});
     change.m_writes.push_back({leader_row, pack(m_record)});
     m_sent = std::move(change);
-    m_backoff = m_options.m_first_backoff;
+    m_backoff = std::max(m_backoff, m_options.m_first_backoff);
     m_surely_not_done = true;
     m_retry_at.reset();
     m_last = now;
@@ -37,7 +37,7 @@
     return *m_sent;
 }
 
-void commit_chain::abandon()
+void commit_chain::drop()
 {
     m_sent.reset();
     m_retry_at.reset();
@@ -49,10 +49,18 @@
     if (!result)
     {
         m_surely_not_done = m_surely_not_done && result.error().m_verdict == verdict::not_run;
-        m_retry_at = now + m_backoff;
+        const auto again = now + m_backoff;
         m_backoff = std::min(2 * m_backoff, m_options.m_longest_backoff);
+        if (m_surely_not_done)
+        {
+            m_not_before = again;
+            drop();
+            return status::refused;
+        }
+        m_retry_at = again;
         return status::retry;
     }
+    m_backoff = m_options.m_first_backoff;
     m_last_success = now;
     if (result->m_committed)
     {
@@ -72,8 +80,7 @@
         m_sent.reset();
         return status::committed;
     }
-    m_surely_not_done = true;
-    abandon();
+    drop();
     return status::conflict;
 }
 
--- a/src/dragonflygap/cell/commit_chain.hpp
+++ b/src/dragonflygap/cell/commit_chain.hpp
@@ -29,7 +29,8 @@
     enum class status
     {
         committed,
-        retry,    ///< Unknown or refused: send the same transaction again at retry_at().
+        retry,    ///< Unknown: send the same transaction again at retry_at().
+        refused,  ///< No try of it has had any effect: it is dropped, build it anew.
         conflict, ///< Conditions other than the chain's own failed: build it anew without them.
         deposed,  ///< Another leader has written the row.
     };
@@ -37,10 +38,13 @@
     commit_chain(commit_chain_options options, leader_record self, std::uint64_t version);
 
     /// True if a transaction may be built now.
-    bool idle(instant now) const { return !m_sent && now >= m_last + m_options.m_gap; }
+    bool idle(instant now) const
+    {
+        return !m_sent && now >= m_last + m_options.m_gap && now >= m_not_before;
+    }
 
     /// True if the row should be rewritten though nothing has changed.
-    bool due(instant now) const { return !m_sent && now >= m_last + m_options.m_idle_limit; }
+    bool due(instant now) const { return idle(now) && now >= m_last + m_options.m_idle_limit; }
 
     /// Adds the chain's own condition and write; the result is to be sent.
     const transaction& begin(transaction change, instant now);
@@ -51,24 +55,20 @@
     std::optional<instant> retry_at() const { return m_retry_at; }
     const transaction& again();
 
-    /// True if every try of the transaction in flight certainly had no effect.
-    bool surely_not_done() const { return m_surely_not_done; }
-
-    /// Gives up the transaction in flight; only if it surely had no effect.
-    void abandon();
-
     const leader_record& record() const { return m_record; }
     instant last_success() const { return m_last_success; }
-    bool in_flight() const { return m_sent.has_value(); }
 
 private:
+    void drop();
+
     commit_chain_options m_options;
     leader_record m_record;
     std::uint64_t m_version;
     std::optional<transaction> m_sent;
     std::optional<instant> m_retry_at;
     duration m_backoff{};
-    bool m_surely_not_done = true;
+    bool m_surely_not_done = true; ///< So far: every try was refused.
+    instant m_not_before{};        ///< After refusals.
     instant m_last{};
     instant m_last_success{};
 };
--- a/src/dragonflygap/cell/coordinator.cpp
+++ b/src/dragonflygap/cell/coordinator.cpp
@@ -8,6 +8,24 @@
 namespace dragonflygap::cell
 {
 
+namespace
+{
+
+// Load pattern: at a crest a few jobs that need most of the cell arrive among many small ones of
+// their kind. A job takes its turn later the more it needs, so that the small ones, of which many
+// finish in the time of a large one, pass it, but none waits for ever.
+instant turn_of(const job_request& request, instant since)
+{
+    constexpr std::int64_t core_ms_per_ms = 150; // millicores are thousandths: 150 cores a turn
+    constexpr duration latest = 12s;             // three times the usual objective of a large job
+    std::int64_t core_ms = 0;
+    for (const auto& step : request.m_steps)
+        core_ms += step.m_size.m_millicores * step.m_count * step.m_expected_ms / 1000;
+    return since + std::min<duration>(latest, std::chrono::milliseconds(core_ms / core_ms_per_ms));
+}
+
+} // namespace
+
 coordinator::coordinator(coordinator_options options, const inherited& found, instant now)
     : m_options(options), m_chain(options.m_commits, found.m_self, found.m_version),
       m_desk(options.m_approvals), m_now(now), m_taken_over(now)
@@ -39,6 +57,7 @@
         auto job = std::make_shared<job_state>(job_id(row.m_name.m_key), std::move(*record));
         job->restore({});
         job->m_since = m_now;
+        job->m_turn = turn_of(job->record().m_request, m_now);
         // Runs of an earlier epoch have lower numbers.
         job->m_next_run = (m_chain.record().m_epoch - 1) * m_options.m_runs_per_epoch + 1;
         if (job->record().m_request.m_occurrences > 0)
@@ -75,6 +94,7 @@
 
 void coordinator::on(const tick&)
 {
+    reject_unstored();
     expire_calls();
     check_times();
     for (auto& [id, worker] : m_workers)
@@ -102,17 +122,22 @@
             m_calls[event.m_job].push_back({event.m_call, m_now});
         return;
     }
-    constexpr std::int64_t store_retry_ms = 1000;
-    constexpr std::int64_t full_retry_ms = 2000;
     if (store_is_away() || m_ready.size() >= m_options.m_most_waiting)
     {
-        const auto wait = store_is_away() ? store_retry_ms : full_retry_ms;
+        const bool away = store_is_away();
+        const auto wait = away ? m_options.m_store_retry_ms : m_options.m_full_retry_ms;
+        log_event(log_level::info, "job_rejected",
+                  {{"job", event.m_job.m_value},
+                   {"cause", away ? "store_away" : "queue_full"},
+                   {"steps_waiting", m_ready.size()},
+                   {"store_age_ms", to_ms(m_now - m_chain.last_success())}});
         m_out->push_back(answer_call{event.m_call, call_status::rejected, wait});
         return;
     }
     auto job = std::make_shared<job_state>(
         event.m_job, job_record{event.m_queue, event.m_request, m_unix_ms});
     job->m_since = m_now;
+    job->m_turn = turn_of(event.m_request, m_now);
     job->m_next_run = (m_chain.record().m_epoch - 1) * m_options.m_runs_per_epoch + 1;
     if (event.m_request.m_occurrences > 0)
         m_timed.push_back(event.m_job);
@@ -223,7 +248,8 @@
     if (calls == m_calls.end())
         return;
     for (const auto& call : calls->second)
-        m_out->push_back(answer_call{call.m_call, status});
+        m_out->push_back(answer_call{
+            call.m_call, status, status == call_status::rejected ? m_options.m_store_retry_ms : 0});
     m_calls.erase(calls);
 }
 
@@ -245,7 +271,7 @@
 
 coordinator::rank coordinator::rank_of(const job_state& job, const step_key& step)
 {
-    return {job.record().m_queue.m_priority, job.m_since, step};
+    return {job.record().m_queue.m_priority, job.m_turn, step};
 }
 
 void coordinator::refresh(job_state& job)
--- a/src/dragonflygap/cell/coordinator.hpp
+++ b/src/dragonflygap/cell/coordinator.hpp
@@ -26,6 +26,8 @@
     std::size_t m_most_entries = 96;     ///< Of a transaction; the platform takes 100.
     std::size_t m_most_bytes = 600000;   ///< Of its values; the platform takes 1 MB encoded.
     duration m_store_silence = 700ms;    ///< After it submissions are rejected at once.
+    std::int64_t m_store_retry_ms = 1000; ///< Told with it: outages last seconds.
+    std::int64_t m_full_retry_ms = 2000;  ///< Told where too much waits: the crest's length.
     duration m_unknown_after = 1s;       ///< After it a submission whose write hangs is answered.
     duration m_renew_without_store = 6s; ///< Leases aren't prolonged for longer without the store.
     duration m_keep_ended = 150s;        ///< How long the end of a job is remembered.
@@ -127,6 +129,9 @@
     bool add_job(job_state& job, transaction& change, batch& what);
     void committed();
     void drop_duplicates(const transaction_result& result);
+    void requeue();
+    void reject_unstored();
+    bool sent(const job_id& job) const;
     void expire_calls();
     bool store_is_away() const;
 
@@ -135,6 +140,7 @@
     void renew(worker_state& worker);
     instant lease_end() const;
     void take_report(worker_state& worker, const worker_report& report, instant sent);
+    bool renewal_needed(const worker_state& worker) const;
     void adopt(worker_state& worker, const running_task& running);
     void take_end(worker_state& worker, const ended_task& end);
     void count_failure(job_state& job, const task_key& key, std::uint64_t run);
--- a/src/dragonflygap/cell/coordinator_commits.cpp
+++ b/src/dragonflygap/cell/coordinator_commits.cpp
@@ -27,8 +27,8 @@
 
 bool coordinator::store_is_away() const
 {
-    return m_chain.in_flight() && m_now - std::max(m_chain.last_success(), m_taken_over) >
-                                      m_options.m_store_silence;
+    // Without changes the leader's row is still rewritten, several times in this time.
+    return m_now - std::max(m_chain.last_success(), m_taken_over) > m_options.m_store_silence;
 }
 
 // Adds one job's changes; false if the transaction has no room for them.
@@ -115,6 +115,9 @@
         m_deposed = true;
         m_out->push_back(step_down{"another VM has written the leader's row"});
         return;
+    case commit_chain::status::refused:
+        requeue();
+        break;
     case commit_chain::status::retry:
         break;
     }
@@ -152,6 +155,46 @@
     }
 }
 
+// Nothing of the last transaction was done: its changes go into the next one.
+void coordinator::requeue()
+{
+    const batch what = std::exchange(m_batch, std::nullopt).value_or(batch{});
+    for (const auto& id : what.m_jobs)
+        if (find(id) != nullptr)
+            m_dirty.insert(id);
+    m_workers_dirty = m_workers_dirty || what.m_workers;
+}
+
+// While the store is away, jobs that were never sent to it, or surely without effect, are
+// rejected at once: they aren't stored and never run.
+void coordinator::reject_unstored()
+{
+    if (!store_is_away())
+        return;
+    std::vector<job_state*> rejected;
+    for (const auto& id : m_dirty)
+        if (job_state* job = find(id); job != nullptr && !job->m_stored && !sent(id))
+            rejected.push_back(job);
+    for (job_state* job : rejected)
+    {
+        const auto id = job->id();
+        log_event(log_level::info, "job_rejected",
+                  {{"job", id.m_value},
+                   {"cause", "store_away"},
+                   {"store_age_ms", to_ms(m_now - m_chain.last_success())}});
+        answer(*job, call_status::rejected);
+        end_job(*job, job_outcome::cancelled);
+        m_dirty.erase(id);
+        m_jobs.erase(id);
+    }
+}
+
+bool coordinator::sent(const job_id& job) const
+{
+    return m_batch && std::find(m_batch->m_jobs.begin(), m_batch->m_jobs.end(), job) !=
+                          m_batch->m_jobs.end();
+}
+
 void coordinator::drop_duplicates(const transaction_result& result)
 {
     const batch what = std::exchange(m_batch, std::nullopt).value_or(batch{});
--- a/src/dragonflygap/cell/coordinator_placing.cpp
+++ b/src/dragonflygap/cell/coordinator_placing.cpp
@@ -322,11 +322,11 @@
     const auto& spec = job.spec(key.m_step);
     const auto& task = *job.find(key);
     placement placed{.m_run = run, .m_size = size_of(spec), .m_gang = spec.m_gang,
-                     .m_order_deadline = m_now + options.m_order_window + options.m_clock_slack,
                      .m_started = m_now, .m_percent_since = m_now};
     worker.m_used += placed.m_size;
     worker.m_placements[key] = placed;
-    worker.m_lease_until = std::max(worker.m_lease_until, placed.m_order_deadline);
+    worker.m_lease_until = std::max(
+        worker.m_lease_until, m_now + options.m_order_window + options.m_clock_slack);
     start_order order{.m_task = key,
                       .m_run = run,
                       .m_payload = job.record().m_request.m_payload,
--- a/src/dragonflygap/cell/coordinator_workers.cpp
+++ b/src/dragonflygap/cell/coordinator_workers.cpp
@@ -64,19 +64,21 @@
     }
 }
 
+bool coordinator::renewal_needed(const worker_state& worker) const
+{
+    const bool known_idle = worker.m_synced && worker.m_placements.empty();
+    if (worker.m_gone || worker.m_renewing || m_now < worker.m_next_renewal ||
+        (known_idle && !worker.m_listed))
+        return false;
+    return !known_idle || worker.m_ends_stored > worker.m_ends_acked ||
+           m_now - worker.m_last_answer > m_options.m_workers.m_idle_renewal;
+}
+
 void coordinator::renew_workers()
 {
     for (auto& [id, worker] : m_workers)
-    {
-        if (worker.m_gone || worker.m_renewing || m_now < worker.m_next_renewal ||
-            (!worker.m_listed && worker.m_synced && worker.m_placements.empty()))
-            continue;
-        const bool needed = !worker.m_synced || !worker.m_placements.empty() ||
-                            worker.m_ends_stored > worker.m_ends_acked ||
-                            m_now - worker.m_last_answer > m_options.m_workers.m_idle_renewal;
-        if (needed)
+        if (renewal_needed(worker) || worker.m_look_wanted)
             renew(worker);
-    }
 }
 
 // When a lease granted now has surely run out, by clocks that are 2% slow.
@@ -101,12 +103,17 @@
         order.m_deadline_ms = worker.clock_at(m_now) + to_ms(options.m_lease);
         worker.m_lease_until = std::max(worker.m_lease_until, lease_end());
     }
+    const bool look = std::exchange(worker.m_look_wanted, false);
     if (worker.m_synced && worker.m_ends_stored == worker.m_ends_seen &&
-        !worker.m_placements.empty())
+        !worker.m_placements.empty() && !look)
         order.m_wait = options.m_renew_wait;
-    worker.m_renewing = true;
-    worker.m_renewal_sent = m_now;
-    m_out->push_back(send_renewal{address_of(worker), order});
+    // A look goes beside a renewal that waits for an end, or in its place.
+    if (!worker.m_renewing)
+    {
+        worker.m_renewing = true;
+        worker.m_renewal_sent = m_now;
+    }
+    m_out->push_back(send_renewal{address_of(worker), m_now, order});
 }
 
 void coordinator::on(const renewal_answered& event)
@@ -115,7 +122,8 @@
     if (found == m_workers.end())
         return;
     auto& worker = found->second;
-    worker.m_renewing = false;
+    if (event.m_sent == worker.m_renewal_sent)
+        worker.m_renewing = false;
     if (!event.m_result)
     {
         worker.m_next_renewal = m_now + m_options.m_workers.m_retry_gap;
@@ -134,7 +142,7 @@
         }
         return;
     }
-    take_report(worker, *event.m_result, worker.m_renewal_sent);
+    take_report(worker, *event.m_result, event.m_sent);
 }
 
 void coordinator::take_report(worker_state& worker, const worker_report& report, instant sent)
@@ -145,7 +153,11 @@
         // It started again under its old name and knows nothing of before.
         lose(worker, "restarted");
         worker.m_ends_seen = worker.m_ends_stored = worker.m_ends_acked = 0;
+        worker.m_clock_ms = 0;
     }
+    // Reports overtake each other on their connections.
+    if (worker.m_synced && report.m_clock_ms < worker.m_clock_ms)
+        return;
     worker.m_started_at = report.m_started_at;
     worker.m_last_answer = m_now;
     worker.m_failing_since = {};
@@ -283,11 +295,11 @@
     task_state& task = *job.find(spec.m_gang ? task_key{key.m_job, key.m_occurrence, key.m_step, 0}
                                              : key);
     // The members of a gang fail together: one run counts once.
-    if (task.m_failed_run >= run || spec.m_lasting)
+    auto& failed = task.m_failed_runs;
+    if (spec.m_lasting || std::find(failed.begin(), failed.end(), run) != failed.end())
         return;
-    task.m_failed_run = run;
-    ++task.m_failures;
-    if (task.m_failures >= job.record().m_queue.m_max_attempts && !job.m_outcome)
+    failed.push_back(run);
+    if (static_cast<int>(failed.size()) >= job.record().m_queue.m_max_attempts && !job.m_outcome)
         end_job(job, job_outcome::failed);
 }
 
@@ -319,10 +331,11 @@
     std::vector<std::pair<task_key, std::uint64_t>> gone;
     for (const auto& [key, placed] : worker.m_placements)
     {
+        // An order without an answer may take effect much later: only a stop that was
+        // acknowledged settles it.
+        const bool certain = placed.m_phase == placement_phase::running || placed.m_stop_known;
         const bool settled =
-            (placed.m_phase == placement_phase::running || placed.m_stop_known)
-                ? placed.m_settled_at != instant{} && sent > placed.m_settled_at
-                : placed.m_phase == placement_phase::unknown && sent > placed.m_order_deadline;
+            certain && placed.m_settled_at != instant{} && sent >= placed.m_settled_at;
         if (settled && running.count(key) == 0)
             gone.emplace_back(key, placed.m_run);
     }
@@ -343,6 +356,9 @@
                    {"tasks", worker.m_placements.size()},
                    {"silent_ms", to_ms(m_now - worker.m_last_answer)}});
     const auto placements = worker.m_placements;
+    for (const auto& [key, placed] : placements)
+        if (placed.m_phase != placement_phase::running && !placed.m_stop_known)
+            worker.m_unsettled[key] = placed.m_run;
     for (const auto& [key, placed] : placements)
         take_end(worker, {.m_task = key, .m_run = placed.m_run, .m_how = end_kind::lapsed});
     worker.m_placements.clear();
@@ -370,6 +386,14 @@
             placed.m_next_stop = m_now + repeat;
             m_out->push_back(send_stop{address_of(worker), key, placed.m_run});
         }
+    for (auto& [id, worker] : m_workers)
+    {
+        if (worker.m_unsettled.empty() || !worker.m_synced || m_now < worker.m_next_unsettled)
+            continue;
+        worker.m_next_unsettled = m_now + repeat;
+        for (const auto& [key, run] : worker.m_unsettled)
+            m_out->push_back(send_stop{address_of(worker), key, run});
+    }
 }
 
 void coordinator::on(const stop_answered& event)
@@ -377,6 +401,9 @@
     const auto worker = m_workers.find(event.m_worker);
     if (worker == m_workers.end())
         return;
+    if (const auto open = worker->second.m_unsettled.find(event.m_task);
+        event.m_result && open != worker->second.m_unsettled.end() && open->second == event.m_run)
+        worker->second.m_unsettled.erase(open);
     const auto found = worker->second.m_placements.find(event.m_task);
     if (found == worker->second.m_placements.end() || found->second.m_run != event.m_run)
         return;
@@ -390,8 +417,10 @@
         m_out->push_back(step_down{"a worker knows a higher token"});
         return;
     }
+    // It can't begin any more; whether it had begun tells the next report.
     placed.m_stop_known = true;
     placed.m_settled_at = m_now;
+    worker->second.m_look_wanted = placed.m_phase == placement_phase::unknown;
 }
 
 void coordinator::stop_task(job_state& job, const task_key& key)
--- a/src/dragonflygap/cell/events.hpp
+++ b/src/dragonflygap/cell/events.hpp
@@ -36,6 +36,7 @@
 struct renewal_answered
 {
     worker_id m_worker;
+    instant m_sent{}; ///< As in send_renewal.
     outcome<worker_report> m_result;
 };
 struct start_answered
@@ -97,6 +98,7 @@
 struct send_renewal
 {
     worker_address m_worker;
+    instant m_sent{}; ///< Handed back in the answer.
     renewal m_renewal;
 };
 struct send_start
--- a/src/dragonflygap/cell/job_state.cpp
+++ b/src/dragonflygap/cell/job_state.cpp
@@ -31,8 +31,7 @@
         if (task == nullptr)
             continue;
         m_started = true;
-        task->m_failures = saved.m_failures;
-        task->m_failed_run = saved.m_failed_run;
+        task->m_failed_runs = saved.m_failed_runs;
         task->m_checkpoint = saved.m_checkpoint;
         if (saved.m_done)
             set_done(key);
@@ -48,9 +47,9 @@
             {
                 const auto& task = step(k, s).m_tasks[i];
                 const bool done = task.m_status == task_status::done;
-                if (done || task.m_failures > 0 || !task.m_checkpoint.empty())
+                if (done || !task.m_failed_runs.empty() || !task.m_checkpoint.empty())
                     result.m_tasks.push_back(
-                        {k, s, static_cast<int>(i), done, task.m_failures, task.m_failed_run,
+                        {k, s, static_cast<int>(i), done, task.m_failed_runs,
                          done ? std::string() : task.m_checkpoint});
             }
     return result;
--- a/src/dragonflygap/cell/job_state.hpp
+++ b/src/dragonflygap/cell/job_state.hpp
@@ -25,8 +25,7 @@
     task_status m_status = task_status::waiting;
     std::uint64_t m_run = 0; ///< Of the present or last placement.
     worker_id m_worker;
-    int m_failures = 0;
-    std::uint64_t m_failed_run = 0; ///< Last run that counted as a failure.
+    std::vector<std::uint64_t> m_failed_runs; ///< Each counts once, in whatever order they are listed.
     std::string m_checkpoint;
     bool m_stopping = false;
 };
@@ -83,6 +82,7 @@
     bool m_restored = false;       ///< From an earlier leader: its tasks may run unseen.
     std::uint64_t m_next_run = 1;
     instant m_since{};             ///< When this leader got it.
+    instant m_turn{};              ///< Its place in the order of its queue's priority.
     instant m_ended_at{};
 
 private:
--- a/src/dragonflygap/cell/records.hpp
+++ b/src/dragonflygap/cell/records.hpp
@@ -58,11 +58,10 @@
     int m_step = 0;
     int m_index = 0;
     bool m_done = false;
-    int m_failures = 0;
-    std::uint64_t m_failed_run = 0; ///< Last run that counts among them: it is listed again.
+    std::vector<std::uint64_t> m_failed_runs; ///< Kept one by one: an end may be listed again.
     std::string m_checkpoint;
 
-    MSGPACK_DEFINE(m_occurrence, m_step, m_index, m_done, m_failures, m_failed_run, m_checkpoint)
+    MSGPACK_DEFINE(m_occurrence, m_step, m_index, m_done, m_failed_runs, m_checkpoint)
 };
 
 struct progress_record
--- a/src/dragonflygap/cell/worker_state.hpp
+++ b/src/dragonflygap/cell/worker_state.hpp
@@ -28,7 +28,6 @@
     bool m_stop_in_flight = false;
     bool m_stop_known = false;   ///< The worker acknowledged a stop: the run can't begin any more.
     instant m_settled_at{};      ///< A renewal sent later tells for certain whether it runs.
-    instant m_order_deadline{};  ///< A start that arrives later is refused.
     instant m_next_stop{};
     instant m_started{};
     int m_percent = 0;
@@ -58,12 +57,18 @@
     resources m_used;
     std::map<task_key, placement> m_placements;
 
+    /// Orders without an answer from before the worker was lost: they may still take effect, so
+    /// the runs are stopped when it is back.
+    std::map<task_key, std::uint64_t> m_unsettled;
+    instant m_next_unsettled{};
+
     std::uint64_t m_ends_seen = 0;   ///< Highest number of an end that was handled.
     std::uint64_t m_ends_stored = 0; ///< Highest whose effect is durable: may be acknowledged.
     std::uint64_t m_ends_acked = 0;  ///< Highest that the worker was told.
 
     bool m_renewing = false;     ///< A renewal awaits its answer.
-    instant m_renewal_sent{};
+    instant m_renewal_sent{};    ///< The last one that may wait for an end.
+    bool m_look_wanted = false;  ///< A report is wanted at once, beside the renewal that waits.
     instant m_next_renewal{};
     instant m_last_answer{};
     instant m_failing_since{};   ///< First renewal without an answer since the last one with.
--- a/src/dragonflygap/node/caller_task.cpp
+++ b/src/dragonflygap/node/caller_task.cpp
@@ -48,13 +48,11 @@
     open.m_done = std::move(on_done);
     open.m_since = monotonic_clock::now();
     open.m_call = std::move(what);
-    open.m_sent = m_options.m_to_leader(open.m_call);
-    if (m_open.count(id) == 0)
-        return; // the leader is this VM, and it has answered
+    open.m_sent = m_options.m_to_leader(open.m_call) ? 1 : 0;
     const bool looks = kind == call_kind::state;
-    if (!open.m_sent && looks)
+    if (open.m_sent == 0 && looks)
         return read_store(id);
-    if (!open.m_sent)
+    if (open.m_sent == 0)
     {
         auto answer = with(call_status::rejected);
         answer.m_number = m_options.m_no_leader_retry_ms;
@@ -72,10 +70,15 @@
 
 void caller_task::answered(const cell::caller_answer& answer)
 {
-    const auto* open = find(answer.m_call);
-    if (open == nullptr)
+    const auto found = m_open.find(answer.m_call);
+    if (found == m_open.end())
         return;
+    auto* open = &found->second;
     const auto kind = static_cast<call_kind>(open->m_call.m_kind);
+    // Another leader that got it too may have stored it: only when all reject it, it never runs.
+    if (static_cast<call_status>(answer.m_status) == call_status::rejected &&
+        ++open->m_rejections < open->m_sent)
+        return;
     const bool may_have_ended = static_cast<call_status>(answer.m_status) == call_status::not_here;
     if (may_have_ended && (kind == call_kind::state || kind == call_kind::cancel))
         return read_store(answer.m_call);
@@ -84,11 +87,9 @@
 
 void caller_task::leader_changed()
 {
-    std::vector<cell::caller_call> again;
-    for (const auto& [id, open] : m_open)
-        again.push_back(open.m_call);
-    for (const auto& call : again)
-        m_options.m_to_leader(call);
+    for (auto& [id, open] : m_open)
+        if (m_options.m_to_leader(open.m_call))
+            ++open.m_sent;
 }
 
 void caller_task::expire(std::uint64_t call)
--- a/src/dragonflygap/node/caller_task.hpp
+++ b/src/dragonflygap/node/caller_task.hpp
@@ -55,7 +55,8 @@
         done m_done;
         event_loop::timer_ptr m_timer;
         instant m_since{};
-        bool m_sent = false;
+        int m_sent = 0;       ///< To how many leaders, one after another.
+        int m_rejections = 0; ///< How many of them have rejected it.
     };
 
     void finish(std::uint64_t call, cell::caller_answer answer);
--- a/src/dragonflygap/node/leader_task.cpp
+++ b/src/dragonflygap/node/leader_task.cpp
@@ -89,10 +89,11 @@
 {
     m_options.m_workers.m_renew(
         action.m_worker, m_epoch, action.m_renewal,
-        [this, id = action.m_worker.m_id, alive = m_alive](outcome<cell::worker_report> result)
+        [this, id = action.m_worker.m_id, sent = action.m_sent,
+         alive = m_alive](outcome<cell::worker_report> result)
         {
             if (*alive)
-                feed(cell::renewal_answered{id, std::move(result)});
+                feed(cell::renewal_answered{id, sent, std::move(result)});
         });
 }
 
--- a/src/dragonflygap/node/node.hpp
+++ b/src/dragonflygap/node/node.hpp
@@ -44,7 +44,7 @@
     duration m_tick = 50ms;
     duration m_config_wait = 1500ms;   ///< A silent connection is noticed after it.
     duration m_config_retry = 300ms;
-    duration m_leader_limit = 1s;      ///< A leader that is silent for longer isn't called.
+    duration m_leader_limit = 600ms;   ///< A leader that is silent for longer isn't called.
     duration m_ready_limit = 1s;       ///< Without a leader for longer, the VM isn't ready.
     duration m_stop_least = 2500ms;    ///< The balancer needs two checks to notice.
     duration m_stop_most = 5200ms;     ///< The platform kills a process that takes 6 s.
--- a/tests/node/node_test.cpp
+++ b/tests/node/node_test.cpp
@@ -202,6 +202,27 @@
     check_fair(world);
 }
 
+// The old leader, cut off from the store, rejects a call that its successor stores meanwhile.
+TEST(node, a_rejection_by_one_of_two_leaders_is_not_told)
+{
+    cell_world world({});
+    world.run(3s);
+    const auto old = world.leader();
+    const std::string other = old == "vm0" ? "vm1" : "vm0";
+    const std::string third = old == "vm2" ? "vm1" : "vm2";
+    world.cut(old, "store");
+    world.cut(old, third);
+    for (int i = 0; i < 60; ++i)
+    {
+        world.submit(other, job_name(i), {{.m_run_time = 50ms}});
+        world.run(50ms);
+    }
+    world.heal();
+    world.run(20s);
+    CHECK_TRUE(world.all_accepted_are_done());
+    check_fair(world);
+}
+
 TEST(node, what_runs_goes_on_while_the_store_is_away)
 {
     cell_world world({});
