--- a/src/dragonflygap/cell/approvals.cpp
+++ b/src/dragonflygap/cell/approvals.cpp
@@ -9,15 +9,15 @@
 const std::string* step_approval::usable(const worker_id& worker, instant now) const
 {
     const auto found = m_tickets.find(worker);
-    return found != m_tickets.end() && now < found->second.m_until ? &found->second.m_text : nullptr;
+    return found != m_tickets.end() && now < found->second.m_until ? &found->second.m_text
+                                                                   : nullptr;
 }
 
 void approval_desk::set_members(std::vector<vm_id> members)
 {
     m_members = std::move(members);
     std::sort(m_members.begin(), m_members.end());
-    std::erase_if(m_busy_until,
-                  [this](const auto& entry)
+    std::erase_if(m_busy_until, [this](const auto& entry)
                   { return !std::binary_search(m_members.begin(), m_members.end(), entry.first); });
 }
 
--- a/src/dragonflygap/cell/coordinator.cpp
+++ b/src/dragonflygap/cell/coordinator.cpp
@@ -27,8 +27,11 @@
 } // namespace
 
 coordinator::coordinator(coordinator_options options, const inherited& found, instant now)
-    : m_options(options), m_chain(options.m_commits, found.m_self, found.m_version),
-      m_desk(options.m_approvals), m_now(now), m_taken_over(now)
+    : m_options(options),
+      m_chain(options.m_commits, found.m_self, found.m_version),
+      m_desk(options.m_approvals),
+      m_now(now),
+      m_taken_over(now)
 {
     m_blind_until = lease_end();
     if (!found.m_predecessor_gone)
@@ -134,8 +137,8 @@
         m_out->push_back(answer_call{event.m_call, call_status::rejected, wait});
         return;
     }
-    auto job = std::make_shared<job_state>(
-        event.m_job, job_record{event.m_queue, event.m_request, m_unix_ms});
+    auto job = std::make_shared<job_state>(event.m_job,
+                                           job_record{event.m_queue, event.m_request, m_unix_ms});
     job->m_since = m_now;
     job->m_turn = turn_of(event.m_request, m_now);
     job->m_next_run = (m_chain.record().m_epoch - 1) * m_options.m_runs_per_epoch + 1;
--- a/src/dragonflygap/cell/coordinator.hpp
+++ b/src/dragonflygap/cell/coordinator.hpp
@@ -23,24 +23,24 @@
     worker_options m_workers;
     commit_chain_options m_commits;
     approval_desk_options m_approvals;
-    std::size_t m_most_entries = 96;     ///< Of a transaction; the platform takes 100.
-    std::size_t m_most_bytes = 600000;   ///< Of its values; the platform takes 1 MB encoded.
-    duration m_store_silence = 700ms;    ///< After it submissions are rejected at once.
+    std::size_t m_most_entries = 96;      ///< Of a transaction; the platform takes 100.
+    std::size_t m_most_bytes = 600000;    ///< Of its values; the platform takes 1 MB encoded.
+    duration m_store_silence = 700ms;     ///< After it submissions are rejected at once.
     std::int64_t m_store_retry_ms = 1000; ///< Told with it: outages last seconds.
     std::int64_t m_full_retry_ms = 2000;  ///< Told where too much waits: the crest's length.
-    duration m_unknown_after = 1s;       ///< After it a submission whose write hangs is answered.
-    duration m_renew_without_store = 6s; ///< Leases aren't prolonged for longer without the store.
-    duration m_keep_ended = 150s;        ///< How long the end of a job is remembered.
-    duration m_missing_limit = 30s;      ///< After it a worker that left the list is forgotten.
-    std::size_t m_most_waiting = 3000;   ///< Jobs beyond it are rejected.
+    duration m_unknown_after = 1s;        ///< After it a submission whose write hangs is answered.
+    duration m_renew_without_store = 6s;  ///< Leases aren't prolonged for longer without the store.
+    duration m_keep_ended = 150s;         ///< How long the end of a job is remembered.
+    duration m_missing_limit = 30s;       ///< After it a worker that left the list is forgotten.
+    std::size_t m_most_waiting = 3000;    ///< Jobs beyond it are rejected.
     std::uint64_t m_runs_per_epoch = 1000000; ///< Runs of a task that one epoch can number.
 };
 
 /// What a new leader found in the store.
 struct inherited
 {
-    leader_record m_self;         ///< As written by the take-over.
-    std::uint64_t m_version = 0;  ///< Of the leader's row.
+    leader_record m_self;        ///< As written by the take-over.
+    std::uint64_t m_version = 0; ///< Of the leader's row.
     std::vector<stored_row> m_jobs;
     std::vector<stored_row> m_progress;
     std::vector<std::pair<worker_id, std::string>> m_workers;
@@ -163,10 +163,14 @@
     void place_gang(job_state& job, const step_key& key, step_approval* approved);
     std::optional<std::vector<choice>> choose_gang(job_state& job, const step_key& key,
                                                    const step_approval* approved, bool ticketed);
-    worker_state* choose(const job_state& job, const step_key& key, const step_approval* approved,
-                         bool ticketed, const rack_id* only_rack,
-                         const std::map<worker_id, resources>& taken);
-    bool usable(const worker_state& worker, const job_state& job, const step_spec& spec) const;
+    void sort_by_room();
+    bool takes_tasks(const worker_state& worker) const;
+    static bool suits(const worker_state& worker, const job_state& job, const step_spec& spec);
+    std::vector<worker_state*> allowed(const job_state& job, const step_key& key,
+                                       const step_approval* approved, bool ticketed);
+    worker_state* choose(const std::vector<worker_state*>& among, const step_spec& spec,
+                         const step_key& key, const rack_id* only_rack,
+                         const std::map<worker_id, resources>& taken) const;
     resources room(const worker_state& worker) const;
     int fitting(const worker_state& worker, const step_spec& spec) const;
     void start(job_state& job, const task_key& task, worker_state& worker, std::uint64_t run,
@@ -189,19 +193,20 @@
     actions* m_out = nullptr;
     bool m_deposed = false;
 
-    std::unordered_map<job_id, job_ptr> m_jobs;  ///< Not ended, or ended and not yet stored.
+    std::unordered_map<job_id, job_ptr> m_jobs; ///< Not ended, or ended and not yet stored.
     std::unordered_map<job_id, std::pair<job_outcome, instant>> m_ended;
     std::map<job_id, std::vector<open_call>> m_calls;
     std::set<job_id> m_dirty;
-    std::vector<job_id> m_timed;                 ///< Jobs with occurrences at set times.
+    std::vector<job_id> m_timed; ///< Jobs with occurrences at set times.
     std::set<rank> m_ready;
     std::map<step_key, step_approval> m_approvals;
     std::map<queue_id, double> m_approval_rates; ///< Share of the workers named that is approved.
     std::map<worker_id, worker_state> m_workers;
     bool m_workers_dirty = false;
     std::optional<batch> m_batch;
-    std::map<worker_id, resources> m_reserved;   ///< Room kept for gangs in one pass.
-    std::set<worker_id> m_closed;                ///< Workers kept for gangs in one pass.
+    std::map<worker_id, resources> m_reserved; ///< Room kept for gangs in one pass.
+    std::vector<worker_state*> m_by_room;      ///< Of one pass.
+    std::set<worker_id> m_closed;              ///< Workers kept for gangs in one pass.
     instant m_last_trim{};
 };
 
--- a/src/dragonflygap/cell/coordinator_commits.cpp
+++ b/src/dragonflygap/cell/coordinator_commits.cpp
@@ -43,8 +43,8 @@
         change.m_conditions.push_back({row_of(ended_table, job.id()), 0});
     if (job.m_outcome)
     {
-        change.m_writes.push_back({row_of(ended_table, job.id()),
-                                   pack(ended_record{static_cast<int>(*job.m_outcome)})});
+        change.m_writes.push_back(
+            {row_of(ended_table, job.id()), pack(ended_record{static_cast<int>(*job.m_outcome)})});
         if (job.m_stored)
         {
             change.m_deletes.push_back(row_of(job_table, job.id()));
@@ -191,8 +191,8 @@
 
 bool coordinator::sent(const job_id& job) const
 {
-    return m_batch && std::find(m_batch->m_jobs.begin(), m_batch->m_jobs.end(), job) !=
-                          m_batch->m_jobs.end();
+    return m_batch &&
+           std::find(m_batch->m_jobs.begin(), m_batch->m_jobs.end(), job) != m_batch->m_jobs.end();
 }
 
 void coordinator::drop_duplicates(const transaction_result& result)
--- a/src/dragonflygap/cell/coordinator_placing.cpp
+++ b/src/dragonflygap/cell/coordinator_placing.cpp
@@ -40,6 +40,7 @@
 {
     m_reserved.clear();
     m_closed.clear();
+    sort_by_room();
     const std::vector<rank> order(m_ready.begin(), m_ready.end());
     for (const auto& next : order)
     {
@@ -49,6 +50,19 @@
     }
 }
 
+// Workers that take new tasks, those with the most free processor time first; each pass over the
+// waiting steps looks at the first of them only.
+void coordinator::sort_by_room()
+{
+    m_by_room.clear();
+    for (auto& [id, worker] : m_workers)
+        if (takes_tasks(worker))
+            m_by_room.push_back(&worker);
+    std::sort(m_by_room.begin(), m_by_room.end(),
+              [](const worker_state* left, const worker_state* right)
+              { return left->free().m_millicores > right->free().m_millicores; });
+}
+
 void coordinator::place_step(job_state& job, const step_key& key)
 {
     auto& step = job.step(key.m_occurrence, key.m_step);
@@ -78,12 +92,15 @@
     return reserved == m_reserved.end() ? worker.free() : worker.free() - reserved->second;
 }
 
-bool coordinator::usable(const worker_state& worker, const job_state& job,
-                         const step_spec& spec) const
+bool coordinator::takes_tasks(const worker_state& worker) const
 {
     return worker.m_listed && worker.m_synced && worker.m_failing_since == instant{} &&
-           !worker.m_info.m_leaving &&
-           m_now >= worker.m_avoid_until && worker.m_info.m_service == job.record().m_queue.m_service &&
+           !worker.m_info.m_leaving && m_now >= worker.m_avoid_until;
+}
+
+bool coordinator::suits(const worker_state& worker, const job_state& job, const step_spec& spec)
+{
+    return worker.m_info.m_service == job.record().m_queue.m_service &&
            (spec.m_label.empty() || worker.m_info.has_label(spec.m_label));
 }
 
@@ -94,44 +111,65 @@
                                           { return step_of(entry.first) == key; }));
 }
 
-// The worker that is left with the least free processor time, near the data if there is one.
-worker_state* coordinator::choose(const job_state& job, const step_key& key,
-                                  const step_approval* approved, bool ticketed,
-                                  const rack_id* only_rack,
-                                  const std::map<worker_id, resources>& taken)
+// The workers on which a step may start now: with a ticket, or approved, where it needs that.
+std::vector<worker_state*> coordinator::allowed(const job_state& job, const step_key& key,
+                                                const step_approval* approved, bool ticketed)
 {
     const auto& spec = job.spec(key.m_step);
+    std::vector<worker_state*> result;
+    auto consider = [&](worker_state& worker)
+    {
+        if (takes_tasks(worker) && suits(worker, job, spec) &&
+            m_closed.count(worker.m_info.m_id) == 0)
+            result.push_back(&worker);
+    };
+    if (approved == nullptr)
+        for (worker_state* worker : m_by_room)
+            consider(*worker);
+    else if (ticketed)
+    {
+        for (const auto& [id, ticket] : approved->m_tickets)
+            if (const auto found = m_workers.find(id);
+                m_now < ticket.m_until && found != m_workers.end())
+                consider(found->second);
+    }
+    else
+        for (const auto& id : approved->m_approved)
+            if (const auto found = m_workers.find(id); found != m_workers.end())
+                consider(found->second);
+    return result;
+}
+
+// The worker that is left with the least free processor time, near the data if there is one.
+worker_state* coordinator::choose(const std::vector<worker_state*>& among, const step_spec& spec,
+                                  const step_key& key, const rack_id* only_rack,
+                                  const std::map<worker_id, resources>& taken) const
+{
     const auto size = size_of(spec);
     worker_state* best = nullptr;
     std::int64_t best_score = 0;
-    for (auto& [id, worker] : m_workers)
+    for (worker_state* worker : among)
     {
-        if (!usable(worker, job, spec) || m_closed.count(id) != 0)
+        if (only_rack != nullptr && worker->m_info.m_rack != *only_rack)
             continue;
-        if (only_rack != nullptr && worker.m_info.m_rack != *only_rack)
-            continue;
-        if (approved != nullptr &&
-            (ticketed ? approved->usable(id, m_now) == nullptr : approved->m_approved.count(id) == 0))
-            continue;
-        auto left = room(worker);
+        auto left = room(*worker);
         int here = 0;
-        if (const auto also = taken.find(id); also != taken.end())
+        if (const auto also = taken.find(worker->m_info.m_id); also != taken.end())
         {
             left -= also->second;
             here = times_in(size, also->second);
         }
         if (!size.fits_in(left))
             continue;
-        if (spec.m_most_per_worker > 0 &&
-            on_worker(worker, key) + here >= spec.m_most_per_worker)
+        if (spec.m_most_per_worker > 0 && on_worker(*worker, key) + here >= spec.m_most_per_worker)
             continue;
         constexpr std::int64_t far_penalty = 1000000;
         std::int64_t score = left.m_millicores - size.m_millicores;
-        if (!spec.m_data_rack.empty() && worker.m_info.m_rack != spec.m_data_rack)
+        if (!spec.m_data_rack.empty() && worker->m_info.m_rack != spec.m_data_rack)
             score += far_penalty;
         if (best == nullptr || score < best_score)
         {
-            best = &worker;
+            best = worker;
             best_score = score;
         }
     }
@@ -152,12 +190,13 @@
 {
     auto& step = job.step(key.m_occurrence, key.m_step);
     const std::map<worker_id, resources> none;
+    const auto among = allowed(job, key, approved, true);
     int started = 0;
     for (std::size_t i = 0; i < step.m_tasks.size() && step.m_waiting > 0; ++i)
     {
         if (step.m_tasks[i].m_status != task_status::waiting)
             continue;
-        worker_state* worker = choose(job, key, approved, true, nullptr, none);
+        worker_state* worker = choose(among, job.spec(key.m_step), key, nullptr, none);
         if (worker == nullptr)
             break;
         ++started;
@@ -175,26 +214,26 @@
                          bool ticketed)
 {
     const auto& spec = job.spec(key.m_step);
+    const auto among = allowed(job, key, approved, ticketed);
     auto try_on = [&](const rack_id* rack) -> std::optional<std::vector<choice>>
     {
         std::vector<choice> chosen;
         std::map<worker_id, resources> taken;
         for (int i = 0; i < spec.m_count; ++i)
         {
-            worker_state* worker = choose(job, key, approved, ticketed, rack, taken);
+            worker_state* worker = choose(among, spec, key, rack, taken);
             if (worker == nullptr)
                 return std::nullopt;
             taken[worker->m_info.m_id] += size_of(spec);
-            chosen.push_back(
-                {{key.m_job, key.m_occurrence, key.m_step, i}, worker->m_info.m_id});
+            chosen.push_back({{key.m_job, key.m_occurrence, key.m_step, i}, worker->m_info.m_id});
         }
         return chosen;
     };
     if (spec.m_same_rack)
     {
         std::set<rack_id> racks;
-        for (const auto& [id, worker] : m_workers)
-            racks.insert(worker.m_info.m_rack);
+        for (const worker_state* worker : among)
+            racks.insert(worker->m_info.m_rack);
         for (const auto& rack : racks)
             if (auto chosen = try_on(&rack))
                 return chosen;
@@ -230,10 +269,8 @@
         return;
     }
     std::vector<std::pair<std::int64_t, worker_id>> nearest;
-    for (const auto& [id, worker] : m_workers)
-        if (usable(worker, job, spec) && m_closed.count(id) == 0 &&
-            (approved == nullptr || approved->m_approved.count(id) != 0))
-            nearest.emplace_back(-room(worker).m_millicores, id);
+    for (const worker_state* worker : allowed(job, key, approved, false))
+        nearest.emplace_back(-room(*worker).m_millicores, worker->m_info.m_id);
     std::sort(nearest.begin(), nearest.end());
     int places = 0;
     std::vector<worker_id> kept;
@@ -262,43 +299,48 @@
     constexpr std::size_t most_named = 100; // the service takes no more
     constexpr double wanted_share = 1.5;    // some room is gone when the answer comes
     constexpr double wanted_more = 2;
-    constexpr double later_room = 0.5;      // tasks for which a full worker may have room in time
+    constexpr double later_room = 0.5;    // tasks for which a full worker may have room in time
+    constexpr duration look_again = 50ms; // where there is nobody to ask about
     const auto& spec = job.spec(key.m_step);
     const auto& cost = job.record().m_queue.m_approval;
     const double rate = approval_rate(job.record().m_queue.m_name);
     const double wanted =
         wanted_share * job.step(key.m_occurrence, key.m_step).m_waiting + wanted_more;
+    approved.m_next_ask = m_now + look_again;
     double expected = 0;
+    for (const worker_state* worker : allowed(job, key, &approved, true))
+        expected += std::max<double>(fitting(*worker, spec), later_room);
+    if (expected >= wanted - wanted_more)
+        return;
+    const bool first = approved.m_approved.empty() && approved.m_denied.empty();
     bool room_now = false;
-    std::vector<std::pair<double, worker_id>> candidates;
-    for (const auto& [id, worker] : m_workers)
+    std::vector<worker_id> named;
+    for (const worker_state* worker : m_by_room)
     {
-        if (!usable(worker, job, spec) || approved.m_denied.count(id) != 0)
+        const auto& id = worker->m_info.m_id;
+        if (expected >= wanted || named.size() >= most_named)
+            break;
+        if (!suits(*worker, job, spec) || approved.m_denied.count(id) != 0 ||
+            approved.usable(id, m_now) != nullptr)
             continue;
-        const bool known = approved.m_approved.count(id) != 0;
-        const int fits = m_closed.count(id) != 0 ? 0 : fitting(worker, spec);
-        if (approved.usable(id, m_now) != nullptr)
+        const int fits = m_closed.count(id) != 0 ? 0 : fitting(*worker, spec);
+        // It is asked again only where there is room; behind this one nobody has more.
+        if (fits == 0 && !room_now && !first)
         {
-            expected += std::max<double>(fits, later_room);
+            if (worker->free().m_millicores < spec.m_size.m_millicores)
+                break;
             continue;
         }
         room_now = room_now || fits > 0;
-        candidates.emplace_back(-std::max<double>(fits, later_room) * (known ? 1.0 : rate), id);
-    }
-    const bool first = approved.m_approved.empty() && approved.m_denied.empty();
-    if (candidates.empty() || expected >= wanted - wanted_more || !(room_now || first))
-        return;
-    std::sort(candidates.begin(), candidates.end());
-    std::vector<worker_id> named;
-    for (const auto& [gain, id] : candidates)
-    {
-        if (expected >= wanted || named.size() >= most_named)
-            break;
-        expected -= gain;
+        const bool known = approved.m_approved.count(id) != 0;
+        expected += std::max<double>(fits, later_room) * (known ? 1.0 : rate);
         named.push_back(id);
     }
-    const auto time = std::chrono::duration_cast<duration>(std::chrono::duration<double, std::milli>(
-        cost.m_decision_ms + cost.m_per_worker_ms * static_cast<double>(named.size())));
+    if (named.empty())
+        return;
+    const auto time =
+        std::chrono::duration_cast<duration>(std::chrono::duration<double, std::milli>(
+            cost.m_decision_ms + cost.m_per_worker_ms * static_cast<double>(named.size())));
     const duration patience = std::max<duration>(300ms, 3 * time);
     const auto through = m_desk.choose(time, patience, m_now);
     if (!through)
@@ -321,12 +363,15 @@
     const auto& options = m_options.m_workers;
     const auto& spec = job.spec(key.m_step);
     const auto& task = *job.find(key);
-    placement placed{.m_run = run, .m_size = size_of(spec), .m_gang = spec.m_gang,
-                     .m_started = m_now, .m_percent_since = m_now};
+    placement placed{.m_run = run,
+                     .m_size = size_of(spec),
+                     .m_gang = spec.m_gang,
+                     .m_started = m_now,
+                     .m_percent_since = m_now};
     worker.m_used += placed.m_size;
     worker.m_placements[key] = placed;
-    worker.m_lease_until = std::max(
-        worker.m_lease_until, m_now + options.m_order_window + options.m_clock_slack);
+    worker.m_lease_until =
+        std::max(worker.m_lease_until, m_now + options.m_order_window + options.m_clock_slack);
     start_order order{.m_task = key,
                       .m_run = run,
                       .m_payload = job.record().m_request.m_payload,
--- a/src/dragonflygap/cell/coordinator_workers.cpp
+++ b/src/dragonflygap/cell/coordinator_workers.cpp
@@ -197,8 +197,8 @@
                          .m_size = worker.m_info.m_capacity,
                          .m_phase = placement_phase::running,
                          .m_started = m_now};
-        const bool expected = task != nullptr && !job->m_outcome &&
-                              task->m_status == task_status::waiting;
+        const bool expected =
+            task != nullptr && !job->m_outcome && task->m_status == task_status::waiting;
         if (task != nullptr)
         {
             const auto& spec = job->spec(running.m_task.m_step);
@@ -292,8 +292,8 @@
 void coordinator::count_failure(job_state& job, const task_key& key, std::uint64_t run)
 {
     const auto& spec = job.spec(key.m_step);
-    task_state& task = *job.find(spec.m_gang ? task_key{key.m_job, key.m_occurrence, key.m_step, 0}
-                                             : key);
+    task_state& task =
+        *job.find(spec.m_gang ? task_key{key.m_job, key.m_occurrence, key.m_step, 0} : key);
     // The members of a gang fail together: one run counts once.
     auto& failed = task.m_failed_runs;
     if (spec.m_lasting || std::find(failed.begin(), failed.end(), run) != failed.end())
--- a/src/dragonflygap/cell/election.cpp
+++ b/src/dragonflygap/cell/election.cpp
@@ -68,7 +68,8 @@
         // The row of this VM's own earlier life, and none at all, have no writer.
         const bool vacant = !m_row || m_row->m_vm == m_self || m_resigned;
         const duration quiet = m_options.m_row_limit + m_rank * m_options.m_rank_step;
-        if ((vacant && now - m_row_since >= (m_row ? duration{} : m_rank * m_options.m_rank_step)) ||
+        if ((vacant &&
+             now - m_row_since >= (m_row ? duration{} : m_rank * m_options.m_rank_step)) ||
             now - m_row_since >= quiet)
         {
             m_busy = true;
--- a/src/dragonflygap/cell/election.hpp
+++ b/src/dragonflygap/cell/election.hpp
@@ -15,8 +15,9 @@
     duration m_heartbeat_limit = 550ms; ///< Without a heartbeat for longer, the row is read.
     duration m_row_limit = 450ms;       ///< A row that stays unchanged for longer has no writer.
     duration m_read_every = 150ms;      ///< Between readings of the row without a leader.
-    duration m_store_age_limit = 1500ms; ///< A leader that the store doesn't answer may be replaced.
-    duration m_rank_step = 60ms;        ///< Members try one after another.
+    duration m_store_age_limit =
+        1500ms;                  ///< A leader that the store doesn't answer may be replaced.
+    duration m_rank_step = 60ms; ///< Members try one after another.
 };
 
 /// Decides when this VM tries to become the leader. The take-over itself is a conditional write
@@ -60,7 +61,7 @@
     std::optional<leader_record> m_row;
     std::uint64_t m_version = 0;
     int m_rank = 0;
-    instant m_row_since{};  ///< When the row was first read as it is; zero: not read.
+    instant m_row_since{}; ///< When the row was first read as it is; zero: not read.
     instant m_next_read{};
     bool m_busy = false;
 };
--- a/src/dragonflygap/cell/events.hpp
+++ b/src/dragonflygap/cell/events.hpp
@@ -78,10 +78,10 @@
 
 enum class call_status
 {
-    accepted,       ///< Stored, or cancelled for good.
-    rejected,       ///< Not accepted and never runs; come back later.
-    unknown,        ///< May have been stored.
-    not_here,       ///< The leader doesn't know the job; it may have ended long ago.
+    accepted, ///< Stored, or cancelled for good.
+    rejected, ///< Not accepted and never runs; come back later.
+    unknown,  ///< May have been stored.
+    not_here, ///< The leader doesn't know the job; it may have ended long ago.
 };
 
 /// Answers a submission or a cancellation.
--- a/src/dragonflygap/cell/job_request.hpp
+++ b/src/dragonflygap/cell/job_request.hpp
@@ -16,17 +16,17 @@
 {
     int m_count = 1;
     resources m_size;
-    std::int64_t m_expected_ms = 0; ///< Rough estimate of one task's run time.
-    std::vector<int> m_after;       ///< Earlier steps whose tasks must all be done first.
-    bool m_checkpoints = false;     ///< Progress is saved and a later run resumes from it.
-    bool m_gang = false;            ///< Tasks work only while all of them run.
-    bool m_same_rack = false;       ///< A gang across racks runs slower.
-    std::string m_label;            ///< Label that a worker must have; empty: none.
-    rack_id m_data_rack;            ///< Rack where the data lies; elsewhere a task runs slower.
-    int m_most_per_worker = 0;      ///< Most tasks of the step on one worker; 0: no limit.
-    bool m_copies_allowed = false;  ///< Copies of a task may run at the same time.
-    bool m_lasting = false;         ///< Runs until the job is cancelled.
-    std::string m_image;            ///< Tasks of one image behave alike.
+    std::int64_t m_expected_ms = 0;   ///< Rough estimate of one task's run time.
+    std::vector<int> m_after;         ///< Earlier steps whose tasks must all be done first.
+    bool m_checkpoints = false;       ///< Progress is saved and a later run resumes from it.
+    bool m_gang = false;              ///< Tasks work only while all of them run.
+    bool m_same_rack = false;         ///< A gang across racks runs slower.
+    std::string m_label;              ///< Label that a worker must have; empty: none.
+    rack_id m_data_rack;              ///< Rack where the data lies; elsewhere a task runs slower.
+    int m_most_per_worker = 0;        ///< Most tasks of the step on one worker; 0: no limit.
+    bool m_copies_allowed = false;    ///< Copies of a task may run at the same time.
+    bool m_lasting = false;           ///< Runs until the job is cancelled.
+    std::string m_image;              ///< Tasks of one image behave alike.
     std::int64_t m_tail_limit_ms = 0; ///< Bound on the response times of a lasting task; 0: none.
     bool m_filler = false; ///< Takes the processor time that others leave; not counted as used.
     int m_most_away = 0;   ///< Lasting tasks that the scheduler may take away at the same time.
@@ -43,7 +43,7 @@
 {
     std::string m_payload; ///< Passed to every task as it is.
     std::vector<step_spec> m_steps;
-    int m_occurrences = 0; ///< How often the steps run at set times; 0: once, now.
+    int m_occurrences = 0;           ///< How often the steps run at set times; 0: once, now.
     std::int64_t m_first_due_ms = 0; ///< Unix time of the first occurrence.
     std::int64_t m_interval_ms = 0;
 
--- a/src/dragonflygap/cell/job_state.cpp
+++ b/src/dragonflygap/cell/job_state.cpp
@@ -6,7 +6,8 @@
 namespace dragonflygap::cell
 {
 
-job_state::job_state(job_id id, job_record record) : m_id(std::move(id)), m_record(std::move(record))
+job_state::job_state(job_id id, job_record record)
+    : m_id(std::move(id)), m_record(std::move(record))
 {
     std::vector<step_state> steps;
     for (const auto& spec : m_record.m_request.m_steps)
@@ -48,9 +49,8 @@
                 const auto& task = step(k, s).m_tasks[i];
                 const bool done = task.m_status == task_status::done;
                 if (done || !task.m_failed_runs.empty() || !task.m_checkpoint.empty())
-                    result.m_tasks.push_back(
-                        {k, s, static_cast<int>(i), done, task.m_failed_runs,
-                         done ? std::string() : task.m_checkpoint});
+                    result.m_tasks.push_back({k, s, static_cast<int>(i), done, task.m_failed_runs,
+                                              done ? std::string() : task.m_checkpoint});
             }
     return result;
 }
--- a/src/dragonflygap/cell/job_state.hpp
+++ b/src/dragonflygap/cell/job_state.hpp
@@ -25,7 +25,8 @@
     task_status m_status = task_status::waiting;
     std::uint64_t m_run = 0; ///< Of the present or last placement.
     worker_id m_worker;
-    std::vector<std::uint64_t> m_failed_runs; ///< Each counts once, in whatever order they are listed.
+    std::vector<std::uint64_t>
+        m_failed_runs; ///< Each counts once, in whatever order they are listed.
     std::string m_checkpoint;
     bool m_stopping = false;
 };
@@ -56,7 +57,10 @@
 
     int occurrences() const { return static_cast<int>(m_occurrences.size()); }
     step_state& step(int occurrence, int step) { return m_occurrences[occurrence][step]; }
-    const step_state& step(int occurrence, int step) const { return m_occurrences[occurrence][step]; }
+    const step_state& step(int occurrence, int step) const
+    {
+        return m_occurrences[occurrence][step];
+    }
     int steps() const { return static_cast<int>(m_record.m_request.m_steps.size()); }
 
     /// nullptr if the job has no such task.
@@ -77,12 +81,12 @@
 
     // How the job ends, once that is decided; shown to callers when stored.
     std::optional<job_outcome> m_outcome;
-    bool m_stored = false;         ///< The job's row is durable: it is accepted.
-    bool m_dirty = true;           ///< Something isn't durable yet.
-    bool m_restored = false;       ///< From an earlier leader: its tasks may run unseen.
+    bool m_stored = false;   ///< The job's row is durable: it is accepted.
+    bool m_dirty = true;     ///< Something isn't durable yet.
+    bool m_restored = false; ///< From an earlier leader: its tasks may run unseen.
     std::uint64_t m_next_run = 1;
-    instant m_since{};             ///< When this leader got it.
-    instant m_turn{};              ///< Its place in the order of its queue's priority.
+    instant m_since{}; ///< When this leader got it.
+    instant m_turn{};  ///< Its place in the order of its queue's priority.
     instant m_ended_at{};
 
 private:
--- a/src/dragonflygap/cell/packing.hpp
+++ b/src/dragonflygap/cell/packing.hpp
@@ -15,58 +15,61 @@
 {
 MSGPACK_API_VERSION_NAMESPACE(MSGPACK_DEFAULT_API_NS)
 {
-namespace adaptor
-{
+    namespace adaptor
+    {
 
-template <class Tag>
-struct pack<dragonflygap::identifier<Tag>>
-{
-    template <class Stream>
-    packer<Stream>& operator()(packer<Stream>& out, const dragonflygap::identifier<Tag>& id) const
+    template <class Tag>
+    struct pack<dragonflygap::identifier<Tag>>
     {
-        return out.pack(id.m_value);
-    }
-};
+        template <class Stream>
+        packer<Stream>& operator()(packer<Stream>& out,
+                                   const dragonflygap::identifier<Tag>& id) const
+        {
+            return out.pack(id.m_value);
+        }
+    };
 
-template <class Tag>
-struct convert<dragonflygap::identifier<Tag>>
-{
-    const msgpack::object& operator()(const msgpack::object& from, dragonflygap::identifier<Tag>& id) const
+    template <class Tag>
+    struct convert<dragonflygap::identifier<Tag>>
     {
-        from.convert(id.m_value);
-        return from;
-    }
-};
+        const msgpack::object& operator()(const msgpack::object& from,
+                                          dragonflygap::identifier<Tag>& id) const
+        {
+            from.convert(id.m_value);
+            return from;
+        }
+    };
 
-template <>
-struct pack<dragonflygap::resources>
-{
-    template <class Stream>
-    packer<Stream>& operator()(packer<Stream>& out, const dragonflygap::resources& r) const
+    template <>
+    struct pack<dragonflygap::resources>
     {
-        out.pack_array(3);
-        out.pack(r.m_millicores);
-        out.pack(r.m_memory_mb);
-        out.pack(r.m_accelerators);
-        return out;
-    }
-};
+        template <class Stream>
+        packer<Stream>& operator()(packer<Stream>& out, const dragonflygap::resources& r) const
+        {
+            out.pack_array(3);
+            out.pack(r.m_millicores);
+            out.pack(r.m_memory_mb);
+            out.pack(r.m_accelerators);
+            return out;
+        }
+    };
 
-template <>
-struct convert<dragonflygap::resources>
-{
-    const msgpack::object& operator()(const msgpack::object& from, dragonflygap::resources& r) const
+    template <>
+    struct convert<dragonflygap::resources>
     {
-        if (from.type != type::ARRAY || from.via.array.size != 3)
-            throw type_error();
-        from.via.array.ptr[0].convert(r.m_millicores);
-        from.via.array.ptr[1].convert(r.m_memory_mb);
-        from.via.array.ptr[2].convert(r.m_accelerators);
-        return from;
-    }
-};
+        const msgpack::object& operator()(const msgpack::object& from,
+                                          dragonflygap::resources& r) const
+        {
+            if (from.type != type::ARRAY || from.via.array.size != 3)
+                throw type_error();
+            from.via.array.ptr[0].convert(r.m_millicores);
+            from.via.array.ptr[1].convert(r.m_memory_mb);
+            from.via.array.ptr[2].convert(r.m_accelerators);
+            return from;
+        }
+    };
 
-} // namespace adaptor
+    } // namespace adaptor
 }
 } // namespace msgpack
 
--- a/src/dragonflygap/cell/peer_messages.hpp
+++ b/src/dragonflygap/cell/peer_messages.hpp
@@ -19,11 +19,11 @@
 struct leader_heartbeat
 {
     std::uint64_t m_epoch = 0;
-    std::uint64_t m_commit = 0;       ///< Number of the leader's last transaction.
-    std::int64_t m_store_age_ms = 0;  ///< Since the store last answered the leader.
+    std::uint64_t m_commit = 0;      ///< Number of the leader's last transaction.
+    std::int64_t m_store_age_ms = 0; ///< Since the store last answered the leader.
     std::uint64_t m_config_version = 0;
-    std::string m_address;            ///< Of the leader, for answers.
-    bool m_resigns = false;           ///< The receiver is to take over at once.
+    std::string m_address;  ///< Of the leader, for answers.
+    bool m_resigns = false; ///< The receiver is to take over at once.
 
     MSGPACK_DEFINE(m_epoch, m_commit, m_store_age_ms, m_config_version, m_address, m_resigns)
 };
@@ -70,7 +70,7 @@
 struct caller_answer
 {
     std::uint64_t m_call = 0;
-    int m_status = 0; ///< A call_status.
+    int m_status = 0;          ///< A call_status.
     std::int64_t m_number = 0; ///< Jobs that wait, or ms after which to come back.
     std::string m_state;
 
--- a/src/dragonflygap/cell/ports.hpp
+++ b/src/dragonflygap/cell/ports.hpp
@@ -48,16 +48,13 @@
     std::vector<write> m_writes;
     std::vector<row_name> m_deletes;
 
-    std::size_t entries() const
-    {
-        return m_conditions.size() + m_writes.size() + m_deletes.size();
-    }
+    std::size_t entries() const { return m_conditions.size() + m_writes.size() + m_deletes.size(); }
 };
 
 struct transaction_result
 {
     bool m_committed = false;
-    std::uint64_t m_version = 0; ///< Of all rows that a committed transaction wrote.
+    std::uint64_t m_version = 0;         ///< Of all rows that a committed transaction wrote.
     std::vector<stored_row> m_conflicts; ///< Present rows of the conditions, if not committed.
 };
 
--- a/src/dragonflygap/cell/records.hpp
+++ b/src/dragonflygap/cell/records.hpp
@@ -37,9 +37,10 @@
     data_centre_id m_data_centre;
     std::string m_address; ///< For peer messages.
     std::uint64_t m_incarnation = 0;
+    double m_processor_share = 1; ///< Of a core: stronger VMs lead first.
 
     bool operator==(const member_record&) const = default;
-    MSGPACK_DEFINE(m_vm, m_data_centre, m_address, m_incarnation)
+    MSGPACK_DEFINE(m_vm, m_data_centre, m_address, m_incarnation, m_processor_share)
 };
 
 struct job_record
--- a/src/dragonflygap/cell/worker.hpp
+++ b/src/dragonflygap/cell/worker.hpp
@@ -92,7 +92,7 @@
 /// A worker's answer to a renewal of its lease.
 struct worker_report
 {
-    std::int64_t m_clock_ms = 0; ///< The worker's own steady clock.
+    std::int64_t m_clock_ms = 0;    ///< The worker's own steady clock.
     std::uint64_t m_started_at = 0; ///< Tells lives of a worker under one id apart.
     std::vector<running_task> m_running;
     std::vector<ended_task> m_ended;
@@ -104,12 +104,12 @@
 enum class start_refusal
 {
     none,
-    fenced,      ///< A higher fencing token was seen there.
-    outdated,    ///< The run isn't higher than one that ended there.
-    too_late,    ///< The order's deadline had passed.
+    fenced,   ///< A higher fencing token was seen there.
+    outdated, ///< The run isn't higher than one that ended there.
+    too_late, ///< The order's deadline had passed.
     no_room,
-    no_ticket,   ///< The ticket isn't valid (any more).
-    invalid,     ///< The order was malformed.
+    no_ticket, ///< The ticket isn't valid (any more).
+    invalid,   ///< The order was malformed.
     unhealthy,
     wrong_worker ///< Another life of the worker listens there.
 };
--- a/src/dragonflygap/cell/worker_state.hpp
+++ b/src/dragonflygap/cell/worker_state.hpp
@@ -26,23 +26,23 @@
     bool m_gang = false;
     bool m_stop_wanted = false;
     bool m_stop_in_flight = false;
-    bool m_stop_known = false;   ///< The worker acknowledged a stop: the run can't begin any more.
-    instant m_settled_at{};      ///< A renewal sent later tells for certain whether it runs.
+    bool m_stop_known = false; ///< The worker acknowledged a stop: the run can't begin any more.
+    instant m_settled_at{};    ///< A renewal sent later tells for certain whether it runs.
     instant m_next_stop{};
     instant m_started{};
     int m_percent = 0;
-    instant m_percent_since{};   ///< When the percentage last rose.
+    instant m_percent_since{}; ///< When the percentage last rose.
 };
 
 struct worker_options
 {
-    duration m_lease = 6s;           ///< Asked for at each renewal; the platform bounds it.
+    duration m_lease = 6s;            ///< Asked for at each renewal; the platform bounds it.
     duration m_order_window = 1500ms; ///< How long after its sending a start may take effect.
-    duration m_clock_slack = 300ms;  ///< For clocks that run 2% slow and for the way.
-    duration m_silence_limit = 2s;   ///< Without answers for longer, the lease isn't prolonged.
-    duration m_renew_wait = 2s;      ///< How long a renewal waits for an end at the worker.
-    duration m_retry_gap = 300ms;    ///< Between renewals that fail.
-    duration m_idle_renewal = 10s;   ///< Keeps the clock of a worker without tasks known.
+    duration m_clock_slack = 300ms;   ///< For clocks that run 2% slow and for the way.
+    duration m_silence_limit = 2s;    ///< Without answers for longer, the lease isn't prolonged.
+    duration m_renew_wait = 2s;       ///< How long a renewal waits for an end at the worker.
+    duration m_retry_gap = 300ms;     ///< Between renewals that fail.
+    duration m_idle_renewal = 10s;    ///< Keeps the clock of a worker without tasks known.
 };
 
 /// What the leader knows of one worker.
@@ -66,22 +66,25 @@
     std::uint64_t m_ends_stored = 0; ///< Highest whose effect is durable: may be acknowledged.
     std::uint64_t m_ends_acked = 0;  ///< Highest that the worker was told.
 
-    bool m_renewing = false;     ///< A renewal awaits its answer.
-    instant m_renewal_sent{};    ///< The last one that may wait for an end.
-    bool m_look_wanted = false;  ///< A report is wanted at once, beside the renewal that waits.
+    bool m_renewing = false;    ///< A renewal awaits its answer.
+    instant m_renewal_sent{};   ///< The last one that may wait for an end.
+    bool m_look_wanted = false; ///< A report is wanted at once, beside the renewal that waits.
     instant m_next_renewal{};
     instant m_last_answer{};
     instant m_failing_since{};   ///< First renewal without an answer since the last one with.
     std::int64_t m_clock_ms = 0; ///< The worker's clock at m_last_answer.
     instant m_lease_until{};     ///< By then everything there has ended, if no renewal arrives.
 
-    int m_failures_in_row = 0;   ///< Tasks that failed there since one was done.
-    instant m_avoid_until{};     ///< No new tasks before.
+    int m_failures_in_row = 0; ///< Tasks that failed there since one was done.
+    instant m_avoid_until{};   ///< No new tasks before.
 
     resources free() const { return m_info.m_capacity - m_used; }
 
     /// The worker's clock now, never later than it really is.
-    std::int64_t clock_at(instant now) const { return m_clock_ms + to_ms(now - m_last_answer) * 98 / 100; }
+    std::int64_t clock_at(instant now) const
+    {
+        return m_clock_ms + to_ms(now - m_last_answer) * 98 / 100;
+    }
 };
 
 } // namespace dragonflygap::cell
--- a/src/dragonflygap/config/settings.cpp
+++ b/src/dragonflygap/config/settings.cpp
@@ -52,8 +52,9 @@
         cell.m_approvals.emplace();
         endpoints.read(object, "approvals", "$.cell", *cell.m_approvals);
     }
-    cell.m_longest_lease = std::chrono::milliseconds(
-        object.value("longest_lease_ms", to_ms(cell.m_longest_lease)));
+    cell.m_processor_share = object.value("processor_share", cell.m_processor_share);
+    cell.m_longest_lease =
+        std::chrono::milliseconds(object.value("longest_lease_ms", to_ms(cell.m_longest_lease)));
     cell.m_stop = std::chrono::milliseconds(object.value("stop_ms", to_ms(cell.m_stop)));
     return cell;
 }
--- a/src/dragonflygap/config/settings.hpp
+++ b/src/dragonflygap/config/settings.hpp
@@ -30,6 +30,7 @@
     endpoint m_store;
     std::optional<endpoint> m_approvals;
     endpoint m_ready_listen;
+    double m_processor_share = 1;   ///< Of a core.
     duration m_longest_lease = 10s; ///< Workers shorten longer ones.
     duration m_stop = 6s;           ///< From SIGTERM until the process is killed.
 };
@@ -43,7 +44,7 @@
     endpoint m_operator_listen{"127.0.0.1", 8081};
     endpoint m_peer_listen{"127.0.0.1", 8082};
     std::vector<peer_settings> m_peers;
-    std::optional<endpoint> m_platform; ///< Nothing: the embedded platform.
+    std::optional<endpoint> m_platform;  ///< Nothing: the embedded platform.
     std::optional<cell_settings> m_cell; ///< Nothing: serve requests and jobs of the own platform.
     log_level m_log_level = log_level::info;
     bool m_history = false;
--- a/src/dragonflygap/daemon/cell_daemon.cpp
+++ b/src/dragonflygap/daemon/cell_daemon.cpp
@@ -45,17 +45,18 @@
     node::node_options options{.m_vm = settings.m_vm,
                                .m_data_centre = settings.m_data_centre,
                                .m_incarnation = new_incarnation(),
+                               .m_processor_share = cell.m_processor_share,
                                .m_peer_address = settings.m_peer_listen,
                                .m_store = wire::make_store(to_store, cell.m_store),
                                .m_directory = wire::make_directory(to_store, cell.m_store),
                                .m_workers = wire::make_workers(to_workers)};
     if (cell.m_approvals)
         options.m_approvals = wire::make_approvals(to_workers, *cell.m_approvals);
-    options.m_peers = {
-        .m_add = [&link](const vm_id& peer, const endpoint& address) { link.add(peer, address); },
-        .m_send = [&link](const vm_id& peer, std::string_view bytes)
-        { return link.send(peer, bytes); },
-        .m_redial = [&link](const vm_id& peer) { link.redial(peer); }};
+    options.m_peers = {.m_add = [&link](const vm_id& peer, const endpoint& address)
+                       { link.add(peer, address); },
+                       .m_send = [&link](const vm_id& peer, std::string_view bytes)
+                       { return link.send(peer, bytes); },
+                       .m_redial = [&link](const vm_id& peer) { link.redial(peer); }};
     auto& lease = options.m_coordinator.m_workers.m_lease;
     lease = std::min(lease, cell.m_longest_lease);
     constexpr duration exit_margin = 800ms;
@@ -105,15 +106,14 @@
     served = std::make_unique<node::node>(loop, counted, std::move(options));
 
     const http_server callers(
-        loop,
-        {.m_listen = settings.m_caller_listen,
-         .m_max_body_bytes = settings.m_max_body_bytes,
-         .m_handler = wire::make_caller_handler(
-             {.m_config = [&served] { return served->config(); },
-              .m_call = [&served](cell::caller_call call,
-                                  std::function<void(const cell::caller_answer&)> done)
-              { served->callers().call(std::move(call), std::move(done)); },
-              .m_stopping = [&served] { return served->stopping(); }})});
+        loop, {.m_listen = settings.m_caller_listen,
+               .m_max_body_bytes = settings.m_max_body_bytes,
+               .m_handler = wire::make_caller_handler(
+                   {.m_config = [&served] { return served->config(); },
+                    .m_call = [&served](cell::caller_call call,
+                                        std::function<void(const cell::caller_answer&)> done)
+                    { served->callers().call(std::move(call), std::move(done)); },
+                    .m_stopping = [&served] { return served->stopping(); }})});
     const http_server readiness(
         loop, {.m_listen = settings.m_cell->m_ready_listen,
                .m_handler = wire::make_ready_handler([&served] { return served->ready(); })});
--- a/src/dragonflygap/node/caller_task.cpp
+++ b/src/dragonflygap/node/caller_task.cpp
@@ -133,23 +133,24 @@
 {
     const auto* open = find(call);
     const cell::row_name row{std::string(cell::ended_table), open->m_call.m_job.m_value};
-    m_options.m_store.m_read(
-        row, m_options.m_store_limit,
-        [this, call](const outcome<cell::stored_row>& found)
-        {
-            if (find(call) == nullptr)
-                return;
-            if (!found)
-                return finish(call, with(call_status::unknown));
-            if (found->m_version == 0)
-                return finish(call, with(call_status::not_here));
-            const auto record = cell::unpack<cell::ended_record>(found->m_value);
-            if (!record)
-                return finish(call, with(call_status::unknown));
-            auto answer = with(call_status::accepted);
-            answer.m_state = name_of(static_cast<cell::job_outcome>(record->m_outcome));
-            finish(call, answer);
-        });
+    m_options.m_store.m_read(row, m_options.m_store_limit,
+                             [this, call](const outcome<cell::stored_row>& found)
+                             {
+                                 if (find(call) == nullptr)
+                                     return;
+                                 if (!found)
+                                     return finish(call, with(call_status::unknown));
+                                 if (found->m_version == 0)
+                                     return finish(call, with(call_status::not_here));
+                                 const auto record =
+                                     cell::unpack<cell::ended_record>(found->m_value);
+                                 if (!record)
+                                     return finish(call, with(call_status::unknown));
+                                 auto answer = with(call_status::accepted);
+                                 answer.m_state =
+                                     name_of(static_cast<cell::job_outcome>(record->m_outcome));
+                                 finish(call, answer);
+                             });
 }
 
 void caller_task::finish(std::uint64_t call, cell::caller_answer answer)
--- a/src/dragonflygap/node/leader_task.cpp
+++ b/src/dragonflygap/node/leader_task.cpp
@@ -24,7 +24,9 @@
 
 leader_task::leader_task(event_loop& loop, metrics& counted, leader_task_options options,
                          const cell::inherited& found)
-    : m_loop(loop), m_counted(counted), m_options(std::move(options)),
+    : m_loop(loop),
+      m_counted(counted),
+      m_options(std::move(options)),
       m_coordinator(m_options.m_coordinator, found, monotonic_clock::now()),
       m_epoch(found.m_self.m_epoch)
 {
@@ -87,14 +89,13 @@
 
 void leader_task::act(const cell::send_renewal& action)
 {
-    m_options.m_workers.m_renew(
-        action.m_worker, m_epoch, action.m_renewal,
-        [this, id = action.m_worker.m_id, sent = action.m_sent,
-         alive = m_alive](outcome<cell::worker_report> result)
-        {
-            if (*alive)
-                feed(cell::renewal_answered{id, sent, std::move(result)});
-        });
+    m_options.m_workers.m_renew(action.m_worker, m_epoch, action.m_renewal,
+                                [this, id = action.m_worker.m_id, sent = action.m_sent,
+                                 alive = m_alive](outcome<cell::worker_report> result)
+                                {
+                                    if (*alive)
+                                        feed(cell::renewal_answered{id, sent, std::move(result)});
+                                });
 }
 
 void leader_task::act(const cell::send_start& action)
@@ -111,14 +112,14 @@
 
 void leader_task::act(const cell::send_stop& action)
 {
-    m_options.m_workers.m_stop(
-        action.m_worker, m_epoch, action.m_task, action.m_run,
-        [this, id = action.m_worker.m_id, task = action.m_task, run = action.m_run,
-         alive = m_alive](outcome<cell::start_result> result)
-        {
-            if (*alive)
-                feed(cell::stop_answered{id, task, run, std::move(result)});
-        });
+    m_options.m_workers.m_stop(action.m_worker, m_epoch, action.m_task, action.m_run,
+                               [this, id = action.m_worker.m_id, task = action.m_task,
+                                run = action.m_run,
+                                alive = m_alive](outcome<cell::start_result> result)
+                               {
+                                   if (*alive)
+                                       feed(cell::stop_answered{id, task, run, std::move(result)});
+                               });
 }
 
 void leader_task::act(const cell::ask_approval& action)
--- a/src/dragonflygap/node/leader_task.hpp
+++ b/src/dragonflygap/node/leader_task.hpp
@@ -34,9 +34,9 @@
     std::function<void(std::string cause)> m_on_deposed;
     duration m_tick = 10ms;
     duration m_heartbeat_every = 150ms;
-    duration m_list_every = 700ms;     ///< A third of the shortest notice of a leaving worker.
+    duration m_list_every = 700ms; ///< A third of the shortest notice of a leaving worker.
     duration m_members_every = 1s;
-    duration m_member_limit = 1200ms;  ///< A member that is silent for longer isn't asked.
+    duration m_member_limit = 1200ms; ///< A member that is silent for longer isn't asked.
     duration m_redial_after = 1500ms;
     duration m_commit_timeout = 1500ms;
 };
--- a/src/dragonflygap/node/node.cpp
+++ b/src/dragonflygap/node/node.cpp
@@ -19,7 +19,9 @@
 } // namespace
 
 node::node(event_loop& loop, metrics& counted, node_options options)
-    : m_loop(loop), m_counted(counted), m_options(std::move(options)),
+    : m_loop(loop),
+      m_counted(counted),
+      m_options(std::move(options)),
       m_election(m_options.m_election, m_options.m_vm, monotonic_clock::now()),
       m_callers(loop, counted,
                 [this]
@@ -41,17 +43,17 @@
 void node::register_member()
 {
     const cell::member_record self{m_options.m_vm, m_options.m_data_centre,
-                                   to_string(m_options.m_peer_address), m_options.m_incarnation};
+                                   to_string(m_options.m_peer_address), m_options.m_incarnation,
+                                   m_options.m_processor_share};
     cell::transaction change;
     change.m_writes.push_back(
         {{std::string(cell::member_table), m_options.m_vm.m_value}, cell::pack(self)});
-    m_options.m_store.m_commit(
-        std::move(change), store_timeout,
-        [this](const outcome<cell::transaction_result>& result)
-        {
-            if (!result)
-                m_loop.defer(register_retry, [this] { register_member(); });
-        });
+    m_options.m_store.m_commit(std::move(change), store_timeout,
+                               [this](const outcome<cell::transaction_result>& result)
+                               {
+                                   if (!result)
+                                       m_loop.defer(register_retry, [this] { register_member(); });
+                               });
 }
 
 void node::watch_config()
@@ -80,10 +82,9 @@
 {
     if (m_config && config.m_version <= m_config->m_version)
         return;
-    log_event(log_level::info, "config_in_force",
-              {{"version", config.m_version},
-               {"queues", config.m_queues.size()},
-               {"source", source}});
+    log_event(
+        log_level::info, "config_in_force",
+        {{"version", config.m_version}, {"queues", config.m_queues.size()}, {"source", source}});
     m_config = std::move(config);
     m_counted.set("dragonflygap_config_version", {"source", source},
                   static_cast<double>(m_config->m_version));
@@ -91,8 +92,8 @@
 
 bool node::ready() const
 {
-    const bool led = m_leader != nullptr ||
-                     monotonic_clock::now() - m_leader_heard < m_options.m_ready_limit;
+    const bool led =
+        m_leader != nullptr || monotonic_clock::now() - m_leader_heard < m_options.m_ready_limit;
     return m_config && !m_stopping && led;
 }
 
@@ -133,16 +134,16 @@
 
 void node::read_row()
 {
-    m_options.m_store.m_scan(
-        std::string(cell::member_table), store_timeout,
-        [this](const outcome<std::vector<cell::stored_row>>& rows)
-        {
-            if (!rows)
-                return;
-            for (const auto& row : *rows)
-                if (const auto member = cell::unpack<cell::member_record>(row.m_value))
-                    m_incarnations[member->m_vm] = member->m_incarnation;
-        });
+    m_options.m_store.m_scan(std::string(cell::member_table), store_timeout,
+                             [this](const outcome<std::vector<cell::stored_row>>& rows)
+                             {
+                                 if (!rows)
+                                     return;
+                                 for (const auto& row : *rows)
+                                     if (const auto member =
+                                             cell::unpack<cell::member_record>(row.m_value))
+                                         m_members[member->m_vm] = *member;
+                             });
     m_options.m_store.m_read(
         {std::string(cell::leader_table), std::string(cell::leader_key)}, store_timeout,
         [this](const outcome<cell::stored_row>& row)
@@ -150,13 +151,23 @@
             const auto now = monotonic_clock::now();
             if (!row)
                 return m_election.read_failed(now);
-            const auto self = m_incarnations.find(m_options.m_vm);
-            const auto rank = std::distance(m_incarnations.begin(), self);
             m_election.row_read(cell::unpack<cell::leader_record>(row->m_value), row->m_version,
-                                static_cast<int>(rank), now);
+                                rank(), now);
         });
 }
 
+// This VM's place among the members: the strongest first, as leading costs processor time.
+int node::rank() const
+{
+    constexpr int last = 8; // the others campaign together; one of them wins
+    int before = 0;
+    for (const auto& [vm, member] : m_members)
+        if (member.m_processor_share > m_options.m_processor_share ||
+            (member.m_processor_share == m_options.m_processor_share && vm < m_options.m_vm))
+            ++before;
+    return std::min(before, last);
+}
+
 void node::campaign()
 {
     const auto& before = m_election.row();
@@ -165,9 +176,9 @@
                {"before", before ? before->m_vm.m_value : ""},
                {"silent_ms", to_ms(monotonic_clock::now() - m_leader_heard)}});
     // A member that has registered anew since is a new process: the old one has ended.
-    const auto seen = before ? m_incarnations.find(before->m_vm) : m_incarnations.end();
-    const bool gone = !before || (seen != m_incarnations.end() &&
-                                  seen->second != before->m_incarnation);
+    const auto seen = before ? m_members.find(before->m_vm) : m_members.end();
+    const bool gone =
+        !before || (seen != m_members.end() && seen->second.m_incarnation != before->m_incarnation);
     take_over({.m_store = m_options.m_store,
                .m_vm = m_options.m_vm,
                .m_incarnation = m_options.m_incarnation,
@@ -195,32 +206,32 @@
     m_leader_epoch = found.m_self.m_epoch;
     m_leader = std::make_unique<leader_task>(
         m_loop, m_counted,
-        leader_task_options{
-            .m_vm = m_options.m_vm,
-            .m_address = to_string(m_options.m_peer_address),
-            .m_coordinator = m_options.m_coordinator,
-            .m_store = m_options.m_store,
-            .m_directory = m_options.m_directory,
-            .m_workers = m_options.m_workers,
-            .m_send = [this](const vm_id& to, const cell::peer_message& message)
-            { send(to, message); },
-            .m_introduce =
-                [this](const vm_id& peer, const std::string& address)
-            {
-                if (const auto parsed = parse_endpoint(address))
-                    m_options.m_peers.m_add(peer, *parsed);
-            },
-            .m_redial = [this](const vm_id& peer) { m_options.m_peers.m_redial(peer); },
-            .m_config_version = [this]() -> std::uint64_t
-            { return m_config ? m_config->m_version : 0; },
-            .m_on_deposed =
-                [this](const std::string& cause)
-            {
-                log_event(log_level::warning, "leader_deposed",
-                          {{"epoch", m_leader_epoch}, {"cause", cause}});
-                m_leader.reset();
-                m_election.campaign_failed(monotonic_clock::now());
-            }},
+        leader_task_options{.m_vm = m_options.m_vm,
+                            .m_address = to_string(m_options.m_peer_address),
+                            .m_coordinator = m_options.m_coordinator,
+                            .m_store = m_options.m_store,
+                            .m_directory = m_options.m_directory,
+                            .m_workers = m_options.m_workers,
+                            .m_send = [this](const vm_id& to, const cell::peer_message& message)
+                            { send(to, message); },
+                            .m_introduce =
+                                [this](const vm_id& peer, const std::string& address)
+                            {
+                                if (const auto parsed = parse_endpoint(address))
+                                    m_options.m_peers.m_add(peer, *parsed);
+                            },
+                            .m_redial = [this](const vm_id& peer)
+                            { m_options.m_peers.m_redial(peer); },
+                            .m_config_version = [this]() -> std::uint64_t
+                            { return m_config ? m_config->m_version : 0; },
+                            .m_on_deposed =
+                                [this](const std::string& cause)
+                            {
+                                log_event(log_level::warning, "leader_deposed",
+                                          {{"epoch", m_leader_epoch}, {"cause", cause}});
+                                m_leader.reset();
+                                m_election.campaign_failed(monotonic_clock::now());
+                            }},
         found);
     m_callers.leader_changed();
 }
@@ -288,8 +299,8 @@
             m_leader.reset();
         m_callers.leader_changed();
     }
-    send(from, cell::member_heartbeat{m_options.m_incarnation,
-                                      m_config ? m_config->m_version : 0, m_stopping});
+    send(from, cell::member_heartbeat{m_options.m_incarnation, m_config ? m_config->m_version : 0,
+                                      m_stopping});
     if (m_config && m_config->m_version > message.m_config_version)
         send(from, cell::config_news{*m_config});
 }
@@ -321,22 +332,22 @@
 
 void node::on(const vm_id& from, const cell::approval_call& message)
 {
-    m_options.m_approvals.m_ask(
-        message.m_step, message.m_workers, std::chrono::milliseconds(message.m_timeout_ms),
-        [this, from, message](outcome<cell::approval> result)
-        {
-            cell::approval_answer answer{.m_epoch = message.m_epoch,
-                                         .m_step = message.m_step,
-                                         .m_workers = message.m_workers,
-                                         .m_given = result.has_value()};
-            if (result)
-                answer.m_approval = std::move(*result);
-            else
-                log_event(log_level::info, "approval_failed",
-                          {{"job", message.m_step.m_job.m_value},
-                           {"detail", result.error().m_detail}});
-            send(from, answer);
-        });
+    m_options.m_approvals.m_ask(message.m_step, message.m_workers,
+                                std::chrono::milliseconds(message.m_timeout_ms),
+                                [this, from, message](outcome<cell::approval> result)
+                                {
+                                    cell::approval_answer answer{.m_epoch = message.m_epoch,
+                                                                 .m_step = message.m_step,
+                                                                 .m_workers = message.m_workers,
+                                                                 .m_given = result.has_value()};
+                                    if (result)
+                                        answer.m_approval = std::move(*result);
+                                    else
+                                        log_event(log_level::info, "approval_failed",
+                                                  {{"job", message.m_step.m_job.m_value},
+                                                   {"detail", result.error().m_detail}});
+                                    send(from, answer);
+                                });
 }
 
 void node::on(const vm_id& from, const cell::approval_answer& message)
--- a/src/dragonflygap/node/node.hpp
+++ b/src/dragonflygap/node/node.hpp
@@ -31,6 +31,7 @@
     vm_id m_vm;
     data_centre_id m_data_centre;
     std::uint64_t m_incarnation = 0;
+    double m_processor_share = 1; ///< Of a core.
     endpoint m_peer_address;
     cell::store_port m_store;
     cell::directory_port m_directory;
@@ -42,12 +43,12 @@
     caller_task_options m_callers; ///< Its hooks are set by the node.
     std::function<void()> m_on_stopped;
     duration m_tick = 50ms;
-    duration m_config_wait = 1500ms;   ///< A silent connection is noticed after it.
+    duration m_config_wait = 1500ms; ///< A silent connection is noticed after it.
     duration m_config_retry = 300ms;
-    duration m_leader_limit = 600ms;   ///< A leader that is silent for longer isn't called.
-    duration m_ready_limit = 1s;       ///< Without a leader for longer, the VM isn't ready.
-    duration m_stop_least = 2500ms;    ///< The balancer needs two checks to notice.
-    duration m_stop_most = 5200ms;     ///< The platform kills a process that takes 6 s.
+    duration m_leader_limit = 600ms; ///< A leader that is silent for longer isn't called.
+    duration m_ready_limit = 1s;     ///< Without a leader for longer, the VM isn't ready.
+    duration m_stop_least = 2500ms;  ///< The balancer needs two checks to notice.
+    duration m_stop_most = 5200ms;   ///< The platform kills a process that takes 6 s.
 };
 
 /// One entry VM: takes callers' calls, follows the leader or leads.
@@ -77,6 +78,7 @@
     void tick();
     void read_row();
     void campaign();
+    int rank() const;
     void lead(const cell::inherited& found);
     bool to_leader(const cell::caller_call& call);
     void send(const vm_id& to, const cell::peer_message& message);
@@ -102,7 +104,7 @@
     std::string m_leader_address;
     std::uint64_t m_leader_epoch = 0;
     instant m_leader_heard{};
-    std::map<vm_id, std::uint64_t> m_incarnations; ///< Of the members, as last read.
+    std::map<vm_id, cell::member_record> m_members; ///< As last read.
     bool m_stopping = false;
     instant m_stop_since{};
     std::vector<event_loop::timer_ptr> m_timers;
--- a/src/dragonflygap/node/takeover.cpp
+++ b/src/dragonflygap/node/takeover.cpp
@@ -44,9 +44,10 @@
 
 void read_rows(const taking_over_ptr& state)
 {
-    scan(state, cell::job_table, [state](std::vector<cell::stored_row> rows)
-         { state->m_found.m_jobs = std::move(rows); });
-    scan(state, cell::progress_table, [state](std::vector<cell::stored_row> rows)
+    scan(state, cell::job_table,
+         [state](std::vector<cell::stored_row> rows) { state->m_found.m_jobs = std::move(rows); });
+    scan(state, cell::progress_table,
+         [state](std::vector<cell::stored_row> rows)
          { state->m_found.m_progress = std::move(rows); });
     scan(state, cell::workers_table,
          [state](const std::vector<cell::stored_row>& rows)
--- a/tests/node/node_property_test.cpp
+++ b/tests/node/node_property_test.cpp
@@ -93,45 +93,45 @@
 
 } // namespace
 
-TEST_GROUP(node_property) {};
+TEST_GROUP(node_property){};
 
 // Whatever happens, no task runs twice at a time or after its end was stored, no worker is
 // overcommitted, steps keep their order, rejected jobs don't run, and accepted ones end done.
 TEST(node_property, promises_hold_whatever_happens)
 {
-    const bool held = rc::check(
-        "promises_hold_whatever_happens",
-        []
-        {
-            cell_world world({.m_seed = *rc::gen::arbitrary<unsigned>()});
-            world.run(3s);
-            int crashes = 0;
-            const int turns = *rc::gen::inRange(1, 12);
-            int jobs = 0;
-            for (int turn = 0; turn < turns; ++turn)
-            {
-                const int coming = *rc::gen::inRange(1, 8);
-                for (int i = 0; i < coming; ++i)
-                {
-                    std::vector<task_nature> steps{some_nature()};
-                    if (*rc::gen::arbitrary<bool>())
-                    {
-                        steps.push_back(some_nature());
-                        steps.back().m_after = {0};
-                    }
-                    world.submit(some_vm(), job_name(++jobs), steps);
-                }
-                world.run(std::chrono::milliseconds(*rc::gen::inRange(1, 2000)));
-                disturb(world, crashes);
-                if (*rc::gen::inRange(0, 3) == 0)
-                    world.heal();
-            }
-            calm(world);
-            for (const auto& text : world.m_referee.m_violations)
-                RC_FAIL(text);
-            for (const auto& task : world.accepted_not_done())
-                RC_FAIL("accepted and not done: " + task + ", its job is " +
-                        world.state("vm0", task.substr(0, 16)));
-        });
+    const bool held =
+        rc::check("promises_hold_whatever_happens",
+                  []
+                  {
+                      cell_world world({.m_seed = *rc::gen::arbitrary<unsigned>()});
+                      world.run(3s);
+                      int crashes = 0;
+                      const int turns = *rc::gen::inRange(1, 12);
+                      int jobs = 0;
+                      for (int turn = 0; turn < turns; ++turn)
+                      {
+                          const int coming = *rc::gen::inRange(1, 8);
+                          for (int i = 0; i < coming; ++i)
+                          {
+                              std::vector<task_nature> steps{some_nature()};
+                              if (*rc::gen::arbitrary<bool>())
+                              {
+                                  steps.push_back(some_nature());
+                                  steps.back().m_after = {0};
+                              }
+                              world.submit(some_vm(), job_name(++jobs), steps);
+                          }
+                          world.run(std::chrono::milliseconds(*rc::gen::inRange(1, 2000)));
+                          disturb(world, crashes);
+                          if (*rc::gen::inRange(0, 3) == 0)
+                              world.heal();
+                      }
+                      calm(world);
+                      for (const auto& text : world.m_referee.m_violations)
+                          RC_FAIL(text);
+                      for (const auto& task : world.accepted_not_done())
+                          RC_FAIL("accepted and not done: " + task + ", its job is " +
+                                  world.state("vm0", task.substr(0, 16)));
+                  });
     CHECK_TRUE(held);
 }
--- a/tests/node/node_test.cpp
+++ b/tests/node/node_test.cpp
@@ -24,7 +24,7 @@
 
 } // namespace
 
-TEST_GROUP(node) {};
+TEST_GROUP(node){};
 
 TEST(node, a_job_runs_from_its_submission_to_its_end)
 {
--- a/tests/node/support/cell_world.cpp
+++ b/tests/node/support/cell_world.cpp
@@ -53,7 +53,8 @@
 } // namespace
 
 cell_world::cell_world(world_options options)
-    : m_options(options), m_random(options.m_seed),
+    : m_options(options),
+      m_random(options.m_seed),
       m_store(m_random,
               [this](duration delay, std::function<void()> work) { later(delay, std::move(work)); })
 {
@@ -133,9 +134,10 @@
 
 std::string cell_world::queue_config(int version) const
 {
-    json route{{"name", "q"},         {"host", "mill.example"}, {"path_prefix", "/q/"},
-               {"service", "looms"},  {"priority", 1},          {"max_attempts", 2},
-               {"stretch", 2.0},      {"target_latency_ms", 1000}};
+    json route{{"name", "q"},          {"host", "mill.example"},
+               {"path_prefix", "/q/"}, {"service", "looms"},
+               {"priority", 1},        {"max_attempts", 2},
+               {"stretch", 2.0},       {"target_latency_ms", 1000}};
     if (m_options.m_approvals)
         route["advice"] = {{"decision_ms", 10.0}, {"period_ms", 0.1}, {"validity_ms", 2000}};
     return json{{"version", version}, {"routes", {route}}, {"services", json::array()}}.dump();
@@ -152,8 +154,7 @@
     constexpr duration interval = 500ms;
     for (std::size_t i = 0; i < m_workers.size(); ++i)
     {
-        const auto address =
-            address_of(static_cast<int>(i)) + ":" + std::to_string(worker_port);
+        const auto address = address_of(static_cast<int>(i)) + ":" + std::to_string(worker_port);
         if (m_workers[i]->m_faults.m_dark)
             m_store.drop("servers", m_workers[i]->id());
         else
@@ -189,9 +190,13 @@
                                if (const auto done = std::exchange(*open, nullptr))
                                    done(fail(verdict::may_have_run, reason::target_silent, ""));
                            });
-        later(way, [this, vm, to, request = std::move(request), finish]
-              { route(vm, to, request, [this, finish](http_response response)
-                      { later(way, [finish, response] { finish(response); }); }); });
+        later(way,
+              [this, vm, to, request = std::move(request), finish]
+              {
+                  route(vm, to, request,
+                        [this, finish](http_response response)
+                        { later(way, [finish, response] { finish(response); }); });
+              });
         return call;
     };
     transport.m_cancel = [](http_transport::call_id) {};
@@ -227,8 +232,7 @@
         if ((std::hash<std::string>()(step) + std::stoull(name.get<std::string>().substr(1))) % 4 !=
             0)
             approved.push_back({name, "ticket"});
-    auto response =
-        json_response(200, json{{"approved", approved}, {"validity_ms", 2000}}.dump());
+    auto response = json_response(200, json{{"approved", approved}, {"validity_ms", 2000}}.dump());
     later(decision, [done, response = std::move(response)] { done(response); });
 }
 
@@ -259,31 +263,31 @@
                                .m_workers = wire::make_workers(made.m_transport),
                                .m_approvals =
                                    wire::make_approvals(made.m_transport, approval_address)};
-    options.m_peers = {
-        .m_add = [](const vm_id&, const endpoint&) {},
-        .m_send =
-            [this, vm](const vm_id& peer, std::string_view bytes)
-        {
-            if (m_boxes.count(peer.m_value) == 0)
-                return false;
-            if (!is_cut(vm, peer.m_value))
-                later(way,
-                      [this, peer, text = std::string(bytes)]
-                      {
-                          const auto found = m_boxes.find(peer.m_value);
-                          if (found != m_boxes.end())
-                              found->second->m_loop.post([node = found->second->m_node.get(), text]
-                                                         { node->received(text); });
-                      });
-            return true;
-        },
-        .m_redial = [](const vm_id&) {}};
+    options.m_peers = {.m_add = [](const vm_id&, const endpoint&) {},
+                       .m_send =
+                           [this, vm](const vm_id& peer, std::string_view bytes)
+                       {
+                           if (m_boxes.count(peer.m_value) == 0)
+                               return false;
+                           if (!is_cut(vm, peer.m_value))
+                               later(way,
+                                     [this, peer, text = std::string(bytes)]
+                                     {
+                                         const auto found = m_boxes.find(peer.m_value);
+                                         if (found != m_boxes.end())
+                                             found->second->m_loop.post(
+                                                 [node = found->second->m_node.get(), text]
+                                                 { node->received(text); });
+                                     });
+                           return true;
+                       },
+                       .m_redial = [](const vm_id&) {}};
     options.m_on_stopped = [this, vm] { later({}, [this, vm] { kill(vm); }); };
     made.m_node = std::make_unique<node::node>(made.m_loop, made.m_counted, std::move(options));
     made.m_handler = wire::make_caller_handler(
         {.m_config = [&made] { return made.m_node->config(); },
-         .m_call = [&made](cell::caller_call call,
-                           std::function<void(const cell::caller_answer&)> done)
+         .m_call =
+             [&made](cell::caller_call call, std::function<void(const cell::caller_answer&)> done)
          { made.m_node->callers().call(std::move(call), std::move(done)); },
          .m_stopping = [&made] { return made.m_node->stopping(); }});
 }
@@ -407,9 +411,8 @@
     send(vm, {.m_path = "/q/" + job},
          [&text](const http_response& response)
          {
-             text = response.m_status == 200
-                        ? json::parse(response.m_body).value("state", "")
-                        : std::to_string(response.m_status);
+             text = response.m_status == 200 ? json::parse(response.m_body).value("state", "")
+                                             : std::to_string(response.m_status);
          });
     run(2s);
     return text;
@@ -455,8 +458,7 @@
         for (std::size_t s = 0; s < steps.size() && seen.m_accepted; ++s)
             for (int i = 0; i < steps[s].m_gang_size; ++i)
             {
-                const auto task =
-                    wire::task_name({job_id(job), 0, static_cast<int>(s), i});
+                const auto task = wire::task_name({job_id(job), 0, static_cast<int>(s), i});
                 if (m_referee.m_done.count(task) == 0)
                     result.push_back(task);
             }
--- a/tests/node/support/stand_in_store.cpp
+++ b/tests/node/support/stand_in_store.cpp
@@ -59,8 +59,9 @@
 
 void store::handle(const http_request& request, reply done)
 {
-    auto answer = [this, done](http_response response)
-    { m_later(m_faults.m_answer_time, [done, response = std::move(response)] { done(response); }); };
+    auto answer = [this, done](http_response response) {
+        m_later(m_faults.m_answer_time, [done, response = std::move(response)] { done(response); });
+    };
     if (m_faults.m_down)
         return answer(json_response(503, "{}"));
     if (request.m_path != "/rows-tx")
@@ -140,8 +141,7 @@
             rows.push_back(encode(name, &row));
     const auto wait = std::chrono::milliseconds(std::stoll(decoded(request, "wait_ms")));
     if (!rows.empty() || waited >= wait)
-        return done(
-            json_response(200, json{{"rows", rows}, {"schema_version", m_version}}.dump()));
+        return done(json_response(200, json{{"rows", rows}, {"schema_version", m_version}}.dump()));
     m_later(step, [this, request, waited, done, step] { feed(request, waited + step, done); });
 }
 
--- a/tests/node/support/stand_in_store.hpp
+++ b/tests/node/support/stand_in_store.hpp
@@ -19,9 +19,9 @@
 /// What goes wrong at the store.
 struct store_faults
 {
-    bool m_down = false;          ///< Answers 503; nothing is done.
-    double m_lost = 0;            ///< Share of the writes whose answer is lost.
-    double m_late = 0;            ///< Share of the writes that are carried out seconds later.
+    bool m_down = false; ///< Answers 503; nothing is done.
+    double m_lost = 0;   ///< Share of the writes whose answer is lost.
+    double m_late = 0;   ///< Share of the writes that are carried out seconds later.
     duration m_answer_time = 4ms;
 };
 
--- a/tests/node/support/stand_in_worker.cpp
+++ b/tests/node/support/stand_in_worker.cpp
@@ -63,7 +63,10 @@
 }
 
 worker::worker(std::string id, std::mt19937_64& random, referee& watch, later run_later)
-    : m_id(std::move(id)), m_random(random), m_watch(watch), m_later(std::move(run_later)),
+    : m_id(std::move(id)),
+      m_random(random),
+      m_watch(watch),
+      m_later(std::move(run_later)),
       m_started(watch.m_now_ms())
 {
 }
@@ -74,8 +77,7 @@
                 {"address", address},
                 {"zone", "a"},
                 {"state", m_draining ? "draining" : "ready"},
-                {"capacity",
-                 {{"cpu", m_cpu}, {"requested_memory_mb", m_memory_mb}, {"gpu", 0}}},
+                {"capacity", {{"cpu", m_cpu}, {"requested_memory_mb", m_memory_mb}, {"gpu", 0}}},
                 {"labels", {"a", "r1"}}}
         .dump();
 }
@@ -108,7 +110,8 @@
     if (by_chance(m_random, m_faults.m_unanswered))
     {
         const duration delay = std::chrono::milliseconds(2000 + m_random() % 10000);
-        return m_later(delay, [this, request, life = m_life]
+        return m_later(delay,
+                       [this, request, life = m_life]
                        {
                            if (life == m_life)
                                act(request);
@@ -267,8 +270,8 @@
     json ended = json::array();
     for (const auto& end : m_ends)
         ended.push_back({end.m_number, end.m_task, end.m_run, end.m_how, ""});
-    return json{{"clock_ms", clock()}, {"born", m_started + 1}, {"running", running},
-                {"finished", ended}}
+    return json{
+        {"clock_ms", clock()}, {"born", m_started + 1}, {"running", running}, {"finished", ended}}
         .dump();
 }
 
@@ -282,8 +285,8 @@
         return done(checked);
     const auto body = json::parse(request.m_body);
     if (body.contains("deadline_ms"))
-        m_lease = std::max(m_lease, std::min(body["deadline_ms"].get<std::int64_t>(),
-                                             clock() + longest_lease_ms));
+        m_lease = std::max(
+            m_lease, std::min(body["deadline_ms"].get<std::int64_t>(), clock() + longest_lease_ms));
     const auto seen = body.value("last_seen", std::uint64_t{0});
     for (const auto& end : m_ends)
         if (end.m_number <= seen && end.m_how == "done")
--- a/tests/node/support/stand_in_worker.hpp
+++ b/tests/node/support/stand_in_worker.hpp
@@ -62,8 +62,8 @@
 
 struct worker_faults
 {
-    bool m_dark = false;       ///< Neither receives nor answers.
-    double m_unanswered = 0;   ///< Share of the orders that are carried out late, without an answer.
+    bool m_dark = false;     ///< Neither receives nor answers.
+    double m_unanswered = 0; ///< Share of the orders that are carried out late, without an answer.
     bool m_fails_all = false;
 };
 
