Show jobs and workers to operators, explain a job from logs, bound the log

Cause: a VM of a cell answered operators with one status and nothing of its jobs; several VMs' logs had to be joined by hand; a reader that doesn't read would have blocked the loop.

--- a/src/dragonflygap/cell/coordinator.cpp
+++ b/src/dragonflygap/cell/coordinator.cpp
@@ -245,6 +245,12 @@
     return found == m_jobs.end() ? nullptr : found->second.get();
 }
 
+void coordinator::each_job(const std::function<void(const job_state&)>& visit) const
+{
+    for (const auto& [id, job] : m_jobs)
+        visit(*job);
+}
+
 void coordinator::answer(job_state& job, call_status status)
 {
     const auto calls = m_calls.find(job.id());
--- a/src/dragonflygap/cell/coordinator.hpp
+++ b/src/dragonflygap/cell/coordinator.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <memory>
 #include <optional>
@@ -69,6 +70,7 @@
     std::size_t ready_steps() const { return m_ready.size(); }
     const std::map<worker_id, worker_state>& workers() const { return m_workers; }
     const job_state* find_job(const job_id& job) const;
+    void each_job(const std::function<void(const job_state&)>& visit) const;
 
 private:
     using actions = std::vector<action>;
--- a/src/dragonflygap/cli/commands.cpp
+++ b/src/dragonflygap/cli/commands.cpp
@@ -8,6 +8,7 @@
 #include <nlohmann/json.hpp>
 
 #include "dragonflygap/cli/config_commands.hpp"
+#include "dragonflygap/cli/log_commands.hpp"
 #include "dragonflygap/cli/server_call.hpp"
 #include "dragonflygap/cli/table.hpp"
 
@@ -33,12 +34,15 @@
                          with --wait only ends when every live entry VM has it
   config history         the latest versions
   drain                  take the entry VM out of service
+  logs explain ID [FILE...]
+                         the decisions about one job, from the logs of several entry VMs
   schema NAME            JSON Schema of settings, config or job
 
 Examples:
   dragonflygap --server 127.0.0.1:8081 status
   dragonflygap submit examples/service.json
   dragonflygap --json jobs
+  cat entry-*.log | dragonflygap logs explain 5c0e7a21d94b36f8
   dragonflygap config apply cell.json --base 12 --wait
 
 Exit codes: 0 done, 1 refused, 2 wrong use or a faulty file, 3 no answer, 4 another operator was
@@ -122,6 +126,8 @@
     command{"submit", 1, submit},
     command{"cancel", 1, cancel},
     command{"config", 1, config_command},
+    command{"logs", 2,
+            [](const command_options&, words_span words) { return logs_command(words); }},
     command{"drain", 0, [](const auto& options, words_span) { return drain(options); }},
     command{"schema", 1, show_schema},
 };
--- /dev/null
+++ b/src/dragonflygap/cli/log_commands.cpp
@@ -0,0 +1,82 @@
+#include "dragonflygap/cli/log_commands.hpp"
+
+#include <algorithm>
+#include <fstream>
+#include <iostream>
+#include <sstream>
+#include <utility>
+
+#include "dragonflygap/cli/commands.hpp"
+
+namespace dragonflygap::cli
+{
+
+namespace
+{
+
+/// Value of a key in a line of key=value pairs; empty if it isn't there.
+std::string value_of(const std::string& line, const std::string& key)
+{
+    const auto mark = key + "=";
+    auto at = line.find(mark);
+    while (at != std::string::npos && at > 0 && line[at - 1] != ' ')
+        at = line.find(mark, at + 1);
+    if (at == std::string::npos)
+        return {};
+    const auto start = at + mark.size();
+    return line.substr(start, line.find(' ', start) - start);
+}
+
+bool speaks_of(const std::string& line, const std::string& id)
+{
+    return value_of(line, "job") == id || value_of(line, "task").starts_with(id + ".");
+}
+
+} // namespace
+
+std::vector<std::string> explain_lines(std::istream& logs, const std::string& id)
+{
+    std::vector<std::pair<std::string, std::string>> found;
+    for (std::string line; std::getline(logs, line);)
+        if (speaks_of(line, id))
+            found.emplace_back(value_of(line, "time"), line);
+    std::stable_sort(found.begin(), found.end(),
+                     [](const auto& left, const auto& right) { return left.first < right.first; });
+    std::vector<std::string> result;
+    for (auto& [time, line] : found)
+        result.push_back(std::move(line));
+    return result;
+}
+
+int logs_command(std::span<const std::string> words)
+{
+    if (words.size() < 3 || words[1] != "explain")
+    {
+        std::cerr << "dragonflygap: logs explain ID [FILE...]; see --help\n";
+        return exit_usage;
+    }
+    std::stringstream text;
+    if (words.size() == 3)
+        text << std::cin.rdbuf();
+    for (const auto& path : words.subspan(3))
+    {
+        std::ifstream file(path);
+        if (!file)
+        {
+            std::cerr << "dragonflygap: can't read " << path << "\n";
+            return exit_usage;
+        }
+        text << file.rdbuf();
+    }
+    const auto lines = explain_lines(text, words[2]);
+    if (lines.empty())
+    {
+        std::cerr << "dragonflygap: no line speaks of " << words[2] << "\n";
+        return exit_failed;
+    }
+    for (const auto& line : lines)
+        std::cout << line << "\n";
+    return exit_ok;
+}
+
+} // namespace dragonflygap::cli
--- a/src/dragonflygap/daemon/cell_daemon.cpp
+++ b/src/dragonflygap/daemon/cell_daemon.cpp
@@ -5,14 +5,13 @@
 #include <memory>
 #include <utility>
 
-#include <nlohmann/json.hpp>
-
 #include "dragonflygap/net/event_loop.hpp"
 #include "dragonflygap/net/http_client.hpp"
 #include "dragonflygap/net/http_server.hpp"
 #include "dragonflygap/net/peer_link.hpp"
 #include "dragonflygap/net/transport.hpp"
 #include "dragonflygap/node/node.hpp"
+#include "dragonflygap/node/operator_view.hpp"
 #include "dragonflygap/observe/log.hpp"
 #include "dragonflygap/observe/metrics.hpp"
 #include "platform/caller_server.hpp"
@@ -65,22 +64,6 @@
     return options;
 }
 
-std::string status_text(const node::node& served)
-{
-    nlohmann::json status{{"ready", served.ready()},
-                          {"leader", served.leader().value_or(vm_id{}).m_value}};
-    if (const auto* config = served.config())
-        status["config_version"] = config->m_version;
-    if (const auto* leader = served.leading())
-    {
-        status["epoch"] = leader->state().record().m_epoch;
-        status["jobs"] = leader->state().live_jobs();
-        status["steps_waiting"] = leader->state().ready_steps();
-        status["workers"] = leader->state().workers().size();
-    }
-    return status.dump();
-}
-
 } // namespace
 
 int run_cell_daemon(const config::settings& settings)
@@ -117,17 +100,9 @@
     const http_server readiness(
         loop, {.m_listen = settings.m_cell->m_ready_listen,
                .m_handler = wire::make_ready_handler([&served] { return served->ready(); })});
-    const http_server operators(
-        loop, {.m_listen = settings.m_operator_listen,
-               .m_handler = [&served, &counted](const http_request& request,
-                                                const http_exchange_ptr& exchange)
-               {
-                   if (request.m_path == "/metrics")
-                       exchange->reply({.m_headers = {{"Content-Type", "text/plain"}},
-                                        .m_body = counted.text()});
-                   else
-                       exchange->reply(json_response(200, status_text(*served)));
-               }});
+    const http_server operators(loop, {.m_listen = settings.m_operator_listen,
+                                       .m_handler = node::make_operator_handler(
+                                           [&served] { return served.get(); }, counted)});
     const auto on_terminate = loop.on_signal(SIGTERM, [&served] { served->stop(); });
     const auto on_interrupt = loop.on_signal(SIGINT, [&served] { served->stop(); });
     const auto on_hangup =
--- a/src/dragonflygap/node/node.hpp
+++ b/src/dragonflygap/node/node.hpp
@@ -62,6 +62,7 @@
 
     /// The configuration in force here; nullptr before the first one.
     const cell::cell_config* config() const { return m_config ? &*m_config : nullptr; }
+    const vm_id& vm() const { return m_options.m_vm; }
     bool ready() const;
     bool stopping() const { return m_stopping; }
     caller_task& callers() { return m_callers; }
--- a/src/dragonflygap/observe/log.cpp
+++ b/src/dragonflygap/observe/log.cpp
@@ -1,9 +1,15 @@
 #include "dragonflygap/observe/log.hpp"
 
 #include <atomic>
+#include <mutex>
+
+#include <poll.h>
+#include <unistd.h>
 
 #include <easylogging++.h>
 
+#include "dragonflygap/observe/log_limiter.hpp"
+
 INITIALIZE_EASYLOGGINGPP
 
 namespace dragonflygap
@@ -20,6 +26,36 @@
     return name;
 }
 
+std::mutex limiter_mutex;
+log_limiter limiter;
+std::atomic<std::uint64_t> dropped_lines{0};
+
+// A pipe whose reader doesn't read is full; a line must not wait for it.
+bool output_takes_a_line()
+{
+    pollfd output{.fd = STDOUT_FILENO, .events = POLLOUT, .revents = 0};
+    return poll(&output, 1, 0) == 1 && (output.revents & POLLOUT) != 0;
+}
+
+/// True if a line may be written; tells how many were left out before it.
+bool admit_line(std::optional<std::uint64_t>& left_out)
+{
+    const std::lock_guard lock(limiter_mutex);
+    if (!limiter.admit(monotonic_clock::now()))
+    {
+        ++dropped_lines;
+        return false;
+    }
+    if (!output_takes_a_line())
+    {
+        limiter.lost();
+        ++dropped_lines;
+        return false;
+    }
+    left_out = limiter.take_dropped();
+    return true;
+}
+
 bool needs_quotes(std::string_view value)
 {
     return value.empty() || value.find_first_of(" \t\r\n\"=") != std::string_view::npos;
@@ -89,6 +125,11 @@
 
 void log_line(log_level level, std::string_view event, std::string_view fields)
 {
+    std::optional<std::uint64_t> left_out;
+    if (!admit_line(left_out))
+        return;
+    if (left_out)
+        LOG(WARNING) << "vm=" << vm_name() << " event=log_lines_dropped lines=" << *left_out;
     std::string line = "vm=" + vm_name() + " event=";
     line += event;
     line += fields;
@@ -107,6 +148,11 @@
     }
 }
 
+std::uint64_t dropped_log_lines()
+{
+    return dropped_lines;
+}
+
 log_level log_level_from_string(std::string_view name)
 {
     if (name == "debug")
--- a/src/dragonflygap/observe/log.hpp
+++ b/src/dragonflygap/observe/log.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstdint>
 #include <initializer_list>
 #include <string>
 #include <string_view>
@@ -45,6 +46,9 @@
 /// Writes one line whatever the least level, its fields made by format_fields.
 void log_line(log_level level, std::string_view event, std::string_view fields);
 
+/// Lines left out so far: beyond the bound a second, or because nobody read the output.
+std::uint64_t dropped_log_lines();
+
 /// Text of the pairs; values with blanks, quotes or nothing in them are quoted.
 std::string format_fields(std::initializer_list<log_field> fields);
 
