Move tasks that stand still; number the approvals asked for

Cause: on executors that hang, tasks never ended and their jobs waited for good; a lapsed wait for an approval was taken for the answer to the next one asked for the same step. Change: a task without progress over 2.5 s of reports is stopped and starts elsewhere; asks have numbers of their own.

--- a/src/dragonflygap/cell/coordinator.cpp
+++ b/src/dragonflygap/cell/coordinator.cpp
@@ -103,6 +103,7 @@
     for (auto& [id, worker] : m_workers)
         if (!worker.m_placements.empty() && m_now >= worker.m_lease_until)
             lose(worker, "lease_over");
+    stop_stuck();
     place_all();
     send_stops();
     build_commit();
@@ -133,7 +134,7 @@
                   {{"job", event.m_job.m_value},
                    {"cause", away ? "store_away" : "queue_full"},
                    {"steps_waiting", m_ready.size()},
-                   {"store_age_ms", to_ms(m_now - m_chain.last_success())}});
+                   {"store_age_ms", to_ms(store_age())}});
         m_out->push_back(answer_call{event.m_call, call_status::rejected, wait});
         return;
     }
--- a/src/dragonflygap/cell/coordinator.hpp
+++ b/src/dragonflygap/cell/coordinator.hpp
@@ -136,6 +136,7 @@
     bool sent(const job_id& job) const;
     void expire_calls();
     bool store_is_away() const;
+    duration store_age() const; ///< Since the store last answered, or the take-over.
 
     // coordinator_workers.cpp: leases, reports, losses
     void renew_workers();
@@ -152,6 +153,7 @@
     void lose(worker_state& worker, std::string_view cause);
     void want_stop(worker_state& worker, placement& placed);
     void send_stops();
+    void stop_stuck();
     void stop_gang(job_state& job, const step_key& step, std::uint64_t run);
     void stop_task(job_state& job, const task_key& key);
     void stop_all(job_state& job);
@@ -210,6 +212,7 @@
     std::vector<worker_state*> m_by_room;      ///< Of one pass.
     std::set<worker_id> m_closed;              ///< Workers kept for gangs in one pass.
     instant m_last_trim{};
+    instant m_last_stuck_check{};
 };
 
 } // namespace dragonflygap::cell
--- a/src/dragonflygap/cell/coordinator_commits.cpp
+++ b/src/dragonflygap/cell/coordinator_commits.cpp
@@ -28,7 +28,12 @@
 bool coordinator::store_is_away() const
 {
     // Without changes the leader's row is still rewritten, several times in this time.
-    return m_now - std::max(m_chain.last_success(), m_taken_over) > m_options.m_store_silence;
+    return store_age() > m_options.m_store_silence;
+}
+
+duration coordinator::store_age() const
+{
+    return m_now - std::max(m_chain.last_success(), m_taken_over);
 }
 
 // Adds one job's changes; false if the transaction has no room for them.
@@ -178,10 +183,9 @@
     for (job_state* job : rejected)
     {
         const auto id = job->id();
-        log_event(log_level::info, "job_rejected",
-                  {{"job", id.m_value},
-                   {"cause", "store_away"},
-                   {"store_age_ms", to_ms(m_now - m_chain.last_success())}});
+        log_event(
+            log_level::info, "job_rejected",
+            {{"job", id.m_value}, {"cause", "store_away"}, {"store_age_ms", to_ms(store_age())}});
         answer(*job, call_status::rejected);
         end_job(*job, job_outcome::cancelled);
         m_dirty.erase(id);
--- a/src/dragonflygap/cell/coordinator_workers.cpp
+++ b/src/dragonflygap/cell/coordinator_workers.cpp
@@ -196,7 +196,8 @@
         placement placed{.m_run = running.m_run,
                          .m_size = worker.m_info.m_capacity,
                          .m_phase = placement_phase::running,
-                         .m_started = m_now};
+                         .m_started = m_now,
+                         .m_percent_since = m_now};
         const bool expected =
             task != nullptr && !job->m_outcome && task->m_status == task_status::waiting;
         if (task != nullptr)
@@ -436,6 +437,41 @@
         want_stop(worker->second, placed->second);
 }
 
+// Load pattern: on some workers everything stands still while they answer as ever. A task whose
+// progress doesn't rise over several reports is stopped, with what it saved, and starts elsewhere.
+void coordinator::stop_stuck()
+{
+    constexpr duration check_every = 500ms;
+    constexpr duration avoid = 5s; // such troubles last seconds
+    if (m_now - m_last_stuck_check < check_every)
+        return;
+    m_last_stuck_check = m_now;
+    const auto& options = m_options.m_workers;
+    for (auto& [id, worker] : m_workers)
+        for (auto& [key, placed] : worker.m_placements)
+        {
+            job_state* job = find(key.m_job);
+            if (job == nullptr || placed.m_stop_wanted ||
+                placed.m_phase != placement_phase::running)
+                continue;
+            const auto& spec = job->spec(key.m_step);
+            const auto patience = std::max<duration>(
+                options.m_stuck_after,
+                std::chrono::milliseconds(static_cast<std::int64_t>(
+                    options.m_stuck_share * static_cast<double>(spec.m_expected_ms))));
+            if (spec.m_lasting || spec.m_filler ||
+                worker.m_last_answer - placed.m_percent_since < patience)
+                continue;
+            log_event(log_level::info, "task_stuck",
+                      {{"task", text_of(key)},
+                       {"worker", id.m_value},
+                       {"percent", placed.m_percent},
+                       {"unchanged_ms", to_ms(worker.m_last_answer - placed.m_percent_since)}});
+            want_stop(worker, placed);
+            worker.m_avoid_until = std::max(worker.m_avoid_until, m_now + avoid);
+        }
+}
+
 void coordinator::stop_gang(job_state& job, const step_key& key, std::uint64_t run)
 {
     auto& step = job.step(key.m_occurrence, key.m_step);
--- a/src/dragonflygap/cell/worker_state.hpp
+++ b/src/dragonflygap/cell/worker_state.hpp
@@ -36,6 +36,9 @@
 
 struct worker_options
 {
+    duration m_stuck_after = 2500ms;  ///< Without progress for longer a task stands still; reports
+                                      ///< come every 2 s at the least.
+    double m_stuck_share = 0.05;      ///< Of its estimated run time, for tasks of minutes.
     duration m_lease = 6s;            ///< Asked for at each renewal; the platform bounds it.
     duration m_order_window = 1500ms; ///< How long after its sending a start may take effect.
     duration m_clock_slack = 300ms;   ///< For clocks that run 2% slow and for the way.
--- a/src/dragonflygap/node/leader_task.cpp
+++ b/src/dragonflygap/node/leader_task.cpp
@@ -125,7 +125,8 @@
 void leader_task::act(const cell::ask_approval& action)
 {
     constexpr duration margin = 600ms; // beyond what the service should take
-    const auto number = ++m_asks[action.m_step];
+    const auto number = ++m_last_ask;
+    m_asks[action.m_step] = number;
     m_options.m_send(action.m_through,
                      cell::approval_call{.m_epoch = m_epoch,
                                          .m_step = action.m_step,
--- a/src/dragonflygap/node/leader_task.hpp
+++ b/src/dragonflygap/node/leader_task.hpp
@@ -97,6 +97,7 @@
     std::vector<vm_id> m_helpers;
     std::map<std::uint64_t, origin> m_origins;
     std::map<cell::step_key, std::uint64_t> m_asks; ///< Approvals asked for and not answered.
+    std::uint64_t m_last_ask = 0;
     std::uint64_t m_last_call = 0;
     bool m_listing = false;
     bool m_ended = false;
--- a/tests/node/node_property_test.cpp
+++ b/tests/node/node_property_test.cpp
@@ -34,7 +34,7 @@
 void disturb(cell_world& world, int& crashes)
 {
     const auto vm = some_vm();
-    switch (*rc::gen::inRange(0, 10))
+    switch (*rc::gen::inRange(0, 11))
     {
     case 0:
         world.kill(vm);
@@ -73,6 +73,9 @@
     case 8:
         world.rows().m_faults.m_lost = world.rows().m_faults.m_lost > 0 ? 0 : 0.3;
         break;
+    case 9:
+        world.at(*rc::gen::inRange(0, 4)).m_faults.m_hangs = true;
+        break;
     default:
         world.at(*rc::gen::inRange(0, 4)).m_faults.m_unanswered = 0.1;
         break;
--- a/tests/node/node_test.cpp
+++ b/tests/node/node_test.cpp
@@ -140,6 +140,18 @@
     check_fair(world);
 }
 
+TEST(node, tasks_that_stand_still_are_moved_to_other_workers)
+{
+    cell_world world({});
+    world.run(3s);
+    world.at(0).m_faults.m_hangs = true;
+    for (int i = 0; i < 12; ++i)
+        world.submit("vm0", job_name(i), {{.m_cpu = 5000, .m_run_time = 1s}});
+    world.run(12s);
+    LONGS_EQUAL(12, world.completed());
+    check_fair(world);
+}
+
 TEST(node, a_worker_that_nobody_reaches_ends_its_tasks_before_others_run_them)
 {
     cell_world world({});
--- a/tests/node/support/stand_in_worker.cpp
+++ b/tests/node/support/stand_in_worker.cpp
@@ -160,7 +160,7 @@
         return refused(clock(), "late");
     m_watch.started(m_id, task, number);
     m_lease = std::max(m_lease, std::min(deadline, clock() + longest_lease_ms));
-    m_running[task] = {number, nature->m_gang ? 0 : clock() + to_ms(nature->m_run_time)};
+    m_running[task] = {number, clock(), m_faults.m_hangs ? 0 : to_ms(nature->m_run_time)};
     std::int64_t cpu = 0;
     std::int64_t memory = 0;
     for (const auto& [name, run] : m_running)
@@ -176,9 +176,9 @@
         m_watch.violation("capacity of " + m_id + ": " + std::to_string(cpu));
     const bool fails = m_faults.m_fails_all || nature->m_always_fails;
     const std::string how = fails ? "failed" : "done";
-    if (nature->m_gang)
+    if (nature->m_gang && !m_faults.m_hangs)
         join_gang(task, number, *nature, how);
-    else
+    if (!nature->m_gang && !m_faults.m_hangs)
         m_later(nature->m_run_time, [this, task, number, how, life = m_life]
                 { end_if_running(task, number, life, how); });
     m_later(std::chrono::milliseconds(m_lease - clock()),
@@ -266,7 +266,13 @@
 {
     json running = json::array();
     for (const auto& [task, run] : m_running)
-        running.push_back({task, run.m_number, "", 50, 0});
+    {
+        const auto percent =
+            run.m_length == 0
+                ? 0
+                : std::min<std::int64_t>(99, 100 * (clock() - run.m_began) / run.m_length);
+        running.push_back({task, run.m_number, "", percent, 0});
+    }
     json ended = json::array();
     for (const auto& end : m_ends)
         ended.push_back({end.m_number, end.m_task, end.m_run, end.m_how, ""});
--- a/tests/node/support/stand_in_worker.hpp
+++ b/tests/node/support/stand_in_worker.hpp
@@ -65,6 +65,7 @@
     bool m_dark = false;     ///< Neither receives nor answers.
     double m_unanswered = 0; ///< Share of the orders that are carried out late, without an answer.
     bool m_fails_all = false;
+    bool m_hangs = false; ///< What starts makes no progress.
 };
 
 /// One executor of the platform. Time is the world's; its own clock starts at zero.
@@ -96,7 +97,8 @@
     struct run
     {
         std::uint64_t m_number = 0;
-        std::int64_t m_done_at = 0;
+        std::int64_t m_began = 0;
+        std::int64_t m_length = 1; ///< In ms; 0: it stands still.
     };
     struct end
     {
