--- a/src/dragonflygap/cell/coordinator_workers.cpp
+++ b/src/dragonflygap/cell/coordinator_workers.cpp
@@ -459,7 +459,9 @@
                 options.m_stuck_after,
                 std::chrono::milliseconds(static_cast<std::int64_t>(
                     options.m_stuck_share * static_cast<double>(spec.m_expected_ms))));
-            if (spec.m_lasting || spec.m_filler ||
+            // A member of a gang that has done its part waits for the others.
+            constexpr int all = 100;
+            if (spec.m_lasting || spec.m_filler || placed.m_percent >= all ||
                 worker.m_last_answer - placed.m_percent_since < patience)
                 continue;
             log_event(log_level::info, "task_stuck",
--- a/tests/node/node_test.cpp
+++ b/tests/node/node_test.cpp
@@ -152,6 +152,18 @@
     check_fair(world);
 }
 
+TEST(node, a_member_that_waits_for_its_gang_does_not_stand_still)
+{
+    cell_world world({});
+    world.run(3s);
+    world.submit("vm0", job_name(1),
+                 {{.m_run_time = 8s, .m_own_time = 1s, .m_gang = true, .m_gang_size = 3}});
+    world.run(11s);
+    LONGS_EQUAL(1, world.completed());
+    for (const auto& [task, starts] : world.m_referee.m_starts)
+        LONGS_EQUAL(1, starts);
+}
+
 TEST(node, a_worker_that_nobody_reaches_ends_its_tasks_before_others_run_them)
 {
     cell_world world({});
--- a/tests/node/support/stand_in_worker.cpp
+++ b/tests/node/support/stand_in_worker.cpp
@@ -160,7 +160,8 @@
         return refused(clock(), "late");
     m_watch.started(m_id, task, number);
     m_lease = std::max(m_lease, std::min(deadline, clock() + longest_lease_ms));
-    m_running[task] = {number, clock(), m_faults.m_hangs ? 0 : to_ms(nature->m_run_time)};
+    const duration own = nature->m_own_time > duration{} ? nature->m_own_time : nature->m_run_time;
+    m_running[task] = {number, clock(), m_faults.m_hangs ? 0 : to_ms(own)};
     std::int64_t cpu = 0;
     std::int64_t memory = 0;
     for (const auto& [name, run] : m_running)
@@ -270,7 +271,7 @@
         const auto percent =
             run.m_length == 0
                 ? 0
-                : std::min<std::int64_t>(99, 100 * (clock() - run.m_began) / run.m_length);
+                : std::min<std::int64_t>(100, 100 * (clock() - run.m_began) / run.m_length);
         running.push_back({task, run.m_number, "", percent, 0});
     }
     json ended = json::array();
--- a/tests/node/support/stand_in_worker.hpp
+++ b/tests/node/support/stand_in_worker.hpp
@@ -23,6 +23,7 @@
     std::int64_t m_cpu = 1000;
     std::int64_t m_memory_mb = 100;
     duration m_run_time = 300ms;
+    duration m_own_time{}; ///< Of one member of a gang, after which it waits; 0: as long as all.
     bool m_always_fails = false;
     bool m_gang = false;
     int m_gang_size = 1;
