--- a/src/dragonflygap/cli/log_commands.cpp
+++ b/src/dragonflygap/cli/log_commands.cpp
@@ -43,6 +43,7 @@
     std::stable_sort(found.begin(), found.end(),
                      [](const auto& left, const auto& right) { return left.first < right.first; });
     std::vector<std::string> result;
+    result.reserve(found.size());
     for (auto& [time, line] : found)
         result.push_back(std::move(line));
     return result;
--- a/src/dragonflygap/node/caller_task.cpp
+++ b/src/dragonflygap/node/caller_task.cpp
@@ -153,7 +153,7 @@
                              });
 }
 
-void caller_task::finish(std::uint64_t call, cell::caller_answer answer)
+void caller_task::finish(std::uint64_t call, const cell::caller_answer& answer)
 {
     const auto found = m_open.find(call);
     if (found == m_open.end())
--- a/src/dragonflygap/node/caller_task.hpp
+++ b/src/dragonflygap/node/caller_task.hpp
@@ -59,7 +59,7 @@
         int m_rejections = 0; ///< How many of them have rejected it.
     };
 
-    void finish(std::uint64_t call, cell::caller_answer answer);
+    void finish(std::uint64_t call, const cell::caller_answer& answer);
     void expire(std::uint64_t call);
     void read_store(std::uint64_t call);
     void read_end(std::uint64_t call);
--- /dev/null
+++ b/tests/wire/wire_test.cpp
@@ -0,0 +1,77 @@
+#include <string>
+
+#include "platform/base64.hpp"
+#include "platform/caller_codec.hpp"
+#include "platform/directory_client.hpp"
+#include "platform/names.hpp"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace dragonflygap;
+using namespace dragonflygap::wire;
+
+TEST_GROUP(wire){};
+
+TEST(wire, base64_of_all_lengths_comes_back)
+{
+    std::string bytes;
+    for (int i = 0; i < 300; ++i)
+    {
+        CHECK(bytes == *from_base64(to_base64(bytes)));
+        bytes += static_cast<char>(i * 37);
+    }
+    CHECK_FALSE(from_base64("a*b").has_value());
+}
+
+TEST(wire, names_of_tasks_come_back_and_others_are_refused)
+{
+    const cell::task_key key{job_id("5c0e7a21d94b36f8"), 2, 1, 17};
+    STRCMP_EQUAL("5c0e7a21d94b36f8.2.1.17", task_name(key).c_str());
+    CHECK(key == *parse_task_name(task_name(key)));
+    for (const auto* text :
+         {"", "a", "a.1.2", ".1.2.3", "a.1.2.x", "a.1.2.-3", "a.1.2.99999999999"})
+        CHECK_FALSE(parse_task_name(text).has_value());
+}
+
+TEST(wire, malformed_jobs_are_refused_with_the_fault)
+{
+    for (const auto* text :
+         {"", "[]", "{}", R"({"steps":[]})", R"({"steps":[3]})", R"({"steps":[{"count":0}]})",
+          R"({"steps":[{"cpu":-1}]})", R"({"steps":[{"depends_on":[0]}]})",
+          R"({"steps":[{},{"depends_on":["0"]}]})", R"({"steps":[{},{"depends_on":3}]})"})
+    {
+        const auto job = decode_job(text);
+        CHECK_FALSE(job.has_value());
+        CHECK_FALSE(job.error().empty());
+    }
+    const auto job =
+        decode_job(R"({"specification":"s","steps":[{"count":2},{"depends_on":[0]}]})");
+    CHECK_TRUE(job.has_value());
+    LONGS_EQUAL(2, job->m_steps[0].m_count);
+}
+
+// Other writers leave entries there too: they name no worker.
+TEST(wire, entries_that_name_no_worker_are_passed_over)
+{
+    const std::string whole =
+        R"({"service":"s","address":"10.0.0.1:80","zone":"a","state":"ready",)"
+        R"("capacity":{"cpu":4000,"requested_memory_mb":100,"gpu":0},"labels":["a","r1"]})";
+    const auto worker = decode_worker("w", whole);
+    CHECK_TRUE(worker.has_value());
+    STRCMP_EQUAL("r1", worker->m_rack.m_value.c_str());
+    for (const auto* text :
+         {"", "7", "{}", R"({"service":"s","address":"x","state":"ready","capacity":{}})",
+          R"({"service":"s","address":"10.0.0.1:80","state":"asleep","capacity":{}})",
+          R"({"service":4,"address":"10.0.0.1:80","state":"ready","capacity":{}})",
+          R"({"service":"s","address":"10.0.0.1:80","state":"ready"})"})
+        CHECK_FALSE(decode_worker("w", text).has_value());
+    CHECK_FALSE(decode_config("{}").has_value());
+    CHECK_FALSE(decode_config("\xff").has_value());
+}
+
+TEST(wire, ids_of_jobs_have_sixteen_hexadecimal_digits)
+{
+    CHECK_TRUE(is_job_id("5c0e7a21d94b36f8"));
+    for (const auto* text : {"", "5c0e7a21d94b36f", "5c0e7a21d94b36f88", "5c0e7a21d94b36fg"})
+        CHECK_FALSE(is_job_id(text));
+}
