Part the coordinator's files by job, drop what nobody uses

Change: coordinator_ends, coordinator_approvals, task_size and worker_text; the stand-in's callers apart.

--- a/src/dragonflygap/cell/coordinator.cpp
+++ b/src/dragonflygap/cell/coordinator.cpp
@@ -171,69 +171,6 @@
     m_desk.set_members(event.m_members);
 }
 
-void coordinator::on(const config_changed&)
-{
-    // A job keeps the rules under which it was accepted.
-}
-
-void coordinator::on(const approval_answered& event)
-{
-    const auto found = m_approvals.find(event.m_step);
-    if (found == m_approvals.end())
-        return;
-    auto& approved = found->second;
-    approved.m_asking = false;
-    constexpr duration ask_again = 100ms;
-    approved.m_next_ask = m_now;
-    log_event(log_level::info, "approval_answered",
-              {{"job", event.m_step.m_job.m_value},
-               {"step", event.m_step.m_step},
-               {"asked", event.m_workers.size()},
-               {"approved", event.m_result ? event.m_result->m_tickets.size() : 0},
-               {"outcome", event.m_result ? "answered" : "failed"}});
-    if (!event.m_result)
-    {
-        approved.m_next_ask = m_now + ask_again;
-        return;
-    }
-    // Tickets must still be valid when the order arrives.
-    constexpr duration way = 250ms;
-    const auto until = m_now + std::chrono::milliseconds(event.m_result->m_valid_ms) - way;
-    if (const job_state* job = find(event.m_step.m_job); job != nullptr)
-        learn_approval_rate(job->record().m_queue.m_name, approved, event);
-    for (const auto& worker : event.m_workers)
-        approved.m_denied.insert(worker);
-    for (const auto& ticket : event.m_result->m_tickets)
-    {
-        approved.m_denied.erase(ticket.m_worker);
-        approved.m_approved.insert(ticket.m_worker);
-        approved.m_tickets[ticket.m_worker] = {ticket.m_text, until};
-    }
-}
-
-double coordinator::approval_rate(const queue_id& queue) const
-{
-    constexpr double first_guess = 0.4;
-    const auto found = m_approval_rates.find(queue);
-    return found == m_approval_rates.end() ? first_guess : found->second;
-}
-
-// Only workers asked about for the first time tell the rate.
-void coordinator::learn_approval_rate(const queue_id& queue, const step_approval& before,
-                                      const approval_answered& event)
-{
-    constexpr double weight = 0.02; // of one worker's answer
-    constexpr double least = 0.05;
-    double rate = approval_rate(queue);
-    std::set<worker_id> given;
-    for (const auto& ticket : event.m_result->m_tickets)
-        given.insert(ticket.m_worker);
-    for (const auto& worker : event.m_workers)
-        if (before.m_approved.count(worker) == 0)
-            rate += weight * ((given.count(worker) != 0 ? 1.0 : 0.0) - rate);
-    m_approval_rates[queue] = std::max(rate, least);
-}
-
 job_state* coordinator::find(const job_id& job)
 {
     const auto found = m_jobs.find(job);
--- a/src/dragonflygap/cell/coordinator.hpp
+++ b/src/dragonflygap/cell/coordinator.hpp
@@ -114,7 +114,6 @@
     void on(const stop_answered& event);
     void on(const approval_answered& event);
     void on(const members_changed& event);
-    void on(const config_changed& event);
     void on(const tick& event);
 
     // coordinator.cpp: jobs and calls
@@ -138,7 +137,7 @@
     bool store_is_away() const;
     duration store_age() const; ///< Since the store last answered, or the take-over.
 
-    // coordinator_workers.cpp: leases, reports, losses
+    // coordinator_workers.cpp: leases, reports, losses; coordinator_ends.cpp: ends and stops
     void renew_workers();
     void renew(worker_state& worker);
     instant lease_end() const;
@@ -151,7 +150,7 @@
     void release(worker_state& worker, const task_key& task);
     void settle(worker_state& worker, const worker_report& report, instant sent);
     void lose(worker_state& worker, std::string_view cause);
-    void want_stop(worker_state& worker, placement& placed);
+    void want_stop(placement& placed);
     void send_stops();
     void stop_stuck();
     void stop_gang(job_state& job, const step_key& step, std::uint64_t run);
@@ -159,7 +158,7 @@
     void stop_all(job_state& job);
     bool blind_for(const job_state& job) const;
 
-    // coordinator_placing.cpp: who gets room
+    // coordinator_placing.cpp: who gets room; coordinator_approvals.cpp: who is asked for tickets
     void place_all();
     void place_step(job_state& job, const step_key& key);
     void place_tasks(job_state& job, const step_key& key, step_approval* approved);
--- a/src/dragonflygap/cell/coordinator_placing.cpp
+++ b/src/dragonflygap/cell/coordinator_placing.cpp
@@ -2,40 +2,12 @@
 #include <utility>
 
 #include "dragonflygap/cell/coordinator.hpp"
+#include "dragonflygap/cell/task_size.hpp"
 #include "dragonflygap/observe/log.hpp"
 
 namespace dragonflygap::cell
 {
 
-namespace
-{
-
-// A filler takes what the others leave: its processor time isn't counted.
-resources size_of(const step_spec& spec)
-{
-    auto size = spec.m_size;
-    if (spec.m_filler)
-        size.m_millicores = 0;
-    return size;
-}
-
-int times_in(const resources& size, const resources& room)
-{
-    constexpr std::int64_t many = 1000000;
-    auto fits = [](std::int64_t part, std::int64_t whole)
-    { return part <= 0 ? many : std::max<std::int64_t>(0, whole / part); };
-    return static_cast<int>(std::min({fits(size.m_millicores, room.m_millicores),
-                                      fits(size.m_memory_mb, room.m_memory_mb),
-                                      fits(size.m_accelerators, room.m_accelerators)}));
-}
-
-} // namespace
-
-step_approval* coordinator::approval_of(const job_state& job, const step_key& key)
-{
-    return job.record().m_queue.m_approval.required() ? &m_approvals[key] : nullptr;
-}
-
 void coordinator::place_all()
 {
     m_reserved.clear();
@@ -286,77 +258,6 @@
     m_closed.insert(kept.begin(), kept.end());
 }
 
-int coordinator::fitting(const worker_state& worker, const step_spec& spec) const
-{
-    const int fits = times_in(size_of(spec), room(worker));
-    return spec.m_most_per_worker > 0 ? std::min(fits, spec.m_most_per_worker) : fits;
-}
-
-void coordinator::want_approval(job_state& job, const step_key& key, step_approval& approved)
-{
-    if (approved.m_asking || m_now < approved.m_next_ask)
-        return;
-    constexpr std::size_t most_named = 100; // the service takes no more
-    constexpr double wanted_share = 1.5;    // some room is gone when the answer comes
-    constexpr double wanted_more = 2;
-    constexpr double later_room = 0.5;    // tasks for which a full worker may have room in time
-    constexpr duration look_again = 50ms; // where there is nobody to ask about
-    const auto& spec = job.spec(key.m_step);
-    const auto& cost = job.record().m_queue.m_approval;
-    const double rate = approval_rate(job.record().m_queue.m_name);
-    const double wanted =
-        wanted_share * job.step(key.m_occurrence, key.m_step).m_waiting + wanted_more;
-    approved.m_next_ask = m_now + look_again;
-    double expected = 0;
-    for (const worker_state* worker : allowed(job, key, &approved, true))
-        expected += std::max<double>(fitting(*worker, spec), later_room);
-    if (expected >= wanted - wanted_more)
-        return;
-    const bool first = approved.m_approved.empty() && approved.m_denied.empty();
-    bool room_now = false;
-    std::vector<worker_id> named;
-    for (const worker_state* worker : m_by_room)
-    {
-        const auto& id = worker->m_info.m_id;
-        if (expected >= wanted || named.size() >= most_named)
-            break;
-        if (!suits(*worker, job, spec) || approved.m_denied.count(id) != 0 ||
-            approved.usable(id, m_now) != nullptr)
-            continue;
-        const int fits = m_closed.count(id) != 0 ? 0 : fitting(*worker, spec);
-        // It is asked again only where there is room; behind this one nobody has more.
-        if (fits == 0 && !room_now && !first)
-        {
-            if (worker->free().m_millicores < spec.m_size.m_millicores)
-                break;
-            continue;
-        }
-        room_now = room_now || fits > 0;
-        const bool known = approved.m_approved.count(id) != 0;
-        expected += std::max<double>(fits, later_room) * (known ? 1.0 : rate);
-        named.push_back(id);
-    }
-    if (named.empty())
-        return;
-    const auto time =
-        std::chrono::duration_cast<duration>(std::chrono::duration<double, std::milli>(
-            cost.m_decision_ms + cost.m_per_worker_ms * static_cast<double>(named.size())));
-    const duration patience = std::max<duration>(300ms, 3 * time);
-    const auto through = m_desk.choose(time, patience, m_now);
-    if (!through)
-        return;
-    const auto expected_wait = m_desk.wait(*through, m_now) + time;
-    m_desk.asked(*through, time, m_now);
-    approved.m_asking = true;
-    log_event(log_level::info, "approval_asked",
-              {{"job", key.m_job.m_value},
-               {"step", key.m_step},
-               {"through", through->m_value},
-               {"workers", named.size()},
-               {"expected_ms", to_ms(expected_wait)}});
-    m_out->push_back(ask_approval{*through, key, std::move(named), expected_wait});
-}
-
 void coordinator::start(job_state& job, const task_key& key, worker_state& worker,
                         std::uint64_t run, const step_approval* approved)
 {
@@ -365,7 +266,7 @@
     const auto& task = *job.find(key);
     placement placed{.m_run = run,
                      .m_size = size_of(spec),
-                     .m_gang = spec.m_gang,
+
                      .m_started = m_now,
                      .m_percent_since = m_now};
     worker.m_used += placed.m_size;
@@ -423,7 +324,7 @@
     {
         // It may run, or begin later: a stop that is acknowledged settles it.
         placed.m_phase = placement_phase::unknown;
-        want_stop(worker, placed);
+        want_stop(placed);
         worker.m_avoid_until = std::max(worker.m_avoid_until, m_now + avoid_unhealthy);
         worker.m_next_renewal = std::min(worker.m_next_renewal, m_now);
     }
--- a/src/dragonflygap/cell/coordinator_workers.cpp
+++ b/src/dragonflygap/cell/coordinator_workers.cpp
@@ -3,33 +3,12 @@
 #include <utility>
 
 #include "dragonflygap/cell/coordinator.hpp"
+#include "dragonflygap/cell/worker_text.hpp"
 #include "dragonflygap/observe/log.hpp"
 
 namespace dragonflygap::cell
 {
 
-namespace
-{
-
-std::string text_of(const task_key& task)
-{
-    return task.m_job.m_value + "." + std::to_string(task.m_occurrence) + "." +
-           std::to_string(task.m_step) + "." + std::to_string(task.m_index);
-}
-
-std::string_view name_of(end_kind how)
-{
-    constexpr std::string_view names[] = {"done", "failed", "stopped", "lapsed", "broken", "alone"};
-    return names[static_cast<int>(how)];
-}
-
-worker_address address_of(const worker_state& worker)
-{
-    return {worker.m_info.m_id, worker.m_info.m_address};
-}
-
-} // namespace
-
 void coordinator::on(const workers_listed& event)
 {
     std::set<worker_id> listed;
@@ -206,7 +185,6 @@
             placed.m_size = spec.m_size;
             if (spec.m_filler)
                 placed.m_size.m_millicores = 0;
-            placed.m_gang = spec.m_gang;
         }
         if (known != worker.m_placements.end())
             release(worker, running.m_task);
@@ -219,7 +197,7 @@
             refresh(*job);
         }
         else
-            want_stop(worker, known->second);
+            want_stop(known->second);
         log_event(log_level::info, expected ? "task_adopted" : "task_unwanted",
                   {{"task", text_of(running.m_task)},
                    {"run", running.m_run},
@@ -238,89 +216,6 @@
         task->m_checkpoint = running.m_checkpoint;
 }
 
-void coordinator::take_end(worker_state& worker, const ended_task& end)
-{
-    const auto placed = worker.m_placements.find(end.m_task);
-    if (placed != worker.m_placements.end() && placed->second.m_run <= end.m_run)
-        release(worker, end.m_task);
-    if (end.m_how == end_kind::done)
-        worker.m_failures_in_row = 0;
-    job_state* job = find(end.m_task.m_job);
-    task_state* task = job == nullptr ? nullptr : job->find(end.m_task);
-    if (task == nullptr)
-        return;
-    if (logs(log_level::debug) || end.m_how != end_kind::done)
-        log_event(log_level::info, "task_ended",
-                  {{"task", text_of(end.m_task)},
-                   {"run", end.m_run},
-                   {"worker", worker.m_info.m_id.m_value},
-                   {"how", name_of(end.m_how)}});
-    const auto& spec = job->spec(end.m_task.m_step);
-    const bool present = task->m_status == task_status::placed && task->m_run == end.m_run;
-    job->m_dirty = true;
-    m_dirty.insert(job->id());
-    if (!end.m_checkpoint.empty() && (present || task->m_status == task_status::waiting))
-        task->m_checkpoint = end.m_checkpoint;
-    if (end.m_how == end_kind::done && !spec.m_lasting)
-    {
-        if (!present && task->m_status == task_status::placed)
-            stop_task(*job, end.m_task);
-        if (spec.m_gang)
-            finish_gang(*job, end.m_task);
-        else
-            job->set_done(end.m_task);
-        if (!job->m_outcome && job->all_done())
-            end_job(*job, job_outcome::completed);
-    }
-    else
-    {
-        if (present)
-            job->set_waiting(end.m_task);
-        if (end.m_how == end_kind::failed)
-        {
-            count_failure(*job, end.m_task, end.m_run);
-            constexpr int suspect_after = 3;
-            constexpr duration avoid = 5s;
-            if (++worker.m_failures_in_row >= suspect_after)
-                worker.m_avoid_until = m_now + avoid;
-        }
-        if (spec.m_gang && present && !job->m_outcome)
-            stop_gang(*job, step_of(end.m_task), end.m_run);
-    }
-    refresh(*job);
-}
-
-void coordinator::count_failure(job_state& job, const task_key& key, std::uint64_t run)
-{
-    const auto& spec = job.spec(key.m_step);
-    task_state& task =
-        *job.find(spec.m_gang ? task_key{key.m_job, key.m_occurrence, key.m_step, 0} : key);
-    // The members of a gang fail together: one run counts once.
-    auto& failed = task.m_failed_runs;
-    if (spec.m_lasting || std::find(failed.begin(), failed.end(), run) != failed.end())
-        return;
-    failed.push_back(run);
-    if (static_cast<int>(failed.size()) >= job.record().m_queue.m_max_attempts && !job.m_outcome)
-        end_job(job, job_outcome::failed);
-}
-
-// One member's end tells that the whole gang has done its work.
-void coordinator::finish_gang(job_state& job, const task_key& key)
-{
-    const int count = static_cast<int>(job.step(key.m_occurrence, key.m_step).m_tasks.size());
-    for (int i = 0; i < count; ++i)
-        job.set_done({key.m_job, key.m_occurrence, key.m_step, i});
-}
-
-void coordinator::release(worker_state& worker, const task_key& task)
-{
-    const auto placed = worker.m_placements.find(task);
-    if (placed == worker.m_placements.end())
-        return;
-    worker.m_used -= placed->second.m_size;
-    worker.m_placements.erase(placed);
-}
-
 // Finds runs that a worker doesn't list though the renewal was sent after they were settled.
 void coordinator::settle(worker_state& worker, const worker_report& report, instant sent)
 {
@@ -368,128 +263,6 @@
     worker.m_next_renewal = m_now;
 }
 
-void coordinator::want_stop(worker_state&, placement& placed)
-{
-    placed.m_stop_wanted = true;
-    placed.m_next_stop = m_now;
-}
-
-void coordinator::send_stops()
-{
-    constexpr duration repeat = 500ms;
-    for (auto& [id, worker] : m_workers)
-        for (auto& [key, placed] : worker.m_placements)
-        {
-            if (!placed.m_stop_wanted || placed.m_stop_in_flight || m_now < placed.m_next_stop ||
-                placed.m_stop_known)
-                continue;
-            placed.m_stop_in_flight = true;
-            placed.m_next_stop = m_now + repeat;
-            m_out->push_back(send_stop{address_of(worker), key, placed.m_run});
-        }
-    for (auto& [id, worker] : m_workers)
-    {
-        if (worker.m_unsettled.empty() || !worker.m_synced || m_now < worker.m_next_unsettled)
-            continue;
-        worker.m_next_unsettled = m_now + repeat;
-        for (const auto& [key, run] : worker.m_unsettled)
-            m_out->push_back(send_stop{address_of(worker), key, run});
-    }
-}
-
-void coordinator::on(const stop_answered& event)
-{
-    const auto worker = m_workers.find(event.m_worker);
-    if (worker == m_workers.end())
-        return;
-    if (const auto open = worker->second.m_unsettled.find(event.m_task);
-        event.m_result && open != worker->second.m_unsettled.end() && open->second == event.m_run)
-        worker->second.m_unsettled.erase(open);
-    const auto found = worker->second.m_placements.find(event.m_task);
-    if (found == worker->second.m_placements.end() || found->second.m_run != event.m_run)
-        return;
-    auto& placed = found->second;
-    placed.m_stop_in_flight = false;
-    if (!event.m_result || event.m_result->m_refusal == start_refusal::unhealthy)
-        return;
-    if (event.m_result->m_refusal == start_refusal::fenced)
-    {
-        m_deposed = true;
-        m_out->push_back(step_down{"a worker knows a higher token"});
-        return;
-    }
-    // It can't begin any more; whether it had begun tells the next report.
-    placed.m_stop_known = true;
-    placed.m_settled_at = m_now;
-    worker->second.m_look_wanted = placed.m_phase == placement_phase::unknown;
-}
-
-void coordinator::stop_task(job_state& job, const task_key& key)
-{
-    task_state* task = job.find(key);
-    if (task == nullptr || task->m_status != task_status::placed)
-        return;
-    const auto worker = m_workers.find(task->m_worker);
-    if (worker == m_workers.end())
-        return;
-    const auto placed = worker->second.m_placements.find(key);
-    if (placed != worker->second.m_placements.end() && placed->second.m_run == task->m_run)
-        want_stop(worker->second, placed->second);
-}
-
-// Load pattern: on some workers everything stands still while they answer as ever. A task whose
-// progress doesn't rise over several reports is stopped, with what it saved, and starts elsewhere.
-void coordinator::stop_stuck()
-{
-    constexpr duration check_every = 500ms;
-    constexpr duration avoid = 5s; // such troubles last seconds
-    if (m_now - m_last_stuck_check < check_every)
-        return;
-    m_last_stuck_check = m_now;
-    const auto& options = m_options.m_workers;
-    for (auto& [id, worker] : m_workers)
-        for (auto& [key, placed] : worker.m_placements)
-        {
-            job_state* job = find(key.m_job);
-            if (job == nullptr || placed.m_stop_wanted ||
-                placed.m_phase != placement_phase::running)
-                continue;
-            const auto& spec = job->spec(key.m_step);
-            const auto patience = std::max<duration>(
-                options.m_stuck_after,
-                std::chrono::milliseconds(static_cast<std::int64_t>(
-                    options.m_stuck_share * static_cast<double>(spec.m_expected_ms))));
-            // A member of a gang that has done its part waits for the others.
-            constexpr int all = 100;
-            if (spec.m_lasting || spec.m_filler || placed.m_percent >= all ||
-                worker.m_last_answer - placed.m_percent_since < patience)
-                continue;
-            log_event(log_level::info, "task_stuck",
-                      {{"task", text_of(key)},
-                       {"worker", id.m_value},
-                       {"percent", placed.m_percent},
-                       {"unchanged_ms", to_ms(worker.m_last_answer - placed.m_percent_since)}});
-            want_stop(worker, placed);
-            worker.m_avoid_until = std::max(worker.m_avoid_until, m_now + avoid);
-        }
-}
-
-void coordinator::stop_gang(job_state& job, const step_key& key, std::uint64_t run)
-{
-    auto& step = job.step(key.m_occurrence, key.m_step);
-    for (std::size_t i = 0; i < step.m_tasks.size(); ++i)
-        if (step.m_tasks[i].m_run == run)
-            stop_task(job, {key.m_job, key.m_occurrence, key.m_step, static_cast<int>(i)});
-}
-
-void coordinator::stop_all(job_state& job)
-{
-    for (int k = 0; k < job.occurrences(); ++k)
-        for (int s = 0; s < job.steps(); ++s)
-            for (std::size_t i = 0; i < job.step(k, s).m_tasks.size(); ++i)
-                stop_task(job, {job.id(), k, s, static_cast<int>(i)});
-}
-
 bool coordinator::blind_for(const job_state& job) const
 {
     if (!job.m_restored || m_now >= m_blind_until)
--- a/src/dragonflygap/cell/events.hpp
+++ b/src/dragonflygap/cell/events.hpp
@@ -65,16 +65,12 @@
 {
     std::vector<vm_id> m_members;
 };
-struct config_changed
-{
-    cell_config m_config;
-};
 struct tick
 {
 };
-using event = std::variant<job_submitted, job_cancelled, workers_listed, commit_answered,
-                           renewal_answered, start_answered, stop_answered, approval_answered,
-                           members_changed, config_changed, tick>;
+using event =
+    std::variant<job_submitted, job_cancelled, workers_listed, commit_answered, renewal_answered,
+                 start_answered, stop_answered, approval_answered, members_changed, tick>;
 
 enum class call_status
 {
--- a/src/dragonflygap/cell/records.hpp
+++ b/src/dragonflygap/cell/records.hpp
@@ -43,6 +43,7 @@
     MSGPACK_DEFINE(m_vm, m_data_centre, m_address, m_incarnation, m_processor_share)
 };
 
+/// A job keeps the rules under which it was accepted.
 struct job_record
 {
     queue_rules m_queue;
--- a/src/dragonflygap/cell/worker_state.hpp
+++ b/src/dragonflygap/cell/worker_state.hpp
@@ -23,7 +23,6 @@
     std::uint64_t m_run = 0;
     resources m_size;
     placement_phase m_phase = placement_phase::starting;
-    bool m_gang = false;
     bool m_stop_wanted = false;
     bool m_stop_in_flight = false;
     bool m_stop_known = false; ///< The worker acknowledged a stop: the run can't begin any more.
--- /dev/null
+++ b/src/dragonflygap/cell/worker_text.hpp
@@ -0,0 +1,31 @@
+#pragma once
+
+#include <string>
+#include <string_view>
+
+#include "dragonflygap/cell/ports.hpp"
+#include "dragonflygap/cell/worker_state.hpp"
+
+namespace dragonflygap::cell
+{
+
+/// Name of a task in logs: JOB.OCCURRENCE.STEP.INDEX.
+inline std::string text_of(const task_key& task)
+{
+    return task.m_job.m_value + "." + std::to_string(task.m_occurrence) + "." +
+           std::to_string(task.m_step) + "." + std::to_string(task.m_index);
+}
+
+/// Name of an end in logs.
+inline std::string_view name_of(end_kind how)
+{
+    constexpr std::string_view names[] = {"done", "failed", "stopped", "lapsed", "broken", "alone"};
+    return names[static_cast<int>(how)];
+}
+
+inline worker_address address_of(const worker_state& worker)
+{
+    return {worker.m_info.m_id, worker.m_info.m_address};
+}
+
+} // namespace dragonflygap::cell
--- /dev/null
+++ b/tests/node/support/cell_world_callers.cpp
@@ -0,0 +1,137 @@
+#include <algorithm>
+#include <utility>
+
+#include <nlohmann/json.hpp>
+
+#include "node/support/cell_world.hpp"
+#include "platform/names.hpp"
+
+namespace stand_in
+{
+
+namespace
+{
+
+using nlohmann::json;
+
+} // namespace
+
+void cell_world::submit(const std::string& vm, const std::string& job,
+                        std::vector<task_nature> steps)
+{
+    json body{{"specification", "payload of " + job}, {"steps", json::array()}};
+    for (const auto& step : steps)
+    {
+        json entry{{"count", step.m_gang_size},
+                   {"cpu", step.m_cpu},
+                   {"requested_memory_mb", step.m_memory_mb},
+                   {"estimated_duration_ms", to_ms(step.m_run_time)}};
+        if (step.m_gang)
+            entry["gang"] = true;
+        if (!step.m_after.empty())
+            entry["depends_on"] = step.m_after;
+        body["steps"].push_back(entry);
+    }
+    m_jobs[job] = std::move(steps);
+    m_submissions[job];
+    retry(vm, job, body.dump());
+}
+
+void cell_world::retry(const std::string& vm, const std::string& job, const std::string& body)
+{
+    constexpr int accepted = 200;
+    constexpr int unavailable = 503;
+    constexpr duration patience = 3s;
+    auto answered = std::make_shared<bool>(false);
+    send(vm, {.m_method = "POST", .m_path = "/q/" + job, .m_body = body},
+         [this, vm, job, body, answered](const http_response& response)
+         {
+             if (std::exchange(*answered, true))
+                 return;
+             auto& seen = m_submissions[job];
+             seen.m_status = response.m_status;
+             seen.m_retry_after = std::string(response.header("Retry-After"));
+             seen.m_accepted = seen.m_accepted || response.m_status == accepted;
+             seen.m_all_rejected = seen.m_all_rejected && response.m_status == unavailable;
+             if (seen.m_all_rejected)
+                 m_referee.m_rejected.insert(job);
+             else
+                 m_referee.m_rejected.erase(job);
+             if (response.m_status != accepted && response.m_status != unavailable)
+                 retry(vm, job, body);
+         });
+    // Without an answer the caller tries another VM.
+    later(patience,
+          [this, job, body, answered]
+          {
+              if (std::exchange(*answered, true) || m_boxes.empty())
+                  return;
+              m_submissions[job].m_all_rejected = false;
+              auto next = m_boxes.begin();
+              std::advance(next, static_cast<std::ptrdiff_t>(m_random() % m_boxes.size()));
+              retry(next->first, job, body);
+          });
+}
+
+std::string cell_world::state(const std::string& vm, const std::string& job)
+{
+    std::string text;
+    send(vm, {.m_path = "/q/" + job},
+         [&text](const http_response& response)
+         {
+             text = response.m_status == 200 ? json::parse(response.m_body).value("state", "")
+                                             : std::to_string(response.m_status);
+         });
+    run(2s);
+    return text;
+}
+
+void cell_world::cancel(const std::string& vm, const std::string& job)
+{
+    constexpr duration settled = 5s; // the time that cancelling and stopping may take
+    send(vm, {.m_method = "DELETE", .m_path = "/q/" + job},
+         [this, job](const http_response& response)
+         {
+             constexpr int ok = 200;
+             if (response.m_status == ok)
+                 later(settled, [this, job] { m_referee.m_cancelled.insert(job); });
+         });
+}
+
+int cell_world::completed() const
+{
+    int count = 0;
+    for (const auto& [job, steps] : m_jobs)
+    {
+        bool done = true;
+        for (std::size_t s = 0; s < steps.size(); ++s)
+        {
+            int ended = 0;
+            for (int i = 0; i < steps[s].m_gang_size; ++i)
+                ended += m_referee.m_done.count(
+                    wire::task_name({job_id(job), 0, static_cast<int>(s), i}));
+            done = done && ended == steps[s].m_gang_size;
+        }
+        count += done ? 1 : 0;
+    }
+    return count;
+}
+
+std::vector<std::string> cell_world::accepted_not_done() const
+{
+    std::vector<std::string> result;
+    for (const auto& [job, seen] : m_submissions)
+    {
+        const auto& steps = m_jobs.at(job);
+        for (std::size_t s = 0; s < steps.size() && seen.m_accepted; ++s)
+            for (int i = 0; i < steps[s].m_gang_size; ++i)
+            {
+                const auto task = wire::task_name({job_id(job), 0, static_cast<int>(s), i});
+                if (m_referee.m_done.count(task) == 0)
+                    result.push_back(task);
+            }
+    }
+    return result;
+}
+
+} // namespace stand_in
