Close a worker while a task of unknown size runs there

Cause: a new leader that hears from a worker before the platform's list has told that worker's capacity took a run of an ended job for one of size zero. The log shows task_unwanted 60 ms after leader_started, for a job cancelled 0.3 s before, and starts on the same worker 0.2 s later.

Change: such a run has no known size, and its worker takes nothing until its end is listed.

--- a/src/dragonflygap/cell/coordinator.cpp
+++ b/src/dragonflygap/cell/coordinator.cpp
@@ -212,6 +212,7 @@
             const step_key key{job.id(), k, s};
             m_ready.erase(rank_of(job, key));
             m_approvals.erase(key);
+            m_unsuited.erase(key);
         }
     stop_all(job);
 }
--- a/src/dragonflygap/cell/coordinator.hpp
+++ b/src/dragonflygap/cell/coordinator.hpp
@@ -162,6 +162,7 @@
     void place_all();
     void place_step(job_state& job, const step_key& key);
     void place_tasks(job_state& job, const step_key& key, step_approval* approved);
+    void report_unsuited(const job_state& job, const step_key& key);
     void log_started(const job_state& job, const step_key& key, int count) const;
     void place_gang(job_state& job, const step_key& key, step_approval* approved);
     std::optional<std::vector<choice>> choose_gang(job_state& job, const step_key& key,
@@ -203,6 +204,7 @@
     std::vector<job_id> m_timed; ///< Jobs with occurrences at set times.
     std::set<rank> m_ready;
     std::map<step_key, step_approval> m_approvals;
+    std::set<step_key> m_unsuited; ///< Waiting steps that were told to suit no worker.
     std::map<queue_id, double> m_approval_rates; ///< Share of the workers named that is approved.
     std::map<worker_id, worker_state> m_workers;
     bool m_workers_dirty = false;
--- a/src/dragonflygap/cell/coordinator_placing.cpp
+++ b/src/dragonflygap/cell/coordinator_placing.cpp
@@ -40,6 +40,7 @@
     auto& step = job.step(key.m_occurrence, key.m_step);
     if (m_now < step.m_not_before || blind_for(job))
         return;
+    report_unsuited(job, key);
     step_approval* approved = approval_of(job, key);
     const bool gang = job.spec(key.m_step).m_gang;
     if (job.m_stored)
@@ -58,6 +59,31 @@
         hold_for_gang(job, key, approved);
 }
 
+// Tells once that no listed worker has what a step needs, whatever its room: its service, its label
+// and its size. Such a step waits until one comes.
+void coordinator::report_unsuited(const job_state& job, const step_key& key)
+{
+    const auto& spec = job.spec(key.m_step);
+    const auto suited = [&](const auto& entry)
+    {
+        const auto& worker = entry.second;
+        return worker.m_listed && suits(worker, job, spec) &&
+               size_of(spec).fits_in(worker.m_info.m_capacity);
+    };
+    if (std::any_of(m_workers.begin(), m_workers.end(), suited) || !m_unsuited.insert(key).second)
+        return;
+    log_event(log_level::warning, "step_unsuited",
+              {{"job", key.m_job.m_value},
+               {"step", key.m_step},
+               {"service", job.record().m_queue.m_service.m_value},
+               {"label", spec.m_label},
+               {"millicores", spec.m_size.m_millicores},
+               {"memory_mb", spec.m_size.m_memory_mb},
+               {"workers_listed",
+                std::count_if(m_workers.begin(), m_workers.end(),
+                              [](const auto& entry) { return entry.second.m_listed; })}});
+}
+
 resources coordinator::room(const worker_state& worker) const
 {
     const auto reserved = m_reserved.find(worker.m_info.m_id);
@@ -67,7 +93,7 @@
 bool coordinator::takes_tasks(const worker_state& worker) const
 {
     return worker.m_listed && worker.m_synced && worker.m_failing_since == instant{} &&
-           !worker.m_info.m_leaving && m_now >= worker.m_avoid_until;
+           !worker.m_info.m_leaving && m_now >= worker.m_avoid_until && !worker.room_unknown();
 }
 
 bool coordinator::suits(const worker_state& worker, const job_state& job, const step_spec& spec)
--- a/src/dragonflygap/cell/coordinator_workers.cpp
+++ b/src/dragonflygap/cell/coordinator_workers.cpp
@@ -3,12 +3,26 @@
 #include <utility>
 
 #include "dragonflygap/cell/coordinator.hpp"
+#include "dragonflygap/cell/task_size.hpp"
 #include "dragonflygap/cell/worker_text.hpp"
 #include "dragonflygap/observe/log.hpp"
 
 namespace dragonflygap::cell
 {
 
+namespace
+{
+
+std::string joined(const std::vector<std::string>& texts)
+{
+    std::string result;
+    for (const auto& text : texts)
+        result += (result.empty() ? "" : ",") + text;
+    return result;
+}
+
+} // namespace
+
 void coordinator::on(const workers_listed& event)
 {
     std::set<worker_id> listed;
@@ -20,6 +34,15 @@
         if (info.m_leaving && !worker.m_info.m_leaving)
             log_event(log_level::info, "worker_leaving",
                       {{"worker", info.m_id.m_value}, {"remaining_ms", info.m_remaining_ms}});
+        if (!worker.m_listed || worker.m_info.m_capacity == resources{})
+            log_event(log_level::info, "worker_listed",
+                      {{"worker", info.m_id.m_value},
+                       {"address", to_string(info.m_address)},
+                       {"data_centre", info.m_data_centre.m_value},
+                       {"rack", info.m_rack.m_value},
+                       {"labels", joined(info.m_labels)},
+                       {"millicores", info.m_capacity.m_millicores},
+                       {"memory_mb", info.m_capacity.m_memory_mb}});
         worker.m_info = info;
         worker.m_listed = true;
     }
@@ -29,7 +52,13 @@
         if (listed.count(entry->first) == 0)
         {
             if (std::exchange(worker.m_listed, false))
+            {
                 worker.m_missing_since = m_now;
+                log_event(log_level::info, "worker_unlisted",
+                          {{"worker", entry->first.m_value},
+                           {"tasks", worker.m_placements.size()},
+                           {"silent_ms", to_ms(m_now - worker.m_last_answer)}});
+            }
             const bool forgotten = m_now >= m_blind_until &&
                                    m_now - worker.m_missing_since > m_options.m_missing_limit;
             if (worker.m_placements.empty() && (worker.m_gone || forgotten))
@@ -171,21 +200,15 @@
     task_state* task = job == nullptr ? nullptr : job->find(running.m_task);
     if (known == worker.m_placements.end() || known->second.m_run < running.m_run)
     {
-        // Of a job that has ended no size is known: the worker takes nothing until it is stopped.
         placement placed{.m_run = running.m_run,
-                         .m_size = worker.m_info.m_capacity,
+                         .m_size_known = task != nullptr,
                          .m_phase = placement_phase::running,
                          .m_started = m_now,
                          .m_percent_since = m_now};
         const bool expected =
             task != nullptr && !job->m_outcome && task->m_status == task_status::waiting;
         if (task != nullptr)
-        {
-            const auto& spec = job->spec(running.m_task.m_step);
-            placed.m_size = spec.m_size;
-            if (spec.m_filler)
-                placed.m_size.m_millicores = 0;
-        }
+            placed.m_size = size_of(job->spec(running.m_task.m_step));
         if (known != worker.m_placements.end())
             release(worker, running.m_task);
         worker.m_used += placed.m_size;
--- a/src/dragonflygap/cell/worker_state.hpp
+++ b/src/dragonflygap/cell/worker_state.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <algorithm>
 #include <cstdint>
 #include <map>
 #include <optional>
@@ -22,6 +23,7 @@
 {
     std::uint64_t m_run = 0;
     resources m_size;
+    bool m_size_known = true; ///< False: its job has ended; the worker may be full.
     placement_phase m_phase = placement_phase::starting;
     bool m_stop_wanted = false;
     bool m_stop_in_flight = false;
@@ -80,6 +82,13 @@
     int m_failures_in_row = 0; ///< Tasks that failed there since one was done.
     instant m_avoid_until{};   ///< No new tasks before.
 
+    /// True if a task of unknown size runs there: there may be no room at all.
+    bool room_unknown() const
+    {
+        return std::any_of(m_placements.begin(), m_placements.end(),
+                           [](const auto& entry) { return !entry.second.m_size_known; });
+    }
+
     resources free() const { return m_info.m_capacity - m_used; }
 
     /// The worker's clock now, never later than it really is.
--- /dev/null
+++ b/tests/cell/coordinator_test.cpp
@@ -0,0 +1,121 @@
+#include "dragonflygap/cell/coordinator.hpp"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace dragonflygap;
+using namespace dragonflygap::cell;
+
+namespace
+{
+
+const instant start(10s);
+const worker_id worker_a("worker-a");
+
+worker_info listed_worker(const worker_id& id)
+{
+    return {.m_id = id,
+            .m_service = service_id("pool"),
+            .m_address = endpoint{"10.0.0.1", 80},
+            .m_capacity = {.m_millicores = 4000, .m_memory_mb = 4000}};
+}
+
+/// A new leader that knows one worker of its predecessor, by its address only.
+class successor
+{
+public:
+    explicit successor(inherited found = {})
+        : m_coordinator(
+              {},
+              [&found]
+              {
+                  found.m_self = {.m_epoch = 2, .m_vm = vm_id("vm")};
+                  found.m_workers = {{worker_a, "10.0.0.1:80"}};
+                  found.m_predecessor_gone = true;
+                  return found;
+              }(),
+              start)
+    {
+    }
+
+    std::vector<action> feed(const event& what)
+    {
+        auto actions = m_coordinator.handle(what, m_now, m_unix_ms);
+        for (const auto& action : actions)
+            if (const auto* commit = std::get_if<send_commit>(&action))
+                m_commit_sent = commit != nullptr;
+        return actions;
+    }
+
+    /// Ticks for a while; the store takes every transaction. Returns the orders to start tasks.
+    std::vector<send_start> run(duration length)
+    {
+        std::vector<send_start> starts;
+        for (const auto until = m_now + length; m_now < until; m_now += 10ms, m_unix_ms += 10)
+        {
+            collect(feed(tick{}), starts);
+            if (std::exchange(m_commit_sent, false))
+                collect(feed(commit_answered{
+                            transaction_result{.m_committed = true, .m_version = ++m_version}}),
+                        starts);
+        }
+        return starts;
+    }
+
+    void submit(const std::string& id, step_spec step)
+    {
+        job_request request;
+        request.m_steps.push_back(std::move(step));
+        submit(id, std::move(request));
+    }
+
+    void submit(const std::string& id, job_request request)
+    {
+        feed(
+            job_submitted{.m_call = ++m_last_call,
+                          .m_job = job_id(id),
+                          .m_queue = {.m_name = queue_id("queue"), .m_service = service_id("pool")},
+                          .m_request = std::move(request)});
+    }
+
+    void report(worker_report what)
+    {
+        what.m_started_at = 1;
+        what.m_clock_ms = m_unix_ms;
+        feed(renewal_answered{worker_a, m_now, std::move(what)});
+    }
+
+    instant m_now = start;
+    std::int64_t m_unix_ms = 1000000;
+    coordinator m_coordinator;
+
+private:
+    static void collect(const std::vector<action>& actions, std::vector<send_start>& starts)
+    {
+        for (const auto& action : actions)
+            if (const auto* order = std::get_if<send_start>(&action))
+                starts.push_back(*order);
+    }
+
+    bool m_commit_sent = false;
+    std::uint64_t m_version = 1;
+    std::uint64_t m_last_call = 0;
+};
+
+} // namespace
+
+TEST_GROUP(coordinator){};
+
+// A worker answered before the platform's list told its capacity, and ran a task of a job that had
+// just been cancelled: seen as an overcommitted worker after a leader was told to stop.
+TEST(coordinator, a_worker_with_a_task_of_unknown_size_takes_nothing_until_that_has_ended)
+{
+    successor leader;
+    const task_key orphan{job_id("cancelled"), 0, 0, 0};
+    leader.report({.m_running = {{.m_task = orphan, .m_run = 7}}});
+    leader.feed(workers_listed{{listed_worker(worker_a)}});
+    leader.submit("next", {.m_size = {.m_millicores = 1000, .m_memory_mb = 100}});
+    LONGS_EQUAL(0, leader.run(200ms).size());
+    leader.report(
+        {.m_ended = {{.m_number = 1, .m_task = orphan, .m_run = 7, .m_how = end_kind::stopped}}});
+    LONGS_EQUAL(1, leader.run(200ms).size());
+}
