Look only at occurrences that come due, not at every one each tick

Cause: each tick walked all occurrences of all scheduled jobs, and each end of a task all of its own job's; progress rows grew with every task done, though a row holds 64 KiB.

--- a/src/dragonflygap/cell/coordinator.cpp
+++ b/src/dragonflygap/cell/coordinator.cpp
@@ -63,8 +63,7 @@
         job->m_turn = turn_of(job->record().m_request, m_now);
         // Runs of an earlier epoch have lower numbers.
         job->m_next_run = (m_chain.record().m_epoch - 1) * m_options.m_runs_per_epoch + 1;
-        if (job->record().m_request.m_occurrences > 0)
-            m_timed.push_back(job->id());
+        m_timetable.add(job->id(), job->record().m_request);
         m_jobs[job->id()] = std::move(job);
     }
     for (const auto& row : found.m_progress)
@@ -143,8 +142,7 @@
     job->m_since = m_now;
     job->m_turn = turn_of(event.m_request, m_now);
     job->m_next_run = (m_chain.record().m_epoch - 1) * m_options.m_runs_per_epoch + 1;
-    if (event.m_request.m_occurrences > 0)
-        m_timed.push_back(event.m_job);
+    m_timetable.add(event.m_job, event.m_request);
     m_dirty.insert(event.m_job);
     m_calls[event.m_job].push_back({event.m_call, m_now});
     m_jobs[event.m_job] = job;
@@ -223,33 +221,34 @@
 }
 
 void coordinator::refresh(job_state& job)
+{
+    for (int k = 0; k < job.occurrences(); ++k)
+        refresh(job, k);
+}
+
+// Steps depend on steps of their own occurrence only.
+void coordinator::refresh(job_state& job, int occurrence)
 {
     if (job.m_outcome)
         return;
-    for (int k = 0; k < job.occurrences(); ++k)
-        for (int s = 0; s < job.steps(); ++s)
-        {
-            auto& step = job.step(k, s);
-            const step_key key{job.id(), k, s};
-            if (step.m_waiting > 0 && job.is_due(k, s, m_unix_ms))
-                m_ready.insert(rank_of(job, key));
-            else
-                m_ready.erase(rank_of(job, key));
-            if (step.m_done == static_cast<int>(step.m_tasks.size()))
-                m_approvals.erase(key);
-        }
+    for (int s = 0; s < job.steps(); ++s)
+    {
+        const auto& step = job.step(occurrence, s);
+        const step_key key{job.id(), occurrence, s};
+        if (step.m_waiting > 0 && job.is_due(occurrence, s, m_unix_ms))
+            m_ready.insert(rank_of(job, key));
+        else
+            m_ready.erase(rank_of(job, key));
+        if (step.m_done == static_cast<int>(step.m_tasks.size()))
+            m_approvals.erase(key);
+    }
 }
 
 void coordinator::check_times()
 {
-    std::erase_if(m_timed,
-                  [this](const job_id& id)
-                  {
-                      job_state* job = find(id);
-                      if (job != nullptr)
-                          refresh(*job);
-                      return job == nullptr;
-                  });
+    for (const auto& due : m_timetable.take_due(m_unix_ms))
+        if (job_state* job = find(due.m_job); job != nullptr)
+            refresh(*job, due.m_occurrence);
 }
 
 std::string_view coordinator::state_of(const job_id& id) const
--- a/src/dragonflygap/cell/coordinator.hpp
+++ b/src/dragonflygap/cell/coordinator.hpp
@@ -14,6 +14,7 @@
 #include "dragonflygap/cell/commit_chain.hpp"
 #include "dragonflygap/cell/events.hpp"
 #include "dragonflygap/cell/job_state.hpp"
+#include "dragonflygap/cell/occurrence_timetable.hpp"
 #include "dragonflygap/cell/worker_state.hpp"
 
 namespace dragonflygap::cell
@@ -121,6 +122,7 @@
     void answer(job_state& job, call_status status);
     void end_job(job_state& job, job_outcome outcome);
     void refresh(job_state& job);
+    void refresh(job_state& job, int occurrence);
     void check_times();
     job_state* find(const job_id& job);
     static rank rank_of(const job_state& job, const step_key& step);
@@ -146,7 +148,6 @@
     void adopt(worker_state& worker, const running_task& running);
     void take_end(worker_state& worker, const ended_task& end);
     void count_failure(job_state& job, const task_key& key, std::uint64_t run);
-    void finish_gang(job_state& job, const task_key& key);
     void release(worker_state& worker, const task_key& task);
     void settle(worker_state& worker, const worker_report& report, instant sent);
     void lose(worker_state& worker, std::string_view cause);
@@ -201,7 +202,7 @@
     std::unordered_map<job_id, std::pair<job_outcome, instant>> m_ended;
     std::map<job_id, std::vector<open_call>> m_calls;
     std::set<job_id> m_dirty;
-    std::vector<job_id> m_timed; ///< Jobs with occurrences at set times.
+    occurrence_timetable m_timetable;
     std::set<rank> m_ready;
     std::map<step_key, step_approval> m_approvals;
     std::set<step_key> m_unsuited; ///< Waiting steps that were told to suit no worker.
--- a/src/dragonflygap/cell/coordinator_ends.cpp
+++ b/src/dragonflygap/cell/coordinator_ends.cpp
@@ -35,8 +35,9 @@
     {
         if (!present && task->m_status == task_status::placed)
             stop_task(*job, end.m_task);
+        // One member's end tells that the whole gang has done its work.
         if (spec.m_gang)
-            finish_gang(*job, end.m_task);
+            job->set_step_done(end.m_task.m_occurrence, end.m_task.m_step);
         else
             job->set_done(end.m_task);
         if (!job->m_outcome && job->all_done())
@@ -57,7 +58,7 @@
         if (spec.m_gang && present && !job->m_outcome)
             stop_gang(*job, step_of(end.m_task), end.m_run);
     }
-    refresh(*job);
+    refresh(*job, end.m_task.m_occurrence);
 }
 
 void coordinator::count_failure(job_state& job, const task_key& key, std::uint64_t run)
@@ -74,14 +75,6 @@
         end_job(job, job_outcome::failed);
 }
 
-// One member's end tells that the whole gang has done its work.
-void coordinator::finish_gang(job_state& job, const task_key& key)
-{
-    const int count = static_cast<int>(job.step(key.m_occurrence, key.m_step).m_tasks.size());
-    for (int i = 0; i < count; ++i)
-        job.set_done({key.m_job, key.m_occurrence, key.m_step, i});
-}
-
 void coordinator::release(worker_state& worker, const task_key& task)
 {
     const auto placed = worker.m_placements.find(task);
--- a/src/dragonflygap/cell/coordinator_placing.cpp
+++ b/src/dragonflygap/cell/coordinator_placing.cpp
@@ -204,7 +204,7 @@
     if (started == 0)
         return;
     log_started(job, key, started);
-    refresh(job);
+    refresh(job, key.m_occurrence);
 }
 
 std::optional<std::vector<coordinator::choice>>
@@ -250,7 +250,7 @@
         for (const auto& [task, worker] : *chosen)
             start(job, task, m_workers.at(worker), run, approved);
         log_started(job, key, static_cast<int>(chosen->size()));
-        refresh(job);
+        refresh(job, key.m_occurrence);
     }
 }
 
@@ -369,7 +369,7 @@
             job->set_waiting(event.m_task);
             job->step(event.m_task.m_occurrence, event.m_task.m_step).m_not_before =
                 m_now + setback;
-            refresh(*job);
+            refresh(*job, event.m_task.m_occurrence);
         }
     }
     if (job != nullptr && job->spec(event.m_task.m_step).m_gang)
--- a/src/dragonflygap/cell/coordinator_workers.cpp
+++ b/src/dragonflygap/cell/coordinator_workers.cpp
@@ -217,7 +217,7 @@
         {
             job->set_placed(running.m_task, worker.m_info.m_id, running.m_run);
             job->m_next_run = std::max(job->m_next_run, running.m_run + 1);
-            refresh(*job);
+            refresh(*job, running.m_task.m_occurrence);
         }
         else
             want_stop(known->second);
--- a/src/dragonflygap/cell/job_state.cpp
+++ b/src/dragonflygap/cell/job_state.cpp
@@ -18,6 +18,8 @@
         steps.push_back(std::move(step));
     }
     m_occurrences.assign(std::max(1, m_record.m_request.m_occurrences), steps);
+    for (const auto& step : steps)
+        m_tasks_left += step.m_tasks.size() * m_occurrences.size();
 }
 
 void job_state::restore(const progress_record& progress)
@@ -27,11 +29,16 @@
     m_dirty = false;
     for (const auto& saved : progress.m_tasks)
     {
+        m_started = true;
+        if (saved.m_index == task_progress::whole_step)
+        {
+            set_step_done(saved.m_occurrence, saved.m_step);
+            continue;
+        }
         const task_key key{m_id, saved.m_occurrence, saved.m_step, saved.m_index};
         task_state* task = find(key);
         if (task == nullptr)
             continue;
-        m_started = true;
         task->m_failed_runs = saved.m_failed_runs;
         task->m_checkpoint = saved.m_checkpoint;
         if (saved.m_done)
@@ -44,17 +51,30 @@
     progress_record result;
     for (int k = 0; k < occurrences(); ++k)
         for (int s = 0; s < steps(); ++s)
-            for (std::size_t i = 0; i < step(k, s).m_tasks.size(); ++i)
-            {
-                const auto& task = step(k, s).m_tasks[i];
-                const bool done = task.m_status == task_status::done;
-                if (done || !task.m_failed_runs.empty() || !task.m_checkpoint.empty())
-                    result.m_tasks.push_back({k, s, static_cast<int>(i), done, task.m_failed_runs,
-                                              done ? std::string() : task.m_checkpoint});
-            }
+            add_progress(result, k, s);
     return result;
 }
 
+// A step that is done takes one entry, however wide it is: rows are bounded, schedules are long.
+void job_state::add_progress(progress_record& result, int occurrence, int number) const
+{
+    const auto& tasks = step(occurrence, number).m_tasks;
+    if (step(occurrence, number).m_done == static_cast<int>(tasks.size()))
+    {
+        result.m_tasks.push_back({occurrence, number, task_progress::whole_step, true, {}, {}});
+        return;
+    }
+    for (std::size_t i = 0; i < tasks.size(); ++i)
+    {
+        const auto& task = tasks[i];
+        const bool done = task.m_status == task_status::done;
+        if (done || !task.m_failed_runs.empty() || !task.m_checkpoint.empty())
+            result.m_tasks.push_back({occurrence, number, static_cast<int>(i), done,
+                                      task.m_failed_runs,
+                                      done ? std::string() : task.m_checkpoint});
+    }
+}
+
 task_state* job_state::find(const task_key& task)
 {
     if (task.m_occurrence >= occurrences() || task.m_step >= steps())
@@ -78,15 +98,6 @@
                        });
 }
 
-bool job_state::all_done() const
-{
-    for (const auto& steps : m_occurrences)
-        for (const auto& step : steps)
-            if (step.m_done < static_cast<int>(step.m_tasks.size()))
-                return false;
-    return true;
-}
-
 void job_state::set_done(const task_key& key)
 {
     task_state* task = find(key);
@@ -95,10 +106,20 @@
     auto& step = m_occurrences[key.m_occurrence][key.m_step];
     step.m_waiting -= task->m_status == task_status::waiting ? 1 : 0;
     ++step.m_done;
+    --m_tasks_left;
     task->m_status = task_status::done;
     m_dirty = true;
 }
 
+void job_state::set_step_done(int occurrence, int number)
+{
+    if (occurrence >= occurrences() || number >= steps())
+        return;
+    const int count = static_cast<int>(step(occurrence, number).m_tasks.size());
+    for (int i = 0; i < count; ++i)
+        set_done({m_id, occurrence, number, i});
+}
+
 void job_state::set_placed(const task_key& key, const worker_id& worker, std::uint64_t run)
 {
     task_state* task = find(key);
--- a/src/dragonflygap/cell/job_state.hpp
+++ b/src/dragonflygap/cell/job_state.hpp
@@ -70,12 +70,13 @@
     bool is_due(int occurrence, int step, std::int64_t unix_ms) const;
 
     /// True if every task of every occurrence is done; never for jobs with lasting tasks.
-    bool all_done() const;
+    bool all_done() const { return m_tasks_left == 0; }
 
     bool started() const { return m_started; }
     void mark_started() { m_started = true; }
 
     void set_done(const task_key& task);
+    void set_step_done(int occurrence, int step);
     void set_placed(const task_key& task, const worker_id& worker, std::uint64_t run);
     void set_waiting(const task_key& task);
 
@@ -90,9 +91,12 @@
     instant m_ended_at{};
 
 private:
+    void add_progress(progress_record& result, int occurrence, int step) const;
+
     job_id m_id;
     job_record m_record;
     std::vector<std::vector<step_state>> m_occurrences;
+    std::size_t m_tasks_left = 0; ///< Not yet done.
     bool m_started = false;
 };
 
--- /dev/null
+++ b/src/dragonflygap/cell/occurrence_timetable.hpp
@@ -0,0 +1,53 @@
+#pragma once
+
+#include <cstdint>
+#include <set>
+#include <tuple>
+#include <vector>
+
+#include "dragonflygap/cell/job_request.hpp"
+
+namespace dragonflygap::cell
+{
+
+/// One run of a scheduled job's steps.
+struct occurrence_key
+{
+    job_id m_job;
+    int m_occurrence = 0;
+
+    bool operator==(const occurrence_key&) const = default;
+};
+
+/// When the occurrences of scheduled jobs are due, earliest first. It keeps the next one of each
+/// job, so that a look costs nothing while none is due. Pure.
+class occurrence_timetable
+{
+public:
+    /// Adds a job's occurrences; does nothing for a job that runs once, at once.
+    void add(const job_id& job, const job_request& request);
+
+    /// Removes the occurrences due by this time of day and returns them in the order of their
+    /// times. Each is returned once, also if the time of day steps back.
+    std::vector<occurrence_key> take_due(std::int64_t unix_ms);
+
+    bool empty() const { return m_next.empty(); }
+
+private:
+    struct entry
+    {
+        std::int64_t m_due_ms = 0; ///< Unix time.
+        job_id m_job;
+        int m_occurrence = 0;
+        int m_left = 0; ///< Occurrences after this one.
+        std::int64_t m_interval_ms = 0;
+
+        bool operator<(const entry& other) const
+        {
+            return std::tie(m_due_ms, m_job) < std::tie(other.m_due_ms, other.m_job);
+        }
+    };
+    std::set<entry> m_next;
+};
+
+} // namespace dragonflygap::cell
--- a/src/dragonflygap/cell/records.hpp
+++ b/src/dragonflygap/cell/records.hpp
@@ -56,6 +56,8 @@
 /// What a task carries over from one leader to the next.
 struct task_progress
 {
+    static constexpr int whole_step = -1; ///< An index: every task of the step is done.
+
     int m_occurrence = 0;
     int m_step = 0;
     int m_index = 0;
--- /dev/null
+++ b/tests/cell/job_state_test.cpp
@@ -0,0 +1,83 @@
+#include "dragonflygap/cell/job_state.hpp"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace dragonflygap;
+using namespace dragonflygap::cell;
+
+namespace
+{
+
+/// Two steps, the second after the first, at set times.
+job_state make_job(int occurrences, int width)
+{
+    job_record record;
+    record.m_request.m_occurrences = occurrences;
+    record.m_request.m_interval_ms = 1000;
+    record.m_request.m_steps.push_back({.m_count = width});
+    record.m_request.m_steps.push_back({.m_count = 1, .m_after = {0}});
+    return {job_id("job"), record};
+}
+
+} // namespace
+
+TEST_GROUP(job_state){};
+
+TEST(job_state, a_later_leader_restores_what_was_done)
+{
+    auto job = make_job(3, 4);
+    job.set_step_done(0, 0);
+    job.set_done({job.id(), 0, 1, 0});
+    job.set_done({job.id(), 1, 0, 2});
+    job.find({job.id(), 1, 0, 3})->m_checkpoint = "saved";
+    job.find({job.id(), 1, 0, 1})->m_failed_runs = {7, 9};
+
+    auto later = make_job(3, 4);
+    later.restore(*unpack<progress_record>(pack(job.progress())));
+    LONGS_EQUAL(4, later.step(0, 0).m_done);
+    LONGS_EQUAL(1, later.step(0, 1).m_done);
+    LONGS_EQUAL(1, later.step(1, 0).m_done);
+    LONGS_EQUAL(3, later.step(1, 0).m_waiting);
+    LONGS_EQUAL(4, later.step(2, 0).m_waiting);
+    STRCMP_EQUAL("saved", later.find({job.id(), 1, 0, 3})->m_checkpoint.c_str());
+    LONGS_EQUAL(2, later.find({job.id(), 1, 0, 1})->m_failed_runs.size());
+    CHECK_FALSE(later.all_done());
+}
+
+TEST(job_state, is_done_when_every_occurrence_is)
+{
+    auto job = make_job(2, 1);
+    for (int k = 0; k < 2; ++k)
+    {
+        CHECK_FALSE(job.all_done());
+        job.set_step_done(k, 0);
+        job.set_step_done(k, 1);
+        job.set_step_done(k, 1); // listed again
+    }
+    CHECK_TRUE(job.all_done());
+}
+
+// A row holds 64 KiB: the progress of a long schedule of wide steps has to fit.
+TEST(job_state, the_progress_of_a_long_schedule_stays_small)
+{
+    constexpr int occurrences = 1000;
+    constexpr std::size_t row_bytes = 65536;
+    auto job = make_job(occurrences, 30);
+    for (int k = 0; k + 1 < occurrences; ++k)
+    {
+        job.set_step_done(k, 0);
+        job.set_step_done(k, 1);
+    }
+    CHECK_TRUE(pack(job.progress()).size() < row_bytes);
+}
+
+TEST(job_state, progress_that_does_not_fit_the_job_is_left_out)
+{
+    progress_record progress;
+    progress.m_tasks.push_back({9, 0, task_progress::whole_step, true, {}, {}});
+    progress.m_tasks.push_back({0, 9, task_progress::whole_step, true, {}, {}});
+    progress.m_tasks.push_back({0, 0, 99, true, {}, {}});
+    auto job = make_job(1, 2);
+    job.restore(progress);
+    LONGS_EQUAL(2, job.step(0, 0).m_waiting);
+}
--- /dev/null
+++ b/tests/cell/occurrence_timetable_test.cpp
@@ -0,0 +1,52 @@
+#include "dragonflygap/cell/occurrence_timetable.hpp"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace dragonflygap;
+using namespace dragonflygap::cell;
+
+namespace
+{
+
+job_request every(std::int64_t interval_ms, std::int64_t first_due_ms, int occurrences)
+{
+    job_request request;
+    request.m_occurrences = occurrences;
+    request.m_first_due_ms = first_due_ms;
+    request.m_interval_ms = interval_ms;
+    return request;
+}
+
+} // namespace
+
+TEST_GROUP(occurrence_timetable){};
+
+TEST(occurrence_timetable, hands_each_occurrence_out_once_when_it_is_due)
+{
+    occurrence_timetable timetable;
+    timetable.add(job_id("a"), every(100, 1000, 3));
+    CHECK_TRUE(timetable.take_due(999).empty());
+    CHECK(timetable.take_due(1000) == std::vector<occurrence_key>({{job_id("a"), 0}}));
+    CHECK_TRUE(timetable.take_due(1000).empty());
+    CHECK_TRUE(timetable.take_due(500).empty());
+    CHECK(timetable.take_due(1250) ==
+          std::vector<occurrence_key>({{job_id("a"), 1}, {job_id("a"), 2}}));
+    CHECK_TRUE(timetable.empty());
+}
+
+TEST(occurrence_timetable, merges_jobs_in_the_order_of_their_times)
+{
+    occurrence_timetable timetable;
+    timetable.add(job_id("a"), every(100, 1000, 2));
+    timetable.add(job_id("b"), every(100, 1050, 2));
+    CHECK(timetable.take_due(1120) ==
+          std::vector<occurrence_key>(
+              {{job_id("a"), 0}, {job_id("b"), 0}, {job_id("a"), 1}}));
+}
+
+TEST(occurrence_timetable, leaves_out_jobs_that_run_at_once)
+{
+    occurrence_timetable timetable;
+    timetable.add(job_id("a"), {});
+    CHECK_TRUE(timetable.empty());
+}
