Pass over waiting steps that no worker has room for

Cause: with a long backlog a pass took longer than the 10 ms between passes (829 us on one whole core at 48 workers and 467 waiting steps; a VM has a quarter of one). Tickets then lapsed before they were used and approvals timed out. perf: two thirds of a pass compared strings in maps keyed by worker or step.

--- a/src/dragonflygap/cell/approvals.hpp
+++ b/src/dragonflygap/cell/approvals.hpp
@@ -27,6 +27,8 @@
     bool m_asking = false;
     instant m_next_ask{};
 
+    bool never_asked() const { return m_approved.empty() && m_denied.empty(); }
+
     /// A ticket that is valid until an order has arrived; nullptr if there is none.
     const std::string* usable(const worker_id& worker, instant now) const;
 };
--- a/src/dragonflygap/cell/coordinator.cpp
+++ b/src/dragonflygap/cell/coordinator.cpp
@@ -209,7 +209,6 @@
         {
             const step_key key{job.id(), k, s};
             m_ready.erase(rank_of(job, key));
-            m_approvals.erase(key);
             m_unsuited.erase(key);
         }
     stop_all(job);
@@ -233,14 +232,14 @@
         return;
     for (int s = 0; s < job.steps(); ++s)
     {
-        const auto& step = job.step(occurrence, s);
+        auto& step = job.step(occurrence, s);
         const step_key key{job.id(), occurrence, s};
         if (step.m_waiting > 0 && job.is_due(occurrence, s, m_unix_ms))
-            m_ready.insert(rank_of(job, key));
+            m_ready.emplace(rank_of(job, key), m_jobs.at(job.id()));
         else
             m_ready.erase(rank_of(job, key));
         if (step.m_done == static_cast<int>(step.m_tasks.size()))
-            m_approvals.erase(key);
+            step.m_approval = {};
     }
 }
 
--- a/src/dragonflygap/cell/coordinator.hpp
+++ b/src/dragonflygap/cell/coordinator.hpp
@@ -151,24 +151,26 @@
     void release(worker_state& worker, const task_key& task);
     void settle(worker_state& worker, const worker_report& report, instant sent);
     void lose(worker_state& worker, std::string_view cause);
-    void want_stop(placement& placed);
     void send_stops();
     void stop_stuck();
     void stop_gang(job_state& job, const step_key& step, std::uint64_t run);
     void stop_task(job_state& job, const task_key& key);
     void stop_all(job_state& job);
-    bool blind_for(const job_state& job) const;
+    bool blind() const;
 
-    // coordinator_placing.cpp: who gets room; coordinator_approvals.cpp: who is asked for tickets
+    // coordinator_placing.cpp, coordinator_gangs.cpp: who gets room; coordinator_approvals.cpp: who
+    // is asked for tickets
     void place_all();
-    void place_step(job_state& job, const step_key& key);
+    void place_step(job_state& job, int occurrence, int step);
+    bool worth_a_look(const job_state& job, int occurrence, int step) const;
     void place_tasks(job_state& job, const step_key& key, step_approval* approved);
+    void report_unsuited();
     void report_unsuited(const job_state& job, const step_key& key);
     void log_started(const job_state& job, const step_key& key, int count) const;
     void place_gang(job_state& job, const step_key& key, step_approval* approved);
     std::optional<std::vector<choice>> choose_gang(job_state& job, const step_key& key,
                                                    const step_approval* approved, bool ticketed);
-    void sort_by_room();
+    void open_pass();
     bool takes_tasks(const worker_state& worker) const;
     static bool suits(const worker_state& worker, const job_state& job, const step_spec& spec);
     std::vector<worker_state*> allowed(const job_state& job, const step_key& key,
@@ -176,7 +178,6 @@
     worker_state* choose(const std::vector<worker_state*>& among, const step_spec& spec,
                          const step_key& key, const rack_id* only_rack,
                          const std::map<worker_id, resources>& taken) const;
-    resources room(const worker_state& worker) const;
     int fitting(const worker_state& worker, const step_spec& spec) const;
     void start(job_state& job, const task_key& task, worker_state& worker, std::uint64_t run,
                const step_approval* approved);
@@ -185,7 +186,7 @@
                              const approval_answered& event);
     void want_approval(job_state& job, const step_key& key, step_approval& approved);
     void hold_for_gang(job_state& job, const step_key& key, const step_approval* approved);
-    step_approval* approval_of(const job_state& job, const step_key& key);
+    static step_approval* approval_of(job_state& job, const step_key& key);
     int on_worker(const worker_state& worker, const step_key& key) const;
 
     coordinator_options m_options;
@@ -203,18 +204,20 @@
     std::map<job_id, std::vector<open_call>> m_calls;
     std::set<job_id> m_dirty;
     occurrence_timetable m_timetable;
-    std::set<rank> m_ready;
-    std::map<step_key, step_approval> m_approvals;
-    std::set<step_key> m_unsuited; ///< Waiting steps that were told to suit no worker.
+    std::map<rank, job_ptr> m_ready; ///< Steps with waiting tasks whose turn has come.
+    std::set<step_key> m_unsuited;   ///< Waiting steps that were told to suit no worker.
     std::map<queue_id, double> m_approval_rates; ///< Share of the workers named that is approved.
     std::map<worker_id, worker_state> m_workers;
     bool m_workers_dirty = false;
     std::optional<batch> m_batch;
-    std::map<worker_id, resources> m_reserved; ///< Room kept for gangs in one pass.
-    std::vector<worker_state*> m_by_room;      ///< Of one pass.
-    std::set<worker_id> m_closed;              ///< Workers kept for gangs in one pass.
+    // Of one pass over the waiting steps.
+    std::vector<worker_state*> m_by_room; ///< Open workers, most free processor time first.
+    resources m_most_free;                ///< Most that any of them has, of each kind.
+    std::size_t m_closed = 0;             ///< How many of them are kept for gangs.
+    bool m_blind = false;                 ///< Restored jobs may run where nobody has looked yet.
     instant m_last_trim{};
     instant m_last_stuck_check{};
+    instant m_last_unsuited_check{};
 };
 
 } // namespace dragonflygap::cell
--- a/src/dragonflygap/cell/coordinator_approvals.cpp
+++ b/src/dragonflygap/cell/coordinator_approvals.cpp
@@ -10,7 +10,7 @@
 
 int coordinator::fitting(const worker_state& worker, const step_spec& spec) const
 {
-    const int fits = times_in(size_of(spec), room(worker));
+    const int fits = times_in(size_of(spec), worker.free_for_pass());
     return spec.m_most_per_worker > 0 ? std::min(fits, spec.m_most_per_worker) : fits;
 }
 
@@ -34,7 +34,7 @@
         expected += std::max<double>(fitting(*worker, spec), later_room);
     if (expected >= wanted - wanted_more)
         return;
-    const bool first = approved.m_approved.empty() && approved.m_denied.empty();
+    const bool first = approved.never_asked();
     bool room_now = false;
     std::vector<worker_id> named;
     for (const worker_state* worker : m_by_room)
@@ -45,7 +45,7 @@
         if (!suits(*worker, job, spec) || approved.m_denied.count(id) != 0 ||
             approved.usable(id, m_now) != nullptr)
             continue;
-        const int fits = m_closed.count(id) != 0 ? 0 : fitting(*worker, spec);
+        const int fits = worker->m_pass.m_closed ? 0 : fitting(*worker, spec);
         // It is asked again only where there is room; behind this one nobody has more.
         if (fits == 0 && !room_now && !first)
         {
@@ -79,9 +79,11 @@
     m_out->push_back(ask_approval{*through, key, std::move(named), expected_wait});
 }
 
-step_approval* coordinator::approval_of(const job_state& job, const step_key& key)
+step_approval* coordinator::approval_of(job_state& job, const step_key& key)
 {
-    return job.record().m_queue.m_approval.required() ? &m_approvals[key] : nullptr;
+    return job.record().m_queue.m_approval.required()
+               ? &job.step(key.m_occurrence, key.m_step).m_approval
+               : nullptr;
 }
 
 double coordinator::approval_rate(const queue_id& queue) const
@@ -109,10 +111,10 @@
 
 void coordinator::on(const approval_answered& event)
 {
-    const auto found = m_approvals.find(event.m_step);
-    if (found == m_approvals.end())
+    job_state* job = find(event.m_step.m_job);
+    if (job == nullptr)
         return;
-    auto& approved = found->second;
+    auto& approved = job->step(event.m_step.m_occurrence, event.m_step.m_step).m_approval;
     approved.m_asking = false;
     constexpr duration ask_again = 100ms;
     approved.m_next_ask = m_now;
@@ -130,8 +132,7 @@
     // Tickets must still be valid when the order arrives.
     constexpr duration way = 250ms;
     const auto until = m_now + std::chrono::milliseconds(event.m_result->m_valid_ms) - way;
-    if (const job_state* job = find(event.m_step.m_job); job != nullptr)
-        learn_approval_rate(job->record().m_queue.m_name, approved, event);
+    learn_approval_rate(job->record().m_queue.m_name, approved, event);
     for (const auto& worker : event.m_workers)
         approved.m_denied.insert(worker);
     for (const auto& ticket : event.m_result->m_tickets)
--- a/src/dragonflygap/cell/coordinator_ends.cpp
+++ b/src/dragonflygap/cell/coordinator_ends.cpp
@@ -80,14 +80,7 @@
     const auto placed = worker.m_placements.find(task);
     if (placed == worker.m_placements.end())
         return;
-    worker.m_used -= placed->second.m_size;
-    worker.m_placements.erase(placed);
-}
-
-void coordinator::want_stop(placement& placed)
-{
-    placed.m_stop_wanted = true;
-    placed.m_next_stop = m_now;
+    worker.remove(placed);
 }
 
 void coordinator::send_stops()
@@ -96,6 +89,8 @@
     for (auto& [id, worker] : m_workers)
         for (auto& [key, placed] : worker.m_placements)
         {
+            if (worker.m_stops_wanted == 0)
+                break;
             if (!placed.m_stop_wanted || placed.m_stop_in_flight || m_now < placed.m_next_stop ||
                 placed.m_stop_known)
                 continue;
@@ -150,7 +145,7 @@
         return;
     const auto placed = worker->second.m_placements.find(key);
     if (placed != worker->second.m_placements.end() && placed->second.m_run == task->m_run)
-        want_stop(placed->second);
+        worker->second.want_stop(placed->second, m_now);
 }
 
 // Load pattern: on some workers everything stands still while they answer as ever. A task whose
@@ -185,7 +180,7 @@
                        {"worker", id.m_value},
                        {"percent", placed.m_percent},
                        {"unchanged_ms", to_ms(worker.m_last_answer - placed.m_percent_since)}});
-            want_stop(placed);
+            worker.want_stop(placed, m_now);
             worker.m_avoid_until = std::max(worker.m_avoid_until, m_now + avoid);
         }
 }
--- a/src/dragonflygap/cell/coordinator_placing.cpp
+++ b/src/dragonflygap/cell/coordinator_placing.cpp
@@ -10,39 +10,74 @@
 
 void coordinator::place_all()
 {
-    m_reserved.clear();
-    m_closed.clear();
-    sort_by_room();
-    const std::vector<rank> order(m_ready.begin(), m_ready.end());
-    for (const auto& next : order)
+    constexpr duration unsuited_every = 1s;
+    if (m_now - m_last_unsuited_check >= unsuited_every)
     {
-        job_state* job = find(next.m_step.m_job);
-        if (job != nullptr && !job->m_outcome && m_ready.count(next) != 0)
-            place_step(*job, next.m_step);
+        m_last_unsuited_check = m_now;
+        report_unsuited();
     }
+    open_pass();
+    struct ready_step
+    {
+        job_state* m_job;
+        int m_occurrence;
+        int m_step;
+    };
+    // Starts change the set of ready steps.
+    std::vector<ready_step> order;
+    order.reserve(m_ready.size());
+    for (const auto& [rank, job] : m_ready)
+        order.push_back({job.get(), rank.m_step.m_occurrence, rank.m_step.m_step});
+    for (const auto& next : order)
+        if (worth_a_look(*next.m_job, next.m_occurrence, next.m_step))
+            place_step(*next.m_job, next.m_occurrence, next.m_step);
 }
 
 // Workers that take new tasks, those with the most free processor time first; each pass over the
 // waiting steps looks at the first of them only.
-void coordinator::sort_by_room()
+void coordinator::open_pass()
 {
     m_by_room.clear();
+    m_most_free = {};
+    m_closed = 0;
+    m_blind = blind();
     for (auto& [id, worker] : m_workers)
-        if (takes_tasks(worker))
-            m_by_room.push_back(&worker);
+    {
+        worker.m_pass = {.m_open = takes_tasks(worker)};
+        if (!worker.m_pass.m_open)
+            continue;
+        m_by_room.push_back(&worker);
+        const auto free = worker.free();
+        m_most_free = {std::max(m_most_free.m_millicores, free.m_millicores),
+                       std::max(m_most_free.m_memory_mb, free.m_memory_mb),
+                       std::max(m_most_free.m_accelerators, free.m_accelerators)};
+    }
     std::sort(m_by_room.begin(), m_by_room.end(),
               [](const worker_state* left, const worker_state* right)
               { return left->free().m_millicores > right->free().m_millicores; });
 }
 
-void coordinator::place_step(job_state& job, const step_key& key)
+// Load pattern: a full cell with a long backlog. A step that no worker has room for is passed over
+// without a search; gangs still have room kept for them, and workers are named for a first
+// approval.
+bool coordinator::worth_a_look(const job_state& job, int occurrence, int number) const
 {
-    auto& step = job.step(key.m_occurrence, key.m_step);
-    if (m_now < step.m_not_before || blind_for(job))
-        return;
-    report_unsuited(job, key);
+    const auto& step = job.step(occurrence, number);
+    if (step.m_waiting == 0 || job.m_outcome || m_now < step.m_not_before ||
+        (job.m_restored && m_blind))
+        return false;
+    const auto& spec = job.spec(number);
+    const bool first_approval = job.record().m_queue.m_approval.required() &&
+                                step.m_approval.never_asked() && !step.m_approval.m_asking;
+    return spec.m_gang || first_approval || size_of(spec).fits_in(m_most_free);
+}
+
+void coordinator::place_step(job_state& job, int occurrence, int number)
+{
+    const step_key key{job.id(), occurrence, number};
+    auto& step = job.step(occurrence, number);
     step_approval* approved = approval_of(job, key);
-    const bool gang = job.spec(key.m_step).m_gang;
+    const bool gang = job.spec(number).m_gang;
     if (job.m_stored)
     {
         if (gang)
@@ -59,6 +94,12 @@
         hold_for_gang(job, key, approved);
 }
 
+void coordinator::report_unsuited()
+{
+    for (const auto& [rank, job] : m_ready)
+        report_unsuited(*job, rank.m_step);
+}
+
 // Tells once that no listed worker has what a step needs, whatever its room: its service, its label
 // and its size. Such a step waits until one comes.
 void coordinator::report_unsuited(const job_state& job, const step_key& key)
@@ -84,12 +125,6 @@
                               [](const auto& entry) { return entry.second.m_listed; })}});
 }
 
-resources coordinator::room(const worker_state& worker) const
-{
-    const auto reserved = m_reserved.find(worker.m_info.m_id);
-    return reserved == m_reserved.end() ? worker.free() : worker.free() - reserved->second;
-}
-
 bool coordinator::takes_tasks(const worker_state& worker) const
 {
     return worker.m_listed && worker.m_synced && worker.m_failing_since == instant{} &&
@@ -117,8 +152,7 @@
     std::vector<worker_state*> result;
     auto consider = [&](worker_state& worker)
     {
-        if (takes_tasks(worker) && suits(worker, job, spec) &&
-            m_closed.count(worker.m_info.m_id) == 0)
+        if (worker.m_pass.m_open && !worker.m_pass.m_closed && suits(worker, job, spec))
             result.push_back(&worker);
     };
     if (approved == nullptr)
@@ -150,7 +184,7 @@
     {
         if (only_rack != nullptr && worker->m_info.m_rack != *only_rack)
             continue;
-        auto left = room(*worker);
+        auto left = worker->free_for_pass();
         int here = 0;
         if (const auto also = taken.find(worker->m_info.m_id); also != taken.end())
         {
@@ -207,83 +241,6 @@
     refresh(job, key.m_occurrence);
 }
 
-std::optional<std::vector<coordinator::choice>>
-coordinator::choose_gang(job_state& job, const step_key& key, const step_approval* approved,
-                         bool ticketed)
-{
-    const auto& spec = job.spec(key.m_step);
-    const auto among = allowed(job, key, approved, ticketed);
-    auto try_on = [&](const rack_id* rack) -> std::optional<std::vector<choice>>
-    {
-        std::vector<choice> chosen;
-        std::map<worker_id, resources> taken;
-        for (int i = 0; i < spec.m_count; ++i)
-        {
-            worker_state* worker = choose(among, spec, key, rack, taken);
-            if (worker == nullptr)
-                return std::nullopt;
-            taken[worker->m_info.m_id] += size_of(spec);
-            chosen.push_back({{key.m_job, key.m_occurrence, key.m_step, i}, worker->m_info.m_id});
-        }
-        return chosen;
-    };
-    if (spec.m_same_rack)
-    {
-        std::set<rack_id> racks;
-        for (const worker_state* worker : among)
-            racks.insert(worker->m_info.m_rack);
-        for (const auto& rack : racks)
-            if (auto chosen = try_on(&rack))
-                return chosen;
-    }
-    return try_on(nullptr);
-}
-
-void coordinator::place_gang(job_state& job, const step_key& key, step_approval* approved)
-{
-    auto& step = job.step(key.m_occurrence, key.m_step);
-    if (step.m_waiting < static_cast<int>(step.m_tasks.size()))
-        return; // members of an earlier run are still being stopped
-    if (auto chosen = choose_gang(job, key, approved, true))
-    {
-        const auto run = job.m_next_run++;
-        for (const auto& [task, worker] : *chosen)
-            start(job, task, m_workers.at(worker), run, approved);
-        log_started(job, key, static_cast<int>(chosen->size()));
-        refresh(job, key.m_occurrence);
-    }
-}
-
-// Keeps room for a gang from what comes behind it: the places that it would take while its
-// tickets are asked for, or the approved workers that are nearest to having the room.
-void coordinator::hold_for_gang(job_state& job, const step_key& key, const step_approval* approved)
-{
-    constexpr std::size_t most_closed = 24; // half of the workers of the sites at hand
-    const auto& spec = job.spec(key.m_step);
-    if (auto chosen = choose_gang(job, key, approved, false))
-    {
-        for (const auto& [task, worker] : *chosen)
-            m_reserved[worker] += size_of(spec);
-        return;
-    }
-    std::vector<std::pair<std::int64_t, worker_id>> nearest;
-    for (const worker_state* worker : allowed(job, key, approved, false))
-        nearest.emplace_back(-room(*worker).m_millicores, worker->m_info.m_id);
-    std::sort(nearest.begin(), nearest.end());
-    int places = 0;
-    std::vector<worker_id> kept;
-    for (const auto& [free, id] : nearest)
-    {
-        if (places >= spec.m_count)
-            break;
-        places += times_in(size_of(spec), m_workers.at(id).m_info.m_capacity);
-        kept.push_back(id);
-    }
-    if (places < spec.m_count || m_closed.size() + kept.size() > most_closed)
-        return;
-    m_closed.insert(kept.begin(), kept.end());
-}
-
 void coordinator::start(job_state& job, const task_key& key, worker_state& worker,
                         std::uint64_t run, const step_approval* approved)
 {
@@ -295,8 +252,7 @@
 
                      .m_started = m_now,
                      .m_percent_since = m_now};
-    worker.m_used += placed.m_size;
-    worker.m_placements[key] = placed;
+    worker.add(key, placed);
     worker.m_lease_until =
         std::max(worker.m_lease_until, m_now + options.m_order_window + options.m_clock_slack);
     start_order order{.m_task = key,
@@ -350,16 +306,15 @@
     {
         // It may run, or begin later: a stop that is acknowledged settles it.
         placed.m_phase = placement_phase::unknown;
-        want_stop(placed);
+        worker.want_stop(placed, m_now);
         worker.m_avoid_until = std::max(worker.m_avoid_until, m_now + avoid_unhealthy);
         worker.m_next_renewal = std::min(worker.m_next_renewal, m_now);
     }
     else
     {
-        if (refusal == start_refusal::no_ticket)
-            if (const auto approved = m_approvals.find(step_of(event.m_task));
-                approved != m_approvals.end())
-                approved->second.m_tickets.erase(event.m_worker);
+        if (refusal == start_refusal::no_ticket && job != nullptr)
+            job->step(event.m_task.m_occurrence, event.m_task.m_step)
+                .m_approval.m_tickets.erase(event.m_worker);
         if (!event.m_result || refusal == start_refusal::unhealthy ||
             refusal == start_refusal::no_room)
             worker.m_avoid_until = std::max(worker.m_avoid_until, m_now + avoid_unhealthy);
--- a/src/dragonflygap/cell/coordinator_workers.cpp
+++ b/src/dragonflygap/cell/coordinator_workers.cpp
@@ -211,8 +211,8 @@
             placed.m_size = size_of(job->spec(running.m_task.m_step));
         if (known != worker.m_placements.end())
             release(worker, running.m_task);
-        worker.m_used += placed.m_size;
-        known = worker.m_placements.insert_or_assign(running.m_task, placed).first;
+        worker.add(running.m_task, placed);
+        known = worker.m_placements.find(running.m_task);
         if (expected)
         {
             job->set_placed(running.m_task, worker.m_info.m_id, running.m_run);
@@ -220,7 +220,7 @@
             refresh(*job, running.m_task.m_occurrence);
         }
         else
-            want_stop(known->second);
+            worker.want_stop(known->second, m_now);
         log_event(log_level::info, expected ? "task_adopted" : "task_unwanted",
                   {{"task", text_of(running.m_task)},
                    {"run", running.m_run},
@@ -280,17 +280,16 @@
             worker.m_unsettled[key] = placed.m_run;
     for (const auto& [key, placed] : placements)
         take_end(worker, {.m_task = key, .m_run = placed.m_run, .m_how = end_kind::lapsed});
-    worker.m_placements.clear();
-    worker.m_used = {};
+    worker.remove_all();
     worker.m_synced = false;
     worker.m_next_renewal = m_now;
 }
 
-bool coordinator::blind_for(const job_state& job) const
+// True while workers that weren't heard of yet may run tasks of an earlier leader.
+bool coordinator::blind() const
 {
-    if (!job.m_restored || m_now >= m_blind_until)
-        return false;
-    return std::any_of(m_workers.begin(), m_workers.end(),
+    return m_now < m_blind_until &&
+           std::any_of(m_workers.begin(), m_workers.end(),
                        [](const auto& entry)
                        { return !entry.second.m_synced && !entry.second.m_gone; });
 }
--- a/src/dragonflygap/cell/job_state.hpp
+++ b/src/dragonflygap/cell/job_state.hpp
@@ -6,6 +6,7 @@
 #include <string>
 #include <vector>
 
+#include "dragonflygap/cell/approvals.hpp"
 #include "dragonflygap/cell/records.hpp"
 #include "dragonflygap/cell/worker.hpp"
 #include "dragonflygap/core/time.hpp"
@@ -37,8 +38,9 @@
     std::vector<task_state> m_tasks;
     int m_done = 0;
     int m_waiting = 0;
-    instant m_ready_since{}; ///< When the earlier steps were done; zero: they aren't.
-    instant m_not_before{};  ///< After a setback.
+    instant m_ready_since{};  ///< When the earlier steps were done; zero: they aren't.
+    instant m_not_before{};   ///< After a setback.
+    step_approval m_approval; ///< Only where the queue needs it.
 };
 
 /// A job and what became of its tasks. Pure; the coordinator decides.
--- a/src/dragonflygap/cell/worker_state.hpp
+++ b/src/dragonflygap/cell/worker_state.hpp
@@ -1,6 +1,5 @@
 #pragma once
 
-#include <algorithm>
 #include <cstdint>
 #include <map>
 #include <optional>
@@ -60,6 +59,8 @@
     std::uint64_t m_started_at = 0;
     resources m_used;
     std::map<task_key, placement> m_placements;
+    int m_sizes_unknown = 0; ///< Placements whose size isn't known.
+    int m_stops_wanted = 0;  ///< Placements that are to be stopped.
 
     /// Orders without an answer from before the worker was lost: they may still take effect, so
     /// the runs are stopped when it is back.
@@ -82,14 +83,50 @@
     int m_failures_in_row = 0; ///< Tasks that failed there since one was done.
     instant m_avoid_until{};   ///< No new tasks before.
 
-    /// True if a task of unknown size runs there: there may be no room at all.
-    bool room_unknown() const
+    /// What the present pass over the waiting steps decided for this worker.
+    struct pass_state
+    {
+        bool m_open = false;    ///< It may get tasks.
+        bool m_closed = false;  ///< It is kept for gangs.
+        resources m_reserved{}; ///< Room kept for gangs.
+    };
+    pass_state m_pass;
+
+    /// Counts a run's room as taken.
+    void add(const task_key& task, const placement& placed)
+    {
+        m_used += placed.m_size;
+        m_sizes_unknown += placed.m_size_known ? 0 : 1;
+        m_stops_wanted += placed.m_stop_wanted ? 1 : 0;
+        m_placements.insert_or_assign(task, placed);
+    }
+
+    void remove(std::map<task_key, placement>::iterator placed)
+    {
+        m_used -= placed->second.m_size;
+        m_sizes_unknown -= placed->second.m_size_known ? 0 : 1;
+        m_stops_wanted -= placed->second.m_stop_wanted ? 1 : 0;
+        m_placements.erase(placed);
+    }
+
+    void remove_all()
     {
-        return std::any_of(m_placements.begin(), m_placements.end(),
-                           [](const auto& entry) { return !entry.second.m_size_known; });
+        while (!m_placements.empty())
+            remove(m_placements.begin());
     }
 
+    void want_stop(placement& placed, instant now)
+    {
+        m_stops_wanted += placed.m_stop_wanted ? 0 : 1;
+        placed.m_stop_wanted = true;
+        placed.m_next_stop = now;
+    }
+
+    /// True if a task of unknown size runs there: there may be no room at all.
+    bool room_unknown() const { return m_sizes_unknown > 0; }
+
     resources free() const { return m_info.m_capacity - m_used; }
+    resources free_for_pass() const { return free() - m_pass.m_reserved; }
 
     /// The worker's clock now, never later than it really is.
     std::int64_t clock_at(instant now) const
