Take over faster, hold submissions through it, and step aside when cut off

(2) Between 0.6 s of silence and the take-over, 1.1 s later, submissions were rejected with a Retry-After of a second, which is longer than the wait. (3) The row of a silent leader was first read after 0.55 s, its standing still shown another 0.45 s later. (4) For 150 ms after a take-over approvals were asked through the leader alone.

Change: a leader that neither the store nor half of the members answer says so, and its VMs report unready; submissions wait while a successor is likely (1.5 s of silence at most), then are rejected at once; the row is watched from 280 ms of silence; members help as soon as they answer.

--- a/src/dragonflygap/cell/coordinator_placing.cpp
+++ b/src/dragonflygap/cell/coordinator_placing.cpp
@@ -10,13 +10,13 @@
 
 void coordinator::place_all()
 {
+    open_pass();
     constexpr duration unsuited_every = 1s;
     if (m_now - m_last_unsuited_check >= unsuited_every)
     {
         m_last_unsuited_check = m_now;
         report_unsuited();
     }
-    open_pass();
     struct ready_step
     {
         job_state* m_job;
@@ -96,6 +96,9 @@
 
 void coordinator::report_unsuited()
 {
+    // A new leader hasn't read the list of workers yet.
+    if (m_by_room.empty())
+        return;
     for (const auto& [rank, job] : m_ready)
         report_unsuited(*job, rank.m_step);
 }
--- a/src/dragonflygap/cell/election.cpp
+++ b/src/dragonflygap/cell/election.cpp
@@ -59,11 +59,13 @@
 
 election::advice election::next(instant now)
 {
-    const bool silent = !m_heard || now - m_last_heartbeat > m_options.m_heartbeat_limit;
+    const auto silence = now - m_last_heartbeat;
+    const bool silent = !m_heard || silence > m_options.m_heartbeat_limit;
+    const bool watching = silent || silence > m_options.m_watch_after;
     const bool powerless = m_store_age > m_options.m_store_age_limit;
-    if (m_busy || !(silent || powerless || m_resigned) || now < m_next_read)
+    if (m_busy || !(watching || powerless || m_resigned) || now < m_next_read)
         return advice::wait;
-    if (m_row_since != instant{})
+    if (m_row_since != instant{} && (silent || powerless || m_resigned))
     {
         // The row of this VM's own earlier life, and none at all, have no writer.
         const bool vacant = !m_row || m_row->m_vm == m_self || m_resigned;
--- a/src/dragonflygap/cell/election.hpp
+++ b/src/dragonflygap/cell/election.hpp
@@ -12,12 +12,15 @@
 
 struct election_options
 {
-    duration m_heartbeat_limit = 550ms; ///< Without a heartbeat for longer, the row is read.
-    duration m_row_limit = 450ms;       ///< A row that stays unchanged for longer has no writer.
-    duration m_read_every = 150ms;      ///< Between readings of the row without a leader.
-    duration m_store_age_limit =
-        1500ms;                  ///< A leader that the store doesn't answer may be replaced.
-    duration m_rank_step = 60ms; ///< Members try one after another.
+    duration m_watch_after = 280ms;     ///< Without a heartbeat for longer (one is missing), the
+                                        ///< row is read, so that its standing still shows early.
+    duration m_heartbeat_limit = 500ms; ///< Without a heartbeat for longer, a leader is silent.
+    duration m_row_limit = 400ms;       ///< A row that stays unchanged for longer has no writer: a
+                                        ///< leader rewrites it every 200 ms.
+    duration m_read_every = 120ms;      ///< Between readings of the row without a leader.
+    duration m_store_age_limit = 900ms; ///< A leader that the store doesn't answer for longer may
+                                        ///< be replaced; a slow store answers within 550 ms.
+    duration m_rank_step = 60ms;        ///< Members try one after another.
 };
 
 /// Decides when this VM tries to become the leader. The take-over itself is a conditional write
--- a/src/dragonflygap/cell/peer_messages.hpp
+++ b/src/dragonflygap/cell/peer_messages.hpp
@@ -24,8 +24,10 @@
     std::uint64_t m_config_version = 0;
     std::string m_address;  ///< Of the leader, for answers.
     bool m_resigns = false; ///< The receiver is to take over at once.
+    bool m_cut_off = false; ///< Neither the store nor half of the members answer the leader.
 
-    MSGPACK_DEFINE(m_epoch, m_commit, m_store_age_ms, m_config_version, m_address, m_resigns)
+    MSGPACK_DEFINE(m_epoch, m_commit, m_store_age_ms, m_config_version, m_address, m_resigns,
+                   m_cut_off)
 };
 
 /// A member's answer to a heartbeat.
--- a/src/dragonflygap/node/caller_task.cpp
+++ b/src/dragonflygap/node/caller_task.cpp
@@ -49,17 +49,36 @@
     open.m_since = monotonic_clock::now();
     open.m_call = std::move(what);
     open.m_sent = m_options.m_to_leader(open.m_call) ? 1 : 0;
-    const bool looks = kind == call_kind::state;
-    if (open.m_sent == 0 && looks)
+    if (open.m_sent > 0)
+        return await_answer(open);
+    if (kind == call_kind::state)
         return read_store(id);
-    if (open.m_sent == 0)
+    await_leader(id);
+}
+
+void caller_task::await_answer(open_call& open)
+{
+    const bool looks = static_cast<call_kind>(open.m_call.m_kind) == call_kind::state;
+    open.m_timer = m_loop.after(looks ? m_options.m_state_limit : m_options.m_submit_limit,
+                                [this, id = open.m_call.m_call] { expire(id); });
+}
+
+// A take-over lasts less than a second, a caller that is told to come back is away for longer. So a
+// call waits while a successor is likely; where none is, it is rejected at once.
+void caller_task::await_leader(std::uint64_t call)
+{
+    const auto found = m_open.find(call);
+    if (found == m_open.end() || found->second.m_sent > 0)
+        return;
+    if (m_options.m_takeover_expected())
     {
-        auto answer = with(call_status::rejected);
-        answer.m_number = m_options.m_no_leader_retry_ms;
-        return finish(id, answer);
+        found->second.m_timer =
+            m_loop.after(m_options.m_takeover_check, [this, call] { await_leader(call); });
+        return;
     }
-    open.m_timer = m_loop.after(looks ? m_options.m_state_limit : m_options.m_submit_limit,
-                                [this, id] { expire(id); });
+    auto answer = with(call_status::rejected);
+    answer.m_number = m_options.m_no_leader_retry_ms;
+    finish(call, answer);
 }
 
 const caller_task::open_call* caller_task::find(std::uint64_t call) const
@@ -88,8 +107,8 @@
 void caller_task::leader_changed()
 {
     for (auto& [id, open] : m_open)
-        if (m_options.m_to_leader(open.m_call))
-            ++open.m_sent;
+        if (m_options.m_to_leader(open.m_call) && ++open.m_sent == 1)
+            await_answer(open);
 }
 
 void caller_task::expire(std::uint64_t call)
--- a/src/dragonflygap/node/caller_task.hpp
+++ b/src/dragonflygap/node/caller_task.hpp
@@ -24,10 +24,13 @@
     cell::store_port m_store;
     /// Passes a call to the leader; false if there is none that could be reached.
     std::function<bool(const cell::caller_call&)> m_to_leader;
-    duration m_submit_limit = 2200ms; ///< Below the 3 s for which callers of the sites wait.
-    duration m_state_limit = 600ms;   ///< After it the store is read instead.
-    duration m_store_limit = 1s;      ///< For one reading of the store.
-    std::int64_t m_no_leader_retry_ms = 1000; ///< A take-over lasts one to two seconds.
+    /// True while the leader has been silent for so short a time that a successor is likely.
+    std::function<bool()> m_takeover_expected;
+    duration m_submit_limit = 2200ms;  ///< Below the 3 s for which callers of the sites wait.
+    duration m_state_limit = 600ms;    ///< After it the store is read instead.
+    duration m_store_limit = 1s;       ///< For one reading of the store.
+    duration m_takeover_check = 100ms; ///< How often a call that waits for a leader looks again.
+    std::int64_t m_no_leader_retry_ms = 1000; ///< A take-over lasts about one second.
 };
 
 /// Takes the calls of callers, has the leader answer them, and reads the store where it can't.
@@ -60,6 +63,8 @@
     };
 
     void finish(std::uint64_t call, const cell::caller_answer& answer);
+    void await_answer(open_call& open);
+    void await_leader(std::uint64_t call);
     void expire(std::uint64_t call);
     void read_store(std::uint64_t call);
     void read_end(std::uint64_t call);
--- a/src/dragonflygap/node/leader_task.cpp
+++ b/src/dragonflygap/node/leader_task.cpp
@@ -182,8 +182,12 @@
     const auto found = m_members.find(from);
     if (found == m_members.end())
         return;
+    const bool answered = answers(found->second);
     found->second.m_heard = monotonic_clock::now();
     found->second.m_stopping = heartbeat.m_stopping;
+    // After a take-over approvals are wanted through all VMs as soon as they answer.
+    if (!answered)
+        check_members();
 }
 
 void leader_task::handle(const vm_id& from, const cell::approval_answer& answer)
@@ -205,7 +209,8 @@
             .m_commit = m_coordinator.record().m_commit,
             .m_store_age_ms = m_coordinator.last_commit() == instant{} ? 0 : to_ms(age),
             .m_config_version = m_options.m_config_version(),
-            .m_address = m_options.m_address};
+            .m_address = m_options.m_address,
+            .m_cut_off = cut_off()};
 }
 
 void leader_task::send_heartbeats()
@@ -280,6 +285,23 @@
         });
 }
 
+bool leader_task::answers(const member& other) const
+{
+    return monotonic_clock::now() - other.m_heard < m_options.m_member_limit && !other.m_stopping;
+}
+
+bool leader_task::cut_off() const
+{
+    if (m_coordinator.last_commit() == instant{} ||
+        monotonic_clock::now() - m_coordinator.last_commit() <= m_options.m_cut_off_after)
+        return false;
+    const auto heard =
+        std::count_if(m_members.begin(), m_members.end(),
+                      [this](const auto& entry)
+                      { return entry.first == m_options.m_vm || answers(entry.second); });
+    return 2 * static_cast<std::size_t>(heard) < m_members.size();
+}
+
 void leader_task::check_members()
 {
     const auto now = monotonic_clock::now();
@@ -287,7 +309,7 @@
     for (auto& [vm, member] : m_members)
     {
         const bool self = vm == m_options.m_vm;
-        if (self || (now - member.m_heard < m_options.m_member_limit && !member.m_stopping))
+        if (self || answers(member))
             helpers.push_back(vm);
         else if (now - std::max(member.m_heard, member.m_redialled) > m_options.m_redial_after)
         {
--- a/src/dragonflygap/node/leader_task.hpp
+++ b/src/dragonflygap/node/leader_task.hpp
@@ -39,6 +39,7 @@
     duration m_member_limit = 1200ms; ///< A member that is silent for longer isn't asked.
     duration m_redial_after = 1500ms;
     duration m_commit_timeout = 1500ms;
+    duration m_cut_off_after = 700ms; ///< Without the store, as for rejecting submissions.
 };
 
 /// Acts for the coordinator of the cell, as long as this VM leads it.
@@ -60,6 +61,10 @@
 
     const cell::coordinator& state() const { return m_coordinator; }
 
+    /// True while neither the store nor half of the members answer: callers are served better
+    /// elsewhere. A store that is away for everybody doesn't count.
+    bool cut_off() const;
+
 private:
     struct member
     {
@@ -86,6 +91,7 @@
     void list_workers();
     void read_members();
     void check_members();
+    bool answers(const member& other) const;
     cell::leader_heartbeat heartbeat() const;
 
     event_loop& m_loop;
--- a/src/dragonflygap/node/node.cpp
+++ b/src/dragonflygap/node/node.cpp
@@ -30,6 +30,7 @@
                     callers.m_store = m_options.m_store;
                     callers.m_to_leader = [this](const cell::caller_call& call)
                     { return to_leader(call); };
+                    callers.m_takeover_expected = [this] { return takeover_expected(); };
                     return callers;
                 }())
 {
@@ -92,9 +93,17 @@
 
 bool node::ready() const
 {
-    const bool led =
-        m_leader != nullptr || monotonic_clock::now() - m_leader_heard < m_options.m_ready_limit;
-    return m_config && !m_stopping && led;
+    if (!m_config || m_stopping)
+        return false;
+    if (m_leader != nullptr)
+        return !m_leader->cut_off();
+    return !m_leader_cut_off && monotonic_clock::now() - m_leader_heard < m_options.m_ready_limit;
+}
+
+bool node::takeover_expected() const
+{
+    return m_leader == nullptr && m_leader_seen != instant{} &&
+           monotonic_clock::now() - m_leader_seen < m_options.m_takeover_limit;
 }
 
 std::optional<vm_id> node::leader() const
@@ -230,6 +239,7 @@
                                 log_event(log_level::warning, "leader_deposed",
                                           {{"epoch", m_leader_epoch}, {"cause", cause}});
                                 m_leader.reset();
+                                m_leader_seen = monotonic_clock::now();
                                 m_election.campaign_failed(monotonic_clock::now());
                             }},
         found);
@@ -287,6 +297,8 @@
     m_leader_epoch = message.m_epoch;
     m_known_leader = from;
     m_leader_heard = message.m_resigns ? instant{} : now;
+    m_leader_seen = now;
+    m_leader_cut_off = message.m_cut_off;
     if (message.m_address != m_leader_address)
         if (const auto address = parse_endpoint(message.m_address))
             m_options.m_peers.m_add(from, *address);
@@ -368,6 +380,7 @@
         return;
     m_leader->resign();
     m_leader.reset();
+    m_leader_seen = monotonic_clock::now();
 }
 
 } // namespace dragonflygap::node
--- a/src/dragonflygap/node/node.hpp
+++ b/src/dragonflygap/node/node.hpp
@@ -45,10 +45,11 @@
     duration m_tick = 50ms;
     duration m_config_wait = 1500ms; ///< A silent connection is noticed after it.
     duration m_config_retry = 300ms;
-    duration m_leader_limit = 600ms; ///< A leader that is silent for longer isn't called.
-    duration m_ready_limit = 1s;     ///< Without a leader for longer, the VM isn't ready.
-    duration m_stop_least = 2500ms;  ///< The balancer needs two checks to notice.
-    duration m_stop_most = 5200ms;   ///< The platform kills a process that takes 6 s.
+    duration m_leader_limit = 600ms;    ///< A leader that is silent for longer isn't called.
+    duration m_ready_limit = 1s;        ///< Without a leader for longer, the VM isn't ready.
+    duration m_takeover_limit = 1500ms; ///< A leader silent for longer has no successor in reach.
+    duration m_stop_least = 2500ms;     ///< The balancer needs two checks to notice.
+    duration m_stop_most = 5200ms;      ///< The platform kills a process that takes 6 s.
 };
 
 /// One entry VM: takes callers' calls, follows the leader or leads.
@@ -73,6 +74,7 @@
     void stop();
 
 private:
+    bool takeover_expected() const;
     void register_member();
     void watch_config();
     void apply_config(cell::cell_config config, std::string_view source);
@@ -105,6 +107,8 @@
     std::string m_leader_address;
     std::uint64_t m_leader_epoch = 0;
     instant m_leader_heard{};
+    instant m_leader_seen{};                        ///< When there last was one, this VM included.
+    bool m_leader_cut_off = false;                  ///< As the leader itself last told.
     std::map<vm_id, cell::member_record> m_members; ///< As last read.
     bool m_stopping = false;
     instant m_stop_since{};
--- a/tests/cell/election_test.cpp
+++ b/tests/cell/election_test.cpp
@@ -46,6 +46,27 @@
     CHECK(election::advice::campaign == one.next(now + 500ms));
 }
 
+TEST(election, the_row_is_watched_before_the_leader_counts_as_silent)
+{
+    auto one = make_election();
+    hear(one, start);
+    CHECK(election::advice::read_row == one.next(start + 300ms));
+    one.row_read(other, 9, 0, start + 300ms);
+    CHECK(election::advice::read_row == one.next(start + 450ms));
+    one.row_read(other, 9, 0, start + 450ms);
+    CHECK(election::advice::campaign == one.next(start + 700ms));
+}
+
+TEST(election, a_late_heartbeat_ends_the_watch)
+{
+    auto one = make_election();
+    hear(one, start);
+    one.next(start + 300ms);
+    one.row_read(other, 9, 0, start + 300ms);
+    hear(one, start + 400ms);
+    CHECK(election::advice::wait == one.next(start + 650ms));
+}
+
 // This VM is cut off from a leader that goes on writing.
 TEST(election, a_row_that_changes_has_a_writer)
 {
--- a/tests/node/node_test.cpp
+++ b/tests/node/node_test.cpp
@@ -110,6 +110,69 @@
     check_fair(world);
 }
 
+// A caller that is rejected comes back a second later, when the take-over is long done.
+TEST(node, submissions_wait_for_a_successor_that_is_likely)
+{
+    cell_world world({});
+    world.run(3s);
+    const auto old = world.leader();
+    const std::string other = old == "vm0" ? "vm1" : "vm0";
+    world.kill(old);
+    for (int i = 0; i < 10; ++i)
+    {
+        world.run(100ms);
+        world.submit(other, job_name(i), {{}});
+    }
+    world.run(1s);
+    for (int i = 0; i < 10; ++i)
+    {
+        CHECK_TRUE(world.m_submissions[job_name(i)].m_accepted);
+        CHECK_TRUE(world.m_submissions[job_name(i)].m_retry_after.empty());
+    }
+    check_fair(world);
+}
+
+TEST(node, submissions_are_rejected_at_once_where_no_successor_is_in_reach)
+{
+    cell_world world({});
+    world.run(3s);
+    const auto* lone = world.leader() == "vm2" ? "vm1" : "vm2";
+    for (const auto* other : {"vm0", "vm1", "vm2", "store"})
+        world.cut(lone, other);
+    world.run(1600ms);
+    world.submit(lone, job_name(1), {{}});
+    world.run(10ms);
+    LONGS_EQUAL(503, world.m_submissions[job_name(1)].m_status);
+    CHECK_FALSE(world.m_submissions[job_name(1)].m_retry_after.empty());
+    CHECK_FALSE(world.find(lone)->ready());
+}
+
+// Its callers are served by other data centres once the balancer knows.
+TEST(node, a_leader_cut_off_from_store_and_members_is_not_ready)
+{
+    cell_world world({});
+    world.run(3s);
+    const auto old = world.leader();
+    for (const auto* other : {"vm0", "vm1", "vm2", "store"})
+        if (other != old)
+            world.cut(old, other);
+    world.run(1500ms);
+    CHECK_FALSE(world.find(old)->ready());
+    world.heal();
+    world.run(3s);
+    CHECK_TRUE(world.find(old)->ready());
+}
+
+TEST(node, a_store_that_is_away_for_all_leaves_every_vm_ready)
+{
+    cell_world world({});
+    world.run(3s);
+    world.rows().m_faults.m_down = true;
+    world.run(4s);
+    for (const auto* vm : {"vm0", "vm1", "vm2"})
+        CHECK_TRUE(world.find(vm)->ready());
+}
+
 TEST(node, all_vms_lose_power_and_nothing_accepted_is_lost)
 {
     cell_world world({});
