Read the leader's row where a transaction's answer is overdue

Cause: the store does a write and loses the answer (platform_lost).

Change: after 60 ms (three usual answers where the store is slow) the leader's row is read: it tells whether the transaction took effect; where a quick read shows that it hasn't, the same transaction is tried beside, three at a time. Tried before and dropped: sending it again without a read.

--- a/bench/cell/pass_cost_main.cpp
+++ b/bench/cell/pass_cost_main.cpp
@@ -87,8 +87,9 @@
     void feed(const event& what)
     {
         for (const auto& action : m_coordinator.handle(what, m_now, 0))
-            if (std::holds_alternative<send_commit>(action))
+            if (const auto* commit = std::get_if<send_commit>(&action))
                 feed(commit_answered{
+                    commit->m_number,
                     transaction_result{.m_committed = true, .m_version = ++m_version}});
             else if (const auto* ask = std::get_if<ask_approval>(&action))
                 answer(*ask);
--- a/src/dragonflygap/cell/coordinator.hpp
+++ b/src/dragonflygap/cell/coordinator.hpp
@@ -110,6 +110,7 @@
     void on(const job_cancelled& event);
     void on(const workers_listed& event);
     void on(const commit_answered& event);
+    void on(const leader_row_read& event);
     void on(const renewal_answered& event);
     void on(const start_answered& event);
     void on(const stop_answered& event);
@@ -130,6 +131,7 @@
     // coordinator_commits.cpp: what is stored and what follows from it
     void build_commit();
     bool add_job(job_state& job, transaction& change, batch& what);
+    void take_commit(commit_chain::status status);
     void committed();
     void drop_duplicates(const transaction_result& result);
     void requeue();
--- a/src/dragonflygap/cell/coordinator_commits.cpp
+++ b/src/dragonflygap/cell/coordinator_commits.cpp
@@ -67,7 +67,15 @@
 {
     if (const auto again = m_chain.retry_at(); again && m_now >= *again)
     {
-        m_out->push_back(send_commit{m_chain.again()});
+        log_event(log_level::info, "commit_tried_again",
+                  {{"commit", m_chain.record().m_commit}, {"store_age_ms", to_ms(store_age())}});
+        m_out->push_back(send_commit{m_chain.number(), m_chain.again(m_now)});
+        return;
+    }
+    if (const auto check = m_chain.check_at(); check && m_now >= *check)
+    {
+        m_chain.check_sent(m_now);
+        m_out->push_back(read_leader_row{m_chain.number()});
         return;
     }
     const bool changed = !m_dirty.empty() || m_workers_dirty;
@@ -103,19 +111,33 @@
             if (worker.m_ends_seen > worker.m_ends_stored)
                 what.m_ends[id] = worker.m_ends_seen;
     m_batch = std::move(what);
-    m_out->push_back(send_commit{m_chain.begin(std::move(change), m_now)});
+    const auto& sent = m_chain.begin(std::move(change), m_now);
+    m_out->push_back(send_commit{m_chain.number(), sent});
 }
 
 void coordinator::on(const commit_answered& event)
 {
-    switch (m_chain.finish(event.m_result, m_now))
+    if (!m_chain.expects(event.m_number))
+        return; // another try of that transaction was answered before
+    const auto status = m_chain.finish(event.m_result, m_now);
+    if (status == commit_chain::status::conflict)
+        drop_duplicates(*event.m_result);
+    take_commit(status);
+}
+
+void coordinator::on(const leader_row_read& event)
+{
+    if (m_chain.expects(event.m_number))
+        take_commit(m_chain.found(event.m_row, m_now));
+}
+
+void coordinator::take_commit(commit_chain::status status)
+{
+    switch (status)
     {
     case commit_chain::status::committed:
         committed();
         break;
-    case commit_chain::status::conflict:
-        drop_duplicates(*event.m_result);
-        break;
     case commit_chain::status::deposed:
         m_deposed = true;
         m_out->push_back(step_down{"another VM has written the leader's row"});
@@ -123,7 +145,9 @@
     case commit_chain::status::refused:
         requeue();
         break;
+    case commit_chain::status::conflict:
     case commit_chain::status::retry:
+    case commit_chain::status::pending:
         break;
     }
     build_commit();
--- a/src/dragonflygap/cell/events.hpp
+++ b/src/dragonflygap/cell/events.hpp
@@ -31,8 +31,14 @@
 };
 struct commit_answered
 {
+    std::uint64_t m_number = 0; ///< As in send_commit.
     outcome<transaction_result> m_result;
 };
+struct leader_row_read
+{
+    std::uint64_t m_number = 0; ///< As in read_leader_row.
+    outcome<stored_row> m_row;
+};
 struct renewal_answered
 {
     worker_id m_worker;
@@ -68,9 +74,9 @@
 struct tick
 {
 };
-using event =
-    std::variant<job_submitted, job_cancelled, workers_listed, commit_answered, renewal_answered,
-                 start_answered, stop_answered, approval_answered, members_changed, tick>;
+using event = std::variant<job_submitted, job_cancelled, workers_listed, commit_answered,
+                           leader_row_read, renewal_answered, start_answered, stop_answered,
+                           approval_answered, members_changed, tick>;
 
 enum class call_status
 {
@@ -89,8 +95,14 @@
 };
 struct send_commit
 {
+    std::uint64_t m_number = 0; ///< Handed back in the answer; the same for each try.
     transaction m_change;
 };
+/// Asks for the leader's row, where an answer to a transaction is overdue.
+struct read_leader_row
+{
+    std::uint64_t m_number = 0; ///< Of the transaction; handed back in the answer.
+};
 struct send_renewal
 {
     worker_address m_worker;
@@ -120,7 +132,7 @@
 {
     std::string m_cause;
 };
-using action = std::variant<answer_call, send_commit, send_renewal, send_start, send_stop,
-                            ask_approval, step_down>;
+using action = std::variant<answer_call, send_commit, read_leader_row, send_renewal, send_start,
+                            send_stop, ask_approval, step_down>;
 
 } // namespace dragonflygap::cell
--- a/src/dragonflygap/daemon/cell_daemon.cpp
+++ b/src/dragonflygap/daemon/cell_daemon.cpp
@@ -27,7 +27,7 @@
 
 // A worker allows 64 connections in all; after a take-over two leaders share them for a while.
 constexpr int worker_connections = 16;
-constexpr int store_connections = 8;
+constexpr int store_connections = 16; // answers that are lost keep theirs until their timeout
 constexpr std::size_t largest_answer_bytes = 4 << 20; // the store sends at most 1 MB of rows
 
 std::uint64_t new_incarnation()
--- a/src/dragonflygap/node/leader_task.cpp
+++ b/src/dragonflygap/node/leader_task.cpp
@@ -76,14 +76,27 @@
     const auto sent = monotonic_clock::now();
     m_options.m_store.m_commit(
         action.m_change, m_options.m_commit_timeout,
-        [this, sent, alive = m_alive](outcome<cell::transaction_result> result)
+        [this, sent, number = action.m_number,
+         alive = m_alive](outcome<cell::transaction_result> result)
         {
             if (!*alive)
                 return;
             m_counted.observe("dragonflygap_store_wait_seconds",
                               {"outcome", result ? "answered" : to_string(result.error().m_reason)},
                               monotonic_clock::now() - sent);
-            feed(cell::commit_answered{std::move(result)});
+            feed(cell::commit_answered{number, std::move(result)});
+        });
+}
+
+void leader_task::act(const cell::read_leader_row& action)
+{
+    m_options.m_store.m_read(
+        {std::string(cell::leader_table), std::string(cell::leader_key)},
+        m_options.m_commit_timeout,
+        [this, number = action.m_number, alive = m_alive](outcome<cell::stored_row> row)
+        {
+            if (*alive)
+                feed(cell::leader_row_read{number, std::move(row)});
         });
 }
 
--- a/src/dragonflygap/node/leader_task.hpp
+++ b/src/dragonflygap/node/leader_task.hpp
@@ -82,6 +82,7 @@
     void feed(const cell::event& event);
     void act(const cell::answer_call& action);
     void act(const cell::send_commit& action);
+    void act(const cell::read_leader_row& action);
     void act(const cell::send_renewal& action);
     void act(const cell::send_start& action);
     void act(const cell::send_stop& action);
--- a/tests/cell/coordinator_test.cpp
+++ b/tests/cell/coordinator_test.cpp
@@ -42,7 +42,7 @@
         auto actions = m_coordinator.handle(what, m_now, m_unix_ms);
         for (const auto& action : actions)
             if (const auto* commit = std::get_if<send_commit>(&action))
-                m_commit_sent = commit != nullptr;
+                m_commit = commit->m_number;
         return actions;
     }
 
@@ -53,9 +53,9 @@
         for (const auto until = m_now + length; m_now < until; m_now += 10ms, m_unix_ms += 10)
         {
             collect(feed(tick{}), starts);
-            if (std::exchange(m_commit_sent, false))
-                collect(feed(commit_answered{
-                            transaction_result{.m_committed = true, .m_version = ++m_version}}),
+            if (const auto number = std::exchange(m_commit, 0))
+                collect(feed(commit_answered{number, transaction_result{.m_committed = true,
+                                                                        .m_version = ++m_version}}),
                         starts);
         }
         return starts;
@@ -96,7 +96,7 @@
                 starts.push_back(*order);
     }
 
-    bool m_commit_sent = false;
+    std::uint64_t m_commit = 0; ///< Number of the transaction in flight; 0: none.
     std::uint64_t m_version = 1;
     std::uint64_t m_last_call = 0;
 };
--- a/tests/node/node_test.cpp
+++ b/tests/node/node_test.cpp
@@ -173,6 +173,21 @@
         CHECK_TRUE(world.find(vm)->ready());
 }
 
+// Every third write is done and its answer is lost; callers' objectives are about a second.
+TEST(node, lost_answers_of_the_store_hold_no_submission_up)
+{
+    cell_world world({});
+    world.run(3s);
+    world.rows().m_faults.m_lost = 0.33;
+    for (int i = 0; i < 40; ++i)
+    {
+        world.submit(world.leader(), job_name(i), {{}});
+        world.run(1s);
+        CHECK_TRUE(world.m_submissions[job_name(i)].m_accepted);
+    }
+    check_fair(world);
+}
+
 TEST(node, all_vms_lose_power_and_nothing_accepted_is_lost)
 {
     cell_world world({});
