Keep a VM's approval calls where they can be dropped

Cause: the approval service serves each VM's calls one after another and goes on with those that nobody waits for.

Change: a VM sends two calls at a time and keeps the others; calls of earlier leaders and those not begun in time are dropped, and a step waits once. Each answer tells the leader how much the VM still waits for, in place of a guess.

--- a/src/dragonflygap/cell/approvals.cpp
+++ b/src/dragonflygap/cell/approvals.cpp
@@ -52,6 +52,11 @@
     return *best;
 }
 
+void approval_desk::set_queued(const vm_id& through, duration queued, instant now)
+{
+    m_busy_until[through] = now + queued;
+}
+
 void approval_desk::asked(const vm_id& through, duration cost, instant now)
 {
     auto& busy = m_busy_until[through];
--- a/src/dragonflygap/cell/approvals.hpp
+++ b/src/dragonflygap/cell/approvals.hpp
@@ -55,6 +55,9 @@
 
     void asked(const vm_id& through, duration cost, instant now);
 
+    /// Takes a VM's own account of what it still waits for, calls for other leaders included.
+    void set_queued(const vm_id& through, duration queued, instant now);
+
     /// How long a call through this VM would wait.
     duration wait(const vm_id& through, instant now) const;
 
--- a/src/dragonflygap/cell/coordinator_approvals.cpp
+++ b/src/dragonflygap/cell/coordinator_approvals.cpp
@@ -76,7 +76,7 @@
                {"through", through->m_value},
                {"workers", named.size()},
                {"expected_ms", to_ms(expected_wait)}});
-    m_out->push_back(ask_approval{*through, key, std::move(named), expected_wait});
+    m_out->push_back(ask_approval{*through, key, std::move(named), time, expected_wait});
 }
 
 step_approval* coordinator::approval_of(job_state& job, const step_key& key)
@@ -111,6 +111,8 @@
 
 void coordinator::on(const approval_answered& event)
 {
+    if (event.m_queued)
+        m_desk.set_queued(event.m_asked_by, *event.m_queued, m_now);
     job_state* job = find(event.m_step.m_job);
     if (job == nullptr)
         return;
--- a/src/dragonflygap/cell/events.hpp
+++ b/src/dragonflygap/cell/events.hpp
@@ -65,6 +65,7 @@
     vm_id m_asked_by;
     std::vector<worker_id> m_workers; ///< That were named.
     outcome<approval> m_result;
+    std::optional<duration> m_queued; ///< As the VM told; nothing if it was silent.
 };
 /// VMs that answer heartbeats: approvals may be asked through them.
 struct members_changed
@@ -125,7 +126,8 @@
     vm_id m_through; ///< The VM that is to ask.
     step_key m_step;
     std::vector<worker_id> m_workers;
-    duration m_expected{};
+    duration m_cost{};     ///< Of the service.
+    duration m_expected{}; ///< With what the VM asks before.
 };
 /// Another leader has taken over.
 struct step_down
--- a/src/dragonflygap/cell/peer_messages.hpp
+++ b/src/dragonflygap/cell/peer_messages.hpp
@@ -85,9 +85,10 @@
     std::uint64_t m_epoch = 0;
     step_key m_step;
     std::vector<worker_id> m_workers;
-    std::int64_t m_timeout_ms = 0;
+    std::int64_t m_timeout_ms = 0; ///< After it the member needn't begin it any more.
+    std::int64_t m_cost_ms = 0;    ///< How long the service takes for it.
 
-    MSGPACK_DEFINE(m_epoch, m_step, m_workers, m_timeout_ms)
+    MSGPACK_DEFINE(m_epoch, m_step, m_workers, m_timeout_ms, m_cost_ms)
 };
 
 struct approval_answer
@@ -97,8 +98,9 @@
     std::vector<worker_id> m_workers;
     bool m_given = false; ///< False: the call failed.
     approval m_approval;
+    std::int64_t m_queued_ms = 0; ///< Work of the service that this member still waits for.
 
-    MSGPACK_DEFINE(m_epoch, m_step, m_workers, m_given, m_approval)
+    MSGPACK_DEFINE(m_epoch, m_step, m_workers, m_given, m_approval, m_queued_ms)
 };
 
 using peer_message = std::variant<leader_heartbeat, member_heartbeat, config_news, caller_call,
--- a/src/dragonflygap/node/leader_task.cpp
+++ b/src/dragonflygap/node/leader_task.cpp
@@ -144,7 +144,8 @@
                      cell::approval_call{.m_epoch = m_epoch,
                                          .m_step = action.m_step,
                                          .m_workers = action.m_workers,
-                                         .m_timeout_ms = to_ms(action.m_expected + margin)});
+                                         .m_timeout_ms = to_ms(action.m_expected + margin),
+                                         .m_cost_ms = to_ms(action.m_cost)});
     // The member answers, or its silence is the answer.
     m_loop.defer(action.m_expected + 2 * margin,
                  [this, number, step = action.m_step, through = action.m_through, alive = m_alive]
@@ -154,7 +155,9 @@
                      const auto open = m_asks.find(step);
                      if (open != m_asks.end() && open->second == number)
                          feed(cell::approval_answered{
-                             step, through, {}, fail(verdict::may_have_run, reason::timeout, "")});
+                             .m_step = step,
+                             .m_asked_by = through,
+                             .m_result = fail(verdict::may_have_run, reason::timeout, "")});
                  });
 }
 
@@ -212,7 +215,8 @@
         fail(verdict::not_run, reason::target_failed, "the member got no approval");
     if (answer.m_given)
         result = answer.m_approval;
-    feed(cell::approval_answered{answer.m_step, from, answer.m_workers, std::move(result)});
+    feed(cell::approval_answered{answer.m_step, from, answer.m_workers, std::move(result),
+                                 std::chrono::milliseconds(answer.m_queued_ms)});
 }
 
 cell::leader_heartbeat leader_task::heartbeat() const
--- a/src/dragonflygap/node/node.cpp
+++ b/src/dragonflygap/node/node.cpp
@@ -118,6 +118,7 @@
 
 void node::tick()
 {
+    ask_approvals();
     if (m_stopping)
     {
         const auto since = monotonic_clock::now() - m_stop_since;
@@ -344,22 +345,46 @@
 
 void node::on(const vm_id& from, const cell::approval_call& message)
 {
-    m_options.m_approvals.m_ask(message.m_step, message.m_workers,
-                                std::chrono::milliseconds(message.m_timeout_ms),
-                                [this, from, message](outcome<cell::approval> result)
-                                {
-                                    cell::approval_answer answer{.m_epoch = message.m_epoch,
-                                                                 .m_step = message.m_step,
-                                                                 .m_workers = message.m_workers,
-                                                                 .m_given = result.has_value()};
-                                    if (result)
-                                        answer.m_approval = std::move(*result);
-                                    else
-                                        log_event(log_level::info, "approval_failed",
-                                                  {{"job", message.m_step.m_job.m_value},
-                                                   {"detail", result.error().m_detail}});
-                                    send(from, answer);
-                                });
+    m_approvals.add(from, message, monotonic_clock::now());
+    ask_approvals();
+}
+
+void node::ask_approvals()
+{
+    for (const auto& late : m_approvals.take_expired(monotonic_clock::now()))
+        answer_approval(late.m_from, late.m_call,
+                        fail(verdict::not_run, reason::timeout, "not begun in time"));
+    while (const auto next = m_approvals.next())
+    {
+        // Beyond what the service should take for all that was sent.
+        constexpr duration margin = 1s;
+        m_options.m_approvals.m_ask(next->m_call.m_step, next->m_call.m_workers,
+                                    m_approvals.queued() + margin,
+                                    [this, next = *next](const outcome<cell::approval>& result)
+                                    {
+                                        m_approvals.finished(next.m_call);
+                                        answer_approval(next.m_from, next.m_call, result);
+                                        ask_approvals();
+                                    });
+    }
+}
+
+void node::answer_approval(const vm_id& to, const cell::approval_call& call,
+                           const outcome<cell::approval>& result)
+{
+    cell::approval_answer answer{.m_epoch = call.m_epoch,
+                                 .m_step = call.m_step,
+                                 .m_workers = call.m_workers,
+                                 .m_given = result.has_value(),
+                                 .m_queued_ms = to_ms(m_approvals.queued())};
+    if (result)
+        answer.m_approval = *result;
+    else
+        log_event(log_level::info, "approval_failed",
+                  {{"job", call.m_step.m_job.m_value},
+                   {"queued_ms", answer.m_queued_ms},
+                   {"detail", result.error().m_detail}});
+    send(to, answer);
 }
 
 void node::on(const vm_id& from, const cell::approval_answer& message)
--- a/src/dragonflygap/node/node.hpp
+++ b/src/dragonflygap/node/node.hpp
@@ -7,6 +7,7 @@
 #include <optional>
 #include <string>
 
+#include "dragonflygap/cell/approval_backlog.hpp"
 #include "dragonflygap/cell/election.hpp"
 #include "dragonflygap/cell/peer_messages.hpp"
 #include "dragonflygap/cell/ports.hpp"
@@ -85,6 +86,9 @@
     void lead(const cell::inherited& found);
     bool to_leader(const cell::caller_call& call);
     void send(const vm_id& to, const cell::peer_message& message);
+    void ask_approvals();
+    void answer_approval(const vm_id& to, const cell::approval_call& call,
+                         const outcome<cell::approval>& result);
     void dispatch(const vm_id& from, const cell::peer_message& message);
 
     void on(const vm_id& from, const cell::leader_heartbeat& message);
@@ -99,6 +103,7 @@
     metrics& m_counted;
     node_options m_options;
     cell::election m_election;
+    cell::approval_backlog m_approvals{{}};
     caller_task m_callers;
     std::unique_ptr<leader_task> m_leader;
     std::optional<cell::cell_config> m_config;
--- /dev/null
+++ b/tests/cell/approval_backlog_test.cpp
@@ -0,0 +1,79 @@
+#include "dragonflygap/cell/approval_backlog.hpp"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace dragonflygap;
+using namespace dragonflygap::cell;
+
+namespace
+{
+
+const instant start(10s);
+const vm_id leader("leader");
+
+approval_call call_for(const std::string& job, std::uint64_t epoch = 1)
+{
+    return {.m_epoch = epoch, .m_step = {job_id(job), 0, 0}, .m_timeout_ms = 500, .m_cost_ms = 100};
+}
+
+std::string next_job(approval_backlog& backlog)
+{
+    const auto next = backlog.next();
+    return next ? next->m_call.m_step.m_job.m_value : "";
+}
+
+} // namespace
+
+TEST_GROUP(approval_backlog){};
+
+TEST(approval_backlog, sends_as_many_as_keep_the_service_busy)
+{
+    approval_backlog backlog({.m_most_sent = 2});
+    for (const auto* job : {"a", "b", "c"})
+        backlog.add(leader, call_for(job), start);
+    STRCMP_EQUAL("a", next_job(backlog).c_str());
+    STRCMP_EQUAL("b", next_job(backlog).c_str());
+    STRCMP_EQUAL("", next_job(backlog).c_str());
+    CHECK(300ms == backlog.queued());
+    backlog.finished(call_for("a"));
+    CHECK(200ms == backlog.queued());
+    STRCMP_EQUAL("c", next_job(backlog).c_str());
+}
+
+// Several leaders in a row asked for the same steps, each behind the calls of those before it.
+TEST(approval_backlog, drops_what_an_earlier_leader_waits_for)
+{
+    approval_backlog backlog({.m_most_sent = 1});
+    for (const auto* job : {"a", "b", "c"})
+        backlog.add(leader, call_for(job, 1), start);
+    STRCMP_EQUAL("a", next_job(backlog).c_str());
+    backlog.add(leader, call_for("d", 2), start);
+    backlog.add(leader, call_for("b", 1), start);
+    backlog.finished(call_for("a"));
+    STRCMP_EQUAL("d", next_job(backlog).c_str());
+    backlog.finished(call_for("d"));
+    STRCMP_EQUAL("", next_job(backlog).c_str());
+    CHECK(duration{} == backlog.queued());
+}
+
+TEST(approval_backlog, a_step_that_is_asked_for_again_waits_once)
+{
+    approval_backlog backlog({.m_most_sent = 1});
+    backlog.add(leader, call_for("a"), start);
+    backlog.add(leader, call_for("a"), start);
+    STRCMP_EQUAL("a", next_job(backlog).c_str());
+    backlog.finished(call_for("a"));
+    STRCMP_EQUAL("", next_job(backlog).c_str());
+}
+
+TEST(approval_backlog, calls_that_were_not_sent_in_time_are_given_up)
+{
+    approval_backlog backlog({.m_most_sent = 1});
+    backlog.add(leader, call_for("a"), start);
+    backlog.add(leader, call_for("b"), start + 100ms);
+    CHECK_TRUE(backlog.take_expired(start + 499ms).empty());
+    const auto expired = backlog.take_expired(start + 500ms);
+    LONGS_EQUAL(1, expired.size());
+    STRCMP_EQUAL("a", expired[0].m_call.m_step.m_job.m_value.c_str());
+    STRCMP_EQUAL("b", next_job(backlog).c_str());
+}
--- a/tests/cell/occurrence_timetable_test.cpp
+++ b/tests/cell/occurrence_timetable_test.cpp
@@ -40,8 +40,7 @@
     timetable.add(job_id("a"), every(100, 1000, 2));
     timetable.add(job_id("b"), every(100, 1050, 2));
     CHECK(timetable.take_due(1120) ==
-          std::vector<occurrence_key>(
-              {{job_id("a"), 0}, {job_id("b"), 0}, {job_id("a"), 1}}));
+          std::vector<occurrence_key>({{job_id("a"), 0}, {job_id("b"), 0}, {job_id("a"), 1}}));
 }
 
 TEST(occurrence_timetable, leaves_out_jobs_that_run_at_once)
