--- a/bench/cell/pass_cost_main.cpp
+++ b/bench/cell/pass_cost_main.cpp
@@ -24,10 +24,12 @@
     full_cell(int workers, int waiting) : m_coordinator(quick(), self(), m_now)
     {
         std::vector<vm_id> members;
+        members.reserve(vms);
         for (int i = 0; i < vms; ++i)
             members.emplace_back("vm-" + std::to_string(i));
         feed(members_changed{members});
         std::vector<worker_info> listed;
+        listed.reserve(static_cast<std::size_t>(workers));
         for (int i = 0; i < workers; ++i)
             listed.push_back(
                 {.m_id = worker_id("worker-" + std::to_string(i)),
--- a/src/dragonflygap/cell/coordinator_gangs.cpp
+++ b/src/dragonflygap/cell/coordinator_gangs.cpp
@@ -60,7 +60,7 @@
 // tickets are asked for, or the approved workers that are nearest to having the room.
 void coordinator::hold_for_gang(job_state& job, const step_key& key, const step_approval* approved)
 {
-    constexpr std::size_t most_closed = 24; // half of the workers of the sites at hand
+    const std::size_t most_closed = m_by_room.size() / 2; // the other half serves what is small
     const auto& spec = job.spec(key.m_step);
     if (auto chosen = choose_gang(job, key, approved, false))
     {
--- a/tests/cell/coordinator_test.cpp
+++ b/tests/cell/coordinator_test.cpp
@@ -119,3 +119,27 @@
         {.m_ended = {{.m_number = 1, .m_task = orphan, .m_run = 7, .m_how = end_kind::stopped}}});
     LONGS_EQUAL(1, leader.run(200ms).size());
 }
+
+// Load pattern: at a crest of a large cell wide gangs queue behind a stream of small tasks that
+// takes each place as it becomes free. The places kept grow with the cell.
+TEST(coordinator, a_large_cell_keeps_half_of_its_workers_for_gangs)
+{
+    constexpr int workers = 120;
+    constexpr int gangs = 20;
+    constexpr int members = 4;
+    successor leader;
+    std::vector<worker_info> listed;
+    for (int i = 0; i < workers; ++i)
+        listed.push_back(listed_worker(worker_id("worker-" + std::to_string(i))));
+    leader.feed(workers_listed{listed});
+    for (const auto& worker : listed)
+        leader.feed(renewal_answered{worker.m_id, leader.m_now, worker_report{.m_clock_ms = 1}});
+    leader.submit("base", {.m_count = workers, .m_size = {.m_millicores = 3000}});
+    LONGS_EQUAL(workers, leader.run(200ms).size());
+    for (int i = 0; i < gangs; ++i)
+        leader.submit("gang-" + std::to_string(i),
+                      {.m_count = members, .m_size = {.m_millicores = 3500}, .m_gang = true});
+    LONGS_EQUAL(0, leader.run(200ms).size());
+    leader.submit("small", {.m_count = workers, .m_size = {.m_millicores = 1000}});
+    LONGS_EQUAL(workers / 2, leader.run(200ms).size());
+}
