Part a node's messages from its life; skip workers without stops

Change: two files by job, one early continue. No behaviour changes. Measured: tests/cell and tests/node pass. Conclusion: reads easier.

--- a/src/dragonflygap/cell/coordinator_ends.cpp
+++ b/src/dragonflygap/cell/coordinator_ends.cpp
@@ -87,10 +87,11 @@
 {
     constexpr duration repeat = 500ms;
     for (auto& [id, worker] : m_workers)
+    {
+        if (worker.m_stops_wanted == 0)
+            continue;
         for (auto& [key, placed] : worker.m_placements)
         {
-            if (worker.m_stops_wanted == 0)
-                break;
             if (!placed.m_stop_wanted || placed.m_stop_in_flight || m_now < placed.m_next_stop ||
                 placed.m_stop_known)
                 continue;
@@ -98,6 +99,7 @@
             placed.m_next_stop = m_now + repeat;
             m_out->push_back(send_stop{address_of(worker), key, placed.m_run});
         }
+    }
     for (auto& [id, worker] : m_workers)
     {
         if (worker.m_unsettled.empty() || !worker.m_synced || m_now < worker.m_next_unsettled)
--- /dev/null
+++ b/src/dragonflygap/node/node_messages.cpp
@@ -0,0 +1,156 @@
+#include <utility>
+
+#include "dragonflygap/node/node.hpp"
+#include "dragonflygap/observe/log.hpp"
+
+// What an entry VM does with the messages of others, approvals that it asks for them included.
+namespace dragonflygap::node
+{
+
+bool node::to_leader(const cell::caller_call& call)
+{
+    const auto to = leader();
+    if (!to)
+        return false;
+    if (m_leader != nullptr)
+    {
+        m_leader->handle(m_options.m_vm, call);
+        return true;
+    }
+    return m_options.m_peers.m_send(*to, cell::encode(m_options.m_vm, call));
+}
+
+void node::send(const vm_id& to, const cell::peer_message& message)
+{
+    if (to != m_options.m_vm)
+    {
+        m_options.m_peers.m_send(to, cell::encode(m_options.m_vm, message));
+        return;
+    }
+    // Messages to itself take their turn too: no handler is entered twice.
+    m_loop.post([this, message] { dispatch(m_options.m_vm, message); });
+}
+
+void node::received(std::string_view bytes)
+{
+    const auto read = cell::decode_peer(bytes);
+    if (!read)
+    {
+        log_event(log_level::warning, "peer_message_unreadable", {{"bytes", bytes.size()}});
+        return;
+    }
+    dispatch(read->m_from, read->m_message);
+}
+
+void node::dispatch(const vm_id& from, const cell::peer_message& message)
+{
+    std::visit([this, &from](const auto& body) { on(from, body); }, message);
+}
+
+void node::on(const vm_id& from, const cell::leader_heartbeat& message)
+{
+    if (from == m_options.m_vm || message.m_epoch < m_leader_epoch)
+        return;
+    const auto now = monotonic_clock::now();
+    m_election.heartbeat(message.m_epoch, message.m_commit,
+                         std::chrono::milliseconds(message.m_store_age_ms), message.m_resigns, now);
+    const bool changed = message.m_epoch > m_leader_epoch || from != m_known_leader;
+    m_leader_epoch = message.m_epoch;
+    m_known_leader = from;
+    m_leader_heard = message.m_resigns ? instant{} : now;
+    m_leader_seen = now;
+    m_leader_cut_off = message.m_cut_off;
+    if (message.m_address != m_leader_address)
+        if (const auto address = parse_endpoint(message.m_address))
+            m_options.m_peers.m_add(from, *address);
+    m_leader_address = message.m_address;
+    if (changed)
+    {
+        log_event(log_level::info, "leader_known",
+                  {{"leader", from.m_value}, {"epoch", message.m_epoch}});
+        if (m_leader != nullptr)
+            m_leader.reset();
+        m_callers.leader_changed();
+    }
+    send(from, cell::member_heartbeat{m_options.m_incarnation, m_config ? m_config->m_version : 0,
+                                      m_stopping});
+    if (m_config && m_config->m_version > message.m_config_version)
+        send(from, cell::config_news{*m_config});
+}
+
+void node::on(const vm_id& from, const cell::member_heartbeat& message)
+{
+    if (m_leader == nullptr)
+        return;
+    m_leader->handle(from, message);
+    if (m_config && m_config->m_version > message.m_config_version)
+        send(from, cell::config_news{*m_config});
+}
+
+void node::on(const vm_id&, const cell::config_news& message)
+{
+    apply_config(message.m_config, "peer");
+}
+
+void node::on(const vm_id& from, const cell::caller_call& message)
+{
+    if (m_leader != nullptr)
+        m_leader->handle(from, message);
+}
+
+void node::on(const vm_id&, const cell::caller_answer& message)
+{
+    m_callers.answered(message);
+}
+
+void node::on(const vm_id& from, const cell::approval_call& message)
+{
+    m_approvals.add(from, message, monotonic_clock::now());
+    ask_approvals();
+}
+
+void node::ask_approvals()
+{
+    for (const auto& late : m_approvals.take_expired(monotonic_clock::now()))
+        answer_approval(late.m_from, late.m_call,
+                        fail(verdict::not_run, reason::timeout, "not begun in time"));
+    while (const auto next = m_approvals.next())
+    {
+        // Beyond what the service should take for all that was sent.
+        constexpr duration margin = 1s;
+        m_options.m_approvals.m_ask(next->m_call.m_step, next->m_call.m_workers,
+                                    m_approvals.queued() + margin,
+                                    [this, next = *next](const outcome<cell::approval>& result)
+                                    {
+                                        m_approvals.finished(next.m_call);
+                                        answer_approval(next.m_from, next.m_call, result);
+                                        ask_approvals();
+                                    });
+    }
+}
+
+void node::answer_approval(const vm_id& to, const cell::approval_call& call,
+                           const outcome<cell::approval>& result)
+{
+    cell::approval_answer answer{.m_epoch = call.m_epoch,
+                                 .m_step = call.m_step,
+                                 .m_workers = call.m_workers,
+                                 .m_given = result.has_value(),
+                                 .m_queued_ms = to_ms(m_approvals.queued())};
+    if (result)
+        answer.m_approval = *result;
+    else
+        log_event(log_level::info, "approval_failed",
+                  {{"job", call.m_step.m_job.m_value},
+                   {"queued_ms", answer.m_queued_ms},
+                   {"detail", result.error().m_detail}});
+    send(to, answer);
+}
+
+void node::on(const vm_id& from, const cell::approval_answer& message)
+{
+    if (m_leader != nullptr)
+        m_leader->handle(from, message);
+}
+
+} // namespace dragonflygap::node
