--- /dev/null
+++ b/tests/node/takeover_test.cpp
@@ -0,0 +1,221 @@
+#include <string>
+#include <vector>
+
+#include "node/support/cell_world.hpp"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace stand_in;
+
+namespace
+{
+
+std::string job_name(int number)
+{
+    auto text = std::to_string(number);
+    return std::string(16 - text.size(), '0') + text;
+}
+
+void check_fair(const cell_world& world)
+{
+    for (const auto& text : world.m_referee.m_violations)
+        FAIL(text.c_str());
+}
+
+} // namespace
+
+TEST_GROUP(takeover){};
+
+TEST(takeover, a_failure_that_is_listed_again_after_a_take_over_counts_once)
+{
+    cell_world world({.m_workers = 1, .m_approvals = false});
+    world.run(3s);
+    // Two attempts are allowed: the second one is at work when the leader dies.
+    world.at(0).m_faults.m_fails_all = true;
+    world.submit("vm1", job_name(1), {{.m_run_time = 400ms}});
+    world.run(200ms);
+    world.at(0).m_faults.m_fails_all = false;
+    const auto leader = world.leader();
+    world.run(300ms);
+    world.kill(leader);
+    world.run(200ms);
+    world.start(leader);
+    world.run(20s);
+    STRCMP_EQUAL("completed", world.state("vm2", job_name(1)).c_str());
+    check_fair(world);
+}
+
+TEST(takeover, tasks_go_on_under_the_next_leader)
+{
+    cell_world world({});
+    world.run(3s);
+    for (int i = 0; i < 20; ++i)
+        world.submit("vm" + std::to_string(i % 3), job_name(i), {{.m_run_time = 4s}});
+    world.run(1s);
+    world.kill(world.leader());
+    world.run(3s);
+    CHECK_FALSE(world.leader().empty());
+    world.run(12s);
+    LONGS_EQUAL(20, world.completed());
+    // Nothing was started twice: the tasks were taken over as they ran.
+    for (const auto& [task, starts] : world.m_referee.m_starts)
+        LONGS_EQUAL(1, starts);
+    check_fair(world);
+}
+
+// A caller that is rejected comes back a second later, when the take-over is long done.
+TEST(takeover, submissions_wait_for_a_successor_that_is_likely)
+{
+    cell_world world({});
+    world.run(3s);
+    const auto old = world.leader();
+    const std::string other = old == "vm0" ? "vm1" : "vm0";
+    world.kill(old);
+    for (int i = 0; i < 10; ++i)
+    {
+        world.run(100ms);
+        world.submit(other, job_name(i), {{}});
+    }
+    world.run(1s);
+    for (int i = 0; i < 10; ++i)
+    {
+        CHECK_TRUE(world.m_submissions[job_name(i)].m_accepted);
+        CHECK_TRUE(world.m_submissions[job_name(i)].m_retry_after.empty());
+    }
+    check_fair(world);
+}
+
+// The leader was only out of reach for a moment: no other one takes over, and none is announced.
+TEST(takeover, submissions_that_wait_go_to_a_leader_that_is_heard_again)
+{
+    cell_world world({});
+    world.run(3s);
+    const auto leader = world.leader();
+    const std::string other = leader == "vm0" ? "vm1" : "vm0";
+    world.cut(leader, other);
+    world.run(800ms);
+    world.submit(other, job_name(1), {{}});
+    world.run(100ms);
+    world.heal();
+    world.run(600ms);
+    CHECK_TRUE(world.leader() == leader);
+    CHECK_TRUE(world.m_submissions[job_name(1)].m_accepted);
+}
+
+TEST(takeover, submissions_are_rejected_at_once_where_no_successor_is_in_reach)
+{
+    cell_world world({});
+    world.run(3s);
+    const auto* lone = world.leader() == "vm2" ? "vm1" : "vm2";
+    for (const auto* other : {"vm0", "vm1", "vm2", "store"})
+        world.cut(lone, other);
+    world.run(1600ms);
+    world.submit(lone, job_name(1), {{}});
+    world.run(10ms);
+    LONGS_EQUAL(503, world.m_submissions[job_name(1)].m_status);
+    CHECK_FALSE(world.m_submissions[job_name(1)].m_retry_after.empty());
+    CHECK_FALSE(world.find(lone)->ready());
+}
+
+// Its callers are served by other data centres once the balancer knows.
+TEST(takeover, a_leader_cut_off_from_store_and_members_is_not_ready)
+{
+    cell_world world({});
+    world.run(3s);
+    const auto old = world.leader();
+    for (const auto* other : {"vm0", "vm1", "vm2", "store"})
+        if (other != old)
+            world.cut(old, other);
+    world.run(1500ms);
+    CHECK_FALSE(world.find(old)->ready());
+    world.heal();
+    world.run(3s);
+    CHECK_TRUE(world.find(old)->ready());
+}
+
+TEST(takeover, all_vms_lose_power_and_nothing_accepted_is_lost)
+{
+    cell_world world({});
+    world.run(3s);
+    for (int i = 0; i < 30; ++i)
+        world.submit("vm" + std::to_string(i % 3), job_name(i), {{.m_run_time = 700ms}});
+    world.run(150ms);
+    for (const auto* vm : {"vm0", "vm1", "vm2"})
+        world.kill(vm);
+    world.run(1s);
+    for (const auto* vm : {"vm0", "vm1", "vm2"})
+        world.start(vm);
+    world.run(25s);
+    CHECK_TRUE(world.all_accepted_are_done());
+    check_fair(world);
+}
+
+TEST(takeover, a_frozen_leader_starts_nothing_after_its_successor_looked)
+{
+    cell_world world({});
+    world.run(3s);
+    const auto old = world.leader();
+    for (int i = 0; i < 10; ++i)
+        world.submit(old == "vm0" ? "vm1" : "vm0", job_name(i), {{.m_run_time = 2s}});
+    world.run(100ms);
+    world.freeze(old, true);
+    world.run(4s);
+    world.freeze(old, false);
+    world.run(15s);
+    CHECK_FALSE(world.leader().empty());
+    CHECK_TRUE(world.leader() != old);
+    CHECK_TRUE(world.all_accepted_are_done());
+    check_fair(world);
+}
+
+TEST(takeover, a_leader_that_the_store_does_not_answer_is_replaced)
+{
+    cell_world world({});
+    world.run(3s);
+    const auto old = world.leader();
+    world.cut(old, "store");
+    world.run(5s);
+    CHECK_TRUE(world.leader() != old);
+    world.submit(old, job_name(1), {{}});
+    world.run(3s);
+    CHECK_TRUE(world.m_submissions[job_name(1)].m_accepted);
+    check_fair(world);
+}
+
+// The old leader, cut off from the store, rejects a call that its successor stores meanwhile.
+TEST(takeover, a_rejection_by_one_of_two_leaders_is_not_told)
+{
+    cell_world world({});
+    world.run(3s);
+    const auto old = world.leader();
+    const std::string other = old == "vm0" ? "vm1" : "vm0";
+    const std::string third = old == "vm2" ? "vm1" : "vm2";
+    world.cut(old, "store");
+    world.cut(old, third);
+    for (int i = 0; i < 60; ++i)
+    {
+        world.submit(other, job_name(i), {{.m_run_time = 50ms}});
+        world.run(50ms);
+    }
+    world.heal();
+    world.run(20s);
+    CHECK_TRUE(world.all_accepted_are_done());
+    check_fair(world);
+}
+
+TEST(takeover, a_leader_told_to_stop_hands_over_and_cuts_no_call_off)
+{
+    cell_world world({});
+    world.run(3s);
+    const auto old = world.leader();
+    for (int i = 0; i < 10; ++i)
+        world.submit(old, job_name(i), {{}});
+    world.run(2ms);
+    world.stop(old);
+    world.run(10s);
+    CHECK_TRUE(world.find(old) == nullptr);
+    for (int i = 0; i < 10; ++i)
+        CHECK_TRUE(world.m_submissions[job_name(i)].m_accepted);
+    CHECK_TRUE(world.all_accepted_are_done());
+    check_fair(world);
+}
