--- /dev/null
+++ b/tests/cell/support/simulated_cell.cpp
@@ -0,0 +1,378 @@
+#include "cell/support/simulated_cell.hpp"
+
+#include <algorithm>
+#include <utility>
+
+#include <xxhash.h>
+
+#include "dragonflygap/cell/task_size.hpp"
+
+namespace simulated
+{
+
+namespace
+{
+
+constexpr duration tick_every = 10ms;
+constexpr duration list_every = 700ms;
+constexpr duration gang_limit = 4s; // a gang that isn't complete by then ends
+constexpr duration measure_every = 100ms;
+
+worker_id worker_named(int number)
+{
+    return worker_id("worker-" + std::to_string(number));
+}
+
+std::uint64_t hash_of(std::string_view text, std::uint64_t seed)
+{
+    return XXH64(text.data(), text.size(), seed);
+}
+
+} // namespace
+
+simulated_cell::simulated_cell(cell_options options) : m_options(options), m_random(options.m_seed)
+{
+    for (int i = 0; i < options.m_vms; ++i)
+        m_members[vm_id("vm-" + std::to_string(i))];
+    m_backlog.m_self = {.m_epoch = 2, .m_vm = m_members.begin()->first};
+    m_backlog.m_predecessor_gone = true;
+    for (int i = 0; i < options.m_workers; ++i)
+    {
+        m_workers[worker_named(i)];
+        m_backlog.m_workers.emplace_back(worker_named(i), "10.0.0.1:80");
+    }
+}
+
+// Widths from an eighth of the kind's to three times as many, sizes within a third.
+job_request simulated_cell::request_of(const job_kind& kind)
+{
+    const auto draw = [this](int sides)
+    {
+        m_random = hash_of("draw", m_random);
+        return static_cast<int>(m_random % static_cast<std::uint64_t>(sides));
+    };
+    constexpr int widths[] = {1, 2, 4, 6, 8, 8, 10, 12, 16, 24};
+    constexpr int eighths = 8;
+    job_request request;
+    auto step = kind.m_step;
+    step.m_count = std::max(1, step.m_count * widths[draw(std::size(widths))] / eighths);
+    const int percent = 67 + draw(67);
+    step.m_size.m_millicores = step.m_size.m_millicores * percent / 100;
+    step.m_size.m_memory_mb = step.m_size.m_memory_mb * percent / 100;
+    request.m_steps.push_back(step);
+    return request;
+}
+
+void simulated_cell::add_backlog(const job_kind& kind, int jobs)
+{
+    for (int i = 0; i < jobs; ++i)
+    {
+        const job_id id("job-" + std::to_string(++m_jobs));
+        const job_record record{kind.m_queue, request_of(kind), 0};
+        m_kinds[id] = kind;
+        m_specs[id] = record.m_request.m_steps.front();
+        m_waits_since[id] = m_start;
+        m_backlog.m_jobs.push_back({{std::string(job_table), id.m_value}, 1, pack(record)});
+    }
+}
+
+void simulated_cell::take_over()
+{
+    m_coordinator = std::make_unique<coordinator>(coordinator_options{}, m_backlog, m_now);
+    std::vector<vm_id> members;
+    for (const auto& [vm, member] : m_members)
+        members.push_back(vm);
+    feed(members_changed{members});
+}
+
+void simulated_cell::submit(const job_kind& kind, int jobs)
+{
+    for (int i = 0; i < jobs; ++i)
+    {
+        const job_id id("job-" + std::to_string(++m_jobs));
+        auto request = request_of(kind);
+        m_kinds[id] = kind;
+        m_specs[id] = request.m_steps.front();
+        m_waits_since[id] = m_now;
+        feed(job_submitted{++m_last_call, id, kind.m_queue, std::move(request)});
+    }
+}
+
+void simulated_cell::run(duration length)
+{
+    for (const auto until = m_now + length; m_now < until; m_now += tick_every)
+    {
+        const auto since_start = m_now - m_start;
+        if (since_start % list_every < tick_every)
+        {
+            std::vector<worker_info> listed;
+            for (const auto& [id, worker] : m_workers)
+                listed.push_back({.m_id = id,
+                                  .m_service = service_id("pool"),
+                                  .m_address = endpoint{"10.0.0.1", 80},
+                                  .m_capacity = m_options.m_capacity});
+            feed(workers_listed{std::move(listed)});
+        }
+        feed(tick{});
+        const auto next = m_now + tick_every;
+        const auto tick_time = m_now;
+        while (!m_due.empty() && m_due.begin()->first < next)
+        {
+            auto first = m_due.extract(m_due.begin());
+            m_now = std::max(m_now, first.key());
+            first.mapped()();
+        }
+        m_now = tick_time;
+        if (since_start % measure_every < tick_every)
+            measure();
+    }
+}
+
+void simulated_cell::at(instant when, std::function<void()> what)
+{
+    m_due.emplace(when, std::move(what));
+}
+
+void simulated_cell::feed(const event& what)
+{
+    for (const auto& action : m_coordinator->handle(what, m_now, to_ms(m_now - m_start)))
+        std::visit([this](const auto& wanted) { act(wanted); }, action);
+}
+
+void simulated_cell::act(const answer_call&) {}
+
+void simulated_cell::act(const send_commit& action)
+{
+    at(m_now + m_options.m_store_wait,
+       [this, number = action.m_number]
+       {
+           feed(commit_answered{number,
+                                transaction_result{.m_committed = true, .m_version = ++m_version}});
+       });
+}
+
+void simulated_cell::act(const read_leader_row&) {}
+
+void simulated_cell::act(const send_renewal& action)
+{
+    at(m_now + m_options.m_hop,
+       [this, id = action.m_worker.m_id, sent = action.m_sent, order = action.m_renewal]
+       {
+           auto& worker = m_workers.at(id);
+           worker.acknowledge(order.m_acknowledged);
+           worker.m_waiting = {sent, m_now + order.m_wait};
+           if (order.m_wait == duration{} || !worker.m_ended.empty())
+               hand_over(id);
+           else
+               at(m_now + order.m_wait,
+                  [this, id, sent]
+                  {
+                      const auto& waiting = m_workers.at(id).m_waiting;
+                      if (waiting && waiting->m_sent == sent)
+                          hand_over(id);
+                  });
+       });
+}
+
+// Answers the renewal that waits.
+void simulated_cell::hand_over(const worker_id& id)
+{
+    auto& worker = m_workers.at(id);
+    const auto waiting = std::exchange(worker.m_waiting, std::nullopt);
+    if (!waiting)
+        return;
+    at(m_now + m_options.m_hop,
+       [this, id, sent = waiting->m_sent, report = worker.report(m_now)] {
+           feed(renewal_answered{id, sent, report});
+       });
+}
+
+void simulated_cell::act(const send_start& action)
+{
+    at(m_now + m_options.m_hop,
+       [this, id = action.m_worker.m_id, order = action.m_order]
+       {
+           const auto result = start(id, order);
+           at(m_now + m_options.m_hop,
+              [this, id, task = order.m_task, run = order.m_run, result] {
+                  feed(start_answered{id, task, run, result});
+              });
+       });
+}
+
+start_result simulated_cell::start(const worker_id& id, const start_order& order)
+{
+    const auto& job = order.m_task.m_job;
+    const auto ticket = m_tickets.find({step_of(order.m_task), id});
+    if (m_kinds.at(job).m_queue.m_approval.required() &&
+        (ticket == m_tickets.end() || ticket->second < m_now))
+    {
+        ++m_refused;
+        return {.m_refusal = start_refusal::no_ticket};
+    }
+    begin(id, order, m_specs.at(job));
+    return {};
+}
+
+void simulated_cell::begin(const worker_id& id, const start_order& order, const step_spec& spec)
+{
+    auto& worker = m_workers.at(id);
+    const auto length = std::chrono::milliseconds(spec.m_expected_ms);
+    worker.m_running[order.m_task] = {.m_run = order.m_run,
+                                      .m_size = size_of(spec),
+                                      .m_length = length,
+                                      .m_works_from = spec.m_gang ? instant{} : m_now};
+    if (!worker.used().fits_in(m_options.m_capacity))
+        ++m_overcommitted;
+    m_waits_since.erase(order.m_task.m_job);
+    if (!spec.m_gang)
+    {
+        at(m_now + length, [this, id, task = order.m_task, run = order.m_run]
+           { end(id, task, run, end_kind::done); });
+        return;
+    }
+    const auto key = std::make_pair(step_of(order.m_task), order.m_run);
+    auto& gang = m_gangs[key];
+    gang.m_present.emplace_back(id, order.m_task);
+    if (static_cast<int>(gang.m_present.size()) == spec.m_count)
+    {
+        gang.m_complete = true;
+        for (const auto& [member, task] : gang.m_present)
+            m_workers.at(member).m_running.at(task).m_works_from = m_now;
+        at(m_now + length, [this, key] { break_gang(key.first, key.second, end_kind::done); });
+    }
+    else if (gang.m_present.size() == 1)
+        at(m_now + gang_limit,
+           [this, key]
+           {
+               const auto found = m_gangs.find(key);
+               if (found == m_gangs.end() || found->second.m_complete)
+                   return;
+               m_lonely += static_cast<int>(found->second.m_present.size());
+               break_gang(key.first, key.second, end_kind::alone);
+           });
+}
+
+void simulated_cell::end(const worker_id& id, const task_key& task, std::uint64_t run, end_kind how)
+{
+    if (m_workers.at(id).end(task, run, how))
+        hand_over(id);
+}
+
+void simulated_cell::break_gang(const step_key& step, std::uint64_t run, end_kind how)
+{
+    const auto found = m_gangs.find({step, run});
+    if (found == m_gangs.end())
+        return;
+    const auto members = found->second.m_present;
+    m_gangs.erase(found);
+    for (const auto& [worker, task] : members)
+        end(worker, task, run, how);
+}
+
+void simulated_cell::act(const send_stop& action)
+{
+    at(m_now + m_options.m_hop,
+       [this, id = action.m_worker.m_id, task = action.m_task, run = action.m_run]
+       {
+           end(id, task, run, end_kind::stopped);
+           break_gang(step_of(task), run, end_kind::broken);
+           at(m_now + m_options.m_hop,
+              [this, id, task, run] {
+                  feed(stop_answered{id, task, run, start_result{}});
+              });
+       });
+}
+
+void simulated_cell::act(const ask_approval& action)
+{
+    m_asking_members.insert(action.m_through);
+    constexpr duration margin = 600ms; // as the leader's task adds it
+    approval_call call{.m_epoch = 2,
+                       .m_step = action.m_step,
+                       .m_workers = action.m_workers,
+                       .m_timeout_ms = to_ms(action.m_expected + margin),
+                       .m_cost_ms = to_ms(action.m_cost)};
+    at(m_now + m_options.m_hop,
+       [this, vm = action.m_through, call = std::move(call)]
+       {
+           m_members.at(vm).m_backlog.add(vm, call, m_now);
+           ask_service(vm);
+       });
+}
+
+void simulated_cell::ask_service(const vm_id& vm)
+{
+    auto& member = m_members.at(vm);
+    for (const auto& late : member.m_backlog.take_expired(m_now))
+        answer_approval(vm, late.m_call, fail(verdict::not_run, reason::timeout, "not begun"));
+    while (const auto next = member.m_backlog.next())
+    {
+        const auto done = std::max(m_now, member.m_service_free) +
+                          std::chrono::milliseconds(next->m_call.m_cost_ms);
+        member.m_service_free = done;
+        at(done,
+           [this, vm, call = next->m_call]
+           {
+               m_members.at(vm).m_backlog.finished(call);
+               answer_approval(vm, call, decide(call, m_now));
+               ask_service(vm);
+           });
+    }
+}
+
+approval simulated_cell::decide(const approval_call& call, instant answered)
+{
+    const auto& rules = m_kinds.at(call.m_step.m_job).m_queue.m_approval;
+    approval result{.m_valid_ms = rules.m_valid_ms};
+    for (const auto& worker : call.m_workers)
+    {
+        if (!approved(call.m_step, worker))
+            continue;
+        m_tickets[{call.m_step, worker}] = answered + std::chrono::milliseconds(rules.m_valid_ms);
+        result.m_tickets.push_back({worker, "ticket"});
+    }
+    return result;
+}
+
+bool simulated_cell::approved(const step_key& step, const worker_id& worker) const
+{
+    constexpr std::uint64_t thousand = 1000;
+    const auto share = m_kinds.at(step.m_job).m_approved_share;
+    const auto text = step.m_job.m_value + "/" + worker.m_value;
+    return static_cast<double>(hash_of(text, m_options.m_seed) % thousand) <
+           share * static_cast<double>(thousand);
+}
+
+void simulated_cell::answer_approval(const vm_id& vm, const approval_call& call,
+                                     outcome<approval> result)
+{
+    const auto queued = m_members.at(vm).m_backlog.queued();
+    at(m_now + m_options.m_hop + m_options.m_approval_lag,
+       [this, vm, call, queued, result = std::move(result)]
+       {
+           feed(approval_answered{.m_step = call.m_step,
+                                  .m_asked_by = vm,
+                                  .m_workers = call.m_workers,
+                                  .m_result = result,
+                                  .m_queued = queued});
+       });
+}
+
+void simulated_cell::act(const step_down&) {}
+
+void simulated_cell::measure()
+{
+    std::int64_t used = 0;
+    for (const auto& [id, worker] : m_workers)
+        used += worker.used().m_millicores;
+    const auto all = m_options.m_capacity.m_millicores * m_options.m_workers;
+    for (auto& [job, since] : m_waits_since)
+    {
+        if (2 * used > all || m_now < m_measured_from)
+            since = m_now;
+        m_longest_needless = std::max<duration>(m_longest_needless, m_now - since);
+    }
+}
+
+} // namespace simulated
--- /dev/null
+++ b/tests/cell/support/simulated_cell.hpp
@@ -0,0 +1,130 @@
+#pragma once
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "cell/support/simulated_worker.hpp"
+#include "dragonflygap/cell/approval_backlog.hpp"
+#include "dragonflygap/cell/coordinator.hpp"
+
+namespace simulated
+{
+
+using namespace dragonflygap;
+using namespace dragonflygap::cell;
+
+/// A kind of job: its queue, the share of the workers that the policy allows, and its only step.
+struct job_kind
+{
+    queue_rules m_queue;
+    double m_approved_share = 1;
+    step_spec m_step;
+};
+
+struct cell_options
+{
+    int m_vms = 35;
+    int m_workers = 350;
+    resources m_capacity{.m_millicores = 16000, .m_memory_mb = 32768};
+    duration m_hop = 1500us;     ///< One way between any two processes.
+    duration m_store_wait = 4ms; ///< Until a transaction is answered.
+    duration m_approval_lag{};   ///< How much later than usual approvals reach the leader.
+    unsigned m_seed = 1;
+};
+
+/// The leader's decisions against stand-ins of its store, workers, members and approval service, on
+/// a virtual clock. The leader takes over a backlog of stored jobs; nothing fails.
+class simulated_cell
+{
+public:
+    explicit simulated_cell(cell_options options);
+
+    /// Adds jobs of a kind to the backlog; widths and sizes vary around those of the kind.
+    void add_backlog(const job_kind& kind, int jobs);
+
+    /// Starts the leader; what was added before is its backlog.
+    void take_over();
+
+    /// Submits jobs of a kind to the leader.
+    void submit(const job_kind& kind, int jobs);
+
+    void run(duration length);
+
+    std::size_t live_jobs() const { return m_coordinator->live_jobs(); }
+
+    /// The longest time in which a step waited without a run while half of the room or more was
+    /// free all the while, of the time after the given one.
+    duration longest_needless_wait() const { return m_longest_needless; }
+    void measure_waits_after(duration since_start) { m_measured_from = m_start + since_start; }
+
+    int refused_starts() const { return m_refused; } ///< For want of a valid ticket.
+    int overcommitted() const { return m_overcommitted; }
+    int lonely_members() const { return m_lonely; } ///< Of gangs that didn't start in full.
+    std::size_t asking_members() const { return m_asking_members.size(); }
+    duration elapsed() const { return m_now - m_start; }
+
+private:
+    struct member
+    {
+        approval_backlog m_backlog{approval_backlog_options{}};
+        instant m_service_free{};
+    };
+    /// Members of one run of a gang.
+    struct gang_run
+    {
+        std::vector<std::pair<worker_id, task_key>> m_present;
+        bool m_complete = false;
+    };
+
+    job_request request_of(const job_kind& kind);
+    void at(instant when, std::function<void()> what);
+    void feed(const event& what);
+    void act(const answer_call& action);
+    void act(const send_commit& action);
+    void act(const read_leader_row& action);
+    void act(const send_renewal& action);
+    void act(const send_start& action);
+    void act(const send_stop& action);
+    void act(const ask_approval& action);
+    void act(const step_down& action);
+    void ask_service(const vm_id& vm);
+    void answer_approval(const vm_id& vm, const approval_call& call, outcome<approval> result);
+    approval decide(const approval_call& call, instant answered);
+    bool approved(const step_key& step, const worker_id& worker) const;
+    start_result start(const worker_id& id, const start_order& order);
+    void begin(const worker_id& id, const start_order& order, const step_spec& spec);
+    void end(const worker_id& id, const task_key& task, std::uint64_t run, end_kind how);
+    void break_gang(const step_key& step, std::uint64_t run, end_kind how);
+    void hand_over(const worker_id& id);
+    void measure();
+
+    cell_options m_options;
+    const instant m_start{10s};
+    instant m_now = m_start;
+    std::multimap<instant, std::function<void()>> m_due;
+    std::unique_ptr<coordinator> m_coordinator;
+    inherited m_backlog;
+    std::map<job_id, job_kind> m_kinds;
+    std::map<job_id, step_spec> m_specs;
+    std::map<vm_id, member> m_members;
+    std::map<worker_id, simulated_worker> m_workers;
+    std::map<std::pair<step_key, worker_id>, instant> m_tickets; ///< Until when they are valid.
+    std::map<std::pair<step_key, std::uint64_t>, gang_run> m_gangs;
+    std::map<job_id, instant> m_waits_since;
+    std::set<vm_id> m_asking_members;
+    std::uint64_t m_version = 1;
+    std::uint64_t m_random;
+    std::uint64_t m_last_call = 0;
+    std::size_t m_jobs = 0;
+    instant m_measured_from = m_start;
+    duration m_longest_needless{};
+    int m_refused = 0;
+    int m_overcommitted = 0;
+    int m_lonely = 0;
+};
+
+} // namespace simulated
--- /dev/null
+++ b/tests/cell/support/simulated_worker.hpp
@@ -0,0 +1,83 @@
+#pragma once
+
+#include <algorithm>
+#include <functional>
+#include <map>
+#include <optional>
+#include <vector>
+
+#include "dragonflygap/cell/ports.hpp"
+
+namespace simulated
+{
+
+using namespace dragonflygap;
+using namespace dragonflygap::cell;
+
+/// A worker's side of orders and renewals: it takes whatever it is told to start.
+struct simulated_worker
+{
+    struct run_state
+    {
+        std::uint64_t m_run = 0;
+        resources m_size;
+        duration m_length{};    ///< Of its work.
+        instant m_works_from{}; ///< Zero: it waits for the rest of its gang.
+
+        int percent(instant now) const
+        {
+            constexpr int all = 100;
+            if (m_works_from == instant{})
+                return 0;
+            return static_cast<int>(std::min<std::int64_t>(
+                all, all * (now - m_works_from) / std::max(m_length, duration(1))));
+        }
+    };
+    /// A renewal that waits for an end.
+    struct waiting_renewal
+    {
+        instant m_sent{};
+        instant m_until{};
+    };
+
+    std::map<task_key, run_state> m_running;
+    std::vector<ended_task> m_ended;
+    std::uint64_t m_last_end = 0;
+    std::optional<waiting_renewal> m_waiting;
+
+    resources used() const
+    {
+        resources sum;
+        for (const auto& [task, run] : m_running)
+            sum += run.m_size;
+        return sum;
+    }
+
+    void acknowledge(std::uint64_t up_to)
+    {
+        std::erase_if(m_ended, [up_to](const ended_task& end) { return end.m_number <= up_to; });
+    }
+
+    /// True if the run was there.
+    bool end(const task_key& task, std::uint64_t run, end_kind how)
+    {
+        const auto found = m_running.find(task);
+        if (found == m_running.end() || found->second.m_run != run)
+            return false;
+        m_running.erase(found);
+        m_ended.push_back({.m_number = ++m_last_end, .m_task = task, .m_run = run, .m_how = how});
+        return true;
+    }
+
+    worker_report report(instant now) const
+    {
+        worker_report result{.m_clock_ms = to_ms(now.time_since_epoch()), .m_started_at = 1};
+        for (const auto& [task, run] : m_running)
+            result.m_running.push_back(
+                {.m_task = task, .m_run = run.m_run, .m_percent = run.percent(now)});
+        result.m_ended = m_ended;
+        return result;
+    }
+};
+
+} // namespace simulated
