Tell once a second what waits in a cell and why

The cause is computed from the state by cell/waiting_cause, also for steps that no pass looks at. Tickets know whether they were used, so that lapsed ones are counted; step_state's m_ready_since, unused so far, is set when a leader first finds a step due. No decision reads any of it.

--- a/src/dragonflygap/cell/approvals.cpp
+++ b/src/dragonflygap/cell/approvals.cpp
@@ -13,6 +13,21 @@
                                                                    : nullptr;
 }
 
+bool step_approval::mark_used(const worker_id& worker)
+{
+    const auto found = m_tickets.find(worker);
+    return found != m_tickets.end() && !std::exchange(found->second.m_used, true);
+}
+
+std::size_t step_approval::take_unused(instant by)
+{
+    std::size_t unused = 0;
+    for (auto& [worker, ticket] : m_tickets)
+        if (ticket.m_until <= by && !ticket.m_used && !std::exchange(ticket.m_told, true))
+            ++unused;
+    return unused;
+}
+
 void approval_desk::set_members(std::vector<vm_id> members)
 {
     m_members = std::move(members);
--- a/src/dragonflygap/cell/approvals.hpp
+++ b/src/dragonflygap/cell/approvals.hpp
@@ -20,6 +20,8 @@
     {
         std::string m_text;
         instant m_until{};
+        bool m_used = false; ///< By an order to start.
+        bool m_told = false; ///< It was counted as unused.
     };
     std::map<worker_id, valid_ticket> m_tickets;
     std::set<worker_id> m_approved;
@@ -31,6 +33,12 @@
 
     /// A ticket that is valid until an order has arrived; nullptr if there is none.
     const std::string* usable(const worker_id& worker, instant now) const;
+
+    /// Notes the use of a ticket; true if it is the first one.
+    bool mark_used(const worker_id& worker);
+
+    /// How many tickets have lapsed by then without a use; each is told once.
+    std::size_t take_unused(instant by);
 };
 
 struct approval_desk_options
--- a/src/dragonflygap/cell/coordinator.cpp
+++ b/src/dragonflygap/cell/coordinator.cpp
@@ -104,6 +104,7 @@
             lose(worker, "lease_over");
     stop_stuck();
     place_all();
+    count_lapsed();
     send_stops();
     build_commit();
     renew_workers();
@@ -210,6 +211,7 @@
             const step_key key{job.id(), k, s};
             m_ready.erase(rank_of(job, key));
             m_unsuited.erase(key);
+            m_counts.m_tickets_lapsed += job.step(k, s).m_approval.take_unused(instant::max());
         }
     stop_all(job);
 }
@@ -235,11 +237,18 @@
         auto& step = job.step(occurrence, s);
         const step_key key{job.id(), occurrence, s};
         if (step.m_waiting > 0 && job.is_due(occurrence, s, m_unix_ms))
+        {
             m_ready.emplace(rank_of(job, key), m_jobs.at(job.id()));
+            if (step.m_ready_since == instant{})
+                step.m_ready_since = m_now;
+        }
         else
             m_ready.erase(rank_of(job, key));
         if (step.m_done == static_cast<int>(step.m_tasks.size()))
+        {
+            m_counts.m_tickets_lapsed += step.m_approval.take_unused(instant::max());
             step.m_approval = {};
+        }
     }
 }
 
--- a/src/dragonflygap/cell/coordinator.hpp
+++ b/src/dragonflygap/cell/coordinator.hpp
@@ -15,6 +15,7 @@
 #include "dragonflygap/cell/events.hpp"
 #include "dragonflygap/cell/job_state.hpp"
 #include "dragonflygap/cell/occurrence_timetable.hpp"
+#include "dragonflygap/cell/wait_report.hpp"
 #include "dragonflygap/cell/worker_state.hpp"
 
 namespace dragonflygap::cell
@@ -73,6 +74,11 @@
     const job_state* find_job(const job_id& job) const;
     void each_job(const std::function<void(const job_state&)>& visit) const;
 
+    /// Tells what waits and why: the first steps by rank, and of the others those known as due the
+    /// longest. Looks at every step of the cell: for a call a second.
+    wait_report report_waits(std::size_t first, std::size_t longest) const;
+    const leader_counts& counts() const { return m_counts; }
+
 private:
     using actions = std::vector<action>;
     using job_ptr = std::shared_ptr<job_state>;
@@ -191,6 +197,11 @@
     static step_approval* approval_of(job_state& job, const step_key& key);
     int on_worker(const worker_state& worker, const step_key& key) const;
 
+    // coordinator_waits.cpp: what is told of the waiting steps
+    void each_due_step(const std::function<void(const job_state&, const step_key&)>& visit) const;
+    void count_answer(const approval_answered& event);
+    void count_lapsed();
+
     coordinator_options m_options;
     commit_chain m_chain;
     approval_desk m_desk;
@@ -220,6 +231,8 @@
     instant m_last_trim{};
     instant m_last_stuck_check{};
     instant m_last_unsuited_check{};
+    instant m_last_lapse_count{};
+    leader_counts m_counts;
 };
 
 } // namespace dragonflygap::cell
--- a/src/dragonflygap/cell/coordinator_approvals.cpp
+++ b/src/dragonflygap/cell/coordinator_approvals.cpp
@@ -113,6 +113,7 @@
 {
     if (event.m_queued)
         m_desk.set_queued(event.m_asked_by, *event.m_queued, m_now);
+    count_answer(event);
     job_state* job = find(event.m_step.m_job);
     if (job == nullptr)
         return;
--- a/src/dragonflygap/cell/coordinator_placing.cpp
+++ b/src/dragonflygap/cell/coordinator_placing.cpp
@@ -267,6 +267,8 @@
         if (const auto* ticket = approved->usable(worker.m_info.m_id, m_now))
             order.m_ticket = *ticket;
     job.set_placed(key, worker.m_info.m_id, run);
+    m_counts.m_tickets_used +=
+        job.step(key.m_occurrence, key.m_step).m_approval.mark_used(worker.m_info.m_id) ? 1 : 0;
     m_out->push_back(send_start{{worker.m_info.m_id, worker.m_info.m_address}, std::move(order)});
 }
 
@@ -290,6 +292,7 @@
         return;
     }
     const auto refusal = event.m_result ? event.m_result->m_refusal : start_refusal::none;
+    ++m_counts.m_starts_refused;
     log_event(log_level::info, "start_failed",
               {{"job", event.m_task.m_job.m_value},
                {"worker", event.m_worker.m_value},
--- /dev/null
+++ b/src/dragonflygap/cell/coordinator_waits.cpp
@@ -0,0 +1,149 @@
+#include <algorithm>
+
+#include "dragonflygap/cell/coordinator.hpp"
+
+/// What the leader tells of its waiting steps; decides nothing.
+namespace dragonflygap::cell
+{
+
+namespace
+{
+
+void add_workers(const std::map<worker_id, worker_state>& workers, pass_summary& to)
+{
+    for (const auto& [id, worker] : workers)
+    {
+        to.m_workers_listed += worker.m_listed ? 1 : 0;
+        for (const auto& [task, placed] : worker.m_placements)
+        {
+            to.m_runs_starting += placed.m_phase == placement_phase::starting ? 1 : 0;
+            to.m_runs_unknown += placed.m_phase == placement_phase::unknown ? 1 : 0;
+            to.m_runs_stopping += placed.m_stop_wanted ? 1 : 0;
+        }
+        if (!worker.m_pass.m_open)
+            continue;
+        ++to.m_workers_open;
+        to.m_millicores_free += worker.free().m_millicores;
+        to.m_millicores_reserved += worker.m_pass.m_reserved.m_millicores;
+        if (!worker.m_pass.m_closed)
+            continue;
+        ++to.m_workers_closed;
+        to.m_millicores_closed += worker.free().m_millicores;
+    }
+}
+
+} // namespace
+
+// Steps of occurrences whose time hasn't come are left out: schedules are long.
+void coordinator::each_due_step(
+    const std::function<void(const job_state&, const step_key&)>& visit) const
+{
+    for (const auto& [id, job] : m_jobs)
+    {
+        const auto& request = job->record().m_request;
+        for (int k = 0; k < job->occurrences(); ++k)
+        {
+            if (request.m_occurrences > 0 &&
+                m_unix_ms < request.m_first_due_ms + k * request.m_interval_ms)
+                break;
+            for (int s = 0; s < job->steps(); ++s)
+                visit(*job, {id, k, s});
+        }
+    }
+}
+
+wait_report coordinator::report_waits(std::size_t first, std::size_t longest) const
+{
+    struct candidate
+    {
+        const job_state* m_job;
+        step_key m_step;
+        bool m_queued;
+        instant m_since;
+    };
+    wait_report result;
+    add_workers(m_workers, result.m_pass);
+    auto add = [&](const candidate& step)
+    {
+        result.m_steps.push_back(look_at_wait(*step.m_job, step.m_step, m_workers,
+                                              {.m_now = m_now,
+                                               .m_unix_ms = m_unix_ms,
+                                               .m_blind = m_blind,
+                                               .m_queued = step.m_queued}));
+    };
+    std::set<step_key> told;
+    for (const auto& [rank, job] : m_ready)
+    {
+        if (told.size() == first)
+            break;
+        told.insert(rank.m_step);
+        add({job.get(), rank.m_step, true, {}});
+    }
+    std::vector<candidate> oldest;
+    auto consider = [&](const job_state& job, const step_key& key)
+    {
+        const auto& step = job.step(key.m_occurrence, key.m_step);
+        result.m_pass.m_approvals_asked += step.m_approval.m_asking ? 1 : 0;
+        if (!waits(job, key, m_workers, m_unix_ms))
+            return;
+        const auto since = waiting_since(job, key);
+        const bool queued = m_ready.count(rank_of(job, key)) != 0;
+        auto& pass = result.m_pass;
+        ++pass.m_steps_waiting;
+        pass.m_gangs_waiting += job.spec(key.m_step).m_gang ? 1 : 0;
+        pass.m_not_queued += queued ? 0 : 1;
+        pass.m_oldest_wait = std::max(pass.m_oldest_wait, m_now - since);
+        if (told.count(key) != 0 || (oldest.size() == longest && since >= oldest.back().m_since))
+            return;
+        oldest.insert(std::upper_bound(oldest.begin(), oldest.end(), since,
+                                       [](instant value, const candidate& other)
+                                       { return value < other.m_since; }),
+                      {&job, key, queued, since});
+        if (oldest.size() > longest)
+            oldest.pop_back();
+    };
+    if (longest > 0)
+        each_due_step(consider);
+    for (const auto& step : oldest)
+        add(step);
+    return result;
+}
+
+// To be called before the answer is taken.
+void coordinator::count_answer(const approval_answered& event)
+{
+    job_state* job = find(event.m_step.m_job);
+    step_state* step =
+        job == nullptr ? nullptr : &job->step(event.m_step.m_occurrence, event.m_step.m_step);
+    if (step != nullptr)
+        m_counts.m_tickets_lapsed += step->m_approval.take_unused(m_now);
+    if (!event.m_result)
+    {
+        ++m_counts.m_answers_failed;
+        return;
+    }
+    const auto got = event.m_result->m_tickets.size();
+    ++m_counts.m_answers;
+    m_counts.m_workers_named += event.m_workers.size();
+    m_counts.m_tickets_got += got;
+    if (step != nullptr && step->m_waiting > 0 && !job->m_outcome)
+        return;
+    ++m_counts.m_answers_late;
+    if (step == nullptr)
+        m_counts.m_tickets_lapsed += got;
+}
+
+void coordinator::count_lapsed()
+{
+    constexpr duration count_every = 1s;
+    if (m_now - m_last_lapse_count < count_every)
+        return;
+    m_last_lapse_count = m_now;
+    for (auto& [id, job] : m_jobs)
+        for (int k = 0; k < job->occurrences(); ++k)
+            for (int s = 0; s < job->steps(); ++s)
+                if (auto& approval = job->step(k, s).m_approval; !approval.m_tickets.empty())
+                    m_counts.m_tickets_lapsed += approval.take_unused(m_now);
+}
+
+} // namespace dragonflygap::cell
--- a/src/dragonflygap/cell/job_state.hpp
+++ b/src/dragonflygap/cell/job_state.hpp
@@ -38,7 +38,7 @@
     std::vector<task_state> m_tasks;
     int m_done = 0;
     int m_waiting = 0;
-    instant m_ready_since{};  ///< When the earlier steps were done; zero: they aren't.
+    instant m_ready_since{};  ///< When this leader first found it due; zero: it hasn't.
     instant m_not_before{};   ///< After a setback.
     step_approval m_approval; ///< Only where the queue needs it.
 };
--- /dev/null
+++ b/src/dragonflygap/cell/waiting_cause.cpp
@@ -0,0 +1,250 @@
+#include "dragonflygap/cell/waiting_cause.hpp"
+
+#include <algorithm>
+#include <iterator>
+#include <optional>
+
+#include "dragonflygap/cell/task_size.hpp"
+
+namespace dragonflygap::cell
+{
+
+namespace
+{
+
+using worker_map = std::map<worker_id, worker_state>;
+
+const placement* run_of(const task_state& task, const task_key& key, const worker_map& workers)
+{
+    const auto worker = workers.find(task.m_worker);
+    if (worker == workers.end())
+        return nullptr;
+    const auto placed = worker->second.m_placements.find(key);
+    return placed != worker->second.m_placements.end() && placed->second.m_run == task.m_run
+               ? &placed->second
+               : nullptr;
+}
+
+waiting_cause cause_of_run(const placement* run)
+{
+    if (run == nullptr)
+        return waiting_cause::run_missing;
+    return run->m_stop_wanted ? waiting_cause::earlier_run_stopping
+                              : waiting_cause::earlier_run_running;
+}
+
+// The members that are placed, the most striking first: a run that is missing has no end.
+std::optional<waiting_cause> cause_of_members(const job_state& job, const step_key& key,
+                                              const worker_map& workers)
+{
+    const auto& tasks = job.step(key.m_occurrence, key.m_step).m_tasks;
+    bool running = false;
+    bool stopping = false;
+    for (std::size_t i = 0; i < tasks.size(); ++i)
+    {
+        if (tasks[i].m_status != task_status::placed)
+            continue;
+        const task_key task{key.m_job, key.m_occurrence, key.m_step, static_cast<int>(i)};
+        const auto cause = cause_of_run(run_of(tasks[i], task, workers));
+        if (cause == waiting_cause::run_missing)
+            return cause;
+        running = running || cause == waiting_cause::earlier_run_running;
+        stopping = stopping || cause == waiting_cause::earlier_run_stopping;
+    }
+    if (running)
+        return waiting_cause::earlier_run_running;
+    if (stopping)
+        return waiting_cause::earlier_run_stopping;
+    return std::nullopt;
+}
+
+// Counts the tasks of one step that would fit on workers.
+class places
+{
+public:
+    places(const job_state& job, const step_key& key) : m_job(job), m_key(key) {}
+
+    bool suits(const worker_state& worker) const
+    {
+        const auto& spec = m_job.spec(m_key.m_step);
+        return worker.m_info.m_service == m_job.record().m_queue.m_service &&
+               (spec.m_label.empty() || worker.m_info.has_label(spec.m_label));
+    }
+    int when_empty(const worker_state& worker) const
+    {
+        return worker.m_listed && suits(worker) ? bounded(worker.m_info.m_capacity, 0) : 0;
+    }
+    int now(const worker_state& worker) const
+    {
+        if (!worker.m_pass.m_open || !suits(worker))
+            return 0;
+        const auto here =
+            std::count_if(worker.m_placements.begin(), worker.m_placements.end(),
+                          [this](const auto& entry) { return step_of(entry.first) == m_key; });
+        return bounded(worker.free(), static_cast<int>(here));
+    }
+
+private:
+    int bounded(const resources& room, int here) const
+    {
+        const auto& spec = m_job.spec(m_key.m_step);
+        const int most =
+            spec.m_most_per_worker > 0 ? std::max(0, spec.m_most_per_worker - here) : spec.m_count;
+        return std::min({times_in(size_of(spec), room), most, spec.m_count});
+    }
+
+    const job_state& m_job;
+    const step_key& m_key;
+};
+
+/// Room of a set of workers for one step.
+struct room
+{
+    int m_now = 0;
+    int m_when_empty = 0;
+
+    void add(const places& of, const worker_state& worker)
+    {
+        m_now += of.now(worker);
+        m_when_empty += of.when_empty(worker);
+    }
+};
+
+struct rooms
+{
+    room m_ticketed;
+    room m_approved;
+    room m_anywhere;
+};
+
+rooms measure(const job_state& job, const step_key& key, const worker_map& workers, instant now)
+{
+    const places of(job, key);
+    const auto& approval = job.step(key.m_occurrence, key.m_step).m_approval;
+    const bool needed = job.record().m_queue.m_approval.required();
+    rooms result;
+    for (const auto& [id, worker] : workers)
+    {
+        result.m_anywhere.add(of, worker);
+        if (!needed || approval.m_approved.count(id) != 0)
+            result.m_approved.add(of, worker);
+        if (!needed || approval.usable(id, now) != nullptr)
+            result.m_ticketed.add(of, worker);
+    }
+    return result;
+}
+
+waiting_cause cause_of_room(const job_state& job, const step_key& key, const rooms& in)
+{
+    const auto& spec = job.spec(key.m_step);
+    const auto& approval = job.step(key.m_occurrence, key.m_step).m_approval;
+    const int needed = spec.m_gang ? spec.m_count : 1;
+    if (in.m_anywhere.m_when_empty < needed)
+        return waiting_cause::too_few_workers;
+    // What is free after the pass was free at the step's turn too: it was kept for others.
+    if (in.m_ticketed.m_now >= needed)
+        return waiting_cause::room_held;
+    if (in.m_ticketed.m_when_empty >= needed)
+        return waiting_cause::no_room;
+    if (approval.m_asking)
+        return waiting_cause::approval_asked;
+    if (approval.never_asked())
+        return waiting_cause::approval_not_asked;
+    if (in.m_approved.m_when_empty < needed)
+        return waiting_cause::too_few_approved;
+    return waiting_cause::tickets_lapsed;
+}
+
+waiting_cause cause_of(const job_state& job, const step_key& key, const worker_map& workers,
+                       const wait_circumstances& at, const rooms& in)
+{
+    const auto& step = job.step(key.m_occurrence, key.m_step);
+    if (job.m_outcome || !waits(job, key, workers, at.m_unix_ms))
+        return step.m_waiting > 0 && !job.m_outcome ? waiting_cause::not_due : waiting_cause::none;
+    if (step.m_waiting == 0)
+        return cause_of_members(job, key, workers).value_or(waiting_cause::none);
+    if (!at.m_queued)
+        return waiting_cause::not_queued;
+    if (job.spec(key.m_step).m_gang && step.m_waiting < static_cast<int>(step.m_tasks.size()))
+        return cause_of_members(job, key, workers).value_or(waiting_cause::members_done);
+    if (!job.m_stored)
+        return waiting_cause::not_stored;
+    if (job.m_restored && at.m_blind)
+        return waiting_cause::blind;
+    if (at.m_now < step.m_not_before)
+        return waiting_cause::setback;
+    return cause_of_room(job, key, in);
+}
+
+} // namespace
+
+std::string_view name_of(waiting_cause cause)
+{
+    constexpr std::string_view names[] = {"none",
+                                          "not_due",
+                                          "not_queued",
+                                          "run_missing",
+                                          "earlier_run_stopping",
+                                          "earlier_run_running",
+                                          "members_done",
+                                          "not_stored",
+                                          "blind",
+                                          "setback",
+                                          "too_few_workers",
+                                          "room_held",
+                                          "no_room",
+                                          "approval_asked",
+                                          "approval_not_asked",
+                                          "too_few_approved",
+                                          "tickets_lapsed"};
+    static_assert(std::size(names) == static_cast<int>(waiting_cause::tickets_lapsed) + 1);
+    return names[static_cast<int>(cause)];
+}
+
+bool waits(const job_state& job, const step_key& key, const worker_map& on, std::int64_t unix_ms)
+{
+    const auto& step = job.step(key.m_occurrence, key.m_step);
+    if (job.m_outcome)
+        return false;
+    if (step.m_waiting > 0)
+        return job.is_due(key.m_occurrence, key.m_step, unix_ms);
+    const auto open =
+        std::find_if(step.m_tasks.begin(), step.m_tasks.end(),
+                     [](const task_state& task) { return task.m_status == task_status::placed; });
+    if (open == step.m_tasks.end())
+        return false;
+    const auto index = static_cast<int>(open - step.m_tasks.begin());
+    const auto* run = run_of(*open, {key.m_job, key.m_occurrence, key.m_step, index}, on);
+    return run == nullptr || run->m_stop_wanted;
+}
+
+instant waiting_since(const job_state& job, const step_key& key)
+{
+    return std::max(job.m_since, job.step(key.m_occurrence, key.m_step).m_ready_since);
+}
+
+step_wait look_at_wait(const job_state& job, const step_key& key, const worker_map& workers,
+                       const wait_circumstances& at)
+{
+    const auto& step = job.step(key.m_occurrence, key.m_step);
+    const auto& approval = step.m_approval;
+    const auto in = measure(job, key, workers, at.m_now);
+    const auto valid =
+        std::count_if(approval.m_tickets.begin(), approval.m_tickets.end(),
+                      [&at](const auto& entry) { return at.m_now < entry.second.m_until; });
+    return {.m_step = key,
+            .m_cause = cause_of(job, key, workers, at, in),
+            .m_gang = job.spec(key.m_step).m_gang,
+            .m_count = job.spec(key.m_step).m_count,
+            .m_waiting = step.m_waiting,
+            .m_approved = approval.m_approved.size(),
+            .m_denied = approval.m_denied.size(),
+            .m_tickets = static_cast<std::size_t>(valid),
+            .m_asking = approval.m_asking,
+            .m_room_ticketed = in.m_ticketed.m_now,
+            .m_room_approved = in.m_approved.m_now,
+            .m_room_anywhere = in.m_anywhere.m_now,
+            .m_age = at.m_now - waiting_since(job, key)};
+}
+
+} // namespace dragonflygap::cell
--- a/src/dragonflygap/node/leader_task.cpp
+++ b/src/dragonflygap/node/leader_task.cpp
@@ -28,10 +28,11 @@
       m_counted(counted),
       m_options(std::move(options)),
       m_coordinator(m_options.m_coordinator, found, monotonic_clock::now()),
+      m_report(m_options.m_tick),
       m_epoch(found.m_self.m_epoch)
 {
     m_members[m_options.m_vm].m_address = m_options.m_address;
-    m_timers.push_back(m_loop.every(m_options.m_tick, [this] { feed(cell::tick{}); }));
+    m_timers.push_back(m_loop.every(m_options.m_tick, [this] { tick(); }));
     m_timers.push_back(m_loop.every(m_options.m_heartbeat_every,
                                     [this]
                                     {
@@ -43,7 +44,7 @@
     list_workers();
     read_members();
     check_members();
-    feed(cell::tick{});
+    tick();
 }
 
 leader_task::~leader_task()
@@ -59,6 +60,15 @@
         std::visit([this](const auto& what) { act(what); }, action);
 }
 
+void leader_task::tick()
+{
+    if (m_ended)
+        return;
+    const auto began = monotonic_clock::now();
+    feed(cell::tick{});
+    m_report.ticked(m_coordinator, began, monotonic_clock::now());
+}
+
 void leader_task::act(const cell::answer_call& action)
 {
     const auto found = m_origins.find(action.m_call);
--- a/src/dragonflygap/node/leader_task.hpp
+++ b/src/dragonflygap/node/leader_task.hpp
@@ -10,6 +10,7 @@
 #include "dragonflygap/cell/coordinator.hpp"
 #include "dragonflygap/cell/peer_messages.hpp"
 #include "dragonflygap/net/event_loop.hpp"
+#include "dragonflygap/node/leader_report.hpp"
 
 namespace dragonflygap
 {
@@ -80,6 +81,7 @@
     };
 
     void feed(const cell::event& event);
+    void tick();
     void act(const cell::answer_call& action);
     void act(const cell::send_commit& action);
     void act(const cell::read_leader_row& action);
@@ -99,6 +101,7 @@
     metrics& m_counted;
     leader_task_options m_options;
     cell::coordinator m_coordinator;
+    leader_report m_report;
     std::uint64_t m_epoch;
     std::map<vm_id, member> m_members;
     std::vector<vm_id> m_helpers;
--- a/tests/cell/approvals_test.cpp
+++ b/tests/cell/approvals_test.cpp
@@ -65,3 +65,18 @@
     CHECK_TRUE(approved.usable(worker_id("w"), start) != nullptr);
     CHECK_TRUE(approved.usable(worker_id("w"), start + 1s) == nullptr);
 }
+
+TEST(approvals, a_ticket_is_told_once_as_used_or_unused)
+{
+    step_approval approved;
+    approved.m_tickets[worker_id("a")] = {"a", start + 1s};
+    approved.m_tickets[worker_id("b")] = {"b", start + 1s};
+    approved.m_tickets[worker_id("c")] = {"c", start + 2s};
+    CHECK_TRUE(approved.mark_used(worker_id("a")));
+    CHECK_FALSE(approved.mark_used(worker_id("a")));
+    CHECK_FALSE(approved.mark_used(worker_id("unknown")));
+    LONGS_EQUAL(0, approved.take_unused(start));
+    LONGS_EQUAL(1, approved.take_unused(start + 1s));
+    LONGS_EQUAL(0, approved.take_unused(start + 1s));
+    LONGS_EQUAL(1, approved.take_unused(instant::max()));
+}
--- /dev/null
+++ b/tests/cell/waiting_cause_test.cpp
@@ -0,0 +1,222 @@
+#include "dragonflygap/cell/waiting_cause.hpp"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace dragonflygap;
+using namespace dragonflygap::cell;
+
+namespace
+{
+
+const instant now(100s);
+constexpr int members = 4;
+constexpr std::int64_t task_millicores = 1000;
+constexpr std::int64_t worker_millicores = 2000; // room for two tasks
+
+/// A stored gang of four tasks whose queue needs approvals, and three empty workers.
+class waiting_gang
+{
+public:
+    waiting_gang() : waiting_gang(make_record()) {}
+
+    explicit waiting_gang(job_record record) : m_job(job_id("job"), std::move(record))
+    {
+        m_job.m_stored = true;
+        m_job.m_since = now - 5s;
+        for (const auto* name : {"a", "b", "c"})
+        {
+            auto& worker = m_workers[worker_id(name)];
+            worker.m_info = {.m_id = worker_id(name),
+                             .m_service = service_id("pool"),
+                             .m_capacity = {worker_millicores, 0, 0}};
+            worker.m_pass.m_open = true;
+        }
+    }
+
+    static job_record make_record()
+    {
+        job_record record;
+        record.m_queue = {.m_service = service_id("pool"), .m_approval = {.m_valid_ms = 2500}};
+        record.m_request.m_steps.push_back(
+            {.m_count = members, .m_size = {task_millicores, 0, 0}, .m_gang = true});
+        return record;
+    }
+
+    step_state& step() { return m_job.step(0, 0); }
+
+    void approve(const char* name, instant until)
+    {
+        step().m_approval.m_approved.insert(worker_id(name));
+        step().m_approval.m_tickets[worker_id(name)] = {"ticket", until};
+    }
+
+    /// Places a member as a leader does; returns its run at the worker.
+    placement& place(int index, const char* name)
+    {
+        const task_key task{m_job.id(), 0, 0, index};
+        m_job.set_placed(task, worker_id(name), 1);
+        auto& worker = m_workers[worker_id(name)];
+        worker.add(
+            task,
+            {.m_run = 1, .m_size = {task_millicores, 0, 0}, .m_phase = placement_phase::running});
+        return worker.m_placements.at(task);
+    }
+
+    /// Fills a worker with a task of another job.
+    void fill(const char* name)
+    {
+        m_workers[worker_id(name)].add({job_id("other"), 0, 0, 0},
+                                       {.m_run = 1, .m_size = {worker_millicores, 0, 0}});
+    }
+
+    step_wait look() const { return look_at_wait(m_job, {m_job.id(), 0, 0}, m_workers, m_at); }
+    std::string cause() const { return std::string(name_of(look().m_cause)); }
+
+    job_state m_job;
+    std::map<worker_id, worker_state> m_workers;
+    wait_circumstances m_at{.m_now = now};
+};
+
+} // namespace
+
+TEST_GROUP(waiting_cause){};
+
+TEST(waiting_cause, a_gang_goes_from_its_first_question_to_its_place)
+{
+    waiting_gang gang;
+    STRCMP_EQUAL("approval_not_asked", gang.cause().c_str());
+    gang.step().m_approval.m_asking = true;
+    STRCMP_EQUAL("approval_asked", gang.cause().c_str());
+    gang.step().m_approval.m_asking = false;
+    gang.step().m_approval.m_denied = {worker_id("b"), worker_id("c")};
+    gang.approve("a", now + 1s);
+    STRCMP_EQUAL("too_few_approved", gang.cause().c_str());
+    gang.approve("b", now + 1s);
+    gang.fill("a");
+    STRCMP_EQUAL("no_room", gang.cause().c_str());
+}
+
+TEST(waiting_cause, tickets_without_room_and_room_without_tickets_are_told_apart)
+{
+    waiting_gang gang;
+    gang.approve("a", now + 1s);
+    gang.approve("b", now);
+    STRCMP_EQUAL("tickets_lapsed", gang.cause().c_str());
+    gang.approve("b", now + 1s);
+    gang.m_workers[worker_id("a")].m_pass.m_reserved = {worker_millicores, 0, 0};
+    STRCMP_EQUAL("room_held", gang.cause().c_str());
+    gang.m_workers[worker_id("a")].m_pass = {.m_open = true, .m_closed = true};
+    STRCMP_EQUAL("room_held", gang.cause().c_str());
+    gang.m_workers[worker_id("a")].m_pass.m_open = false;
+    STRCMP_EQUAL("no_room", gang.cause().c_str());
+}
+
+TEST(waiting_cause, tells_room_and_tickets_in_figures)
+{
+    waiting_gang gang;
+    gang.approve("a", now + 1s);
+    gang.approve("b", now);
+    gang.step().m_approval.m_denied.insert(worker_id("c"));
+    gang.step().m_approval.m_asking = true;
+    gang.step().m_ready_since = now - 2s;
+    const auto wait = gang.look();
+    LONGS_EQUAL(members, wait.m_count);
+    LONGS_EQUAL(members, wait.m_waiting);
+    LONGS_EQUAL(2, wait.m_approved);
+    LONGS_EQUAL(1, wait.m_denied);
+    LONGS_EQUAL(1, wait.m_tickets);
+    CHECK_TRUE(wait.m_asking);
+    LONGS_EQUAL(2, wait.m_room_ticketed);
+    LONGS_EQUAL(4, wait.m_room_approved);
+    LONGS_EQUAL(6, wait.m_room_anywhere);
+    LONGS_EQUAL(2000, to_ms(wait.m_age));
+}
+
+TEST(waiting_cause, what_no_pass_gets_to_comes_before_room)
+{
+    waiting_gang gang;
+    gang.step().m_not_before = now + 1ms;
+    STRCMP_EQUAL("setback", gang.cause().c_str());
+    gang.m_job.m_restored = true;
+    gang.m_at.m_blind = true;
+    STRCMP_EQUAL("blind", gang.cause().c_str());
+    gang.m_job.m_stored = false;
+    STRCMP_EQUAL("not_stored", gang.cause().c_str());
+    gang.m_at.m_queued = false;
+    STRCMP_EQUAL("not_queued", gang.cause().c_str());
+    gang.m_job.m_outcome = job_outcome::cancelled;
+    STRCMP_EQUAL("none", gang.cause().c_str());
+}
+
+// A gang is placed whole only: what becomes of the members that are left decides.
+TEST(waiting_cause, tells_what_becomes_of_an_earlier_run)
+{
+    waiting_gang gang;
+    auto& first = gang.place(0, "a");
+    auto& second = gang.place(1, "a");
+    STRCMP_EQUAL("earlier_run_running", gang.cause().c_str());
+    auto& worker = gang.m_workers[worker_id("a")];
+    worker.want_stop(first, now);
+    STRCMP_EQUAL("earlier_run_running", gang.cause().c_str());
+    worker.want_stop(second, now);
+    STRCMP_EQUAL("earlier_run_stopping", gang.cause().c_str());
+    worker.remove_all();
+    STRCMP_EQUAL("run_missing", gang.cause().c_str());
+}
+
+TEST(waiting_cause, a_gang_with_members_done_is_never_whole_again)
+{
+    waiting_gang gang;
+    gang.m_job.set_done({gang.m_job.id(), 0, 0, 0});
+    STRCMP_EQUAL("members_done", gang.cause().c_str());
+}
+
+// Such a step isn't in the set that the passes look at.
+TEST(waiting_cause, a_step_whose_tasks_are_all_placed_waits_if_they_do_not_run)
+{
+    waiting_gang gang;
+    const step_key key{gang.m_job.id(), 0, 0};
+    for (int i = 0; i < members; ++i)
+        gang.place(i, i < 2 ? "a" : "b");
+    gang.m_at.m_queued = false;
+    CHECK_FALSE(waits(gang.m_job, key, gang.m_workers, 0));
+    STRCMP_EQUAL("none", gang.cause().c_str());
+    auto& worker = gang.m_workers[worker_id("a")];
+    worker.want_stop(worker.m_placements.begin()->second, now);
+    CHECK_TRUE(waits(gang.m_job, key, gang.m_workers, 0));
+    worker.remove_all();
+    CHECK_TRUE(waits(gang.m_job, key, gang.m_workers, 0));
+    STRCMP_EQUAL("run_missing", gang.cause().c_str());
+}
+
+TEST(waiting_cause, a_step_before_its_time_or_behind_others_does_not_wait)
+{
+    auto record = waiting_gang::make_record();
+    record.m_request.m_steps.push_back({.m_count = 1, .m_after = {0}});
+    record.m_request.m_occurrences = 1;
+    record.m_request.m_first_due_ms = 1000;
+    waiting_gang gang(std::move(record));
+    STRCMP_EQUAL("not_due", gang.cause().c_str());
+    gang.m_at.m_unix_ms = 1000;
+    STRCMP_EQUAL("approval_not_asked", gang.cause().c_str());
+    const auto later = look_at_wait(gang.m_job, {gang.m_job.id(), 0, 1}, gang.m_workers, gang.m_at);
+    STRCMP_EQUAL("not_due", std::string(name_of(later.m_cause)).c_str());
+}
+
+TEST(waiting_cause, plain_tasks_need_room_for_one)
+{
+    auto record = waiting_gang::make_record();
+    record.m_queue.m_approval = {};
+    record.m_request.m_steps.front().m_gang = false;
+    waiting_gang tasks(std::move(record));
+    tasks.fill("a");
+    tasks.fill("b");
+    tasks.fill("c");
+    STRCMP_EQUAL("no_room", tasks.cause().c_str());
+    tasks.m_workers[worker_id("c")].remove_all();
+    tasks.m_workers[worker_id("c")].m_pass.m_reserved = {worker_millicores, 0, 0};
+    STRCMP_EQUAL("room_held", tasks.cause().c_str());
+    for (auto& [id, worker] : tasks.m_workers)
+        worker.m_info.m_service = service_id("another");
+    STRCMP_EQUAL("too_few_workers", tasks.cause().c_str());
+}
