Count ticks, approvals, refused starts and tickets in the leader's metrics

Cause: whether a leader is late, and what becomes of the approvals that it asks for, was in no metric.

No test reads the new metrics, and no live run has shown them yet.

--- a/src/dragonflygap/cell/worker_text.hpp
+++ b/src/dragonflygap/cell/worker_text.hpp
@@ -23,6 +23,15 @@
     return names[static_cast<int>(how)];
 }
 
+/// Name of a refusal in metrics.
+inline std::string_view name_of(start_refusal refusal)
+{
+    constexpr std::string_view names[] = {"none",     "fenced",    "outdated",
+                                          "too_late", "no_room",   "no_ticket",
+                                          "invalid",  "unhealthy", "wrong_worker"};
+    return names[static_cast<int>(refusal)];
+}
+
 inline worker_address address_of(const worker_state& worker)
 {
     return {worker.m_info.m_id, worker.m_info.m_address};
--- a/src/dragonflygap/node/leader_report.cpp
+++ b/src/dragonflygap/node/leader_report.cpp
@@ -4,6 +4,7 @@
 #include <utility>
 
 #include "dragonflygap/observe/log.hpp"
+#include "dragonflygap/observe/metrics.hpp"
 
 namespace dragonflygap::node
 {
@@ -37,9 +38,15 @@
 {
     ++m_ticks;
     m_longest = std::max(m_longest, ended - began);
+    m_counted.observe("dragonflygap_tick_seconds", {}, ended - began);
     if (m_last_began != instant{})
-        m_latest = std::max(m_latest, began - m_last_began - m_tick);
+    {
+        const auto late = std::max<duration>(0s, began - m_last_began - m_tick);
+        m_latest = std::max(m_latest, late);
+        m_counted.observe("dragonflygap_tick_late_seconds", {}, late);
+    }
     m_last_began = began;
+    count_tickets(state.counts());
     constexpr duration line_every = 1s;
     constexpr std::size_t first_steps = 8;
     constexpr std::size_t longest_steps = 4;
@@ -55,6 +62,19 @@
     m_latest = {};
 }
 
+void leader_report::count_tickets(const cell::leader_counts& counts)
+{
+    const auto last = std::exchange(m_measured, counts);
+    auto count = [this](std::string_view fate, std::uint64_t more)
+    {
+        if (more > 0)
+            m_counted.count("dragonflygap_tickets_total", {"fate", fate},
+                            static_cast<double>(more));
+    };
+    count("used", counts.m_tickets_used - last.m_tickets_used);
+    count("lapsed", counts.m_tickets_lapsed - last.m_tickets_lapsed);
+}
+
 void leader_report::log_pass(const cell::coordinator& state, const cell::pass_summary& pass)
 {
     const auto counts = state.counts();
--- a/src/dragonflygap/node/leader_report.hpp
+++ b/src/dragonflygap/node/leader_report.hpp
@@ -3,24 +3,32 @@
 #include "dragonflygap/cell/coordinator.hpp"
 #include "dragonflygap/core/time.hpp"
 
-namespace dragonflygap::node
+namespace dragonflygap
 {
 
-/// Tells once a second what a leader's steps wait for, and whether the leader is late itself.
+class metrics;
+
+namespace node
+{
+
+/// Measures a leader's ticks, and tells once a second what its steps wait for.
 class leader_report
 {
 public:
-    explicit leader_report(duration tick) : m_tick(tick) {}
+    leader_report(metrics& counted, duration tick) : m_counted(counted), m_tick(tick) {}
 
-    /// Takes note of a tick that has just been handled; logs what is due.
+    /// Takes note of a tick that has just been handled; logs and counts what is due.
     void ticked(const cell::coordinator& state, instant began, instant ended);
 
 private:
+    void count_tickets(const cell::leader_counts& counts);
     void log_pass(const cell::coordinator& state, const cell::pass_summary& pass);
 
+    metrics& m_counted;
     duration m_tick; ///< Usual time between two.
     instant m_last_began{};
     instant m_last_line{};
+    cell::leader_counts m_measured; ///< Already in the metrics.
     // Since the last line.
     cell::leader_counts m_told;
     int m_ticks = 0;
@@ -28,4 +36,6 @@
     duration m_latest{};
 };
 
-} // namespace dragonflygap::node
+} // namespace node
+
+} // namespace dragonflygap
--- a/src/dragonflygap/node/leader_task.cpp
+++ b/src/dragonflygap/node/leader_task.cpp
@@ -4,6 +4,7 @@
 #include <chrono>
 #include <utility>
 
+#include "dragonflygap/cell/worker_text.hpp"
 #include "dragonflygap/observe/log.hpp"
 #include "dragonflygap/observe/metrics.hpp"
 
@@ -28,7 +29,7 @@
       m_counted(counted),
       m_options(std::move(options)),
       m_coordinator(m_options.m_coordinator, found, monotonic_clock::now()),
-      m_report(m_options.m_tick),
+      m_report(counted, m_options.m_tick),
       m_epoch(found.m_self.m_epoch)
 {
     m_members[m_options.m_vm].m_address = m_options.m_address;
@@ -128,8 +129,13 @@
         [this, id = action.m_worker.m_id, task = action.m_order.m_task, run = action.m_order.m_run,
          alive = m_alive](outcome<cell::start_result> result)
         {
-            if (*alive)
-                feed(cell::start_answered{id, task, run, std::move(result)});
+            if (!*alive)
+                return;
+            if (!result || result->m_refusal != cell::start_refusal::none)
+                m_counted.count("dragonflygap_start_refusals_total",
+                                {"kind", result ? cell::name_of(result->m_refusal)
+                                                : to_string(result.error().m_reason)});
+            feed(cell::start_answered{id, task, run, std::move(result)});
         });
 }
 
@@ -163,11 +169,13 @@
                      if (!*alive)
                          return;
                      const auto open = m_asks.find(step);
-                     if (open != m_asks.end() && open->second == number)
-                         feed(cell::approval_answered{
-                             .m_step = step,
-                             .m_asked_by = through,
-                             .m_result = fail(verdict::may_have_run, reason::timeout, "")});
+                     if (open == m_asks.end() || open->second != number)
+                         return;
+                     m_counted.count("dragonflygap_approvals_total", {"outcome", "silent"});
+                     feed(cell::approval_answered{
+                         .m_step = step,
+                         .m_asked_by = through,
+                         .m_result = fail(verdict::may_have_run, reason::timeout, "")});
                  });
 }
 
@@ -221,6 +229,8 @@
     if (answer.m_epoch != m_epoch)
         return;
     m_asks.erase(answer.m_step);
+    m_counted.count("dragonflygap_approvals_total",
+                    {"outcome", answer.m_given ? "answered" : "failed"});
     outcome<cell::approval> result =
         fail(verdict::not_run, reason::target_failed, "the member got no approval");
     if (answer.m_given)
