--- a/src/dragonflygap/observe/log.cpp
+++ b/src/dragonflygap/observe/log.cpp
@@ -37,11 +37,20 @@
     return poll(&output, 1, 0) == 1 && (output.revents & POLLOUT) != 0;
 }
 
+/// How a line is bounded; without an event by the bound of all lines alone.
+struct line_bound
+{
+    std::string_view m_event;
+    log_limiter::weight m_weight = log_limiter::weight::ordinary;
+};
+
 /// True if a line may be written; tells how many were left out before it.
-bool admit_line(std::optional<std::uint64_t>& left_out)
+bool admit_line(const line_bound& bound, std::optional<std::uint64_t>& left_out)
 {
     const std::lock_guard lock(limiter_mutex);
-    if (!limiter.admit(monotonic_clock::now()))
+    const auto now = monotonic_clock::now();
+    if (!(bound.m_event.empty() ? limiter.admit(now)
+                                : limiter.admit(now, bound.m_weight, bound.m_event)))
     {
         ++dropped_lines;
         return false;
@@ -83,6 +92,32 @@
     text += '"';
 }
 
+void write_line(log_level level, std::string_view event, std::string_view fields,
+                const line_bound& bound)
+{
+    std::optional<std::uint64_t> left_out;
+    if (!admit_line(bound, left_out))
+        return;
+    if (left_out)
+        LOG(WARNING) << "vm=" << vm_name() << " event=log_lines_dropped lines=" << *left_out;
+    std::string line = "vm=" + vm_name() + " event=";
+    line += event;
+    line += fields;
+    switch (level)
+    {
+    case log_level::debug:
+    case log_level::info:
+        LOG(INFO) << line;
+        break;
+    case log_level::warning:
+        LOG(WARNING) << line;
+        break;
+    case log_level::error:
+        LOG(ERROR) << line;
+        break;
+    }
+}
+
 } // namespace
 
 void start_logging(log_level least, std::string_view vm)
@@ -119,33 +154,23 @@
 
 void log_event(log_level level, std::string_view event, std::initializer_list<log_field> fields)
 {
-    if (logs(level))
-        log_line(level, event, format_fields(fields));
+    if (!logs(level))
+        return;
+    const bool kept = level >= log_level::warning;
+    write_line(level, event, format_fields(fields),
+               {event, kept ? log_limiter::weight::kept : log_limiter::weight::ordinary});
+}
+
+void log_report(std::string_view event, std::initializer_list<log_field> fields)
+{
+    if (logs(log_level::info))
+        write_line(log_level::info, event, format_fields(fields),
+                   {event, log_limiter::weight::kept});
 }
 
 void log_line(log_level level, std::string_view event, std::string_view fields)
 {
-    std::optional<std::uint64_t> left_out;
-    if (!admit_line(left_out))
-        return;
-    if (left_out)
-        LOG(WARNING) << "vm=" << vm_name() << " event=log_lines_dropped lines=" << *left_out;
-    std::string line = "vm=" + vm_name() + " event=";
-    line += event;
-    line += fields;
-    switch (level)
-    {
-    case log_level::debug:
-    case log_level::info:
-        LOG(INFO) << line;
-        break;
-    case log_level::warning:
-        LOG(WARNING) << line;
-        break;
-    case log_level::error:
-        LOG(ERROR) << line;
-        break;
-    }
+    write_line(level, event, fields, {});
 }
 
 std::uint64_t dropped_log_lines()
--- a/src/dragonflygap/observe/log.hpp
+++ b/src/dragonflygap/observe/log.hpp
@@ -43,6 +43,9 @@
 /// Writes one line: time, level, vm, event and the fields, as key=value pairs.
 void log_event(log_level level, std::string_view event, std::initializer_list<log_field> fields);
 
+/// Writes one line of level info that comes at a fixed rate: other lines don't push it out.
+void log_report(std::string_view event, std::initializer_list<log_field> fields);
+
 /// Writes one line whatever the least level, its fields made by format_fields.
 void log_line(log_level level, std::string_view event, std::string_view fields);
 
