Keep places for a step while its approval is under way

Cause: an approval call and the room that it was for were two decisions. A step named the emptiest workers, waited up to three times the call's own cost in a VM's queue, and found the room held by steps that had no tickets; then it asked again. Calls that named 100 workers were patient for 4 s, those of steps that had room for 2 s, and plain steps for less than 1 s: who could have used the answer was shut out by who couldn't. Tickets last 2.5 s, so the state kept itself up with no load left.

Now a step first finds its places among the workers known to be approved. They are claimed, its call names just these and some spare ones, and nobody of its urgency gets them until the answer. Calls wait at the leader, in rank order, and go to a VM that is free. A step that knows too few approved workers asks about others; what others have named counts as less room. A step that found no room is looked at again the later the more are before it, so a pass costs about the same with any backlog.

--- a/src/dragonflygap/cell/approvals.hpp
+++ b/src/dragonflygap/cell/approvals.hpp
@@ -27,7 +27,6 @@
     std::set<worker_id> m_approved;
     std::set<worker_id> m_denied;
     bool m_asking = false;
-    instant m_next_ask{};
 
     bool never_asked() const { return m_approved.empty() && m_denied.empty(); }
 
--- a/src/dragonflygap/cell/coordinator.cpp
+++ b/src/dragonflygap/cell/coordinator.cpp
@@ -212,6 +212,7 @@
             m_ready.erase(rank_of(job, key));
             m_unsuited.erase(key);
             m_counts.m_tickets_lapsed += job.step(k, s).m_approval.take_unused(instant::max());
+            m_claims.drop(key);
         }
     stop_all(job);
 }
@@ -243,7 +244,11 @@
                 step.m_ready_since = m_now;
         }
         else
+        {
             m_ready.erase(rank_of(job, key));
+            m_claims.drop(key);
+            step.m_drained.clear();
+        }
         if (step.m_done == static_cast<int>(step.m_tasks.size()))
         {
             m_counts.m_tickets_lapsed += step.m_approval.take_unused(instant::max());
--- a/src/dragonflygap/cell/coordinator.hpp
+++ b/src/dragonflygap/cell/coordinator.hpp
@@ -15,6 +15,7 @@
 #include "dragonflygap/cell/events.hpp"
 #include "dragonflygap/cell/job_state.hpp"
 #include "dragonflygap/cell/occurrence_timetable.hpp"
+#include "dragonflygap/cell/task_plan.hpp"
 #include "dragonflygap/cell/wait_report.hpp"
 #include "dragonflygap/cell/worker_state.hpp"
 
@@ -106,10 +107,16 @@
         std::map<worker_id, std::uint64_t> m_ends; ///< That may be acknowledged afterwards.
         bool m_workers = false;
     };
-    struct choice
+    /// An approval call in the making.
+    struct wanted_approval
     {
-        task_key m_task;
-        worker_id m_worker;
+        std::vector<worker_id> m_named;
+        room_claim m_claim;
+    };
+    enum class ticket_need
+    {
+        valid, ///< Workers with a valid ticket.
+        known, ///< Workers that are approved; a ticket can be had.
     };
 
     void on(const job_submitted& event);
@@ -169,33 +176,37 @@
     // coordinator_placing.cpp, coordinator_gangs.cpp: who gets room; coordinator_approvals.cpp: who
     // is asked for tickets
     void place_all();
-    void place_step(job_state& job, int occurrence, int step);
-    bool worth_a_look(const job_state& job, int occurrence, int step) const;
-    void place_tasks(job_state& job, const step_key& key, step_approval* approved);
+    void place_step(job_state& job, const step_key& key, std::size_t position);
+    bool worth_a_look(const job_state& job, const step_key& key) const;
+    void place_tasks(job_state& job, const step_key& key, const step_approval* approved);
+    void look_for_room(job_state& job, const step_key& key, std::size_t position);
     void report_unsuited();
     void report_unsuited(const job_state& job, const step_key& key);
     void log_started(const job_state& job, const step_key& key, int count) const;
-    void place_gang(job_state& job, const step_key& key, step_approval* approved);
-    std::optional<std::vector<choice>> choose_gang(job_state& job, const step_key& key,
-                                                   const step_approval* approved, bool ticketed);
+    std::vector<task_places> find_places(const job_state& job, const step_key& key,
+                                         ticket_need need, plan_order order);
+    std::vector<task_places> places_on(const std::vector<worker_state*>& among,
+                                       const job_state& job, const step_key& key, plan_order order,
+                                       bool avoid_claims) const;
     void open_pass();
     bool takes_tasks(const worker_state& worker) const;
     static bool suits(const worker_state& worker, const job_state& job, const step_spec& spec);
-    std::vector<worker_state*> allowed(const job_state& job, const step_key& key,
-                                       const step_approval* approved, bool ticketed);
-    worker_state* choose(const std::vector<worker_state*>& among, const step_spec& spec,
-                         const step_key& key, const rack_id* only_rack,
-                         const std::map<worker_id, resources>& taken) const;
-    int fitting(const worker_state& worker, const step_spec& spec) const;
+    std::vector<worker_state*> allowed(const job_state& job, const step_key& key, ticket_need need);
     void start(job_state& job, const task_key& task, worker_state& worker, std::uint64_t run,
                const step_approval* approved);
+    void drain_for_gang(job_state& job, const step_key& key);
+    void keep_drained(const step_state& step);
     double approval_rate(const queue_id& queue) const;
     void learn_approval_rate(const queue_id& queue, const step_approval& before,
                              const approval_answered& event);
-    void want_approval(job_state& job, const step_key& key, step_approval& approved);
-    void hold_for_gang(job_state& job, const step_key& key, const step_approval* approved);
-    static step_approval* approval_of(job_state& job, const step_key& key);
-    int on_worker(const worker_state& worker, const step_key& key) const;
+    bool ask_for_approval(job_state& job, const step_key& key);
+    wanted_approval name_workers(const job_state& job, const step_key& key, duration until_answer);
+    void name_approved(const job_state& job, const step_key& key, duration until_answer,
+                       wanted_approval& wanted);
+    void name_unknown(const job_state& job, const step_key& key, wanted_approval& wanted);
+    int possible_tasks(const job_state& job, const step_key& key) const;
+    static const step_approval* approval_of(const job_state& job, const step_key& key);
+    static int most_on(const worker_state& worker, const step_spec& spec, const step_key& key);
 
     // coordinator_waits.cpp: what is told of the waiting steps
     void each_due_step(const std::function<void(const job_state&, const step_key&)>& visit) const;
@@ -223,10 +234,11 @@
     std::map<worker_id, worker_state> m_workers;
     bool m_workers_dirty = false;
     std::optional<batch> m_batch;
+    room_claims m_claims;
     // Of one pass over the waiting steps.
     std::vector<worker_state*> m_by_room; ///< Open workers, most free processor time first.
     resources m_most_free;                ///< Most that any of them has, of each kind.
-    std::size_t m_closed = 0;             ///< How many of them are kept for gangs.
+    std::size_t m_closed = 0;             ///< How many of them are drained for gangs.
     bool m_blind = false;                 ///< Restored jobs may run where nobody has looked yet.
     instant m_last_trim{};
     instant m_last_stuck_check{};
--- a/src/dragonflygap/cell/coordinator_approvals.cpp
+++ b/src/dragonflygap/cell/coordinator_approvals.cpp
@@ -8,78 +8,192 @@
 namespace dragonflygap::cell
 {
 
-int coordinator::fitting(const worker_state& worker, const step_spec& spec) const
+namespace
 {
-    const int fits = times_in(size_of(spec), worker.free_for_pass());
-    return spec.m_most_per_worker > 0 ? std::min(fits, spec.m_most_per_worker) : fits;
+
+constexpr std::size_t most_named = 100; // the service takes no more
+constexpr double spare_share = 0.2;     // some room is gone when the answer comes
+constexpr int spare_more = 2;
+
+duration service_time(const approval_cost& cost, std::size_t workers)
+{
+    return std::chrono::duration_cast<duration>(std::chrono::duration<double, std::milli>(
+        cost.m_decision_ms + cost.m_per_worker_ms * static_cast<double>(workers)));
 }
 
-void coordinator::want_approval(job_state& job, const step_key& key, step_approval& approved)
+// A call that waited at a VM would be answered for room that has gone since; it waits here, where
+// the first in order gets the next free VM.
+duration longest_wait(duration time)
+{
+    constexpr duration least = 30ms; // a few ticks: a VM has work between two of them
+    return std::max<duration>(least, time / 8);
+}
+
+} // namespace
+
+// Asks for tickets where the step may start with them, or about workers that it knows nothing of.
+// False if there is nobody to ask about.
+bool coordinator::ask_for_approval(job_state& job, const step_key& key)
 {
-    if (approved.m_asking || m_now < approved.m_next_ask)
+    auto& step = job.step(key.m_occurrence, key.m_step);
+    const auto& cost = job.record().m_queue.m_approval;
+    const auto least = service_time(cost, 1);
+    const auto first_free = m_desk.choose(least, longest_wait(least), m_now);
+    if (!first_free)
+        return true; // as soon as a VM is free
+    auto wanted =
+        name_workers(job, key, m_desk.wait(*first_free, m_now) + service_time(cost, most_named));
+    if (wanted.m_named.empty())
+        return false;
+    const auto time = service_time(cost, wanted.m_named.size());
+    const auto through = m_desk.choose(time, longest_wait(time), m_now);
+    if (!through)
+        return false;
+    const auto expected = m_desk.wait(*through, m_now) + time;
+    m_desk.asked(*through, time, m_now);
+    step.m_approval.m_asking = true;
+    step.m_drained.clear();
+    log_event(log_level::info, "approval_asked",
+              {{"job", key.m_job.m_value},
+               {"step", key.m_step},
+               {"through", through->m_value},
+               {"workers", wanted.m_named.size()},
+               {"places_kept", tasks_in(wanted.m_claim.m_kept)},
+               {"expected_ms", to_ms(expected)}});
+    m_claims.set(key, std::move(wanted.m_claim));
+    m_out->push_back(ask_approval{*through, key, std::move(wanted.m_named), time, expected});
+    return true;
+}
+
+// A gang asks for tickets once all of its places are found, and before that only to learn which
+// workers are approved; other steps do both in one call.
+coordinator::wanted_approval coordinator::name_workers(const job_state& job, const step_key& key,
+                                                       duration until_answer)
+{
+    const auto& spec = job.spec(key.m_step);
+    const auto& step = job.step(key.m_occurrence, key.m_step);
+    wanted_approval wanted{
+        .m_claim = {.m_priority = job.record().m_queue.m_priority, .m_size = size_of(spec)}};
+    wanted.m_claim.m_kept = find_places(job, key, ticket_need::known, plan_order::tightest);
+    if (spec.m_gang && wanted.m_claim.m_kept.size() + spare_more > most_named)
+        wanted.m_claim.m_kept = find_places(job, key, ticket_need::known, plan_order::fewest);
+    name_approved(job, key, until_answer, wanted);
+    if (tasks_in(wanted.m_claim.m_kept) < step.m_waiting)
+        name_unknown(job, key, wanted);
+    return wanted;
+}
+
+// Names the workers of the places that were found, and some more with room.
+void coordinator::name_approved(const job_state& job, const step_key& key, duration until_answer,
+                                wanted_approval& wanted)
+{
+    const auto& spec = job.spec(key.m_step);
+    const auto& approval = job.step(key.m_occurrence, key.m_step).m_approval;
+    const auto kept = tasks_in(wanted.m_claim.m_kept);
+    if (kept == 0)
         return;
-    constexpr std::size_t most_named = 100; // the service takes no more
-    constexpr double wanted_share = 1.5;    // some room is gone when the answer comes
+    std::set<worker_id> has_places;
+    for (const auto& place : wanted.m_claim.m_kept)
+    {
+        has_places.insert(place.m_worker);
+        if (approval.usable(place.m_worker, m_now + until_answer) == nullptr &&
+            wanted.m_named.size() < most_named)
+            wanted.m_named.push_back(place.m_worker);
+    }
+    int spare = spare_more + static_cast<int>(spare_share * kept);
+    for (const worker_state* worker : allowed(job, key, ticket_need::known))
+    {
+        const auto& id = worker->m_info.m_id;
+        if (spare <= 0 || wanted.m_named.size() >= most_named)
+            break;
+        const int fits = std::min(times_in(size_of(spec), worker->free_for_others()),
+                                  most_on(*worker, spec, key));
+        if (fits == 0 || has_places.count(id) != 0 ||
+            approval.usable(id, m_now + until_answer) != nullptr)
+            continue;
+        spare -= fits;
+        wanted.m_named.push_back(id);
+    }
+}
+
+// Load pattern: many steps ask at once. Each names workers with room that the others haven't
+// named, or all would get tickets for the same ones.
+void coordinator::name_unknown(const job_state& job, const step_key& key, wanted_approval& wanted)
+{
+    constexpr double wanted_share = 1.5;
     constexpr double wanted_more = 2;
-    constexpr double later_room = 0.5;    // tasks for which a full worker may have room in time
-    constexpr duration look_again = 50ms; // where there is nobody to ask about
+    constexpr double later_room = 0.5;      // tasks for which a full worker may have room in time
+    constexpr double enough_approved = 1.5; // of the tasks, if the approved workers were empty
     const auto& spec = job.spec(key.m_step);
-    const auto& cost = job.record().m_queue.m_approval;
+    const auto size = size_of(spec);
+    const auto& step = job.step(key.m_occurrence, key.m_step);
     const double rate = approval_rate(job.record().m_queue.m_name);
-    const double wanted =
-        wanted_share * job.step(key.m_occurrence, key.m_step).m_waiting + wanted_more;
-    approved.m_next_ask = m_now + look_again;
+    const double wanted_tasks = wanted_share * step.m_waiting + wanted_more;
+    const bool first = step.m_approval.never_asked();
     double expected = 0;
-    for (const worker_state* worker : allowed(job, key, &approved, true))
-        expected += std::max<double>(fitting(*worker, spec), later_room);
-    if (expected >= wanted - wanted_more)
-        return;
-    const bool first = approved.never_asked();
-    bool room_now = false;
+    for (const worker_state* worker : allowed(job, key, ticket_need::known))
+        expected +=
+            std::min(times_in(size, worker->free_for_others()), most_on(*worker, spec, key));
+    struct option
+    {
+        worker_state* m_worker;
+        std::int64_t m_room;
+    };
+    std::vector<option> options;
+    for (worker_state* worker : m_by_room)
+        if (suits(*worker, job, spec) && step.m_approval.m_denied.count(worker->m_info.m_id) == 0 &&
+            step.m_approval.m_approved.count(worker->m_info.m_id) == 0)
+            options.push_back({worker, worker->free_for_others().m_millicores -
+                                           worker->m_pass.m_hoped_millicores});
+    std::stable_sort(options.begin(), options.end(),
+                     [](const option& left, const option& right)
+                     { return left.m_room > right.m_room; });
     std::vector<worker_id> named;
-    for (const worker_state* worker : m_by_room)
+    for (const auto& [worker, room] : options)
     {
-        const auto& id = worker->m_info.m_id;
-        if (expected >= wanted || named.size() >= most_named)
+        if (expected >= wanted_tasks || wanted.m_named.size() + named.size() >= most_named)
             break;
-        if (!suits(*worker, job, spec) || approved.m_denied.count(id) != 0 ||
-            approved.usable(id, m_now) != nullptr)
-            continue;
-        const int fits = worker->m_pass.m_closed ? 0 : fitting(*worker, spec);
-        // It is asked again only where there is room; behind this one nobody has more.
-        if (fits == 0 && !room_now && !first)
-        {
-            if (worker->free().m_millicores < spec.m_size.m_millicores)
-                break;
+        auto free = worker->free_for_others();
+        free.m_millicores = room;
+        const int fits = worker->m_pass.m_closed
+                             ? 0
+                             : std::min(times_in(size, free), most_on(*worker, spec, key));
+        if (fits == 0 && !first)
             continue;
-        }
-        room_now = room_now || fits > 0;
-        const bool known = approved.m_approved.count(id) != 0;
-        expected += std::max<double>(fits, later_room) * (known ? 1.0 : rate);
-        named.push_back(id);
+        expected += rate * std::max<double>(fits, later_room);
+        named.push_back(worker->m_info.m_id);
+        if (fits > 0)
+            wanted.m_claim.m_hoped.push_back({worker->m_info.m_id, fits});
     }
+    if (spec.m_gang && !first && expected < step.m_waiting &&
+        possible_tasks(job, key) >= enough_approved * step.m_waiting)
+        named.clear();
     if (named.empty())
+    {
+        wanted.m_claim.m_hoped.clear();
         return;
-    const auto time =
-        std::chrono::duration_cast<duration>(std::chrono::duration<double, std::milli>(
-            cost.m_decision_ms + cost.m_per_worker_ms * static_cast<double>(named.size())));
-    const duration patience = std::max<duration>(300ms, 3 * time);
-    const auto through = m_desk.choose(time, patience, m_now);
-    if (!through)
-        return;
-    const auto expected_wait = m_desk.wait(*through, m_now) + time;
-    m_desk.asked(*through, time, m_now);
-    approved.m_asking = true;
-    log_event(log_level::info, "approval_asked",
-              {{"job", key.m_job.m_value},
-               {"step", key.m_step},
-               {"through", through->m_value},
-               {"workers", named.size()},
-               {"expected_ms", to_ms(expected_wait)}});
-    m_out->push_back(ask_approval{*through, key, std::move(named), time, expected_wait});
+    }
+    wanted.m_claim.m_hope = rate;
+    for (const auto& place : wanted.m_claim.m_hoped)
+        m_workers.at(place.m_worker).m_pass.m_hoped_millicores += static_cast<std::int64_t>(
+            rate * static_cast<double>(size.m_millicores * place.m_tasks));
+    wanted.m_named.insert(wanted.m_named.end(), named.begin(), named.end());
+}
+
+// Tasks of a step that its approved workers would take if nothing else ran there.
+int coordinator::possible_tasks(const job_state& job, const step_key& key) const
+{
+    const auto& spec = job.spec(key.m_step);
+    int tasks = 0;
+    for (const auto& id : job.step(key.m_occurrence, key.m_step).m_approval.m_approved)
+        if (const auto found = m_workers.find(id);
+            found != m_workers.end() && found->second.m_listed)
+            tasks += std::min(times_in(size_of(spec), found->second.m_info.m_capacity),
+                              spec.m_most_per_worker > 0 ? spec.m_most_per_worker : spec.m_count);
+    return tasks;
 }
 
-step_approval* coordinator::approval_of(job_state& job, const step_key& key)
+const step_approval* coordinator::approval_of(const job_state& job, const step_key& key)
 {
     return job.record().m_queue.m_approval.required()
                ? &job.step(key.m_occurrence, key.m_step).m_approval
@@ -117,10 +231,11 @@
     job_state* job = find(event.m_step.m_job);
     if (job == nullptr)
         return;
-    auto& approved = job->step(event.m_step.m_occurrence, event.m_step.m_step).m_approval;
+    auto& step = job->step(event.m_step.m_occurrence, event.m_step.m_step);
+    auto& approved = step.m_approval;
     approved.m_asking = false;
     constexpr duration ask_again = 100ms;
-    approved.m_next_ask = m_now;
+    step.m_next_look = m_now;
     log_event(log_level::info, "approval_answered",
               {{"job", event.m_step.m_job.m_value},
                {"step", event.m_step.m_step},
@@ -129,7 +244,7 @@
                {"outcome", event.m_result ? "answered" : "failed"}});
     if (!event.m_result)
     {
-        approved.m_next_ask = m_now + ask_again;
+        step.m_next_look = m_now + ask_again;
         return;
     }
     // Tickets must still be valid when the order arrives.
--- a/src/dragonflygap/cell/coordinator_placing.cpp
+++ b/src/dragonflygap/cell/coordinator_placing.cpp
@@ -20,17 +20,20 @@
     struct ready_step
     {
         job_state* m_job;
-        int m_occurrence;
-        int m_step;
+        int m_priority;
+        step_key m_key;
     };
     // Starts change the set of ready steps.
     std::vector<ready_step> order;
     order.reserve(m_ready.size());
     for (const auto& [rank, job] : m_ready)
-        order.push_back({job.get(), rank.m_step.m_occurrence, rank.m_step.m_step});
-    for (const auto& next : order)
-        if (worth_a_look(*next.m_job, next.m_occurrence, next.m_step))
-            place_step(*next.m_job, next.m_occurrence, next.m_step);
+        order.push_back({job.get(), rank.m_priority, rank.m_step});
+    for (std::size_t i = 0; i < order.size(); ++i)
+    {
+        m_claims.reach(order[i].m_priority);
+        if (worth_a_look(*order[i].m_job, order[i].m_key))
+            place_step(*order[i].m_job, order[i].m_key, i);
+    }
 }
 
 // Workers that take new tasks, those with the most free processor time first; each pass over the
@@ -55,43 +58,60 @@
     std::sort(m_by_room.begin(), m_by_room.end(),
               [](const worker_state* left, const worker_state* right)
               { return left->free().m_millicores > right->free().m_millicores; });
+    m_claims.open_pass(m_workers);
 }
 
 // Load pattern: a full cell with a long backlog. A step that no worker has room for is passed over
 // without a search; gangs still have room kept for them, and workers are named for a first
 // approval.
-bool coordinator::worth_a_look(const job_state& job, int occurrence, int number) const
+bool coordinator::worth_a_look(const job_state& job, const step_key& key) const
 {
-    const auto& step = job.step(occurrence, number);
+    const auto& step = job.step(key.m_occurrence, key.m_step);
     if (step.m_waiting == 0 || job.m_outcome || m_now < step.m_not_before ||
         (job.m_restored && m_blind))
         return false;
-    const auto& spec = job.spec(number);
+    const auto& spec = job.spec(key.m_step);
     const bool first_approval = job.record().m_queue.m_approval.required() &&
                                 step.m_approval.never_asked() && !step.m_approval.m_asking;
-    return spec.m_gang || first_approval || size_of(spec).fits_in(m_most_free);
+    return spec.m_gang || first_approval || m_claims.has(key) || size_of(spec).fits_in(m_most_free);
 }
 
-void coordinator::place_step(job_state& job, int occurrence, int number)
+void coordinator::place_step(job_state& job, const step_key& key, std::size_t position)
 {
-    const step_key key{job.id(), occurrence, number};
-    auto& step = job.step(occurrence, number);
-    step_approval* approved = approval_of(job, key);
-    const bool gang = job.spec(number).m_gang;
+    auto& step = job.step(key.m_occurrence, key.m_step);
+    const step_approval* approved = approval_of(job, key);
+    m_claims.lift(key, m_workers);
     if (job.m_stored)
+        place_tasks(job, key, approved);
+    if (step.m_waiting == 0)
     {
-        if (gang)
-            place_gang(job, key, approved);
-        else
-            place_tasks(job, key, approved);
+        m_claims.drop(key);
+        return;
     }
-    if (step.m_waiting == 0)
+    const bool asking = approved != nullptr && approved->m_asking;
+    if (!asking)
+        m_claims.drop(key);
+    if (!asking && m_now >= step.m_next_look)
+        look_for_room(job, key, position);
+    m_claims.restore(key, m_workers);
+    keep_drained(step);
+}
+
+// Load pattern: hundreds of steps wait behind a full cell. One that found no room is looked at
+// again the later the more are before it, so that a pass costs about the same however many wait.
+void coordinator::look_for_room(job_state& job, const step_key& key, std::size_t position)
+{
+    constexpr duration look_again = 50ms;
+    constexpr duration for_each_before = 1ms;
+    constexpr duration longest_gap = 1s;
+    const bool gang = job.spec(key.m_step).m_gang;
+    const step_approval* approved = approval_of(job, key);
+    if (approved == nullptr ? !gang : ask_for_approval(job, key))
         return;
-    if (approved != nullptr)
-        want_approval(job, key, *approved);
-    // Only now: the places kept for it are those that it asks tickets for.
     if (gang)
-        hold_for_gang(job, key, approved);
+        drain_for_gang(job, key);
+    job.step(key.m_occurrence, key.m_step).m_next_look =
+        m_now + std::min<duration>(longest_gap, look_again + position * for_each_before);
 }
 
 void coordinator::report_unsuited()
@@ -140,75 +160,98 @@
            (spec.m_label.empty() || worker.m_info.has_label(spec.m_label));
 }
 
-int coordinator::on_worker(const worker_state& worker, const step_key& key) const
+// Tasks of a step that a worker may take, whatever its room.
+int coordinator::most_on(const worker_state& worker, const step_spec& spec, const step_key& key)
 {
-    return static_cast<int>(std::count_if(worker.m_placements.begin(), worker.m_placements.end(),
-                                          [&key](const auto& entry)
-                                          { return step_of(entry.first) == key; }));
+    if (spec.m_most_per_worker <= 0)
+        return spec.m_count;
+    const auto here =
+        std::count_if(worker.m_placements.begin(), worker.m_placements.end(),
+                      [&key](const auto& entry) { return step_of(entry.first) == key; });
+    return std::max(0, spec.m_most_per_worker - static_cast<int>(here));
 }
 
-// The workers on which a step may start now: with a ticket, or approved, where it needs that.
+// The workers that a step may start on: all that suit where no approval is needed.
 std::vector<worker_state*> coordinator::allowed(const job_state& job, const step_key& key,
-                                                const step_approval* approved, bool ticketed)
+                                                ticket_need need)
 {
     const auto& spec = job.spec(key.m_step);
+    const step_approval* approved = approval_of(job, key);
     std::vector<worker_state*> result;
     auto consider = [&](worker_state& worker)
     {
-        if (worker.m_pass.m_open && !worker.m_pass.m_closed && suits(worker, job, spec))
+        const bool closed = worker.m_pass.m_closed && !m_claims.keeps(key, worker.m_info.m_id);
+        if (worker.m_pass.m_open && !closed && suits(worker, job, spec))
             result.push_back(&worker);
     };
+    auto consider_id = [&](const worker_id& id)
+    {
+        if (const auto found = m_workers.find(id); found != m_workers.end())
+            consider(found->second);
+    };
     if (approved == nullptr)
         for (worker_state* worker : m_by_room)
             consider(*worker);
-    else if (ticketed)
+    else if (need == ticket_need::valid)
     {
         for (const auto& [id, ticket] : approved->m_tickets)
-            if (const auto found = m_workers.find(id);
-                m_now < ticket.m_until && found != m_workers.end())
-                consider(found->second);
+            if (m_now < ticket.m_until)
+                consider_id(id);
     }
     else
         for (const auto& id : approved->m_approved)
-            if (const auto found = m_workers.find(id); found != m_workers.end())
-                consider(found->second);
+            consider_id(id);
     return result;
 }
 
-// The worker that is left with the least free processor time, near the data if there is one.
-worker_state* coordinator::choose(const std::vector<worker_state*>& among, const step_spec& spec,
-                                  const step_key& key, const rack_id* only_rack,
-                                  const std::map<worker_id, resources>& taken) const
+std::vector<task_places> coordinator::places_on(const std::vector<worker_state*>& among,
+                                                const job_state& job, const step_key& key,
+                                                plan_order order, bool avoid_claims) const
 {
-    const auto size = size_of(spec);
-    worker_state* best = nullptr;
-    std::int64_t best_score = 0;
-    for (worker_state* worker : among)
+    const auto& spec = job.spec(key.m_step);
+    const int count = job.step(key.m_occurrence, key.m_step).m_waiting;
+    std::vector<candidate> candidates;
+    std::set<rack_id> racks;
+    candidates.reserve(among.size());
+    for (const worker_state* worker : among)
     {
-        if (only_rack != nullptr && worker->m_info.m_rack != *only_rack)
-            continue;
-        auto left = worker->free_for_pass();
-        int here = 0;
-        if (const auto also = taken.find(worker->m_info.m_id); also != taken.end())
-        {
-            left -= also->second;
-            here = times_in(size, also->second);
-        }
-        if (!size.fits_in(left))
-            continue;
-        if (spec.m_most_per_worker > 0 && on_worker(*worker, key) + here >= spec.m_most_per_worker)
-            continue;
-        constexpr std::int64_t far_penalty = 1000000;
-        std::int64_t score = left.m_millicores - size.m_millicores;
-        if (!spec.m_data_rack.empty() && worker->m_info.m_rack != spec.m_data_rack)
-            score += far_penalty;
-        if (best == nullptr || score < best_score)
+        candidates.push_back(
+            {.m_worker = worker,
+             .m_free = avoid_claims ? worker->free_for_others() : worker->free_for_pass(),
+             .m_most = most_on(*worker, spec, key),
+             .m_far = !spec.m_data_rack.empty() && worker->m_info.m_rack != spec.m_data_rack});
+        racks.insert(worker->m_info.m_rack);
+    }
+    if (!spec.m_gang)
+        return plan_tasks(candidates, size_of(spec), count, order);
+    if (spec.m_same_rack)
+        for (const auto& rack : racks)
         {
-            best = worker;
-            best_score = score;
+            std::vector<candidate> here;
+            std::copy_if(candidates.begin(), candidates.end(), std::back_inserter(here),
+                         [&rack](const candidate& one)
+                         { return one.m_worker->m_info.m_rack == rack; });
+            if (auto places = plan_tasks(here, size_of(spec), count, order);
+                tasks_in(places) == count)
+                return places;
         }
-    }
-    return best;
+    auto places = plan_tasks(candidates, size_of(spec), count, order);
+    return tasks_in(places) == count ? places : std::vector<task_places>{};
+}
+
+// Places for the waiting tasks of a step, of a gang for all or none; where there is room enough,
+// beside what less urgent steps claim.
+std::vector<task_places> coordinator::find_places(const job_state& job, const step_key& key,
+                                                  ticket_need need, plan_order order)
+{
+    if (!size_of(job.spec(key.m_step)).fits_in(m_most_free))
+        return {};
+    const auto among = allowed(job, key, need);
+    auto places = places_on(among, job, key, order, true);
+    if (tasks_in(places) == job.step(key.m_occurrence, key.m_step).m_waiting ||
+        !m_claims.any_avoidable())
+        return places;
+    return places_on(among, job, key, order, false);
 }
 
 void coordinator::log_started(const job_state& job, const step_key& key, int count) const
@@ -221,25 +264,34 @@
                {"age_ms", to_ms(m_now - job.m_since)}});
 }
 
-void coordinator::place_tasks(job_state& job, const step_key& key, step_approval* approved)
+void coordinator::place_tasks(job_state& job, const step_key& key, const step_approval* approved)
 {
     auto& step = job.step(key.m_occurrence, key.m_step);
-    const std::map<worker_id, resources> none;
-    const auto among = allowed(job, key, approved, true);
+    const bool gang = job.spec(key.m_step).m_gang;
+    if (gang && step.m_waiting < static_cast<int>(step.m_tasks.size()))
+        return; // members of an earlier run are still being stopped
+    if (approved == nullptr ? gang && m_now < step.m_next_look : approved->m_tickets.empty())
+        return;
+    const auto places = find_places(job, key, ticket_need::valid, plan_order::tightest);
+    if (places.empty())
+        return;
+    const auto gang_run = gang ? job.m_next_run++ : 0;
+    auto place = places.begin();
+    int here = 0;
     int started = 0;
-    for (std::size_t i = 0; i < step.m_tasks.size() && step.m_waiting > 0; ++i)
+    for (std::size_t i = 0; i < step.m_tasks.size() && place != places.end(); ++i)
     {
         if (step.m_tasks[i].m_status != task_status::waiting)
             continue;
-        worker_state* worker = choose(among, job.spec(key.m_step), key, nullptr, none);
-        if (worker == nullptr)
-            break;
+        start(job, {key.m_job, key.m_occurrence, key.m_step, static_cast<int>(i)},
+              m_workers.at(place->m_worker), gang ? gang_run : job.m_next_run++, approved);
         ++started;
-        start(job, {key.m_job, key.m_occurrence, key.m_step, static_cast<int>(i)}, *worker,
-              job.m_next_run++, approved);
+        if (++here == place->m_tasks)
+        {
+            ++place;
+            here = 0;
+        }
     }
-    if (started == 0)
-        return;
     log_started(job, key, started);
     refresh(job, key.m_occurrence);
 }
--- a/src/dragonflygap/cell/job_state.hpp
+++ b/src/dragonflygap/cell/job_state.hpp
@@ -38,9 +38,11 @@
     std::vector<task_state> m_tasks;
     int m_done = 0;
     int m_waiting = 0;
-    instant m_ready_since{};  ///< When this leader first found it due; zero: it hasn't.
-    instant m_not_before{};   ///< After a setback.
-    step_approval m_approval; ///< Only where the queue needs it.
+    instant m_ready_since{};          ///< When this leader first found it due; zero: it hasn't.
+    instant m_not_before{};           ///< After a setback.
+    instant m_next_look{};            ///< Room is looked for again, where there was none.
+    step_approval m_approval;         ///< Only where the queue needs it.
+    std::vector<worker_id> m_drained; ///< Workers that get nothing else until a gang fits.
 };
 
 /// A job and what became of its tasks. Pure; the coordinator decides.
--- /dev/null
+++ b/src/dragonflygap/cell/room_claims.cpp
@@ -0,0 +1,91 @@
+#include "dragonflygap/cell/room_claims.hpp"
+
+#include <algorithm>
+#include <functional>
+#include <utility>
+
+namespace dragonflygap::cell
+{
+
+namespace
+{
+
+resources times(const resources& size, int count)
+{
+    return {.m_millicores = size.m_millicores * count,
+            .m_memory_mb = size.m_memory_mb * count,
+            .m_accelerators = size.m_accelerators * count};
+}
+
+void each_kept(const room_claim& claim, room_claims::worker_map& workers,
+               const std::function<void(worker_state&, const resources&)>& visit)
+{
+    for (const auto& place : claim.m_kept)
+        if (const auto worker = workers.find(place.m_worker); worker != workers.end())
+            visit(worker->second, times(claim.m_size, place.m_tasks));
+}
+
+} // namespace
+
+void room_claims::set(const step_key& step, room_claim claim)
+{
+    m_claims.insert_or_assign(step, std::move(claim));
+}
+
+bool room_claims::keeps(const step_key& step, const worker_id& worker) const
+{
+    const auto found = m_claims.find(step);
+    return found != m_claims.end() &&
+           std::any_of(found->second.m_kept.begin(), found->second.m_kept.end(),
+                       [&worker](const task_places& place) { return place.m_worker == worker; });
+}
+
+void room_claims::open_pass(worker_map& workers)
+{
+    m_avoidable.clear();
+    for (const auto& [step, claim] : m_claims)
+    {
+        each_kept(claim, workers,
+                  [&, priority = claim.m_priority](worker_state& worker, const resources& size)
+                  {
+                      worker.m_pass.m_avoidable += size;
+                      m_avoidable.push_back({priority, &worker, size});
+                  });
+        for (const auto& place : claim.m_hoped)
+            if (const auto worker = workers.find(place.m_worker); worker != workers.end())
+                worker->second.m_pass.m_hoped_millicores += static_cast<std::int64_t>(
+                    claim.m_hope * static_cast<double>(claim.m_size.m_millicores * place.m_tasks));
+    }
+    std::stable_sort(m_avoidable.begin(), m_avoidable.end(),
+                     [](const applied& left, const applied& right)
+                     { return left.m_priority > right.m_priority; });
+}
+
+void room_claims::reach(int priority)
+{
+    while (!m_avoidable.empty() && m_avoidable.back().m_priority <= priority)
+    {
+        const auto& next = m_avoidable.back();
+        next.m_worker->m_pass.m_avoidable -= next.m_size;
+        next.m_worker->m_pass.m_reserved += next.m_size;
+        m_avoidable.pop_back();
+    }
+}
+
+void room_claims::lift(const step_key& step, worker_map& workers) const
+{
+    if (const auto found = m_claims.find(step); found != m_claims.end())
+        each_kept(found->second, workers,
+                  [](worker_state& worker, const resources& size)
+                  { worker.m_pass.m_reserved -= size; });
+}
+
+void room_claims::restore(const step_key& step, worker_map& workers) const
+{
+    if (const auto found = m_claims.find(step); found != m_claims.end())
+        each_kept(found->second, workers,
+                  [](worker_state& worker, const resources& size)
+                  { worker.m_pass.m_reserved += size; });
+}
+
+} // namespace dragonflygap::cell
--- a/src/dragonflygap/cell/worker_state.hpp
+++ b/src/dragonflygap/cell/worker_state.hpp
@@ -86,9 +86,11 @@
     /// What the present pass over the waiting steps decided for this worker.
     struct pass_state
     {
-        bool m_open = false;    ///< It may get tasks.
-        bool m_closed = false;  ///< It is kept for gangs.
-        resources m_reserved{}; ///< Room kept for gangs.
+        bool m_open = false;                 ///< It may get tasks.
+        bool m_closed = false;               ///< It is drained for a gang.
+        resources m_reserved{};              ///< Room that others claim.
+        resources m_avoidable{};             ///< Room claimed for less urgent steps.
+        std::int64_t m_hoped_millicores = 0; ///< Others may get approvals for so much of it.
     };
     pass_state m_pass;
 
@@ -127,6 +129,7 @@
 
     resources free() const { return m_info.m_capacity - m_used; }
     resources free_for_pass() const { return free() - m_pass.m_reserved; }
+    resources free_for_others() const { return free_for_pass() - m_pass.m_avoidable; }
 
     /// The worker's clock now, never later than it really is.
     std::int64_t clock_at(instant now) const
