Tell lapsed tickets from approved workers that are full

Cause: in a trial of the virtual cell (8 workers, 60 gangs of 4, the leader killed) most waits were told as tickets_lapsed, also where the approved workers had too little room for new tickets to help.

Change: tickets_lapsed is told only where the approved workers have the room now; else no_room.

--- a/src/dragonflygap/cell/waiting_cause.cpp
+++ b/src/dragonflygap/cell/waiting_cause.cpp
@@ -152,6 +152,9 @@
         return waiting_cause::approval_not_asked;
     if (in.m_approved.m_when_empty < needed)
         return waiting_cause::too_few_approved;
+    // Tickets would be of no use there.
+    if (in.m_approved.m_now < needed)
+        return waiting_cause::no_room;
     return waiting_cause::tickets_lapsed;
 }
 
--- a/src/dragonflygap/cell/waiting_cause.hpp
+++ b/src/dragonflygap/cell/waiting_cause.hpp
@@ -25,11 +25,11 @@
     setback,
     too_few_workers,    ///< The listed workers that suit it couldn't hold it if they were empty.
     room_held,          ///< There is room where it may start, kept for steps before it.
-    no_room,            ///< Where it may start now everything is taken.
+    no_room,            ///< Where it may start now, or with new tickets, too much is taken.
     approval_asked,     ///< An answer is awaited.
     approval_not_asked, ///< None was asked for.
     too_few_approved,   ///< The approved workers couldn't hold it if they were empty.
-    tickets_lapsed,     ///< Enough workers are approved; for too few of them a ticket is valid.
+    tickets_lapsed,     ///< Approved workers have the room; for too few of them a ticket is valid.
 };
 
 /// Its word in logs.
--- a/tests/cell/waiting_cause_test.cpp
+++ b/tests/cell/waiting_cause_test.cpp
@@ -102,6 +102,9 @@
     gang.approve("a", now + 1s);
     gang.approve("b", now);
     STRCMP_EQUAL("tickets_lapsed", gang.cause().c_str());
+    gang.fill("b");
+    STRCMP_EQUAL("no_room", gang.cause().c_str());
+    gang.m_workers[worker_id("b")].remove_all();
     gang.approve("b", now + 1s);
     gang.m_workers[worker_id("a")].m_pass.m_reserved = {worker_millicores, 0, 0};
     STRCMP_EQUAL("room_held", gang.cause().c_str());
