Count a ticket's validity from the call, not from a late answer

Cause: a leader short of processor time takes answers up to seconds after they were given, and counted the tickets' validity from then. Answers to calls that it had given up counted as well, and ended the call that was under way instead.

Calls are numbered and the VM tells how long it took. The tickets of an awaited answer count from the call's start and that time, which is never later than when they were given; a call given up only teaches who is approved.

--- a/bench/cell/pass_cost_main.cpp
+++ b/bench/cell/pass_cost_main.cpp
@@ -106,7 +106,11 @@
         approval given{.m_valid_ms = 2500};
         for (std::size_t i = 0; i < ask.m_workers.size(); i += 2)
             given.m_tickets.push_back({ask.m_workers[i], "ticket"});
-        feed(approval_answered{ask.m_step, ask.m_through, ask.m_workers, given});
+        feed(approval_answered{.m_call = ask.m_call,
+                               .m_step = ask.m_step,
+                               .m_asked_by = ask.m_through,
+                               .m_workers = ask.m_workers,
+                               .m_result = given});
     }
 
     instant m_now{10s};
--- a/src/dragonflygap/cell/approval_backlog.cpp
+++ b/src/dragonflygap/cell/approval_backlog.cpp
@@ -27,7 +27,7 @@
     std::erase_if(
         m_waiting, [&call](const entry& waiting)
         { return waiting.m_call.m_epoch < call.m_epoch || waiting.m_call.m_step == call.m_step; });
-    m_waiting.push_back({from, call, now + std::chrono::milliseconds(call.m_timeout_ms)});
+    m_waiting.push_back({from, call, now + std::chrono::milliseconds(call.m_timeout_ms), now});
 }
 
 std::optional<approval_backlog::entry> approval_backlog::next()
--- a/src/dragonflygap/cell/approval_backlog.hpp
+++ b/src/dragonflygap/cell/approval_backlog.hpp
@@ -26,6 +26,7 @@
         vm_id m_from;
         approval_call m_call;
         instant m_expires{};
+        instant m_came{};
     };
 
     explicit approval_backlog(approval_backlog_options options) : m_options(options) {}
--- a/src/dragonflygap/cell/approvals.hpp
+++ b/src/dragonflygap/cell/approvals.hpp
@@ -27,6 +27,8 @@
     std::set<worker_id> m_approved;
     std::set<worker_id> m_denied;
     bool m_asking = false;
+    std::uint64_t m_call = 0; ///< The last call.
+    instant m_asked_at{};
 
     bool never_asked() const { return m_approved.empty() && m_denied.empty(); }
 
--- a/src/dragonflygap/cell/coordinator.hpp
+++ b/src/dragonflygap/cell/coordinator.hpp
@@ -235,6 +235,7 @@
     bool m_workers_dirty = false;
     std::optional<batch> m_batch;
     room_claims m_claims;
+    std::uint64_t m_last_approval_call = 0;
     // Of one pass over the waiting steps.
     std::vector<worker_state*> m_by_room; ///< Open workers, most free processor time first.
     resources m_most_free;                ///< Most that any of them has, of each kind.
--- a/src/dragonflygap/cell/coordinator_approvals.cpp
+++ b/src/dragonflygap/cell/coordinator_approvals.cpp
@@ -52,6 +52,8 @@
     const auto expected = m_desk.wait(*through, m_now) + time;
     m_desk.asked(*through, time, m_now);
     step.m_approval.m_asking = true;
+    step.m_approval.m_call = ++m_last_approval_call;
+    step.m_approval.m_asked_at = m_now;
     step.m_drained.clear();
     log_event(log_level::info, "approval_asked",
               {{"job", key.m_job.m_value},
@@ -61,7 +63,8 @@
                {"places_kept", tasks_in(wanted.m_claim.m_kept)},
                {"expected_ms", to_ms(expected)}});
     m_claims.set(key, std::move(wanted.m_claim));
-    m_out->push_back(ask_approval{*through, key, std::move(wanted.m_named), time, expected});
+    m_out->push_back(ask_approval{m_last_approval_call, *through, key, std::move(wanted.m_named),
+                                  time, expected});
     return true;
 }
 
@@ -233,23 +236,29 @@
         return;
     auto& step = job->step(event.m_step.m_occurrence, event.m_step.m_step);
     auto& approved = step.m_approval;
-    approved.m_asking = false;
-    constexpr duration ask_again = 100ms;
-    step.m_next_look = m_now;
+    const bool awaited = approved.m_asking && approved.m_call == event.m_call;
     log_event(log_level::info, "approval_answered",
               {{"job", event.m_step.m_job.m_value},
                {"step", event.m_step.m_step},
                {"asked", event.m_workers.size()},
                {"approved", event.m_result ? event.m_result->m_tickets.size() : 0},
-               {"outcome", event.m_result ? "answered" : "failed"}});
-    if (!event.m_result)
+               {"age_ms", awaited ? to_ms(m_now - approved.m_asked_at) : -1},
+               {"outcome", !awaited         ? "given_up"
+                           : event.m_result ? "answered"
+                                            : "failed"}});
+    constexpr duration ask_again = 100ms;
+    if (awaited)
     {
-        step.m_next_look = m_now + ask_again;
-        return;
+        approved.m_asking = false;
+        step.m_next_look = event.m_result ? m_now : m_now + ask_again;
     }
-    // Tickets must still be valid when the order arrives.
+    if (!event.m_result)
+        return;
+    // An answer may lie before a late leader for seconds. The service gave it no earlier than the
+    // VM took for it after the call had left here; the order has its way to the worker before it.
     constexpr duration way = 250ms;
-    const auto until = m_now + std::chrono::milliseconds(event.m_result->m_valid_ms) - way;
+    const auto until = std::min(m_now, approved.m_asked_at + event.m_took) +
+                       std::chrono::milliseconds(event.m_result->m_valid_ms) - way;
     learn_approval_rate(job->record().m_queue.m_name, approved, event);
     for (const auto& worker : event.m_workers)
         approved.m_denied.insert(worker);
@@ -257,7 +266,9 @@
     {
         approved.m_denied.erase(ticket.m_worker);
         approved.m_approved.insert(ticket.m_worker);
-        approved.m_tickets[ticket.m_worker] = {ticket.m_text, until};
+        // Who is approved never changes; when the tickets of a call given up lapse isn't known.
+        if (awaited)
+            approved.m_tickets[ticket.m_worker] = {ticket.m_text, until};
     }
 }
 
--- a/src/dragonflygap/cell/events.hpp
+++ b/src/dragonflygap/cell/events.hpp
@@ -61,10 +61,12 @@
 };
 struct approval_answered
 {
+    std::uint64_t m_call = 0; ///< As in ask_approval.
     step_key m_step;
     vm_id m_asked_by;
     std::vector<worker_id> m_workers; ///< That were named.
     outcome<approval> m_result;
+    duration m_took{}; ///< From the call's arrival at the VM until the service's answer there.
     std::optional<duration> m_queued; ///< As the VM told; nothing if it was silent.
 };
 /// VMs that answer heartbeats: approvals may be asked through them.
@@ -123,7 +125,8 @@
 };
 struct ask_approval
 {
-    vm_id m_through; ///< The VM that is to ask.
+    std::uint64_t m_call = 0; ///< Handed back in the answer.
+    vm_id m_through;          ///< The VM that is to ask.
     step_key m_step;
     std::vector<worker_id> m_workers;
     duration m_cost{};     ///< Of the service.
--- a/src/dragonflygap/cell/peer_messages.hpp
+++ b/src/dragonflygap/cell/peer_messages.hpp
@@ -87,8 +87,9 @@
     std::vector<worker_id> m_workers;
     std::int64_t m_timeout_ms = 0; ///< After it the member needn't begin it any more.
     std::int64_t m_cost_ms = 0;    ///< How long the service takes for it.
+    std::uint64_t m_call = 0;      ///< Of this leader; handed back in the answer.
 
-    MSGPACK_DEFINE(m_epoch, m_step, m_workers, m_timeout_ms, m_cost_ms)
+    MSGPACK_DEFINE(m_epoch, m_step, m_workers, m_timeout_ms, m_cost_ms, m_call)
 };
 
 struct approval_answer
@@ -99,8 +100,10 @@
     bool m_given = false; ///< False: the call failed.
     approval m_approval;
     std::int64_t m_queued_ms = 0; ///< Work of the service that this member still waits for.
+    std::uint64_t m_call = 0;
+    std::int64_t m_took_ms = 0; ///< From the call's arrival until the service's answer.
 
-    MSGPACK_DEFINE(m_epoch, m_step, m_workers, m_given, m_approval, m_queued_ms)
+    MSGPACK_DEFINE(m_epoch, m_step, m_workers, m_given, m_approval, m_queued_ms, m_call, m_took_ms)
 };
 
 using peer_message = std::variant<leader_heartbeat, member_heartbeat, config_news, caller_call,
--- a/src/dragonflygap/node/leader_task.cpp
+++ b/src/dragonflygap/node/leader_task.cpp
@@ -154,25 +154,24 @@
 void leader_task::act(const cell::ask_approval& action)
 {
     constexpr duration margin = 600ms; // beyond what the service should take
-    const auto number = ++m_last_ask;
-    m_asks[action.m_step] = number;
+    m_asks.insert(action.m_call);
     m_options.m_send(action.m_through,
                      cell::approval_call{.m_epoch = m_epoch,
                                          .m_step = action.m_step,
                                          .m_workers = action.m_workers,
                                          .m_timeout_ms = to_ms(action.m_expected + margin),
-                                         .m_cost_ms = to_ms(action.m_cost)});
+                                         .m_cost_ms = to_ms(action.m_cost),
+                                         .m_call = action.m_call});
     // The member answers, or its silence is the answer.
     m_loop.defer(action.m_expected + 2 * margin,
-                 [this, number, step = action.m_step, through = action.m_through, alive = m_alive]
+                 [this, call = action.m_call, step = action.m_step, through = action.m_through,
+                  alive = m_alive]
                  {
-                     if (!*alive)
-                         return;
-                     const auto open = m_asks.find(step);
-                     if (open == m_asks.end() || open->second != number)
+                     if (!*alive || m_asks.erase(call) == 0)
                          return;
                      m_counted.count("dragonflygap_approvals_total", {"outcome", "silent"});
                      feed(cell::approval_answered{
+                         .m_call = call,
                          .m_step = step,
                          .m_asked_by = through,
                          .m_result = fail(verdict::may_have_run, reason::timeout, "")});
@@ -228,15 +227,20 @@
 {
     if (answer.m_epoch != m_epoch)
         return;
-    m_asks.erase(answer.m_step);
+    m_asks.erase(answer.m_call);
     m_counted.count("dragonflygap_approvals_total",
                     {"outcome", answer.m_given ? "answered" : "failed"});
     outcome<cell::approval> result =
         fail(verdict::not_run, reason::target_failed, "the member got no approval");
     if (answer.m_given)
         result = answer.m_approval;
-    feed(cell::approval_answered{answer.m_step, from, answer.m_workers, std::move(result),
-                                 std::chrono::milliseconds(answer.m_queued_ms)});
+    feed(cell::approval_answered{.m_call = answer.m_call,
+                                 .m_step = answer.m_step,
+                                 .m_asked_by = from,
+                                 .m_workers = answer.m_workers,
+                                 .m_result = std::move(result),
+                                 .m_took = std::chrono::milliseconds(answer.m_took_ms),
+                                 .m_queued = std::chrono::milliseconds(answer.m_queued_ms)});
 }
 
 cell::leader_heartbeat leader_task::heartbeat() const
--- a/src/dragonflygap/node/leader_task.hpp
+++ b/src/dragonflygap/node/leader_task.hpp
@@ -4,6 +4,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -106,8 +107,7 @@
     std::map<vm_id, member> m_members;
     std::vector<vm_id> m_helpers;
     std::map<std::uint64_t, origin> m_origins;
-    std::map<cell::step_key, std::uint64_t> m_asks; ///< Approvals asked for and not answered.
-    std::uint64_t m_last_ask = 0;
+    std::set<std::uint64_t> m_asks; ///< Approval calls that weren't answered.
     std::uint64_t m_last_call = 0;
     bool m_listing = false;
     bool m_ended = false;
--- a/src/dragonflygap/node/node.hpp
+++ b/src/dragonflygap/node/node.hpp
@@ -87,7 +87,7 @@
     bool to_leader(const cell::caller_call& call);
     void send(const vm_id& to, const cell::peer_message& message);
     void ask_approvals();
-    void answer_approval(const vm_id& to, const cell::approval_call& call,
+    void answer_approval(const cell::approval_backlog::entry& asked,
                          const outcome<cell::approval>& result);
     void dispatch(const vm_id& from, const cell::peer_message& message);
 
--- a/src/dragonflygap/node/node_messages.cpp
+++ b/src/dragonflygap/node/node_messages.cpp
@@ -112,8 +112,7 @@
 void node::ask_approvals()
 {
     for (const auto& late : m_approvals.take_expired(monotonic_clock::now()))
-        answer_approval(late.m_from, late.m_call,
-                        fail(verdict::not_run, reason::timeout, "not begun in time"));
+        answer_approval(late, fail(verdict::not_run, reason::timeout, "not begun in time"));
     while (const auto next = m_approvals.next())
     {
         // Beyond what the service should take for all that was sent.
@@ -123,20 +122,23 @@
                                     [this, next = *next](const outcome<cell::approval>& result)
                                     {
                                         m_approvals.finished(next.m_call);
-                                        answer_approval(next.m_from, next.m_call, result);
+                                        answer_approval(next, result);
                                         ask_approvals();
                                     });
     }
 }
 
-void node::answer_approval(const vm_id& to, const cell::approval_call& call,
+void node::answer_approval(const cell::approval_backlog::entry& asked,
                            const outcome<cell::approval>& result)
 {
+    const auto& call = asked.m_call;
     cell::approval_answer answer{.m_epoch = call.m_epoch,
                                  .m_step = call.m_step,
                                  .m_workers = call.m_workers,
                                  .m_given = result.has_value(),
-                                 .m_queued_ms = to_ms(m_approvals.queued())};
+                                 .m_queued_ms = to_ms(m_approvals.queued()),
+                                 .m_call = call.m_call,
+                                 .m_took_ms = to_ms(monotonic_clock::now() - asked.m_came)};
     if (result)
         answer.m_approval = *result;
     else
@@ -144,7 +146,7 @@
                   {{"job", call.m_step.m_job.m_value},
                    {"queued_ms", answer.m_queued_ms},
                    {"detail", result.error().m_detail}});
-    send(to, answer);
+    send(asked.m_from, answer);
 }
 
 void node::on(const vm_id& from, const cell::approval_answer& message)
--- a/tests/cell/backlog_test.cpp
+++ b/tests/cell/backlog_test.cpp
@@ -106,3 +106,14 @@
     cell.add_backlog(plans, 400);
     check_drained(cell, 60s);
 }
+
+// Incident LOST: orders left by the thousand with tickets that had lapsed on their way to a leader
+// short of processor time.
+TEST(backlog, no_start_is_refused_where_approvals_reach_a_late_leader)
+{
+    simulated_cell cell({.m_approval_lag = 1200ms});
+    cell.add_backlog(plans, 40);
+    cell.add_backlog(matches, 150);
+    cell.add_backlog(lookups, 150);
+    check_drained(cell, 60s);
+}
--- a/tests/cell/coordinator_waits_test.cpp
+++ b/tests/cell/coordinator_waits_test.cpp
@@ -24,6 +24,7 @@
                               .m_service = service_id("pool"),
                               .m_capacity = {.m_millicores = worker_millicores}}}});
         feed(renewal_answered{only_worker, m_now, worker_report{.m_clock_ms = 1}});
+        feed(members_changed{{vm_id("vm")}});
     }
 
     std::vector<action> feed(const event& what)
@@ -34,6 +35,8 @@
                 m_commit = commit->m_number;
             else if (const auto* order = std::get_if<send_start>(&action))
                 m_order = *order;
+            else if (const auto* ask = std::get_if<ask_approval>(&action))
+                m_calls[ask->m_step.m_job] = ask->m_call;
         return actions;
     }
 
@@ -63,6 +66,7 @@
     void approve(const std::string& id)
     {
         feed(approval_answered{
+            .m_call = m_calls[job_id(id)],
             .m_step = {job_id(id), 0, 0},
             .m_asked_by = vm_id("vm"),
             .m_workers = {only_worker},
@@ -71,7 +75,8 @@
 
     instant m_now = start;
     coordinator m_coordinator{{}, {.m_self = {.m_epoch = 1, .m_vm = vm_id("vm")}}, start};
-    std::optional<send_start> m_order; ///< The last one.
+    std::optional<send_start> m_order;       ///< The last one.
+    std::map<job_id, std::uint64_t> m_calls; ///< The last one for each job.
 
 private:
     std::uint64_t m_commit = 0; ///< Number of the transaction in flight; 0: none.
--- a/tests/cell/support/simulated_cell.cpp
+++ b/tests/cell/support/simulated_cell.cpp
@@ -292,7 +292,8 @@
                        .m_step = action.m_step,
                        .m_workers = action.m_workers,
                        .m_timeout_ms = to_ms(action.m_expected + margin),
-                       .m_cost_ms = to_ms(action.m_cost)};
+                       .m_cost_ms = to_ms(action.m_cost),
+                       .m_call = action.m_call};
     at(m_now + m_options.m_hop,
        [this, vm = action.m_through, call = std::move(call)]
        {
@@ -305,17 +306,17 @@
 {
     auto& member = m_members.at(vm);
     for (const auto& late : member.m_backlog.take_expired(m_now))
-        answer_approval(vm, late.m_call, fail(verdict::not_run, reason::timeout, "not begun"));
+        answer_approval(vm, late, fail(verdict::not_run, reason::timeout, "not begun"));
     while (const auto next = member.m_backlog.next())
     {
         const auto done = std::max(m_now, member.m_service_free) +
                           std::chrono::milliseconds(next->m_call.m_cost_ms);
         member.m_service_free = done;
         at(done,
-           [this, vm, call = next->m_call]
+           [this, vm, asked = *next]
            {
-               m_members.at(vm).m_backlog.finished(call);
-               answer_approval(vm, call, decide(call, m_now));
+               m_members.at(vm).m_backlog.finished(asked.m_call);
+               answer_approval(vm, asked, decide(asked.m_call, m_now));
                ask_service(vm);
            });
     }
@@ -344,17 +345,20 @@
            share * static_cast<double>(thousand);
 }
 
-void simulated_cell::answer_approval(const vm_id& vm, const approval_call& call,
+void simulated_cell::answer_approval(const vm_id& vm, const approval_backlog::entry& asked,
                                      outcome<approval> result)
 {
     const auto queued = m_members.at(vm).m_backlog.queued();
+    const auto took = m_now - asked.m_came;
     at(m_now + m_options.m_hop + m_options.m_approval_lag,
-       [this, vm, call, queued, result = std::move(result)]
+       [this, vm, call = asked.m_call, queued, took, result = std::move(result)]
        {
-           feed(approval_answered{.m_step = call.m_step,
+           feed(approval_answered{.m_call = call.m_call,
+                                  .m_step = call.m_step,
                                   .m_asked_by = vm,
                                   .m_workers = call.m_workers,
                                   .m_result = result,
+                                  .m_took = took,
                                   .m_queued = queued});
        });
 }
--- a/tests/cell/support/simulated_cell.hpp
+++ b/tests/cell/support/simulated_cell.hpp
@@ -92,7 +92,8 @@
     void act(const ask_approval& action);
     void act(const step_down& action);
     void ask_service(const vm_id& vm);
-    void answer_approval(const vm_id& vm, const approval_call& call, outcome<approval> result);
+    void answer_approval(const vm_id& vm, const approval_backlog::entry& asked,
+                         outcome<approval> result);
     approval decide(const approval_call& call, instant answered);
     bool approved(const step_key& step, const worker_id& worker) const;
     start_result start(const worker_id& id, const start_order& order);
