Keep the turns of jobs through a take-over

Callers whose wide jobs were accepted early saw them wait behind all that came since: after each take-over every job's turn began anew, and a wide one's comes up to 12 s after a small one's. With a take-over every 15 s it never came.

Cause: a job's age was counted from the take-over. Its row holds when it was accepted; the turn and the age in the logs now count from then.

The new test failed before (small-and-new started first). The time of day follows the virtual clock where one is set, so that tests stay the same.

--- a/src/dragonflygap/cell/coordinator.cpp
+++ b/src/dragonflygap/cell/coordinator.cpp
@@ -24,6 +24,14 @@
     return since + std::min<duration>(latest, std::chrono::milliseconds(core_ms / core_ms_per_ms));
 }
 
+// How long ago a job was accepted, by the clocks of two VMs, of which one may have been set wrong.
+duration age_of(const job_record& record, std::int64_t unix_ms)
+{
+    constexpr duration most = 1h;
+    const duration age = std::chrono::milliseconds(unix_ms - record.m_accepted_ms);
+    return unix_ms == 0 ? duration{} : std::clamp<duration>(age, duration{}, most);
+}
+
 } // namespace
 
 coordinator::coordinator(coordinator_options options, const inherited& found, instant now)
@@ -59,8 +67,8 @@
         }
         auto job = std::make_shared<job_state>(job_id(row.m_name.m_key), std::move(*record));
         job->restore({});
-        job->m_since = m_now;
-        job->m_turn = turn_of(job->record().m_request, m_now);
+        job->m_since = m_now - age_of(job->record(), found.m_unix_ms);
+        job->m_turn = turn_of(job->record().m_request, job->m_since);
         // Runs of an earlier epoch have lower numbers.
         job->m_next_run = (m_chain.record().m_epoch - 1) * m_options.m_runs_per_epoch + 1;
         m_timetable.add(job->id(), job->record().m_request);
--- a/src/dragonflygap/cell/coordinator.hpp
+++ b/src/dragonflygap/cell/coordinator.hpp
@@ -49,6 +49,7 @@
     std::vector<stored_row> m_progress;
     std::vector<std::pair<worker_id, std::string>> m_workers;
     bool m_predecessor_gone = false; ///< The last leader's process is known to have ended.
+    std::int64_t m_unix_ms = 0; ///< Time of day at the take-over; 0: jobs are as if just accepted.
 };
 
 /// The leader of a cell: takes jobs from their submission to their end on all of its workers. Every
--- a/src/dragonflygap/core/time.cpp
+++ b/src/dragonflygap/core/time.cpp
@@ -25,4 +25,14 @@
     return time_point(std::chrono::duration_cast<duration>(since_boot));
 }
 
+std::int64_t unix_ms()
+{
+    constexpr std::int64_t virtual_start_ms = 1'800'000'000'000;
+    if (auto* const source = source_in_use.load(std::memory_order_relaxed))
+        return virtual_start_ms + to_ms(source().time_since_epoch());
+    return std::chrono::duration_cast<std::chrono::milliseconds>(
+               std::chrono::system_clock::now().time_since_epoch())
+        .count();
+}
+
 } // namespace dragonflygap
--- a/src/dragonflygap/core/time.hpp
+++ b/src/dragonflygap/core/time.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <chrono>
+#include <cstdint>
 
 namespace dragonflygap
 {
@@ -24,6 +25,11 @@
 using duration = monotonic_clock::duration;
 using instant = monotonic_clock::time_point;
 
+/// Time of day in ms since 1970, which may jump; that of the virtual clock where one is set. For
+/// adapters only.
+std::int64_t unix_ms();
+
+using std::chrono_literals::operator""h;
 using std::chrono_literals::operator""ms;
 using std::chrono_literals::operator""s;
 using std::chrono_literals::operator""us;
--- a/src/dragonflygap/node/leader_task.cpp
+++ b/src/dragonflygap/node/leader_task.cpp
@@ -1,7 +1,6 @@
 #include "dragonflygap/node/leader_task.hpp"
 
 #include <algorithm>
-#include <chrono>
 #include <utility>
 
 #include "dragonflygap/cell/worker_text.hpp"
@@ -11,18 +10,6 @@
 namespace dragonflygap::node
 {
 
-namespace
-{
-
-std::int64_t unix_ms()
-{
-    return std::chrono::duration_cast<std::chrono::milliseconds>(
-               std::chrono::system_clock::now().time_since_epoch())
-        .count();
-}
-
-} // namespace
-
 leader_task::leader_task(event_loop& loop, metrics& counted, leader_task_options options,
                          const cell::inherited& found)
     : m_loop(loop),
--- a/src/dragonflygap/node/node.cpp
+++ b/src/dragonflygap/node/node.cpp
@@ -194,6 +194,7 @@
                .m_incarnation = m_options.m_incarnation,
                .m_before = before,
                .m_version = m_election.row_version(),
+               .m_unix_ms = unix_ms(),
                .m_predecessor_gone = gone},
               [this](const outcome<cell::inherited>& found)
               {
--- a/src/dragonflygap/node/takeover.cpp
+++ b/src/dragonflygap/node/takeover.cpp
@@ -84,6 +84,7 @@
                 return state->m_done(
                     fail(verdict::not_run, reason::conflict, "another VM was faster"));
             state->m_found.m_version = result->m_version;
+            state->m_found.m_unix_ms = state->m_options.m_unix_ms;
             read_rows(state);
         });
 }
--- a/src/dragonflygap/node/takeover.hpp
+++ b/src/dragonflygap/node/takeover.hpp
@@ -17,6 +17,7 @@
     std::uint64_t m_incarnation = 0;
     std::optional<cell::leader_record> m_before; ///< The leader's row as read.
     std::uint64_t m_version = 0;                 ///< Its version; 0: there is none.
+    std::int64_t m_unix_ms = 0;                  ///< Time of day.
     bool m_predecessor_gone = false;
     duration m_timeout = 2s; ///< For each call to the store.
 };
--- a/tests/cell/coordinator_test.cpp
+++ b/tests/cell/coordinator_test.cpp
@@ -177,3 +177,26 @@
     leader.report({.m_running = {{.m_task = order.m_task, .m_run = order.m_run}}});
     LONGS_EQUAL(0, leader.m_coordinator.waiting(queue_id("queue")));
 }
+
+// Incident LOST: after each take-over every job's turn began anew, so that a wide gang accepted
+// long before came behind every small job accepted since.
+TEST(coordinator, jobs_keep_their_turn_through_a_take_over)
+{
+    constexpr std::int64_t accepted_ms = 1000000;
+    const auto row = [](const std::string& id, std::int64_t at, int count)
+    {
+        job_record record{{.m_name = queue_id("queue"), .m_service = service_id("pool")}, {}, at};
+        record.m_request.m_steps.push_back({.m_count = count,
+                                            .m_size = {.m_millicores = 4000, .m_memory_mb = 100},
+                                            .m_expected_ms = 60000});
+        return stored_row{{std::string(job_table), id}, 1, pack(record)};
+    };
+    successor leader({.m_jobs = {row("wide-and-old", accepted_ms - 20000, 8),
+                                 row("small-and-new", accepted_ms - 1000, 1)},
+                      .m_unix_ms = accepted_ms});
+    leader.feed(workers_listed{{listed_worker(worker_a)}});
+    leader.report({});
+    const auto starts = leader.run(50ms);
+    LONGS_EQUAL(1, starts.size());
+    STRCMP_EQUAL("wide-and-old", starts.front().m_order.m_task.m_job.m_value.c_str());
+}
