Answer every call that a stopping VM has read before its process ends

Cause: a VM that stops passed calls on to the leader as ever, with 2.2 s for an answer, and node::tick ended the loop at m_stop_most with calls open; nothing answered these. The leader was slow (0.12 core). By reading: an answer made in the turn of the loop in which the tick ended it wasn't written either.

Change: a submission or cancellation that can't have its full limit any more is rejected at once, as one that no leader got (503, Retry-After). When nothing is open after m_stop_least, or else m_last_words before m_stop_most, the VM answers what is open ("unknown" to what a leader got, as for a submission that hangs) and all that still comes, at once; http_server::drain ends listening, closes idle connections, and closes others after their answer. The process ends m_last_words later, so answers are written. With 5.2 s submissions are taken for 2.8 s, longer than m_stop_least, by which the balancer has noticed; what was passed on by then has run out of its 2.2 s at 5.0 s.

Not covered: a connection that the kernel has taken and nobody has read when listening ends is reset; a caller with an unused connection may still send within the last turn of the loop.

--- a/src/dragonflygap/daemon/cell_daemon.cpp
+++ b/src/dragonflygap/daemon/cell_daemon.cpp
@@ -85,18 +85,26 @@
                                   served->received(bytes);
                           }});
     auto options = make_options(settings, link, to_store, to_workers);
+    std::unique_ptr<http_server> callers;
+    options.m_on_closing = [&callers]
+    {
+        if (callers)
+            callers->drain();
+    };
     options.m_on_stopped = [&loop] { loop.stop(); };
     served = std::make_unique<node::node>(loop, counted, std::move(options));
 
-    const http_server callers(
-        loop, {.m_listen = settings.m_caller_listen,
-               .m_max_body_bytes = settings.m_max_body_bytes,
-               .m_handler = wire::make_caller_handler(
-                   {.m_config = [&served] { return served->config(); },
-                    .m_call = [&served](cell::caller_call call,
-                                        std::function<void(const cell::caller_answer&)> done)
-                    { served->callers().call(std::move(call), std::move(done)); },
-                    .m_stopping = [&served] { return served->stopping(); }})});
+    callers = std::make_unique<http_server>(
+        loop,
+        http_server_options{
+            .m_listen = settings.m_caller_listen,
+            .m_max_body_bytes = settings.m_max_body_bytes,
+            .m_handler = wire::make_caller_handler(
+                {.m_config = [&served] { return served->config(); },
+                 .m_call = [&served](cell::caller_call call,
+                                     std::function<void(const cell::caller_answer&)> done)
+                 { served->callers().call(std::move(call), std::move(done)); },
+                 .m_stopping = [&served] { return served->stopping(); }})});
     const http_server readiness(
         loop, {.m_listen = settings.m_cell->m_ready_listen,
                .m_handler = wire::make_ready_handler([&served] { return served->ready(); })});
--- a/src/dragonflygap/net/http_server.cpp
+++ b/src/dragonflygap/net/http_server.cpp
@@ -1,5 +1,6 @@
 #include "dragonflygap/net/http_server.hpp"
 
+#include <set>
 #include <stdexcept>
 #include <utility>
 
@@ -10,6 +11,7 @@
 #include <event2/http_struct.h>
 #include <event2/keyvalq_struct.h>
 #include <netinet/in.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 
 #include "dragonflygap/net/event_loop.hpp"
@@ -74,12 +76,57 @@
     return result;
 }
 
+/// Connections whose last request was answered and that have sent no further one.
+class idle_connections
+{
+public:
+    void add(evhttp_connection* connection)
+    {
+        m_idle.insert(connection);
+        evhttp_connection_set_closecb(connection, &idle_connections::closed, this);
+    }
+
+    void remove(evhttp_connection* connection) { m_idle.erase(connection); }
+
+    void close_all()
+    {
+        const auto idle = m_idle;
+        for (auto* connection : idle)
+            if (!has_input(connection))
+                evhttp_connection_free(connection); // calls closed()
+    }
+
+private:
+    static void closed(evhttp_connection* connection, void* self)
+    {
+        static_cast<idle_connections*>(self)->m_idle.erase(connection);
+    }
+
+    // What has come, though nobody has read it yet, is to be answered.
+    static bool has_input(evhttp_connection* connection)
+    {
+        auto* buffered = evhttp_connection_get_bufferevent(connection);
+        int bytes = 0;
+        return evbuffer_get_length(bufferevent_get_input(buffered)) > 0 ||
+               (ioctl(bufferevent_getfd(buffered), FIONREAD, &bytes) == 0 && bytes > 0);
+    }
+
+    std::set<evhttp_connection*> m_idle;
+};
+
+struct serving
+{
+    idle_connections m_idle;
+    bool m_draining = false;
+};
+
 class evhttp_exchange : public http_exchange
 {
 public:
-    explicit evhttp_exchange(evhttp_request* request) : m_request(request)
+    evhttp_exchange(evhttp_request* request, serving& server) : m_request(request), m_server(server)
     {
         evhttp_connection* connection = evhttp_request_get_connection(request);
+        m_server.m_idle.remove(connection);
         evhttp_connection_set_closecb(connection, &evhttp_exchange::closed, this);
     }
 
@@ -98,6 +145,10 @@
         m_hangup = nullptr;
         m_closed.reset();
         evhttp_connection_set_closecb(evhttp_request_get_connection(request), nullptr, nullptr);
+        auto* headers = evhttp_request_get_output_headers(request);
+        if (m_server.m_draining && evhttp_find_header(headers, "Connection") == nullptr)
+            evhttp_add_header(headers, "Connection", "close");
+        evhttp_request_set_on_complete_cb(request, &evhttp_exchange::written, &m_server);
         for (const auto& header : response.m_headers)
             evhttp_add_header(evhttp_request_get_output_headers(request), header.m_name.c_str(),
                               header.m_value.c_str());
@@ -134,6 +185,11 @@
             hook();
     }
 
+    static void written(evhttp_request* request, void* server)
+    {
+        static_cast<serving*>(server)->m_idle.add(evhttp_request_get_connection(request));
+    }
+
     static void closed(evhttp_connection* /*connection*/, void* self)
     {
         auto* exchange = static_cast<evhttp_exchange*>(self);
@@ -145,6 +201,7 @@
     }
 
     evhttp_request* m_request;
+    serving& m_server; ///< Outlives its connections, and is used while one of them lives.
     std::function<void()> m_hangup;
     std::unique_ptr<event, event_deleter> m_closed;
 };
@@ -162,11 +219,12 @@
     http_server_options m_options;
     evhttp* m_http = nullptr;
     evhttp_bound_socket* m_socket = nullptr;
+    serving m_serving;
 
     static void handle(evhttp_request* request, void* self)
     {
         auto* server = static_cast<state*>(self);
-        auto exchange = std::make_shared<evhttp_exchange>(request);
+        auto exchange = std::make_shared<evhttp_exchange>(request, server->m_serving);
         auto read = read_request(request);
         if (read.m_body.size() > server->m_options.m_max_body_bytes)
         {
@@ -223,4 +281,11 @@
         evhttp_del_accept_socket(m_state->m_http, std::exchange(m_state->m_socket, nullptr));
 }
 
+void http_server::drain()
+{
+    stop_accepting();
+    m_state->m_serving.m_draining = true;
+    m_state->m_serving.m_idle.close_all();
+}
+
 } // namespace dragonflygap
--- a/src/dragonflygap/net/http_server.hpp
+++ b/src/dragonflygap/net/http_server.hpp
@@ -49,6 +49,10 @@
     /// Takes no further connections; those that are open go on.
     void stop_accepting();
 
+    /// Takes no further connections and closes those on which nothing is asked; the others are
+    /// closed after their answer.
+    void drain();
+
 private:
     struct state;
     std::unique_ptr<state> m_state;
--- a/src/dragonflygap/node/caller_task.cpp
+++ b/src/dragonflygap/node/caller_task.cpp
@@ -1,6 +1,7 @@
 #include "dragonflygap/node/caller_task.hpp"
 
 #include <utility>
+#include <vector>
 
 #include "dragonflygap/cell/records.hpp"
 #include "dragonflygap/observe/log.hpp"
@@ -48,6 +49,8 @@
     open.m_done = std::move(on_done);
     open.m_since = monotonic_clock::now();
     open.m_call = std::move(what);
+    if (m_ended)
+        return finish_unanswered(id);
     if (kind != call_kind::state)
         return await_leader(id);
     if (!m_options.m_to_leader(open.m_call))
@@ -70,6 +73,8 @@
     const auto found = m_open.find(call);
     if (found == m_open.end() || found->second.m_sent > 0)
         return;
+    if (!may_pass_on(found->second))
+        return finish_unanswered(call);
     // The same leader may be heard again, which nobody announces.
     if (m_options.m_to_leader(found->second.m_call))
     {
@@ -82,11 +87,44 @@
             m_loop.after(m_options.m_takeover_check, [this, call] { await_leader(call); });
         return;
     }
+    finish_unanswered(call);
+}
+
+// What asks for an effect and is cut off after that was passed on leaves its caller in doubt.
+bool caller_task::may_pass_on(const open_call& open) const
+{
+    const auto kind = static_cast<call_kind>(open.m_call.m_kind);
+    const bool looks = kind == call_kind::state || kind == call_kind::waiting;
+    return looks || !m_end || monotonic_clock::now() + m_options.m_submit_limit <= *m_end;
+}
+
+// Only what no leader got has surely no effect.
+void caller_task::finish_unanswered(std::uint64_t call)
+{
+    const auto* open = find(call);
+    const bool looks = static_cast<call_kind>(open->m_call.m_kind) == call_kind::state;
+    if (looks || open->m_sent > 0)
+        return finish(call, with(call_status::unknown));
     auto answer = with(call_status::rejected);
     answer.m_number = m_options.m_no_leader_retry_ms;
     finish(call, answer);
 }
 
+void caller_task::end_after(duration left)
+{
+    m_end = monotonic_clock::now() + left;
+}
+
+void caller_task::end()
+{
+    m_ended = true;
+    std::vector<std::uint64_t> calls;
+    for (const auto& [id, open] : m_open)
+        calls.push_back(id);
+    for (const auto id : calls)
+        finish_unanswered(id);
+}
+
 const caller_task::open_call* caller_task::find(std::uint64_t call) const
 {
     const auto found = m_open.find(call);
@@ -113,7 +151,8 @@
 void caller_task::leader_changed()
 {
     for (auto& [id, open] : m_open)
-        if (m_options.m_to_leader(open.m_call) && ++open.m_sent == 1)
+        if ((open.m_sent > 0 || may_pass_on(open)) && m_options.m_to_leader(open.m_call) &&
+            ++open.m_sent == 1)
             await_answer(open);
 }
 
--- a/src/dragonflygap/node/caller_task.hpp
+++ b/src/dragonflygap/node/caller_task.hpp
@@ -46,6 +46,13 @@
 
     void answered(const cell::caller_answer& answer);
 
+    /// The process ends after so long: what can't be answered by then is rejected instead of being
+    /// passed on.
+    void end_after(duration left);
+
+    /// Answers all that is open, and from now on every call at once.
+    void end();
+
     /// Another VM leads now: what waits for an answer is sent again. All calls are idempotent.
     void leader_changed();
 
@@ -68,6 +75,8 @@
     void expire(std::uint64_t call);
     void read_store(std::uint64_t call);
     void read_end(std::uint64_t call);
+    bool may_pass_on(const open_call& open) const;
+    void finish_unanswered(std::uint64_t call);
     const open_call* find(std::uint64_t call) const;
 
     event_loop& m_loop;
@@ -75,6 +84,8 @@
     caller_task_options m_options;
     std::uint64_t m_last_call = 0;
     std::map<std::uint64_t, open_call> m_open;
+    std::optional<instant> m_end; ///< After it nothing is answered; set if that is near.
+    bool m_ended = false;
 };
 
 } // namespace node
--- a/src/dragonflygap/node/node.cpp
+++ b/src/dragonflygap/node/node.cpp
@@ -120,13 +120,7 @@
 {
     ask_approvals();
     if (m_stopping)
-    {
-        const auto since = monotonic_clock::now() - m_stop_since;
-        const bool idle = m_callers.open() == 0 && since >= m_options.m_stop_least;
-        if (idle || since >= m_options.m_stop_most)
-            m_options.m_on_stopped();
-        return;
-    }
+        return tick_stopping();
     if (m_leader != nullptr)
         return;
     switch (m_election.next(monotonic_clock::now()))
@@ -142,6 +136,27 @@
     }
 }
 
+// The process ends a while after its last answers, as the loop writes them in later turns.
+void node::tick_stopping()
+{
+    const auto now = monotonic_clock::now();
+    const auto since = now - m_stop_since;
+    if (m_closing_since)
+    {
+        if (now - *m_closing_since >= m_options.m_last_words || since >= m_options.m_stop_most)
+            m_options.m_on_stopped();
+        return;
+    }
+    const bool idle = m_callers.open() == 0 && since >= m_options.m_stop_least;
+    if (!idle && since < m_options.m_stop_most - m_options.m_last_words)
+        return;
+    log_event(log_level::info, "closing", {{"open", m_callers.open()}});
+    m_closing_since = now;
+    m_callers.end();
+    if (m_options.m_on_closing)
+        m_options.m_on_closing();
+}
+
 void node::read_row()
 {
     m_options.m_store.m_scan(std::string(cell::member_table), store_timeout,
@@ -256,6 +271,7 @@
     m_stop_since = monotonic_clock::now();
     log_event(log_level::info, "stopping",
               {{"leads", m_leader != nullptr ? "true" : "false"}, {"open", m_callers.open()}});
+    m_callers.end_after(m_options.m_stop_most - m_options.m_last_words);
     if (m_leader == nullptr)
         return;
     m_leader->resign();
--- a/src/dragonflygap/node/node.hpp
+++ b/src/dragonflygap/node/node.hpp
@@ -41,7 +41,8 @@
     peer_port m_peers;
     cell::coordinator_options m_coordinator;
     cell::election_options m_election;
-    caller_task_options m_callers; ///< Its hooks are set by the node.
+    caller_task_options m_callers;      ///< Its hooks are set by the node.
+    std::function<void()> m_on_closing; ///< All was answered: what still comes is rejected.
     std::function<void()> m_on_stopped;
     duration m_tick = 50ms;
     duration m_config_wait = 1500ms; ///< A silent connection is noticed after it.
@@ -51,6 +52,7 @@
     duration m_takeover_limit = 1500ms; ///< A leader silent for longer has no successor in reach.
     duration m_stop_least = 2500ms;     ///< The balancer needs two checks to notice.
     duration m_stop_most = 5200ms;      ///< The platform kills a process that takes 6 s.
+    duration m_last_words = 200ms;      ///< Before the end, for writing the last answers.
 };
 
 /// One entry VM: takes callers' calls, follows the leader or leads.
@@ -80,6 +82,7 @@
     void watch_config();
     void apply_config(cell::cell_config config, std::string_view source);
     void tick();
+    void tick_stopping();
     void read_row();
     void campaign();
     int rank() const;
@@ -117,6 +120,7 @@
     std::map<vm_id, cell::member_record> m_members; ///< As last read.
     bool m_stopping = false;
     instant m_stop_since{};
+    std::optional<instant> m_closing_since;
     std::vector<event_loop::timer_ptr> m_timers;
 };
 
--- a/tests/net/http_server_test.cpp
+++ b/tests/net/http_server_test.cpp
@@ -25,6 +25,23 @@
     return result;
 }
 
+void send_text(int caller, const std::string& text)
+{
+    send(caller, text.data(), text.size(), 0);
+}
+
+/// What has come until the other side closed; a failed test if it hasn't closed by now.
+std::string read_to_end(int caller)
+{
+    std::string result;
+    char buffer[1024];
+    ssize_t got = 0;
+    while ((got = recv(caller, buffer, sizeof buffer, MSG_DONTWAIT)) > 0)
+        result.append(buffer, static_cast<std::size_t>(got));
+    CHECK_EQUAL(0, got);
+    return result;
+}
+
 } // namespace
 
 TEST_GROUP(http_server)
@@ -82,6 +99,39 @@
     close(caller);
 }
 
+TEST(http_server, closes_what_is_idle_and_answers_what_was_asked_when_it_drains)
+{
+    const int idle = connect_to(m_server.port());
+    const int asking = connect_to(m_server.port());
+    const auto port = m_server.port();
+    http_exchange_ptr waiting;
+    event_loop::timer_ptr at_drain;
+    event_loop::timer_ptr at_reply;
+    event_loop::timer_ptr at_end;
+    m_handler = [&](const http_request& request, const http_exchange_ptr& exchange)
+    {
+        if (request.m_path == "/idle")
+            return exchange->reply({.m_status = 200, .m_body = "ok"});
+        waiting = exchange;
+        at_drain = m_loop.after(50ms, [&] { m_server.drain(); });
+        at_reply =
+            m_loop.after(100ms, [&] { waiting->reply({.m_status = 200, .m_body = "late"}); });
+        at_end = m_loop.after(200ms, [&] { m_loop.stop(); });
+    };
+    send_text(idle, "GET /idle HTTP/1.1\r\nHost: x\r\n\r\n");
+    send_text(asking, "GET /asking HTTP/1.1\r\nHost: x\r\n\r\n");
+    m_loop.run();
+    // Both streams have ended, and none before its answer.
+    STRCMP_CONTAINS("ok", read_to_end(idle).c_str());
+    STRCMP_CONTAINS("late", read_to_end(asking).c_str());
+    const int late = connect_to(port);
+    sockaddr_in peer{};
+    socklen_t size = sizeof peer;
+    CHECK_EQUAL(-1, getpeername(late, reinterpret_cast<sockaddr*>(&peer), &size));
+    for (const int caller : {idle, asking, late})
+        close(caller);
+}
+
 TEST(http_server, refuses_a_body_that_is_too_large_with_a_reason)
 {
     http_client client(m_loop, {});
--- a/tests/node/support/cell_world.cpp
+++ b/tests/node/support/cell_world.cpp
@@ -31,6 +31,12 @@
     return g_now;
 }
 
+bool is_answer(std::string_view bytes)
+{
+    const auto read = cell::decode_peer(bytes);
+    return read && std::holds_alternative<cell::caller_answer>(read->m_message);
+}
+
 /// A caller's end of a connection.
 class caller_exchange : public http_exchange
 {
@@ -270,7 +276,7 @@
                            if (m_boxes.count(peer.m_value) == 0)
                                return false;
                            if (!is_cut(vm, peer.m_value))
-                               later(way,
+                               later(is_answer(bytes) ? way + m_answer_delay : way,
                                      [this, peer, text = std::string(bytes)]
                                      {
                                          const auto found = m_boxes.find(peer.m_value);
--- a/tests/node/support/cell_world.hpp
+++ b/tests/node/support/cell_world.hpp
@@ -80,6 +80,7 @@
 
     referee m_referee;
     std::map<std::string, submission> m_submissions;
+    duration m_answer_delay{}; ///< Of an overloaded leader's answers to calls of other VMs.
 
 private:
     struct box
