Receive peer messages apart from the turns of a slow loop

Cause: a pull socket of nng 1.5.2 holds one message of each pipe ready; its threads read the next one once that was taken. receive_all took what was ready and returned, so a pipe gave about one message per turn of the loop when nng's threads were slower than the loop, and all there was, without a bound, when they were quicker.

Change: messages are taken in nng's threads as they come and kept, 1,024 at most, for the loop, which takes up to 64 a turn. A full inbox leaves the rest in the pipes. The order of each pipe stays.

--- a/src/dragonflygap/net/peer_link.cpp
+++ b/src/dragonflygap/net/peer_link.cpp
@@ -1,6 +1,8 @@
 #include "dragonflygap/net/peer_link.hpp"
 
+#include <deque>
 #include <map>
+#include <mutex>
 #include <stdexcept>
 #include <utility>
 
@@ -8,6 +10,8 @@
 #include <nng/nng.h>
 #include <nng/protocol/pipeline0/pull.h>
 #include <nng/protocol/pipeline0/push.h>
+#include <sys/eventfd.h>
+#include <unistd.h>
 
 #include "dragonflygap/net/event_loop.hpp"
 
@@ -20,6 +24,8 @@
 constexpr int send_buffer_messages = 1024;
 constexpr nng_duration redial_min_ms = 50;
 constexpr nng_duration redial_max_ms = 1000;
+constexpr std::size_t most_waiting_messages = 1024;
+constexpr std::size_t most_messages_per_turn = 64; // timers take their turn between
 
 void check(int result, const std::string& what)
 {
@@ -59,6 +65,88 @@
     nng_socket m_socket = NNG_SOCKET_INITIALIZER;
 };
 
+struct message_deleter
+{
+    void operator()(nng_msg* owned) const { nng_msg_free(owned); }
+};
+using message_ptr = std::unique_ptr<nng_msg, message_deleter>;
+
+/// Takes messages off a pull socket as they come, in nng's threads, and keeps them for a loop.
+///
+/// nng holds one message of each pipe ready and reads the next one after that was taken, so a loop
+/// that took them itself would get about one of each pipe per turn.
+class inbox
+{
+public:
+    explicit inbox(nng_socket socket) : m_socket(socket), m_waiting(eventfd(0, EFD_NONBLOCK))
+    {
+        if (m_waiting < 0)
+            throw std::runtime_error("no descriptor for an inbox");
+        check(nng_aio_alloc(&m_aio, &inbox::arrived, this), "receive messages");
+        nng_recv_aio(m_socket, m_aio);
+    }
+    ~inbox()
+    {
+        nng_aio_stop(m_aio);
+        nng_aio_free(m_aio);
+        close(m_waiting);
+    }
+    inbox(const inbox&) = delete;
+    inbox& operator=(const inbox&) = delete;
+
+    /// Readable while messages wait.
+    int descriptor() const { return m_waiting; }
+
+    message_ptr take()
+    {
+        message_ptr result;
+        bool resumes = false;
+        {
+            const std::scoped_lock lock(m_mutex);
+            if (!m_messages.empty())
+            {
+                result = std::move(m_messages.front());
+                m_messages.pop_front();
+            }
+            if (m_messages.empty())
+            {
+                eventfd_t count = 0;
+                eventfd_read(m_waiting, &count);
+            }
+            resumes = std::exchange(m_full, false);
+        }
+        if (resumes)
+            nng_recv_aio(m_socket, m_aio);
+        return result;
+    }
+
+private:
+    static void arrived(void* self) { static_cast<inbox*>(self)->keep(); }
+
+    void keep()
+    {
+        if (nng_aio_result(m_aio) != 0)
+            return; // the socket is closed
+        {
+            const std::scoped_lock lock(m_mutex);
+            m_messages.emplace_back(nng_aio_get_msg(m_aio));
+            if (m_messages.size() == 1)
+                eventfd_write(m_waiting, 1);
+            m_full = m_messages.size() >= most_waiting_messages;
+            if (m_full)
+                return;
+        }
+        nng_recv_aio(m_socket, m_aio);
+    }
+
+    nng_socket m_socket;
+    int m_waiting = -1;
+    nng_aio* m_aio = nullptr;
+    std::mutex m_mutex;
+    std::deque<message_ptr> m_messages;
+    bool m_full = false; ///< Nothing is received until a message is taken.
+};
+
 } // namespace
 
 struct peer_link::state
@@ -66,21 +154,23 @@
     peer_link_options m_options;
     nng_socket m_pull = NNG_SOCKET_INITIALIZER;
     nng_listener m_listener = NNG_LISTENER_INITIALIZER;
+    std::unique_ptr<inbox> m_inbox;
     event_loop::timer_ptr m_readable;
     std::map<vm_id, std::unique_ptr<push_socket>> m_peers;
     std::uint64_t m_bytes_sent = 0;
     std::uint64_t m_bytes_received = 0;
 
-    void receive_all()
+    void receive()
     {
-        nng_msg* message = nullptr;
-        while (nng_recvmsg(m_pull, &message, NNG_FLAG_NONBLOCK) == 0)
+        for (std::size_t taken = 0; taken < most_messages_per_turn; ++taken)
         {
-            const std::string_view body(static_cast<const char*>(nng_msg_body(message)),
-                                        nng_msg_len(message));
+            const auto message = m_inbox->take();
+            if (message == nullptr)
+                return;
+            const std::string_view body(static_cast<const char*>(nng_msg_body(message.get())),
+                                        nng_msg_len(message.get()));
             m_bytes_received += body.size();
             m_options.m_on_message(body);
-            nng_msg_free(message);
         }
     }
 };
@@ -93,16 +183,16 @@
     nng_socket_set_size(m_state->m_pull, NNG_OPT_RECVMAXSZ, m_state->m_options.m_max_message_bytes);
     const std::string url = "tcp://" + to_string(m_state->m_options.m_listen);
     check(nng_listen(m_state->m_pull, url.c_str(), &m_state->m_listener, 0), "listen on " + url);
-    int descriptor = -1;
-    check(nng_socket_get_int(m_state->m_pull, NNG_OPT_RECVFD, &descriptor), "poll " + url);
-    m_state->m_readable =
-        loop.on_readable(descriptor, [owner = m_state.get()] { owner->receive_all(); });
+    m_state->m_inbox = std::make_unique<inbox>(m_state->m_pull);
+    m_state->m_readable = loop.on_readable(m_state->m_inbox->descriptor(),
+                                           [owner = m_state.get()] { owner->receive(); });
 }
 
 peer_link::~peer_link()
 {
     m_state->m_readable.reset();
     nng_close(m_state->m_pull);
+    m_state->m_inbox.reset();
 }
 
 void peer_link::add(const vm_id& peer, const endpoint& address)
