Name the strongest member that answers as a stopping leader's successor

Cause: leader_task::resign named the member that was heard last; the election prefers strong ones.

Change: among the members heard within m_member_limit that aren't stopping the one with the largest m_processor_share is named, by its row; only where none was heard in time the one heard last, as before.

Tests: two in tests/node/takeover_test.cpp. a_leader_told_to_stop_names_no_weak_member_beside_a_strong_one failed before (vm1, 0.12 of a core, led instead of vm2, 0.5). The other, that a silent or stopping strong member isn't named, passed before too and holds that. The stand-in of the platform got shares by VM; earlier tests are unchanged. node and net pass.

--- a/src/dragonflygap/node/leader_task.cpp
+++ b/src/dragonflygap/node/leader_task.cpp
@@ -1,6 +1,7 @@
 #include "dragonflygap/node/leader_task.hpp"
 
 #include <algorithm>
+#include <tuple>
 #include <utility>
 
 #include "dragonflygap/cell/worker_text.hpp"
@@ -255,13 +256,19 @@
     auto message = heartbeat();
     message.m_resigns = true;
     const vm_id* successor = nullptr;
-    instant best{};
+    std::tuple<bool, double, instant> best; // leading costs processor time
     for (const auto& [vm, member] : m_members)
-        if (vm != m_options.m_vm && !member.m_stopping && member.m_heard > best)
+    {
+        if (vm == m_options.m_vm || member.m_stopping || member.m_heard == instant{})
+            continue;
+        const bool recent = answers(member);
+        const std::tuple rated(recent, recent ? member.m_processor_share : 0, member.m_heard);
+        if (successor == nullptr || rated > best)
         {
-            best = member.m_heard;
+            best = rated;
             successor = &vm;
         }
+    }
     m_ended = true;
     if (successor != nullptr)
         m_options.m_send(*successor, message);
@@ -303,6 +310,7 @@
                 if (!record || record->m_vm == m_options.m_vm)
                     continue;
                 auto& member = m_members[record->m_vm];
+                member.m_processor_share = record->m_processor_share;
                 if (member.m_address == record->m_address)
                     continue;
                 member.m_address = record->m_address;
--- a/src/dragonflygap/node/leader_task.hpp
+++ b/src/dragonflygap/node/leader_task.hpp
@@ -58,7 +58,8 @@
     void handle(const vm_id& from, const cell::member_heartbeat& heartbeat);
     void handle(const vm_id& from, const cell::approval_answer& answer);
 
-    /// Asks the member that was heard last to take over; nothing is done here any more.
+    /// Asks the strongest member that answers to take over, or else the one that was heard last;
+    /// nothing is done here any more.
     void resign();
 
     const cell::coordinator& state() const { return m_coordinator; }
@@ -71,6 +72,7 @@
     struct member
     {
         std::string m_address;
+        double m_processor_share = 0; ///< Of a core; 0: not read yet.
         instant m_heard{};
         instant m_redialled{};
         bool m_stopping = false;
--- a/tests/node/support/cell_world.cpp
+++ b/tests/node/support/cell_world.cpp
@@ -269,6 +269,9 @@
                                .m_workers = wire::make_workers(made.m_transport),
                                .m_approvals =
                                    wire::make_approvals(made.m_transport, approval_address)};
+    if (const auto share = m_options.m_processor_shares.find(vm);
+        share != m_options.m_processor_shares.end())
+        options.m_processor_share = share->second;
     options.m_peers = {.m_add = [](const vm_id&, const endpoint&) {},
                        .m_send =
                            [this, vm](const vm_id& peer, std::string_view bytes)
--- a/tests/node/support/cell_world.hpp
+++ b/tests/node/support/cell_world.hpp
@@ -25,7 +25,8 @@
     int m_vms = 3;
     int m_workers = 4;
     unsigned m_seed = 1;
-    bool m_approvals = true; ///< The queue needs tickets.
+    bool m_approvals = true;                          ///< The queue needs tickets.
+    std::map<std::string, double> m_processor_shares; ///< Of a core, by VM; 1 where none is given.
 };
 
 /// What became of one job's submission, as its caller saw it.
--- a/tests/node/takeover_test.cpp
+++ b/tests/node/takeover_test.cpp
@@ -219,3 +219,29 @@
     CHECK_TRUE(world.all_accepted_are_done());
     check_fair(world);
 }
+
+// Incident LOST: leaders that stopped named members with an eighth of a core.
+TEST(takeover, a_leader_told_to_stop_names_no_weak_member_beside_a_strong_one)
+{
+    cell_world world({.m_processor_shares = {{"vm0", 1}, {"vm1", 0.12}, {"vm2", 0.5}}});
+    world.run(3s);
+    STRCMP_EQUAL("vm0", world.leader().c_str());
+    world.stop("vm0");
+    world.run(1s);
+    STRCMP_EQUAL("vm2", world.leader().c_str());
+}
+
+TEST(takeover, a_leader_told_to_stop_names_no_strong_member_that_is_silent_or_stops_too)
+{
+    cell_world world(
+        {.m_vms = 4,
+         .m_processor_shares = {{"vm0", 1}, {"vm1", 0.12}, {"vm2", 0.5}, {"vm3", 0.7}}});
+    world.run(3s);
+    STRCMP_EQUAL("vm0", world.leader().c_str());
+    world.cut("vm0", "vm2");
+    world.stop("vm3");
+    world.run(1500ms);
+    world.stop("vm0");
+    world.run(400ms);
+    STRCMP_EQUAL("vm1", world.leader().c_str());
+}
