Tell a caller once that a draining server closes its connection

What was seen: a daemon on loopback without a store, told to stop, sent "Connection: close" twice with its last answers: http_server looked for the header before it added those of the answer.

Tests: one more in tests/net/http_server_test.cpp, which failed before; node and net pass.

--- a/src/dragonflygap/net/http_server.cpp
+++ b/src/dragonflygap/net/http_server.cpp
@@ -145,13 +145,12 @@
         m_hangup = nullptr;
         m_closed.reset();
         evhttp_connection_set_closecb(evhttp_request_get_connection(request), nullptr, nullptr);
+        evhttp_request_set_on_complete_cb(request, &evhttp_exchange::written, &m_server);
         auto* headers = evhttp_request_get_output_headers(request);
+        for (const auto& header : response.m_headers)
+            evhttp_add_header(headers, header.m_name.c_str(), header.m_value.c_str());
         if (m_server.m_draining && evhttp_find_header(headers, "Connection") == nullptr)
             evhttp_add_header(headers, "Connection", "close");
-        evhttp_request_set_on_complete_cb(request, &evhttp_exchange::written, &m_server);
-        for (const auto& header : response.m_headers)
-            evhttp_add_header(evhttp_request_get_output_headers(request), header.m_name.c_str(),
-                              header.m_value.c_str());
         evbuffer_add(evhttp_request_get_output_buffer(request), response.m_body.data(),
                      response.m_body.size());
         evhttp_send_reply(request, response.m_status, nullptr, nullptr);
--- a/tests/net/http_server_test.cpp
+++ b/tests/net/http_server_test.cpp
@@ -132,6 +132,25 @@
         close(caller);
 }
 
+TEST(http_server, tells_once_that_it_closes_a_connection_when_it_drains)
+{
+    const int caller = connect_to(m_server.port());
+    event_loop::timer_ptr at_end;
+    m_handler = [&](const http_request& /*request*/, const http_exchange_ptr& exchange)
+    {
+        m_server.drain();
+        exchange->reply({.m_status = 200, .m_headers = {{"Connection", "close"}}});
+        at_end = m_loop.after(50ms, [&] { m_loop.stop(); });
+    };
+    send_text(caller, "GET / HTTP/1.1\r\nHost: x\r\n\r\n");
+    m_loop.run();
+    const auto answer = read_to_end(caller);
+    const auto first = answer.find("Connection: close");
+    CHECK_TRUE(first != std::string::npos);
+    CHECK_TRUE(answer.find("Connection: close", first + 1) == std::string::npos);
+    close(caller);
+}
+
 TEST(http_server, refuses_a_body_that_is_too_large_with_a_reason)
 {
     http_client client(m_loop, {});
