--- /dev/null
+++ b/tests/cell/support/prompt_cell.hpp
@@ -0,0 +1,198 @@
+#pragma once
+
+#include <algorithm>
+#include <functional>
+#include <map>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "dragonflygap/cell/coordinator.hpp"
+
+#include <CppUTest/TestHarness.h>
+
+namespace simulated
+{
+
+using namespace dragonflygap;
+using namespace dragonflygap::cell;
+
+/// A leader whose store and workers answer at the next tick, and the approval service after the
+/// call's own time; tasks run on until they are ended.
+class prompt_cell
+{
+public:
+    explicit prompt_cell(inherited found = {})
+        : m_coordinator(
+              {},
+              [&found]
+              {
+                  found.m_self = {.m_epoch = 2, .m_vm = vm_id("vm")};
+                  found.m_predecessor_gone = true;
+                  return found;
+              }(),
+              instant(10s))
+    {
+        feed(members_changed{{vm_id("vm")}});
+    }
+
+    static worker_id name(int number) { return worker_id("worker-" + std::to_string(number)); }
+
+    void list(int workers, int labelled = 0)
+    {
+        for (int i = 0; i < workers; ++i)
+            m_listed.push_back({.m_id = name(i),
+                                .m_service = service_id("pool"),
+                                .m_address = endpoint{"10.0.0.1", 80},
+                                .m_capacity = {.m_millicores = 4000, .m_memory_mb = 4000},
+                                .m_labels = i < labelled ? std::vector<std::string>{"special"}
+                                                         : std::vector<std::string>{}});
+        feed(workers_listed{m_listed});
+        run(50ms);
+    }
+
+    void feed(const event& what)
+    {
+        for (auto& action : m_coordinator.handle(what, m_now, m_unix_ms))
+            std::visit([this](const auto& one) { act(one); }, action);
+    }
+
+    void run(duration length)
+    {
+        for (const auto until = m_now + length; m_now < until; m_now += 10ms, m_unix_ms += 10)
+        {
+            std::vector<event> answers;
+            answers.swap(m_answers);
+            for (const auto& answer : answers)
+                feed(answer);
+            auto later = std::exchange(m_later, {});
+            for (auto& [when, answer] : later)
+                if (when <= m_now)
+                    feed(answer);
+                else
+                    m_later.emplace_back(when, answer);
+            feed(tick{});
+        }
+    }
+
+    void submit(const std::string& id, step_spec step, queue_rules queue = {})
+    {
+        job_request request;
+        request.m_steps.push_back(std::move(step));
+        submit(id, std::move(request), queue);
+    }
+    void submit(const std::string& id, job_request request, queue_rules queue = {})
+    {
+        queue.m_name = queue_id("queue-" + std::to_string(queue.m_priority));
+        queue.m_service = service_id("pool");
+        feed(job_submitted{++m_last_call, job_id(id), queue, std::move(request)});
+    }
+
+    int started(const std::string& id) const
+    {
+        const auto found = m_started.find(job_id(id));
+        return found == m_started.end() ? 0 : found->second;
+    }
+
+    /// Ends all that runs of a job.
+    void end(const std::string& id, end_kind how)
+    {
+        for (auto& [worker, state] : m_workers)
+            for (auto task = state.m_running.begin(); task != state.m_running.end();)
+                if (task->first.m_job == job_id(id))
+                {
+                    state.m_ended.push_back({.m_number = ++state.m_last,
+                                             .m_task = task->first,
+                                             .m_run = task->second,
+                                             .m_how = how});
+                    task = state.m_running.erase(task);
+                }
+                else
+                    ++task;
+    }
+
+    struct worker_side
+    {
+        std::map<task_key, std::uint64_t> m_running;
+        std::vector<ended_task> m_ended;
+        std::uint64_t m_last = 0;
+        bool m_silent = false;
+    };
+
+    instant m_now{10s};
+    std::int64_t m_unix_ms = 1000000;
+    std::map<worker_id, worker_side> m_workers;
+    std::vector<worker_info> m_listed;
+    std::int64_t m_valid_ms = 2500; ///< Of the tickets given.
+    int m_calls = 0;
+    int m_renewals = 0;
+    std::size_t m_most_named = 0;
+    std::function<bool(const worker_id&)> m_approves = [](const worker_id&) { return true; };
+    coordinator m_coordinator;
+
+private:
+    void act(const answer_call&) {}
+    void act(const read_leader_row&) {}
+    void act(const step_down&) { FAIL("stepped down"); }
+    void act(const send_commit& one)
+    {
+        m_answers.push_back(commit_answered{
+            one.m_number, transaction_result{.m_committed = true, .m_version = ++m_version}});
+    }
+    void act(const send_renewal& one)
+    {
+        ++m_renewals;
+        auto& worker = m_workers[one.m_worker.m_id];
+        if (worker.m_silent)
+            return;
+        std::erase_if(worker.m_ended, [&](const ended_task& end)
+                      { return end.m_number <= one.m_renewal.m_acknowledged; });
+        worker_report report{.m_clock_ms = to_ms(m_now.time_since_epoch()), .m_started_at = 1};
+        for (const auto& [task, run] : worker.m_running)
+            report.m_running.push_back({.m_task = task, .m_run = run, .m_percent = 100});
+        report.m_ended = worker.m_ended;
+        m_answers.push_back(renewal_answered{one.m_worker.m_id, one.m_sent, report});
+    }
+    void act(const send_start& one)
+    {
+        m_workers[one.m_worker.m_id].m_running[one.m_order.m_task] = one.m_order.m_run;
+        ++m_started[one.m_order.m_task.m_job];
+        m_answers.push_back(start_answered{one.m_worker.m_id, one.m_order.m_task, one.m_order.m_run,
+                                           start_result{}});
+    }
+    void act(const send_stop& one)
+    {
+        auto& worker = m_workers[one.m_worker.m_id];
+        if (worker.m_running.erase(one.m_task) != 0)
+            worker.m_ended.push_back({.m_number = ++worker.m_last,
+                                      .m_task = one.m_task,
+                                      .m_run = one.m_run,
+                                      .m_how = end_kind::stopped});
+        m_answers.push_back(
+            stop_answered{one.m_worker.m_id, one.m_task, one.m_run, start_result{}});
+    }
+    void act(const ask_approval& one)
+    {
+        ++m_calls;
+        m_most_named = std::max(m_most_named, one.m_workers.size());
+        approval result{.m_valid_ms = m_valid_ms};
+        for (const auto& worker : one.m_workers)
+            if (m_approves(worker))
+                result.m_tickets.push_back({worker, "ticket"});
+        m_later.emplace_back(m_now + one.m_cost, approval_answered{.m_call = one.m_call,
+                                                                   .m_step = one.m_step,
+                                                                   .m_asked_by = one.m_through,
+                                                                   .m_workers = one.m_workers,
+                                                                   .m_result = result,
+                                                                   .m_took = one.m_cost,
+                                                                   .m_queued = duration{}});
+    }
+
+    std::vector<event> m_answers;
+    std::vector<std::pair<instant, event>> m_later;
+    std::map<job_id, int> m_started;
+    std::uint64_t m_version = 1;
+    std::uint64_t m_last_call = 0;
+};
+
+} // namespace simulated
