Don't lose an occurrence whose clock is set back

An occurrence's later steps never started where the clock went forward past its time and back: it was handed out once, then not due any more. Once its time has come it stays due. an_occurrence_is_not_lost_when_the_clock_steps_back failed before and passes now.

--- a/src/dragonflygap/cell/coordinator.cpp
+++ b/src/dragonflygap/cell/coordinator.cpp
@@ -269,7 +269,10 @@
 {
     for (const auto& due : m_timetable.take_due(m_unix_ms))
         if (job_state* job = find(due.m_job); job != nullptr)
+        {
+            job->mark_due(due.m_occurrence);
             refresh(*job, due.m_occurrence);
+        }
 }
 
 std::string_view coordinator::state_of(const job_id& id) const
--- a/src/dragonflygap/cell/job_state.cpp
+++ b/src/dragonflygap/cell/job_state.cpp
@@ -86,7 +86,7 @@
 bool job_state::is_due(int occurrence, int number, std::int64_t unix_ms) const
 {
     const auto& request = m_record.m_request;
-    if (request.m_occurrences > 0 &&
+    if (request.m_occurrences > 0 && m_due.count(occurrence) == 0 &&
         unix_ms < request.m_first_due_ms + occurrence * request.m_interval_ms)
         return false;
     const auto& after = spec(number).m_after;
--- a/src/dragonflygap/cell/job_state.hpp
+++ b/src/dragonflygap/cell/job_state.hpp
@@ -3,6 +3,7 @@
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -70,6 +71,9 @@
     /// nullptr if the job has no such task.
     task_state* find(const task_key& task);
 
+    /// The time of an occurrence has come, whatever a clock that is set back tells afterwards.
+    void mark_due(int occurrence) { m_due.insert(occurrence); }
+
     /// True if the steps before it are done and its time has come.
     bool is_due(int occurrence, int step, std::int64_t unix_ms) const;
 
@@ -103,6 +107,7 @@
     std::vector<std::vector<step_state>> m_occurrences;
     std::size_t m_tasks_left = 0; ///< Not yet done.
     bool m_started = false;
+    std::set<int> m_due; ///< Occurrences whose time has come.
 };
 
 } // namespace dragonflygap::cell
