Drain only workers that a gang can have in the end

Steps beside a gang that can't fit got nothing for good: its workers were drained by their whole capacity, lasting tasks included, and by how many tasks fit rather than how many one worker may take. Both are counted now; workers_drained_for_a_gang_that_cant_fit_serve_others and a_gang_of_one_member_per_worker_is_kept_enough_workers failed before.

--- a/src/dragonflygap/cell/coordinator_gangs.cpp
+++ b/src/dragonflygap/cell/coordinator_gangs.cpp
@@ -1,4 +1,5 @@
 #include <algorithm>
+#include <functional>
 #include <utility>
 
 #include "dragonflygap/cell/coordinator.hpp"
@@ -7,6 +8,22 @@
 namespace dragonflygap::cell
 {
 
+namespace
+{
+
+// What is left for others once all has ended there that ends by itself.
+resources room_when_drained(const worker_state& worker,
+                            const std::function<bool(const task_key&)>& lasts)
+{
+    auto room = worker.m_info.m_capacity;
+    for (const auto& [task, placed] : worker.m_placements)
+        if (lasts(task))
+            room -= placed.m_size;
+    return room;
+}
+
+} // namespace
+
 // Chooses the workers that are nearest to having the room for a gang: what comes behind it gets
 // nothing there.
 void coordinator::drain_for_gang(job_state& job, const step_key& key)
@@ -22,10 +39,16 @@
         nearest.begin(), nearest.end(),
         [](const worker_state* left, const worker_state* right)
         { return left->free_for_pass().m_millicores > right->free_for_pass().m_millicores; });
+    const auto lasts = [this](const task_key& task)
+    {
+        const job_state* other = find_job(task.m_job);
+        return other != nullptr && other->spec(task.m_step).m_lasting;
+    };
     int places = 0;
     std::size_t kept = 0;
     for (; kept < nearest.size() && places < spec.m_count; ++kept)
-        places += times_in(size_of(spec), nearest[kept]->m_info.m_capacity);
+        places += std::min(times_in(size_of(spec), room_when_drained(*nearest[kept], lasts)),
+                           spec.m_most_per_worker > 0 ? spec.m_most_per_worker : spec.m_count);
     if (places < spec.m_count || m_closed + kept > most_closed)
         return;
     for (std::size_t i = 0; i < kept; ++i)
