Ask a worker again that missed an answer or came back elsewhere

An idle worker whose renewal failed once got no tasks until its idle renewal, 10 s later; one that another process had replaced got none ever again, also when it was listed at a new address. Both tests (an_idle_worker_that_missed_..., a_worker_taken_for_gone_...) failed before and pass now.

--- a/src/dragonflygap/cell/coordinator_workers.cpp
+++ b/src/dragonflygap/cell/coordinator_workers.cpp
@@ -43,6 +43,12 @@
                        {"labels", joined(info.m_labels)},
                        {"millicores", info.m_capacity.m_millicores},
                        {"memory_mb", info.m_capacity.m_memory_mb}});
+        if (worker.m_gone && worker.m_info.m_address != info.m_address)
+        {
+            // It started again under its old name, at another address.
+            worker.m_gone = false;
+            worker.m_next_renewal = m_now;
+        }
         worker.m_info = info;
         worker.m_listed = true;
     }
@@ -78,7 +84,8 @@
     if (worker.m_gone || worker.m_renewing || m_now < worker.m_next_renewal ||
         (known_idle && !worker.m_listed))
         return false;
-    return !known_idle || worker.m_ends_stored > worker.m_ends_acked ||
+    const bool failing = worker.m_failing_since != instant{};
+    return !known_idle || failing || worker.m_ends_stored > worker.m_ends_acked ||
            m_now - worker.m_last_answer > m_options.m_workers.m_idle_renewal;
 }
 
