Let others see the room of a call that led to no start

A step whose tickets lapse before they can be used claimed the same room again in the visit that dropped its claim, and those before it never saw it. It looks again in the next pass, and tickets of short validity keep three quarters of it. What a call hopes for counts only once the call is made; every call waits at most 100 ms at a VM, whatever it costs, so that dear ones don't shut cheap ones out. a_step_whose_tickets_always_lapse_doesnt_keep_room_from_those_before_it failed before; tests/cell/backlog_test.cpp passes as before.

--- a/src/dragonflygap/cell/coordinator_approvals.cpp
+++ b/src/dragonflygap/cell/coordinator_approvals.cpp
@@ -23,11 +23,7 @@
 
 // A call that waited at a VM would be answered for room that has gone since; it waits here, where
 // the first in order gets the next free VM.
-duration longest_wait(duration time)
-{
-    constexpr duration least = 30ms; // a few ticks: a VM has work between two of them
-    return std::max<duration>(least, time / 8);
-}
+constexpr duration longest_wait = 100ms; // a VM has the next call when it has done one
 
 } // namespace
 
@@ -38,7 +34,7 @@
     auto& step = job.step(key.m_occurrence, key.m_step);
     const auto& cost = job.record().m_queue.m_approval;
     const auto least = service_time(cost, 1);
-    const auto first_free = m_desk.choose(least, longest_wait(least), m_now);
+    const auto first_free = m_desk.choose(least, longest_wait, m_now);
     if (!first_free)
         return true; // as soon as a VM is free
     auto wanted =
@@ -46,9 +42,14 @@
     if (wanted.m_named.empty())
         return false;
     const auto time = service_time(cost, wanted.m_named.size());
-    const auto through = m_desk.choose(time, longest_wait(time), m_now);
+    const auto through = m_desk.choose(time, longest_wait, m_now);
     if (!through)
-        return false;
+    {
+        // A call of so many workers goes through fewer VMs, and none of those is free.
+        constexpr duration look_again = 20ms;
+        step.m_next_look = m_now + look_again;
+        return true;
+    }
     const auto expected = m_desk.wait(*through, m_now) + time;
     m_desk.asked(*through, time, m_now);
     step.m_approval.m_asking = true;
@@ -62,6 +63,10 @@
                {"workers", wanted.m_named.size()},
                {"places_kept", tasks_in(wanted.m_claim.m_kept)},
                {"expected_ms", to_ms(expected)}});
+    for (const auto& place : wanted.m_claim.m_hoped)
+        m_workers.at(place.m_worker).m_pass.m_hoped_millicores += static_cast<std::int64_t>(
+            wanted.m_claim.m_hope *
+            static_cast<double>(wanted.m_claim.m_size.m_millicores * place.m_tasks));
     m_claims.set(key, std::move(wanted.m_claim));
     m_out->push_back(ask_approval{m_last_approval_call, *through, key, std::move(wanted.m_named),
                                   time, expected});
@@ -177,9 +182,6 @@
         return;
     }
     wanted.m_claim.m_hope = rate;
-    for (const auto& place : wanted.m_claim.m_hoped)
-        m_workers.at(place.m_worker).m_pass.m_hoped_millicores += static_cast<std::int64_t>(
-            rate * static_cast<double>(size.m_millicores * place.m_tasks));
     wanted.m_named.insert(wanted.m_named.end(), named.begin(), named.end());
 }
 
@@ -256,9 +258,9 @@
         return;
     // An answer may lie before a late leader for seconds. The service gave it no earlier than the
     // VM took for it after the call had left here; the order has its way to the worker before it.
-    constexpr duration way = 250ms;
-    const auto until = std::min(m_now, approved.m_asked_at + event.m_took) +
-                       std::chrono::milliseconds(event.m_result->m_valid_ms) - way;
+    const duration valid = std::chrono::milliseconds(event.m_result->m_valid_ms);
+    const auto way = std::min<duration>(250ms, valid / 4);
+    const auto until = std::min(m_now, approved.m_asked_at + event.m_took) + valid - way;
     learn_approval_rate(job->record().m_queue.m_name, approved, event);
     for (const auto& worker : event.m_workers)
         approved.m_denied.insert(worker);
--- a/src/dragonflygap/cell/coordinator_placing.cpp
+++ b/src/dragonflygap/cell/coordinator_placing.cpp
@@ -89,8 +89,12 @@
         return;
     }
     const bool asking = approved != nullptr && approved->m_asking;
-    if (!asking)
+    if (!asking && m_claims.has(key))
+    {
+        // An answer that led to no start: others see the room before it is claimed again.
         m_claims.drop(key);
+        step.m_next_look = m_now + 1ms;
+    }
     if (!asking && m_now >= step.m_next_look)
         look_for_room(job, key, position);
     m_claims.restore(key, m_workers);
@@ -302,11 +306,8 @@
     const auto& options = m_options.m_workers;
     const auto& spec = job.spec(key.m_step);
     const auto& task = *job.find(key);
-    placement placed{.m_run = run,
-                     .m_size = size_of(spec),
-
-                     .m_started = m_now,
-                     .m_percent_since = m_now};
+    placement placed{
+        .m_run = run, .m_size = size_of(spec), .m_started = m_now, .m_percent_since = m_now};
     worker.add(key, placed);
     worker.m_lease_until =
         std::max(worker.m_lease_until, m_now + options.m_order_window + options.m_clock_slack);
