Don't take a VM for idle that left a call unanswered

A call without an answer ended the VM's known work, so that it counted as idle, and among idle ones the last name is chosen. It counts as busy for 1 s now. a_member_that_left_a_call_unanswered_is_not_taken_for_idle guards it. Naming unknown workers is split in two functions beside it; what it names is the same.

--- a/src/dragonflygap/cell/approvals.cpp
+++ b/src/dragonflygap/cell/approvals.cpp
@@ -72,6 +72,12 @@
     m_busy_until[through] = now + queued;
 }
 
+void approval_desk::set_silent(const vm_id& through, instant now)
+{
+    auto& busy = m_busy_until[through];
+    busy = std::max(busy, now + m_options.m_silence_rest);
+}
+
 void approval_desk::asked(const vm_id& through, duration cost, instant now)
 {
     auto& busy = m_busy_until[through];
--- a/src/dragonflygap/cell/approvals.hpp
+++ b/src/dragonflygap/cell/approvals.hpp
@@ -46,6 +46,7 @@
 {
     duration m_short_call = 40ms; ///< Calls up to it go through any VM.
     duration m_long_call = 150ms; ///< Calls beyond it go through one half of the VMs.
+    duration m_silence_rest = 1s; ///< A VM that left a call unanswered is taken for busy so long.
 };
 
 /// Spreads calls to the approval service over the VMs: it serves each of them one call at a time.
@@ -67,6 +68,9 @@
     /// Takes a VM's own account of what it still waits for, calls for other leaders included.
     void set_queued(const vm_id& through, duration queued, instant now);
 
+    /// A VM left a call unanswered: others are asked first for a while.
+    void set_silent(const vm_id& through, instant now);
+
     /// How long a call through this VM would wait.
     duration wait(const vm_id& through, instant now) const;
 
--- a/src/dragonflygap/cell/coordinator.hpp
+++ b/src/dragonflygap/cell/coordinator.hpp
@@ -114,6 +114,13 @@
         std::vector<worker_id> m_named;
         room_claim m_claim;
     };
+    /// A worker of which a step doesn't know whether it is approved.
+    struct unknown_worker
+    {
+        const worker_state* m_worker = nullptr;
+        int m_fits = 0;                ///< Tasks that it has room for beside others' hopes.
+        std::int64_t m_millicores = 0; ///< Free there, less what others hope for.
+    };
     enum class ticket_need
     {
         valid, ///< Workers with a valid ticket.
@@ -204,6 +211,7 @@
     wanted_approval name_workers(const job_state& job, const step_key& key, duration until_answer);
     void name_approved(const job_state& job, const step_key& key, duration until_answer,
                        wanted_approval& wanted);
+    std::vector<unknown_worker> unknown_workers(const job_state& job, const step_key& key) const;
     void name_unknown(const job_state& job, const step_key& key, wanted_approval& wanted);
     int possible_tasks(const job_state& job, const step_key& key) const;
     static const step_approval* approval_of(const job_state& job, const step_key& key);
--- a/src/dragonflygap/cell/coordinator_approvals.cpp
+++ b/src/dragonflygap/cell/coordinator_approvals.cpp
@@ -124,6 +124,32 @@
     }
 }
 
+// Workers that the step knows nothing of, those first whose room the fewest others hope for.
+std::vector<coordinator::unknown_worker> coordinator::unknown_workers(const job_state& job,
+                                                                      const step_key& key) const
+{
+    const auto& spec = job.spec(key.m_step);
+    const auto& approval = job.step(key.m_occurrence, key.m_step).m_approval;
+    std::vector<unknown_worker> result;
+    for (const worker_state* worker : m_by_room)
+    {
+        const auto& id = worker->m_info.m_id;
+        if (!suits(*worker, job, spec) || approval.m_denied.count(id) != 0 ||
+            approval.m_approved.count(id) != 0)
+            continue;
+        auto room = worker->free_for_others();
+        room.m_millicores -= worker->m_pass.m_hoped_millicores;
+        const int fits = worker->m_pass.m_closed
+                             ? 0
+                             : std::min(times_in(size_of(spec), room), most_on(*worker, spec, key));
+        result.push_back({worker, fits, room.m_millicores});
+    }
+    std::stable_sort(result.begin(), result.end(),
+                     [](const unknown_worker& left, const unknown_worker& right)
+                     { return left.m_millicores > right.m_millicores; });
+    return result;
+}
+
 // Load pattern: many steps ask at once. Each names workers with room that the others haven't
 // named, or all would get tickets for the same ones.
 void coordinator::name_unknown(const job_state& job, const step_key& key, wanted_approval& wanted)
@@ -133,55 +159,33 @@
     constexpr double later_room = 0.5;      // tasks for which a full worker may have room in time
     constexpr double enough_approved = 1.5; // of the tasks, if the approved workers were empty
     const auto& spec = job.spec(key.m_step);
-    const auto size = size_of(spec);
     const auto& step = job.step(key.m_occurrence, key.m_step);
     const double rate = approval_rate(job.record().m_queue.m_name);
     const double wanted_tasks = wanted_share * step.m_waiting + wanted_more;
     const bool first = step.m_approval.never_asked();
     double expected = 0;
     for (const worker_state* worker : allowed(job, key, ticket_need::known))
-        expected +=
-            std::min(times_in(size, worker->free_for_others()), most_on(*worker, spec, key));
-    struct option
-    {
-        worker_state* m_worker;
-        std::int64_t m_room;
-    };
-    std::vector<option> options;
-    for (worker_state* worker : m_by_room)
-        if (suits(*worker, job, spec) && step.m_approval.m_denied.count(worker->m_info.m_id) == 0 &&
-            step.m_approval.m_approved.count(worker->m_info.m_id) == 0)
-            options.push_back({worker, worker->free_for_others().m_millicores -
-                                           worker->m_pass.m_hoped_millicores});
-    std::stable_sort(options.begin(), options.end(),
-                     [](const option& left, const option& right)
-                     { return left.m_room > right.m_room; });
+        expected += std::min(times_in(size_of(spec), worker->free_for_others()),
+                             most_on(*worker, spec, key));
     std::vector<worker_id> named;
-    for (const auto& [worker, room] : options)
+    std::vector<task_places> hoped;
+    for (const auto& option : unknown_workers(job, key))
     {
         if (expected >= wanted_tasks || wanted.m_named.size() + named.size() >= most_named)
             break;
-        auto free = worker->free_for_others();
-        free.m_millicores = room;
-        const int fits = worker->m_pass.m_closed
-                             ? 0
-                             : std::min(times_in(size, free), most_on(*worker, spec, key));
-        if (fits == 0 && !first)
+        if (option.m_fits == 0 && !first)
             continue;
-        expected += rate * std::max<double>(fits, later_room);
-        named.push_back(worker->m_info.m_id);
-        if (fits > 0)
-            wanted.m_claim.m_hoped.push_back({worker->m_info.m_id, fits});
+        expected += rate * std::max<double>(option.m_fits, later_room);
+        named.push_back(option.m_worker->m_info.m_id);
+        if (option.m_fits > 0)
+            hoped.push_back({option.m_worker->m_info.m_id, option.m_fits});
     }
+    // It waits for room, not for more workers.
     if (spec.m_gang && !first && expected < step.m_waiting &&
         possible_tasks(job, key) >= enough_approved * step.m_waiting)
-        named.clear();
-    if (named.empty())
-    {
-        wanted.m_claim.m_hoped.clear();
         return;
-    }
     wanted.m_claim.m_hope = rate;
+    wanted.m_claim.m_hoped = std::move(hoped);
     wanted.m_named.insert(wanted.m_named.end(), named.begin(), named.end());
 }
 
@@ -232,6 +236,8 @@
 {
     if (event.m_queued)
         m_desk.set_queued(event.m_asked_by, *event.m_queued, m_now);
+    else if (!event.m_result)
+        m_desk.set_silent(event.m_asked_by, m_now);
     count_answer(event);
     job_state* job = find(event.m_step.m_job);
     if (job == nullptr)
--- a/src/dragonflygap/cell/room_claims.hpp
+++ b/src/dragonflygap/cell/room_claims.hpp
@@ -15,7 +15,8 @@
     int m_tasks = 0;
 };
 
-/// Room that a step is kept while the approval for it is under way.
+/// Room that a step needs once the approval that it asks for is there: places on workers known to
+/// be approved are kept, those on workers that may turn out to be approved are only hoped for.
 struct room_claim
 {
     int m_priority = 0;
--- a/tests/cell/approvals_test.cpp
+++ b/tests/cell/approvals_test.cpp
@@ -80,3 +80,24 @@
     LONGS_EQUAL(0, approved.take_unused(start + 1s));
     LONGS_EQUAL(1, approved.take_unused(instant::max()));
 }
+
+// Seen in scale-1 of a large site: of 570 calls 565 went through one VM that was taken for idle, as
+// its earlier ones had timed out; 216 of them timed out too.
+TEST(approvals, a_member_that_left_a_call_unanswered_is_not_taken_for_idle)
+{
+    auto desk = make_desk();
+    const auto silent = desk.choose(10ms, 300ms, start);
+    CHECK_TRUE(silent.has_value());
+    desk.asked(*silent, 10ms, start);
+    desk.set_silent(*silent, start + 2s);
+    for (int i = 0; i < 20; ++i)
+    {
+        const auto next = desk.choose(10ms, 300ms, start + 2s);
+        CHECK_TRUE(next.has_value());
+        CHECK_TRUE(*next != *silent);
+        desk.asked(*next, 10ms, start + 2s);
+    }
+    desk.set_members({*silent});
+    CHECK_FALSE(desk.choose(10ms, 300ms, start + 2s).has_value());
+    CHECK_TRUE(desk.choose(10ms, 300ms, start + 3s).has_value());
+}
