Share what the stall and waiting-count tests set up

Two set-ups stood in several tests: VMs that approvals go through, and the order of a lone job. Two comments told of the code before its fix.

--- a/tests/cell/coordinator_test.cpp
+++ b/tests/cell/coordinator_test.cpp
@@ -84,6 +84,17 @@
         feed(renewal_answered{worker_a, m_now, std::move(what)});
     }
 
+    /// The order that leaves for the only task of the only job.
+    start_order order_of_one_job()
+    {
+        feed(workers_listed{{listed_worker(worker_a)}});
+        report({});
+        submit("job", {.m_size = {.m_millicores = 1000, .m_memory_mb = 100}});
+        const auto starts = run(50ms);
+        LONGS_EQUAL(1, starts.size());
+        return starts.front().m_order;
+    }
+
     instant m_now = start;
     std::int64_t m_unix_ms = 1000000;
     coordinator m_coordinator;
@@ -148,12 +159,7 @@
 TEST(coordinator, a_job_whose_start_was_turned_away_still_waits)
 {
     successor leader;
-    leader.feed(workers_listed{{listed_worker(worker_a)}});
-    leader.report({});
-    leader.submit("job", {.m_size = {.m_millicores = 1000, .m_memory_mb = 100}});
-    const auto starts = leader.run(50ms);
-    LONGS_EQUAL(1, starts.size());
-    const auto& order = starts.front().m_order;
+    const auto order = leader.order_of_one_job();
     LONGS_EQUAL(1, leader.m_coordinator.waiting(queue_id("queue")));
     leader.feed(start_answered{worker_a, order.m_task, order.m_run,
                                start_result{.m_refusal = start_refusal::no_ticket}});
@@ -168,12 +174,7 @@
 TEST(coordinator, a_job_whose_start_had_no_answer_has_started_once_its_worker_lists_it)
 {
     successor leader;
-    leader.feed(workers_listed{{listed_worker(worker_a)}});
-    leader.report({});
-    leader.submit("job", {.m_size = {.m_millicores = 1000, .m_memory_mb = 100}});
-    const auto starts = leader.run(50ms);
-    LONGS_EQUAL(1, starts.size());
-    const auto& order = starts.front().m_order;
+    const auto order = leader.order_of_one_job();
     leader.report({.m_running = {{.m_task = order.m_task, .m_run = order.m_run}}});
     LONGS_EQUAL(0, leader.m_coordinator.waiting(queue_id("queue")));
 }
--- a/tests/cell/stall_test.cpp
+++ b/tests/cell/stall_test.cpp
@@ -13,8 +13,7 @@
 
 TEST_GROUP(stall){};
 
-// Enough workers are approved were they empty, but lasting tasks keep them: the free workers that
-// were never asked about are never asked about.
+// Enough workers would be approved were they empty, but lasting tasks keep them.
 TEST(stall, a_gang_asks_about_free_workers_once_approved_ones_are_taken_for_good)
 {
     prompt_cell cell;
@@ -181,10 +180,7 @@
 {
     prompt_cell cell;
     cell.list(200);
-    std::vector<vm_id> vms;
-    for (int i = 0; i < 10; ++i)
-        vms.push_back(vm_id("vm-" + std::to_string(i)));
-    cell.feed(members_changed{vms});
+    cell.have_vms(10);
     cell.m_valid_ms = 1500;
     cell.submit("wide", {.m_count = 150, .m_size = {.m_millicores = 3500}, .m_gang = true},
                 {.m_approval = {572, 8.06, 1500}});
@@ -197,10 +193,7 @@
 {
     prompt_cell cell;
     cell.list(200);
-    std::vector<vm_id> vms;
-    for (int i = 0; i < 10; ++i)
-        vms.push_back(vm_id("vm-" + std::to_string(i)));
-    cell.feed(members_changed{vms});
+    cell.have_vms(10);
     cell.submit("wide", {.m_count = 150, .m_size = {.m_millicores = 3500}, .m_gang = true},
                 {.m_approval = {572, 8.06, 2500}});
     cell.run(30s);
@@ -245,8 +238,8 @@
     }
 }
 
-// The dearer a call, the longer a wait at a VM it accepts: with one VM dear calls of a less urgent
-// queue take it each time before a cheap call of an urgent one would.
+// Calls that accept a longer wait the dearer they are would keep the only VM from cheap urgent
+// ones.
 TEST(stall, cheap_urgent_calls_arent_shut_out_by_dear_ones)
 {
     prompt_cell cell;
@@ -265,10 +258,7 @@
 {
     prompt_cell cell;
     cell.list(60);
-    std::vector<vm_id> vms;
-    for (int i = 10; i < 45; ++i)
-        vms.push_back(vm_id("vm-" + std::to_string(i)));
-    cell.feed(members_changed{vms});
+    cell.have_vms(35);
     for (int i = 0; i < 1000; ++i)
         cell.submit("dear-" + std::to_string(i), {.m_size = {.m_millicores = 10}},
                     {.m_priority = 2, .m_approval = {572, 8.06, 2500}});
--- a/tests/cell/support/prompt_cell.hpp
+++ b/tests/cell/support/prompt_cell.hpp
@@ -51,6 +51,15 @@
         run(50ms);
     }
 
+    /// Lets approvals be asked through so many VMs.
+    void have_vms(int count)
+    {
+        std::vector<vm_id> vms;
+        for (int i = 0; i < count; ++i)
+            vms.push_back(vm_id("vm-" + std::to_string(i)));
+        feed(members_changed{std::move(vms)});
+    }
+
     void feed(const event& what)
     {
         for (auto& action : m_coordinator.handle(what, m_now, m_unix_ms))
