Report connections and failed stops

A stop that fails was neither logged nor counted, nor how long a run has been stopping; the connections of a VM's HTTP clients were not reported at all.

Change: stop_failed (1st, 2nd, 4th, ... failure of a run), stops_failed and longest_stop_ms in pass_summary, dragonflygap_stops_total, a line "connections" and metrics for each HTTP client of the cell daemon; the detail of a failed call names its reason.

--- a/src/dragonflygap/cell/coordinator.hpp
+++ b/src/dragonflygap/cell/coordinator.hpp
@@ -182,6 +182,7 @@
     void end_missing_runs(worker_state& worker, const worker_report& report, instant sent);
     void handle_worker_loss(worker_state& worker, std::string_view cause);
     void send_stops();
+    void log_failed_stop(const stop_answered& event, placement& placed);
     void stop_stuck_tasks();
     void stop_gang(job_state& job, const step_key& step, std::uint64_t run);
     void stop_task(job_state& job, const task_key& key);
--- a/src/dragonflygap/cell/coordinator_ends.cpp
+++ b/src/dragonflygap/cell/coordinator_ends.cpp
@@ -111,6 +111,23 @@
     }
 }
 
+// Logs the first failure and then each that doubles their number, as stops are retried for long.
+void coordinator::log_failed_stop(const stop_answered& event, placement& placed)
+{
+    ++m_counts.m_stops_failed;
+    ++placed.m_failed_stops;
+    if ((placed.m_failed_stops & (placed.m_failed_stops - 1)) != 0)
+        return;
+    log_event(
+        log_level::warning, "stop_failed",
+        {{"task", text_of(event.m_task)},
+         {"run", event.m_run},
+         {"worker", event.m_worker.m_value},
+         {"failures", placed.m_failed_stops},
+         {"stopping_ms", to_ms(m_now - placed.m_stop_requested_at)},
+         {"detail", event.m_result ? "the worker is unhealthy" : event.m_result.error().m_detail}});
+}
+
 void coordinator::on(const stop_answered& event)
 {
     const auto worker = m_workers.find(event.m_worker);
@@ -126,7 +143,11 @@
     auto& placed = found->second;
     placed.m_stop_in_flight = false;
     if (!event.m_result || event.m_result->m_refusal == start_refusal::unhealthy)
+    {
+        log_failed_stop(event, placed);
         return;
+    }
+    placed.m_failed_stops = 0;
     if (event.m_result->m_refusal == start_refusal::fenced)
     {
         m_deposed = true;
--- a/src/dragonflygap/cell/coordinator_waits.cpp
+++ b/src/dragonflygap/cell/coordinator_waits.cpp
@@ -9,7 +9,8 @@
 namespace
 {
 
-void add_workers(const std::map<worker_id, worker_state>& workers, pass_summary& summary)
+void add_workers(const std::map<worker_id, worker_state>& workers, instant now,
+                 pass_summary& summary)
 {
     for (const auto& [id, worker] : workers)
     {
@@ -18,7 +19,11 @@
         {
             summary.m_runs_starting += placed.m_phase == placement_phase::starting ? 1 : 0;
             summary.m_runs_unknown += placed.m_phase == placement_phase::unknown ? 1 : 0;
-            summary.m_runs_stopping += placed.m_stop_requested ? 1 : 0;
+            if (!placed.m_stop_requested)
+                continue;
+            ++summary.m_runs_stopping;
+            summary.m_longest_stop =
+                std::max(summary.m_longest_stop, now - placed.m_stop_requested_at);
         }
         if (!worker.m_pass.m_open)
             continue;
@@ -62,7 +67,7 @@
         instant m_since;
     };
     wait_report result;
-    add_workers(m_workers, result.m_pass);
+    add_workers(m_workers, m_now, result.m_pass);
     auto add = [&](const candidate& step)
     {
         result.m_steps.push_back(explain_wait(*step.m_job, step.m_step, m_workers,
--- a/src/dragonflygap/cell/wait_report.hpp
+++ b/src/dragonflygap/cell/wait_report.hpp
@@ -20,6 +20,7 @@
     /// Unused, including those of steps that no longer needed them.
     std::uint64_t m_tickets_lapsed = 0;
     std::uint64_t m_starts_refused = 0;
+    std::uint64_t m_stops_failed = 0; ///< Stop calls without an answer, or refused as unhealthy.
 };
 
 /// State after the last placement pass.
@@ -39,6 +40,7 @@
     std::size_t m_runs_starting = 0;
     std::size_t m_runs_unknown = 0;  ///< Start orders without an answer.
     std::size_t m_runs_stopping = 0; ///< To be stopped, end not reported yet.
+    duration m_longest_stop{};       ///< Time since the first request to stop one of them.
     duration m_oldest_wait{};
 };
 
--- a/src/dragonflygap/cell/worker_state.hpp
+++ b/src/dragonflygap/cell/worker_state.hpp
@@ -30,6 +30,8 @@
     bool m_stop_acknowledged = false;
     instant m_confirmed_at{}; ///< A report requested later shows whether the task runs.
     instant m_next_stop{};
+    instant m_stop_requested_at{}; ///< Valid if a stop was requested.
+    int m_failed_stops = 0;        ///< Stop calls that failed in a row.
     instant m_started{};
     int m_progress_percent = 0;
     instant m_progress_at{}; ///< When m_progress_percent last changed.
@@ -123,7 +125,11 @@
 
     void request_stop(placement& placed, instant now)
     {
-        m_stop_request_count += placed.m_stop_requested ? 0 : 1;
+        if (!placed.m_stop_requested)
+        {
+            ++m_stop_request_count;
+            placed.m_stop_requested_at = now;
+        }
         placed.m_stop_requested = true;
         placed.m_next_stop = now;
     }
--- a/src/dragonflygap/daemon/cell_daemon.cpp
+++ b/src/dragonflygap/daemon/cell_daemon.cpp
@@ -5,6 +5,7 @@
 #include <memory>
 #include <utility>
 
+#include "dragonflygap/daemon/connection_report.hpp"
 #include "dragonflygap/net/event_loop.hpp"
 #include "dragonflygap/net/http_client.hpp"
 #include "dragonflygap/net/http_server.hpp"
@@ -75,6 +76,8 @@
     http_client store_client(loop, {.m_max_body_bytes = max_response_bytes,
                                     .m_max_connections_per_endpoint = store_connections});
     http_client worker_client(loop, {.m_max_connections_per_endpoint = worker_connections});
+    const connection_report store_report(loop, registry, store_client, "store");
+    const connection_report worker_report(loop, registry, worker_client, "workers");
     const auto to_store = make_transport(store_client);
     const auto to_workers = make_transport(worker_client);
     std::unique_ptr<node::node> entry_node;
--- a/src/dragonflygap/net/http_client.cpp
+++ b/src/dragonflygap/net/http_client.cpp
@@ -1,5 +1,6 @@
 #include "dragonflygap/net/http_client.hpp"
 
+#include <algorithm>
 #include <deque>
 #include <map>
 #include <set>
@@ -29,6 +30,7 @@
         evhttp_connection* m_http = nullptr;
         instant m_idle_since{};
         bool m_request_written = false; ///< Bytes of the current request were written.
+        bool m_answered = false;        ///< A response was received on it.
 
         int socket() const { return bufferevent_getfd(evhttp_connection_get_bufferevent(m_http)); }
     };
@@ -55,6 +57,7 @@
 
     event_loop& m_loop;
     http_client_options m_options;
+    http_client_counts m_counts;
     call_id m_last_call = 0;
     std::map<endpoint, pool> m_pools;
     std::unordered_map<call_id, std::shared_ptr<call>> m_calls;
@@ -94,6 +97,7 @@
         reset_on_close(closed.socket());
         evhttp_connection_free(closed.m_http);
         --connections.m_open_count;
+        m_counts.m_failed += closed.m_answered ? 0 : 1;
     }
 
     std::unique_ptr<connection> acquire_idle(pool& connections)
@@ -106,6 +110,7 @@
             if (now - newest->m_idle_since < m_options.m_idle_timeout)
                 return newest;
             close(*newest, connections);
+            ++m_counts.m_closed_idle;
         }
         return nullptr;
     }
@@ -119,10 +124,12 @@
             if (connections.m_open_count >= m_options.m_max_connections_per_endpoint)
             {
                 connections.m_waiting.push_back(outgoing.m_id);
+                ++m_counts.m_calls_queued;
                 return;
             }
             outgoing.m_connection = open_connection(outgoing.m_to);
             ++connections.m_open_count;
+            ++m_counts.m_opened;
         }
         write_request(outgoing);
     }
@@ -206,6 +213,7 @@
             return;
         ended->m_timer.reset();
         ended->m_connect_timer.reset();
+        ended->m_connection->m_answered = true;
         // This callback runs within the connection, which must not be reused before it returns.
         m_closing.insert(ended);
         m_loop.post(
@@ -223,7 +231,9 @@
         if (ended == nullptr)
             return;
         close_later(ended);
-        ended->m_done(fail(result_verdict, cause, "call to " + to_string(ended->m_to) + " failed"));
+        ended->m_done(fail(result_verdict, cause,
+                           "call to " + to_string(ended->m_to) +
+                               " failed: " + std::string(to_string(cause))));
     }
 
     void close_later(const std::shared_ptr<call>& ended)
@@ -326,6 +336,20 @@
         m_state->close_later(ended);
 }
 
+http_client_counts http_client::counts() const
+{
+    auto result = m_state->m_counts;
+    for (const auto& [to, connections] : m_state->m_pools)
+    {
+        const auto open = static_cast<std::size_t>(connections.m_open_count);
+        result.m_open += open;
+        result.m_idle += connections.m_idle.size();
+        result.m_endpoints += open > 0 ? 1 : 0;
+        result.m_max_per_endpoint = std::max(result.m_max_per_endpoint, open);
+    }
+    return result;
+}
+
 void http_client::close_idle(const endpoint& to)
 {
     const auto found = m_state->m_pools.find(to);
--- a/src/dragonflygap/net/http_client.hpp
+++ b/src/dragonflygap/net/http_client.hpp
@@ -23,6 +23,19 @@
     duration m_idle_timeout = 10s; ///< Connections idle for longer are closed, not reused.
 };
 
+/// Connections of a client; the counters are totals since it was made.
+struct http_client_counts
+{
+    std::uint64_t m_opened = 0;
+    std::uint64_t m_failed = 0;         ///< Closed without a single response.
+    std::uint64_t m_closed_idle = 0;    ///< Closed after the idle timeout.
+    std::uint64_t m_calls_queued = 0;   ///< Calls that had to wait for a connection.
+    std::size_t m_open = 0;             ///< Now, including idle ones.
+    std::size_t m_idle = 0;             ///< Now.
+    std::size_t m_endpoints = 0;        ///< With an open connection now.
+    std::size_t m_max_per_endpoint = 0; ///< Most that are open now to one endpoint.
+};
+
 /// HTTP client with a connection pool per endpoint; runs in the event loop of a task.
 ///
 /// The verdict of a failure is not_run if no byte was written to a connection, else may_have_run.
@@ -48,6 +61,8 @@
     /// Closes the idle connections of an endpoint, which forces the next request to reconnect.
     void close_idle(const endpoint& to);
 
+    http_client_counts counts() const;
+
 private:
     struct state;
     std::unique_ptr<state> m_state;
--- a/src/dragonflygap/node/leader_report.cpp
+++ b/src/dragonflygap/node/leader_report.cpp
@@ -93,6 +93,7 @@
                   {"tickets_used", counts.m_tickets_used - previous.m_tickets_used},
                   {"tickets_lapsed", counts.m_tickets_lapsed - previous.m_tickets_lapsed},
                   {"starts_refused", counts.m_starts_refused - previous.m_starts_refused},
+                  {"stops_failed", counts.m_stops_failed - previous.m_stops_failed},
                   {"workers_listed", pass.m_workers_listed},
                   {"workers_open", pass.m_workers_open},
                   {"workers_closed", pass.m_workers_closed},
@@ -102,6 +103,7 @@
                   {"runs_starting", pass.m_runs_starting},
                   {"runs_unknown", pass.m_runs_unknown},
                   {"runs_stopping", pass.m_runs_stopping},
+                  {"longest_stop_ms", to_ms(pass.m_longest_stop)},
                   {"ticks", m_ticks},
                   {"longest_tick_us", m_max_tick_time.count()},
                   {"latest_tick_ms", to_ms(m_max_tick_delay)}});
--- a/tests/cell/support/stub_cell.hpp
+++ b/tests/cell/support/stub_cell.hpp
@@ -126,6 +126,9 @@
         std::vector<ended_task> m_ended;
         std::uint64_t m_last_end = 0;
         bool m_silent = false;
+        /// Starts and stops get no answer and have no effect; renewals are answered.
+        bool m_orders_fail = false;
+        int m_long_polls = 0; ///< Renewals that would wait for an end.
     };
 
     instant m_now{10s};
@@ -140,6 +143,10 @@
     coordinator m_coordinator;
 
 private:
+    static tl::unexpected<failure> no_answer()
+    {
+        return fail(verdict::may_have_run, reason::target_failed, "connection reset");
+    }
     void act(const answer_call&) {}
     void act(const read_leader_row&) {}
     void act(const step_down&) { FAIL("stepped down"); }
@@ -152,6 +159,7 @@
     {
         ++m_renewals;
         auto& worker = m_workers[request.m_worker.m_id];
+        worker.m_long_polls += request.m_renewal.m_wait > duration{} ? 1 : 0;
         if (worker.m_silent)
             return;
         std::erase_if(worker.m_ended, [&](const ended_task& end)
@@ -164,6 +172,12 @@
     }
     void act(const send_start& request)
     {
+        if (m_workers[request.m_worker.m_id].m_orders_fail)
+        {
+            m_answers.push_back(start_answered{request.m_worker.m_id, request.m_order.m_task,
+                                               request.m_order.m_run, no_answer()});
+            return;
+        }
         m_workers[request.m_worker.m_id].m_running[request.m_order.m_task] = request.m_order.m_run;
         ++m_started[request.m_order.m_task.m_job];
         m_answers.push_back(start_answered{request.m_worker.m_id, request.m_order.m_task,
@@ -172,6 +186,12 @@
     void act(const send_stop& request)
     {
         auto& worker = m_workers[request.m_worker.m_id];
+        if (worker.m_orders_fail)
+        {
+            m_answers.push_back(
+                stop_answered{request.m_worker.m_id, request.m_task, request.m_run, no_answer()});
+            return;
+        }
         if (worker.m_running.erase(request.m_task) != 0)
             worker.m_ended.push_back({.m_number = ++worker.m_last_end,
                                       .m_task = request.m_task,
--- a/tests/support/raw_target.cpp
+++ b/tests/support/raw_target.cpp
@@ -9,10 +9,7 @@
 namespace dragonflygap::test
 {
 
-namespace
-{
-
-int listen_on_loopback(endpoint& address)
+int bind_to_loopback(endpoint& address)
 {
     const int listener = socket(AF_INET, SOCK_STREAM, 0);
     sockaddr_in bound{};
@@ -25,10 +22,8 @@
     return listener;
 }
 
-} // namespace
-
 raw_target::raw_target(std::function<void(int)> on_connection)
-    : m_on_connection(std::move(on_connection)), m_listener(listen_on_loopback(m_address))
+    : m_on_connection(std::move(on_connection)), m_listener(bind_to_loopback(m_address))
 {
     constexpr int backlog = 16;
     listen(m_listener, backlog);
@@ -89,7 +84,7 @@
 endpoint closed_address()
 {
     endpoint address;
-    close(listen_on_loopback(address));
+    close(bind_to_loopback(address));
     return address;
 }
 
--- a/tests/support/raw_target.hpp
+++ b/tests/support/raw_target.hpp
@@ -42,6 +42,9 @@
 /// Blocks until the peer closes the connection, discarding what it sends.
 void wait_for_close(int socket);
 
+/// Binds a socket to a free loopback port and sets the address; listen() is left to the caller.
+int bind_to_loopback(endpoint& address);
+
 /// Returns a loopback address on which nothing listens.
 endpoint closed_address();
 
