Close idle connections of endpoints that get no further calls

Symptom: accepted jobs were never run beside free room; workers reset new connections, as 64 were open. Cause: the client compared the idle timeout only when it next needed a connection to the same endpoint. A VM that led once kept its idle connections to every worker for good, up to 16 each, so that four former leaders used up a worker's limit. Closing with a reset made it worse where a path is interrupted: the reset is lost, and the worker keeps the connection. Change: a timer closes expired connections of all endpoints and forgets endpoints without connections; idle connections are closed without a reset.

--- a/src/dragonflygap/net/http_client.cpp
+++ b/src/dragonflygap/net/http_client.cpp
@@ -64,7 +64,15 @@
     std::set<std::shared_ptr<call>>
         m_closing; ///< Ended calls whose connections are still to be closed or reused.
 
-    explicit state(event_loop& loop) : m_loop(loop) {}
+    event_loop::timer_ptr m_expiry_timer;
+
+    state(event_loop& loop, http_client_options options)
+        : m_loop(loop),
+          m_options(options),
+          m_expiry_timer(loop.every(std::min<duration>(options.m_idle_timeout / 2, 1s),
+                                    [this] { close_expired(); }))
+    {
+    }
 
     std::unique_ptr<connection> open_connection(const endpoint& to)
     {
@@ -91,28 +99,57 @@
             static_cast<connection*>(argument)->m_request_written = true;
     }
 
-    void close(connection& closed, pool& connections)
+    void abort(connection& aborted, pool& connections)
     {
         // Bytes still in the kernel must not reach the target after the call was abandoned.
-        reset_on_close(closed.socket());
+        reset_on_close(aborted.socket());
+        close(aborted, connections);
+    }
+
+    // Without a reset, which is lost if the path is interrupted; then the target would never learn
+    // that the connection is closed.
+    void close(connection& closed, pool& connections)
+    {
         evhttp_connection_free(closed.m_http);
         --connections.m_open_count;
         m_counts.m_failed += closed.m_answered ? 0 : 1;
     }
 
+    // Takes the newest, so that those not needed reach the idle timeout.
     std::unique_ptr<connection> acquire_idle(pool& connections)
     {
-        const instant now = monotonic_clock::now();
-        while (!connections.m_idle.empty())
+        close_expired(connections);
+        if (connections.m_idle.empty())
+            return nullptr;
+        auto newest = std::move(connections.m_idle.back());
+        connections.m_idle.pop_back();
+        return newest;
+    }
+
+    void close_expired(pool& connections)
+    {
+        const instant expiry = monotonic_clock::now() - m_options.m_idle_timeout;
+        const auto usable = [expiry](const std::unique_ptr<connection>& idle)
+        { return idle->m_idle_since > expiry && idle->socket() >= 0; };
+        auto& idle = connections.m_idle;
+        const auto expired = std::stable_partition(idle.begin(), idle.end(), usable);
+        for (auto closed = expired; closed != idle.end(); ++closed)
         {
-            auto newest = std::move(connections.m_idle.back());
-            connections.m_idle.pop_back();
-            if (now - newest->m_idle_since < m_options.m_idle_timeout)
-                return newest;
-            close(*newest, connections);
+            close(**closed, connections);
             ++m_counts.m_closed_idle;
         }
-        return nullptr;
+        idle.erase(expired, idle.end());
+    }
+
+    void close_expired()
+    {
+        for (auto entry = m_pools.begin(); entry != m_pools.end();)
+        {
+            auto& connections = entry->second;
+            close_expired(connections);
+            const bool unused = connections.m_open_count == 0 && connections.m_waiting.empty();
+            entry = unused ? m_pools.erase(entry) : std::next(entry);
+        }
     }
 
     void start(call& outgoing)
@@ -248,7 +285,7 @@
             [this, ended]
             {
                 m_closing.erase(ended);
-                close(*ended->m_connection, m_pools[ended->m_to]);
+                abort(*ended->m_connection, m_pools[ended->m_to]);
                 start_next_waiting(ended->m_to);
             });
     }
@@ -293,9 +330,8 @@
 };
 
 http_client::http_client(event_loop& loop, http_client_options options)
-    : m_state(std::make_unique<state>(loop))
+    : m_state(std::make_unique<state>(loop, options))
 {
-    m_state->m_options = options;
 }
 
 http_client::~http_client()
--- a/src/dragonflygap/net/http_client.hpp
+++ b/src/dragonflygap/net/http_client.hpp
@@ -20,7 +20,7 @@
     int m_max_connections_per_endpoint = 8;
     bool m_reuse = true; ///< If false, opens a new connection for every request.
     duration m_connect_timeout = 1500ms;
-    duration m_idle_timeout = 10s; ///< Connections idle for longer are closed, not reused.
+    duration m_idle_timeout = 10s; ///< Connections idle for longer are closed.
 };
 
 /// Connections of a client; the counters are totals since it was made.
--- a/tests/net/connection_limit_test.cpp
+++ b/tests/net/connection_limit_test.cpp
@@ -38,6 +38,32 @@
     }
 };
 
+// Former leaders made no further calls to their workers, and their idle connections used up the
+// workers' limit.
+TEST(connection_limit, a_client_without_further_calls_closes_its_idle_connections)
+{
+    capped_target target(12);
+    std::vector<std::unique_ptr<http_client>> former;
+    int answered = 0;
+    for (int i = 0; i < 3; ++i)
+    {
+        former.push_back(std::make_unique<http_client>(
+            m_loop,
+            http_client_options{.m_max_connections_per_endpoint = 4, .m_idle_timeout = 100ms}));
+        for (int k = 0; k < 4; ++k)
+            former.back()->send(target.address(), respond_after(50), 10s,
+                                [&](const auto& answer) { answered += answer ? 1 : 0; });
+    }
+    run_until([&] { return answered == 12; });
+    run_until([&] { return target.open() == 0; });
+    http_client next(m_loop, {});
+    bool served = false;
+    next.send(target.address(), respond_after(0), 10s,
+              [&](const auto& answer) { served = answer.has_value(); });
+    run_until([&] { return served; });
+    LONGS_EQUAL(0, target.refused());
+}
+
 TEST(connection_limit, connections_are_counted)
 {
     capped_target target(1);
