Wait for an open connection while an endpoint refuses new ones

Cause: each failed call closed its connection and each retry opened another, which a worker at its limit reset as well, so the retries kept it there and the open connection of the renewals was never used for a stop.

--- a/src/dragonflygap/net/http_client.cpp
+++ b/src/dragonflygap/net/http_client.cpp
@@ -8,6 +8,7 @@
 #include <utility>
 #include <vector>
 
+#include "dragonflygap/net/connect_backoff.hpp"
 #include "dragonflygap/net/event_loop.hpp"
 #include "dragonflygap/net/evhttp_message.hpp"
 #include "dragonflygap/net/socket_options.hpp"
@@ -45,6 +46,7 @@
         event_loop::timer_ptr m_connect_timer;
         std::unique_ptr<connection> m_connection;
         reason m_reason = reason::target_silent;
+        bool m_waited = false; ///< For a connection.
         state* m_owner = nullptr;
     };
 
@@ -53,6 +55,9 @@
         std::vector<std::unique_ptr<connection>> m_idle;
         std::deque<call_id> m_waiting;
         int m_open_count = 0;
+        connect_backoff m_backoff;
+        instant m_next_attempt_at{}; ///< When m_retry_timer starts waiting calls.
+        event_loop::timer_ptr m_retry_timer;
     };
 
     event_loop& m_loop;
@@ -158,10 +163,13 @@
         outgoing.m_connection = acquire_idle(connections);
         if (outgoing.m_connection == nullptr)
         {
-            if (connections.m_open_count >= m_options.m_max_connections_per_endpoint)
+            const bool delayed = connections.m_open_count > 0 &&
+                                 monotonic_clock::now() < connections.m_backoff.delayed_until();
+            if (delayed)
+                retry_after_backoff(outgoing.m_to, connections);
+            if (delayed || connections.m_open_count >= m_options.m_max_connections_per_endpoint)
             {
-                connections.m_waiting.push_back(outgoing.m_id);
-                ++m_counts.m_calls_queued;
+                wait(outgoing, connections);
                 return;
             }
             outgoing.m_connection = open_connection(outgoing.m_to);
@@ -171,6 +179,30 @@
         write_request(outgoing);
     }
 
+    // A call that waited before keeps its place.
+    void wait(call& outgoing, pool& connections)
+    {
+        if (std::exchange(outgoing.m_waited, true))
+        {
+            connections.m_waiting.push_front(outgoing.m_id);
+            return;
+        }
+        connections.m_waiting.push_back(outgoing.m_id);
+        ++m_counts.m_calls_queued;
+    }
+
+    void retry_after_backoff(const endpoint& to, pool& connections)
+    {
+        const instant due = connections.m_backoff.delayed_until();
+        if (connections.m_next_attempt_at == due)
+            return;
+        connections.m_next_attempt_at = due;
+        // The call that starts may replace the timer, so it doesn't start within its callback.
+        connections.m_retry_timer =
+            m_loop.after(due - monotonic_clock::now(),
+                         [this, to] { m_loop.post([this, to] { start_next_waiting(to); }); });
+    }
+
     void write_request(call& outgoing)
     {
         connection& used = *outgoing.m_connection;
@@ -250,7 +282,8 @@
             return;
         ended->m_timer.reset();
         ended->m_connect_timer.reset();
-        ended->m_connection->m_answered = true;
+        if (!std::exchange(ended->m_connection->m_answered, true))
+            m_pools[ended->m_to].m_backoff.accepted();
         // This callback runs within the connection, which must not be reused before it returns.
         m_closing.insert(ended);
         m_loop.post(
@@ -267,6 +300,10 @@
         const auto ended = extract_call(id);
         if (ended == nullptr)
             return;
+        const auto* used = ended->m_connection.get();
+        const bool slow = cause == reason::timeout && used != nullptr && used->m_request_written;
+        if (used != nullptr && !used->m_answered && !slow)
+            m_pools[ended->m_to].m_backoff.refused(monotonic_clock::now());
         close_later(ended);
         ended->m_done(fail(result_verdict, cause,
                            "call to " + to_string(ended->m_to) +
--- a/src/dragonflygap/net/http_client.hpp
+++ b/src/dragonflygap/net/http_client.hpp
@@ -38,6 +38,9 @@
 
 /// HTTP client with a connection pool per endpoint; runs in the event loop of a task.
 ///
+/// While an endpoint refuses new connections, calls wait for an open one, if there is any; new ones
+/// are tried after an exponential delay.
+///
 /// The verdict of a failure is not_run if no byte was written to a connection, else may_have_run.
 /// A response that is truncated, too large or of unknown length is a failure.
 class http_client
--- a/tests/net/connection_limit_test.cpp
+++ b/tests/net/connection_limit_test.cpp
@@ -80,3 +80,58 @@
     CHECK_COMPARE(counts.m_failed, >=, 1);
     LONGS_EQUAL(counts.m_opened, counts.m_failed + counts.m_open);
 }
+
+// A stop was sent on a new connection each time, which the worker reset, while a renewal's
+// connection was open.
+TEST(connection_limit, calls_use_an_open_connection_while_new_ones_are_reset)
+{
+    capped_target target(1);
+    http_client client(m_loop, {});
+    constexpr int rounds = 20;
+    int ended = 0;
+    int served = 0;
+    std::function<void(int)> call = [&](int delay_ms)
+    {
+        client.send(target.address(), respond_after(delay_ms), 10s,
+                    [&, delay_ms](const auto& answer)
+                    {
+                        ++ended;
+                        served += answer ? 1 : 0;
+                        if (ended < rounds)
+                            m_loop.post([&, delay_ms] { call(delay_ms); });
+                    });
+    };
+    constexpr int renewal_ms = 20;
+    call(renewal_ms);
+    run_until([&] { return served > 0; });
+    call(0);
+    run_until([&] { return ended >= rounds; });
+    // A call may still meet the limit when the client tries a new connection.
+    CHECK_COMPARE(served, >, rounds / 2);
+    LONGS_EQUAL(ended - served, target.refused());
+}
+
+// The endpoint accepts no connection for a while; calls must get through as soon as it does.
+TEST(connection_limit, calls_that_waited_are_sent_once_connections_are_accepted)
+{
+    capped_target target(1);
+    http_client other(m_loop, {.m_idle_timeout = 50ms});
+    bool taken = false;
+    other.send(target.address(), respond_after(0), 10s, [&](const auto&) { taken = true; });
+    run_until([&] { return taken; });
+    http_client client(m_loop, {});
+    int served = 0;
+    std::function<void()> order = [&]
+    {
+        client.send(target.address(), respond_after(0), 10s,
+                    [&](const auto& answer)
+                    {
+                        served += answer ? 1 : 0;
+                        if (!answer)
+                            m_loop.post(order);
+                    });
+    };
+    for (int i = 0; i < 3; ++i)
+        order();
+    run_until([&] { return served == 3; });
+}
