--- a/src/dragonflygap/net/http_client.cpp
+++ b/src/dragonflygap/net/http_client.cpp
@@ -8,12 +8,12 @@
 #include <utility>
 #include <vector>
 
+#include "dragonflygap/net/client_connection.hpp"
 #include "dragonflygap/net/connect_backoff.hpp"
 #include "dragonflygap/net/event_loop.hpp"
 #include "dragonflygap/net/evhttp_message.hpp"
 #include "dragonflygap/net/socket_options.hpp"
 #include <event2/buffer.h>
-#include <event2/bufferevent.h>
 #include <event2/http.h>
 #include <event2/http_struct.h>
 #include <event2/keyvalq_struct.h>
@@ -25,17 +25,6 @@
 {
     struct call;
 
-    /// A connection and the call that uses it.
-    struct connection
-    {
-        evhttp_connection* m_http = nullptr;
-        instant m_idle_since{};
-        bool m_request_written = false; ///< Bytes of the current request were written.
-        bool m_answered = false;        ///< A response was received on it.
-
-        int socket() const { return bufferevent_getfd(evhttp_connection_get_bufferevent(m_http)); }
-    };
-
     struct call
     {
         call_id m_id = 0;
@@ -44,7 +33,7 @@
         done m_done;
         event_loop::timer_ptr m_timer;
         event_loop::timer_ptr m_connect_timer;
-        std::unique_ptr<connection> m_connection;
+        std::unique_ptr<client_connection> m_connection;
         reason m_reason = reason::target_silent;
         bool m_waited = false; ///< For a connection.
         state* m_owner = nullptr;
@@ -52,7 +41,7 @@
 
     struct pool
     {
-        std::vector<std::unique_ptr<connection>> m_idle;
+        std::vector<std::unique_ptr<client_connection>> m_idle;
         std::deque<call_id> m_waiting;
         int m_open_count = 0;
         connect_backoff m_backoff;
@@ -79,49 +68,23 @@
     {
     }
 
-    std::unique_ptr<connection> open_connection(const endpoint& to)
-    {
-        auto opened = std::make_unique<connection>();
-        evhttp_connection* http =
-            evhttp_connection_base_new(m_loop.base(), nullptr, to.m_ip.c_str(), to.m_port);
-        evhttp_connection_set_max_body_size(http,
-                                            static_cast<ev_ssize_t>(m_options.m_max_body_bytes));
-        constexpr ev_ssize_t max_headers_bytes = 16384;
-        evhttp_connection_set_max_headers_size(http, max_headers_bytes);
-        constexpr int max_request_s = 2 * 3600; // the call's own timer expires earlier
-        evhttp_connection_set_timeout(http, max_request_s);
-        // evhttp fills the output buffer only once the connection is established.
-        evbuffer* output = bufferevent_get_output(evhttp_connection_get_bufferevent(http));
-        evbuffer_add_cb(output, &state::on_output_changed, opened.get());
-        opened->m_http = http;
-        return opened;
-    }
-
-    static void on_output_changed(evbuffer* /*buffer*/, const evbuffer_cb_info* info,
-                                  void* argument)
-    {
-        if (info->n_added > 0)
-            static_cast<connection*>(argument)->m_request_written = true;
-    }
-
-    void abort(connection& aborted, pool& connections)
+    // Bytes still in the kernel must not reach the target after the call was abandoned.
+    void abort(std::unique_ptr<client_connection> aborted, pool& connections)
     {
-        // Bytes still in the kernel must not reach the target after the call was abandoned.
-        reset_on_close(aborted.socket());
-        close(aborted, connections);
+        aborted->reset_when_closed();
+        close(std::move(aborted), connections);
     }
 
     // Without a reset, which is lost if the path is interrupted; then the target would never learn
     // that the connection is closed.
-    void close(connection& closed, pool& connections)
+    void close(std::unique_ptr<client_connection> closed, pool& connections)
     {
-        evhttp_connection_free(closed.m_http);
         --connections.m_open_count;
-        m_counts.m_failed += closed.m_answered ? 0 : 1;
+        m_counts.m_failed += closed->m_answered ? 0 : 1;
     }
 
     // Takes the newest, so that those not needed reach the idle timeout.
-    std::unique_ptr<connection> acquire_idle(pool& connections)
+    std::unique_ptr<client_connection> acquire_idle(pool& connections)
     {
         close_expired(connections);
         if (connections.m_idle.empty())
@@ -134,13 +97,13 @@
     void close_expired(pool& connections)
     {
         const instant expiry = monotonic_clock::now() - m_options.m_idle_timeout;
-        const auto usable = [expiry](const std::unique_ptr<connection>& idle)
+        const auto usable = [expiry](const std::unique_ptr<client_connection>& idle)
         { return idle->m_idle_since > expiry && idle->socket() >= 0; };
         auto& idle = connections.m_idle;
         const auto expired = std::stable_partition(idle.begin(), idle.end(), usable);
         for (auto closed = expired; closed != idle.end(); ++closed)
         {
-            close(**closed, connections);
+            close(std::move(*closed), connections);
             ++m_counts.m_closed_idle;
         }
         idle.erase(expired, idle.end());
@@ -172,7 +135,8 @@
                 wait(outgoing, connections);
                 return;
             }
-            outgoing.m_connection = open_connection(outgoing.m_to);
+            outgoing.m_connection = std::make_unique<client_connection>(m_loop, outgoing.m_to,
+                                                                        m_options.m_max_body_bytes);
             ++connections.m_open_count;
             ++m_counts.m_opened;
         }
@@ -205,7 +169,7 @@
 
     void write_request(call& outgoing)
     {
-        connection& used = *outgoing.m_connection;
+        client_connection& used = *outgoing.m_connection;
         used.m_request_written = false;
         evhttp_request* request = evhttp_request_new(&state::on_response, &outgoing);
         evhttp_request_set_error_cb(request, &state::on_request_error);
@@ -221,7 +185,7 @@
         const auto target = encoded_target(outgoing.m_request);
         const call_id id = outgoing.m_id;
         const bool is_new = used.socket() < 0;
-        if (evhttp_make_request(used.m_http, request, method, target.c_str()) != 0)
+        if (evhttp_make_request(used.http(), request, method, target.c_str()) != 0)
         {
             m_loop.post([this, id]
                         { fail_call(id, verdict::not_run, reason::target_unreachable); });
@@ -322,7 +286,7 @@
             [this, ended]
             {
                 m_closing.erase(ended);
-                abort(*ended->m_connection, m_pools[ended->m_to]);
+                abort(std::move(ended->m_connection), m_pools[ended->m_to]);
                 start_next_waiting(ended->m_to);
             });
     }
@@ -336,7 +300,7 @@
             connections.m_idle.push_back(std::move(ended.m_connection));
         }
         else
-            close(*ended.m_connection, connections);
+            close(std::move(ended.m_connection), connections);
         start_next_waiting(ended.m_to);
     }
 
@@ -373,16 +337,12 @@
 
 http_client::~http_client()
 {
-    for (auto& [id, ended] : m_state->m_calls)
-        if (ended->m_connection != nullptr)
-            evhttp_connection_free(ended->m_connection->m_http);
-    // Calls that ended in the last iteration of the loop; their posted cleanup won't run.
+    // Work that is still posted to the loop keeps calls alive; their connections must not outlive
+    // the loop.
+    for (auto& [id, call] : m_state->m_calls)
+        call->m_connection.reset();
     for (const auto& ended : m_state->m_closing)
-        if (ended->m_connection != nullptr)
-            evhttp_connection_free(ended->m_connection->m_http);
-    for (auto& [to, connections] : m_state->m_pools)
-        for (auto& idle : connections.m_idle)
-            evhttp_connection_free(idle->m_http);
+        ended->m_connection.reset();
 }
 
 http_client::call_id http_client::send(const endpoint& to, http_request request, duration timeout,
@@ -429,7 +389,7 @@
     if (found == m_state->m_pools.end())
         return;
     for (auto& idle : found->second.m_idle)
-        m_state->close(*idle, found->second);
+        m_state->close(std::move(idle), found->second);
     found->second.m_idle.clear();
 }
 
