--- a/src/dragonflygap/daemon/cell_daemon.cpp
+++ b/src/dragonflygap/daemon/cell_daemon.cpp
@@ -5,6 +5,7 @@
 #include <memory>
 #include <utility>
 
+#include "dragonflygap/daemon/connection_limits.hpp"
 #include "dragonflygap/daemon/connection_report.hpp"
 #include "dragonflygap/net/event_loop.hpp"
 #include "dragonflygap/net/http_client.hpp"
@@ -26,11 +27,6 @@
 namespace
 {
 
-// A worker allows 64 connections in total; after a takeover two leaders share them for a while.
-constexpr int worker_connections = 16;
-constexpr int store_connections = 16; // a lost response occupies one until its timeout
-constexpr std::size_t max_response_bytes = 4 << 20; // the store sends at most 1 MB of rows
-
 std::uint64_t new_incarnation()
 {
     return static_cast<std::uint64_t>(std::chrono::duration_cast<std::chrono::milliseconds>(
@@ -39,7 +35,8 @@
 }
 
 node::node_options make_options(const config::settings& settings, peer_link& link,
-                                const http_transport& to_store, const http_transport& to_workers)
+                                const http_transport& to_store, const http_transport& to_workers,
+                                const http_transport& to_approvals)
 {
     const auto& cell = *settings.m_cell;
     node::node_options options{.m_vm = settings.m_vm,
@@ -51,7 +48,7 @@
                                .m_directory = wire::make_directory(to_store, cell.m_store),
                                .m_workers = wire::make_workers(to_workers)};
     if (cell.m_approvals)
-        options.m_approvals = wire::make_approvals(to_workers, *cell.m_approvals);
+        options.m_approvals = wire::make_approvals(to_approvals, *cell.m_approvals);
     options.m_peers = {.m_add = [&link](const vm_id& peer, const endpoint& address)
                        { link.add(peer, address); },
                        .m_send = [&link](const vm_id& peer, std::string_view bytes)
@@ -73,13 +70,15 @@
     std::signal(SIGPIPE, SIG_IGN);
     metrics registry;
     event_loop loop;
-    http_client store_client(loop, {.m_max_body_bytes = max_response_bytes,
-                                    .m_max_connections_per_endpoint = store_connections});
-    http_client worker_client(loop, {.m_max_connections_per_endpoint = worker_connections});
+    http_client store_client(loop, store_client_options);
+    http_client worker_client(loop, worker_client_options);
+    http_client approval_client(loop, {});
     const connection_report store_report(loop, registry, store_client, "store");
     const connection_report worker_report(loop, registry, worker_client, "workers");
+    const connection_report approval_report(loop, registry, approval_client, "approvals");
     const auto to_store = make_transport(store_client);
     const auto to_workers = make_transport(worker_client);
+    const auto to_approvals = make_transport(approval_client);
     std::unique_ptr<node::node> entry_node;
     peer_link link(loop, {.m_listen = settings.m_peer_listen,
                           .m_on_message = [&entry_node](std::string_view bytes)
@@ -87,7 +86,7 @@
                               if (entry_node)
                                   entry_node->on_peer_message(bytes);
                           }});
-    auto options = make_options(settings, link, to_store, to_workers);
+    auto options = make_options(settings, link, to_store, to_workers, to_approvals);
     std::unique_ptr<http_server> caller_server;
     options.m_on_closing = [&caller_server]
     {
--- a/tests/net/connection_limit_test.cpp
+++ b/tests/net/connection_limit_test.cpp
@@ -1,6 +1,7 @@
 #include <memory>
 #include <vector>
 
+#include "dragonflygap/daemon/connection_limits.hpp"
 #include "dragonflygap/net/event_loop.hpp"
 #include "dragonflygap/net/http_client.hpp"
 #include "support/capped_target.hpp"
@@ -64,6 +65,29 @@
     LONGS_EQUAL(0, target.refused());
 }
 
+// Leaders that were frozen or lost power keep their connections open at a worker.
+TEST(connection_limit, a_worker_has_connections_left_after_many_leaders)
+{
+    constexpr int worker_limit = 64;
+    constexpr int former_leaders = 12;
+    capped_target worker(worker_limit);
+    std::vector<std::unique_ptr<http_client>> leaders;
+    int served = 0;
+    for (int i = 0; i <= former_leaders; ++i)
+    {
+        auto options = daemon::worker_client_options;
+        options.m_idle_timeout = 1h;
+        leaders.push_back(std::make_unique<http_client>(m_loop, options));
+        constexpr int calls = 20;
+        served = 0;
+        for (int k = 0; k < calls; ++k)
+            leaders.back()->send(worker.address(), respond_after(5), 10s,
+                                 [&](const auto& answer) { served += answer ? 1 : 0; });
+        run_until([&] { return served == calls; });
+    }
+    LONGS_EQUAL(0, worker.refused());
+}
+
 TEST(connection_limit, connections_are_counted)
 {
     capped_target target(1);
