End a worker's lease when its stops keep failing

Cause: a start without an answer is settled only by an acknowledged stop, the loss of its worker or a new leader. Where stops fail and renewals are answered, the worker counted as healthy, its lease was renewed, and the step waited for ever. It got new tasks meanwhile, which met the same end. This holds for whatever breaks new connections or orders and spares renewals. Change: while stops fail, a worker gets no tasks, and its renewals don't wait there, so that the connection which they use is free for a stop; after 4 s its lease isn't renewed, so that it ends like that of a silent worker and the tasks start elsewhere. Stops of the unanswered starts go on.

--- a/src/dragonflygap/cell/coordinator_ends.cpp
+++ b/src/dragonflygap/cell/coordinator_ends.cpp
@@ -133,6 +133,12 @@
     const auto worker = m_workers.find(event.m_worker);
     if (worker == m_workers.end())
         return;
+    const bool failed = !event.m_result || event.m_result->m_refusal == start_refusal::unhealthy;
+    auto& failing_since = worker->second.m_stops_failing_since;
+    if (!failed)
+        failing_since = {};
+    else if (failing_since == instant{})
+        failing_since = m_now;
     if (const auto open = worker->second.m_unconfirmed_starts.find(event.m_task);
         event.m_result && open != worker->second.m_unconfirmed_starts.end() &&
         open->second == event.m_run)
@@ -142,7 +148,7 @@
         return;
     auto& placed = found->second;
     placed.m_stop_in_flight = false;
-    if (!event.m_result || event.m_result->m_refusal == start_refusal::unhealthy)
+    if (failed)
     {
         log_failed_stop(event, placed);
         return;
--- a/src/dragonflygap/cell/coordinator_placing.cpp
+++ b/src/dragonflygap/cell/coordinator_placing.cpp
@@ -156,7 +156,7 @@
 {
     return worker.m_listed && worker.m_synced && worker.m_failing_since == instant{} &&
            !worker.m_info.m_leaving && m_now >= worker.m_avoid_until &&
-           !worker.free_capacity_unknown();
+           !worker.free_capacity_unknown() && !worker.stops_failing();
 }
 
 bool coordinator::suits(const worker_state& worker, const job_state& job, const step_spec& spec)
--- a/src/dragonflygap/cell/coordinator_workers.cpp
+++ b/src/dragonflygap/cell/coordinator_workers.cpp
@@ -111,16 +111,21 @@
                          m_now - worker.m_failing_since < options.m_silence_timeout;
     const auto store_seen_at = std::max(m_chain.last_success_at(), m_taken_over_at);
     const bool leadership_confirmed = m_now - store_seen_at < m_options.m_renewal_store_timeout;
+    const bool orders_lost = worker.stops_failing() &&
+                             m_now - worker.m_stops_failing_since >= options.m_stop_failure_timeout;
     // The lease isn't renewed before the worker has reported its clock, or while it is silent. So
-    // the time by which all its tasks must have ended is known.
-    if (worker.m_synced && answers && leadership_confirmed && !worker.m_placements.empty())
+    // the time by which all its tasks must have ended is known. Its end also settles the runs that
+    // no stop can reach.
+    if (worker.m_synced && answers && leadership_confirmed && !orders_lost &&
+        !worker.m_placements.empty())
     {
         order.m_deadline_ms = worker.clock_at(m_now) + to_ms(options.m_lease_duration);
         worker.m_lease_expires_at = std::max(worker.m_lease_expires_at, lease_end());
     }
     const bool report_wanted = std::exchange(worker.m_report_wanted, false);
+    // A renewal that waits occupies a connection, which may be the only one that a stop can use.
     if (worker.m_synced && worker.m_ends_stored == worker.m_ends_seen &&
-        !worker.m_placements.empty() && !report_wanted)
+        !worker.m_placements.empty() && !report_wanted && !worker.stops_failing())
         order.m_wait = options.m_long_poll_timeout;
     // An extra report is requested beside a renewal that is long-polling, or instead of it.
     if (!worker.m_renewing)
@@ -178,7 +183,8 @@
     worker.m_failing_since = {};
     worker.m_clock_ms = report.m_clock_ms;
     worker.m_ends_acked = std::max(worker.m_ends_acked, worker.m_ends_stored);
-    worker.m_next_renewal = m_now;
+    worker.m_next_renewal =
+        worker.stops_failing() ? m_now + m_options.m_workers.m_unpolled_renewal_interval : m_now;
     // An earlier leader's lease is no longer than this leader's.
     if (!worker.m_synced)
         worker.m_lease_expires_at = std::max(worker.m_lease_expires_at, lease_end());
--- a/src/dragonflygap/cell/worker_state.hpp
+++ b/src/dragonflygap/cell/worker_state.hpp
@@ -49,6 +49,10 @@
     duration m_silence_timeout = 2s;   ///< Without answers for longer, the lease isn't renewed.
     duration m_long_poll_timeout = 2s; ///< How long a renewal waits at the worker for an end.
     duration m_renewal_retry_delay = 300ms; ///< Between failing renewals.
+    /// Between renewals that don't wait because stops fail.
+    duration m_unpolled_renewal_interval = 100ms;
+    /// Once stops have failed for longer, the lease isn't renewed.
+    duration m_stop_failure_timeout = 4s;
     duration m_idle_renewal_interval = 10s; ///< Keeps the clock of an idle worker known.
 };
 
@@ -86,6 +90,8 @@
     std::int64_t m_clock_ms = 0;  ///< The worker's clock at m_last_report_at.
     instant m_lease_expires_at{}; ///< All tasks there have ended by then if no renewal arrives.
 
+    instant m_stops_failing_since{}; ///< First failed stop since the last answered one.
+
     int m_consecutive_failures = 0; ///< Failed tasks since the last successful one.
     instant m_avoid_until{};        ///< No new tasks before then.
 
@@ -127,6 +133,8 @@
     {
         if (!placed.m_stop_requested)
         {
+            if (m_stop_request_count == 0 && m_unconfirmed_starts.empty())
+                m_stops_failing_since = {};
             ++m_stop_request_count;
             placed.m_stop_requested_at = now;
         }
@@ -134,6 +142,14 @@
         placed.m_next_stop = now;
     }
 
+    /// True if stops are wanted and the last one failed: orders don't reach the worker, although
+    /// renewals may.
+    bool stops_failing() const
+    {
+        return m_stops_failing_since != instant{} &&
+               (m_stop_request_count > 0 || !m_unconfirmed_starts.empty());
+    }
+
     /// True if a task of unknown size runs there: the worker may be full.
     bool free_capacity_unknown() const { return m_unknown_size_count > 0; }
 
--- a/tests/cell/support/stub_cell.hpp
+++ b/tests/cell/support/stub_cell.hpp
@@ -129,6 +129,7 @@
         /// Starts and stops get no answer and have no effect; renewals are answered.
         bool m_orders_fail = false;
         int m_long_polls = 0; ///< Renewals that would wait for an end.
+        int m_leases = 0;     ///< Renewals that extended the lease.
     };
 
     instant m_now{10s};
@@ -160,6 +161,7 @@
         ++m_renewals;
         auto& worker = m_workers[request.m_worker.m_id];
         worker.m_long_polls += request.m_renewal.m_wait > duration{} ? 1 : 0;
+        worker.m_leases += request.m_renewal.m_deadline_ms ? 1 : 0;
         if (worker.m_silent)
             return;
         std::erase_if(worker.m_ended, [&](const ended_task& end)
