Let a task wait again when the run that it names is released

Symptom: none seen in a log.

Cause: three places removed a run from a worker and each settled the task in its own way. adopt() released a known run for a higher one, and apply_end() one that was lower than the run that had ended; in both the task went on naming the released run. start_answered set a task waiting whichever run it named.

What callers get there is needless: the run that is left is stopped as unwanted and the task is started once more; in the first case the new run also overwrites the one at the worker, whose room then stays counted. Both need a worker with two runs of one task. Under the platform's rules the end of the earlier run is listed in time and then frees the task, so this alone doesn't lose a job.

Change: release() removes one run, given by its number, and is the only function that does; if the task names that run it waits again. An end settles its own run only. A worker that is lost has no run left afterwards, so remove_all() isn't called any more. run_invariants.hpp checks after each step of the stub cell, and at each measurement of the simulated cell, that each placed task's run is held, that each held run will end and that a worker's totals are those of its runs.

--- a/src/dragonflygap/cell/coordinator.hpp
+++ b/src/dragonflygap/cell/coordinator.hpp
@@ -178,7 +178,9 @@
     void adopt(worker_state& worker, const running_task& running);
     void apply_end(worker_state& worker, const ended_task& end);
     void count_failure(job_state& job, const task_key& key, std::uint64_t run);
-    void release(worker_state& worker, const task_key& task);
+    /// The only way to remove a run from a worker, so that no task names a run that isn't held.
+    /// True if the task named the run; the task is waiting now.
+    bool release(worker_state& worker, const task_key& key, std::uint64_t run);
     void end_missing_runs(worker_state& worker, const worker_report& report, instant sent);
     void handle_worker_loss(worker_state& worker, std::string_view cause);
     void send_stops();
--- a/src/dragonflygap/cell/coordinator_ends.cpp
+++ b/src/dragonflygap/cell/coordinator_ends.cpp
@@ -10,9 +10,7 @@
 
 void coordinator::apply_end(worker_state& worker, const ended_task& end)
 {
-    const auto placed = worker.m_placements.find(end.m_task);
-    if (placed != worker.m_placements.end() && placed->second.m_run <= end.m_run)
-        release(worker, end.m_task);
+    const bool was_current = release(worker, end.m_task, end.m_run);
     if (end.m_end_kind == end_kind::done)
         worker.m_consecutive_failures = 0;
     job_state* job = find(end.m_task.m_job);
@@ -26,15 +24,13 @@
                    {"worker", worker.m_info.m_id.m_value},
                    {"how", name_of(end.m_end_kind)}});
     const auto& spec = job->spec(end.m_task.m_step);
-    const bool present = task->m_status == task_status::placed && task->m_run == end.m_run;
     job->m_dirty = true;
     m_dirty.insert(job->id());
-    if (!end.m_checkpoint.empty() && (present || task->m_status == task_status::waiting))
+    if (!end.m_checkpoint.empty() && task->m_status == task_status::waiting)
         task->m_checkpoint = end.m_checkpoint;
     if (end.m_end_kind == end_kind::done && !spec.m_long_running)
     {
-        if (!present && task->m_status == task_status::placed)
-            stop_task(*job, end.m_task);
+        stop_task(*job, end.m_task); // A later run may exist.
         // The members finish together, so the first one done completes the whole gang.
         if (spec.m_gang)
             job->set_step_done(end.m_task.m_occurrence, end.m_task.m_step);
@@ -45,8 +41,6 @@
     }
     else
     {
-        if (present)
-            job->set_waiting(end.m_task);
         if (end.m_end_kind == end_kind::failed)
         {
             count_failure(*job, end.m_task, end.m_run);
@@ -55,7 +49,7 @@
             if (++worker.m_consecutive_failures >= failure_limit)
                 worker.m_avoid_until = m_now + avoid_duration;
         }
-        if (spec.m_gang && present && !job->m_outcome)
+        if (spec.m_gang && was_current && !job->m_outcome)
             stop_gang(*job, step_of(end.m_task), end.m_run);
     }
     update_ready_steps(*job, end.m_task.m_occurrence);
@@ -75,12 +69,20 @@
         end_job(job, job_outcome::failed);
 }
 
-void coordinator::release(worker_state& worker, const task_key& task)
+bool coordinator::release(worker_state& worker, const task_key& key, std::uint64_t run)
 {
-    const auto placed = worker.m_placements.find(task);
-    if (placed == worker.m_placements.end())
-        return;
+    const auto placed = worker.m_placements.find(key);
+    if (placed == worker.m_placements.end() || placed->second.m_run != run)
+        return false;
     worker.remove(placed);
+    job_state* job = find(key.m_job);
+    const task_state* task = job == nullptr ? nullptr : job->find(key);
+    if (task == nullptr || task->m_status != task_status::placed || task->m_run != run ||
+        task->m_worker != worker.m_info.m_id)
+        return false;
+    job->set_waiting(key);
+    update_ready_steps(*job, key.m_occurrence);
+    return true;
 }
 
 void coordinator::send_stops()
--- a/src/dragonflygap/cell/coordinator_placing.cpp
+++ b/src/dragonflygap/cell/coordinator_placing.cpp
@@ -384,14 +384,10 @@
         if (!event.m_result || refusal == start_refusal::unhealthy ||
             refusal == start_refusal::no_room)
             worker.m_avoid_until = std::max(worker.m_avoid_until, m_now + avoid_unhealthy);
-        release(worker, event.m_task);
         if (job != nullptr)
-        {
-            job->set_waiting(event.m_task);
             job->step(event.m_task.m_occurrence, event.m_task.m_step).m_not_before =
                 m_now + start_retry_delay;
-            update_ready_steps(*job, event.m_task.m_occurrence);
-        }
+        release(worker, event.m_task, event.m_run);
     }
     if (job != nullptr && job->spec(event.m_task.m_step).m_gang)
         stop_gang(*job, step_of(event.m_task), event.m_run);
--- a/src/dragonflygap/cell/coordinator_workers.cpp
+++ b/src/dragonflygap/cell/coordinator_workers.cpp
@@ -215,6 +215,8 @@
     task_state* task = job == nullptr ? nullptr : job->find(running.m_task);
     if (known == worker.m_placements.end() || known->second.m_run < running.m_run)
     {
+        if (known != worker.m_placements.end())
+            release(worker, running.m_task, known->second.m_run);
         placement placed{.m_run = running.m_run,
                          .m_size_known = task != nullptr,
                          .m_phase = placement_phase::running,
@@ -224,8 +226,6 @@
             task != nullptr && !job->m_outcome && task->m_status == task_status::waiting;
         if (task != nullptr)
             placed.m_size = size_of(job->spec(running.m_task.m_step));
-        if (known != worker.m_placements.end())
-            release(worker, running.m_task);
         worker.add(running.m_task, placed);
         known = worker.m_placements.find(running.m_task);
         if (expected)
@@ -298,7 +298,6 @@
             worker.m_unconfirmed_starts[key] = placed.m_run;
     for (const auto& [key, placed] : placements)
         apply_end(worker, {.m_task = key, .m_run = placed.m_run, .m_end_kind = end_kind::lapsed});
-    worker.remove_all();
     worker.m_synced = false;
     worker.m_next_renewal = m_now;
 }
--- a/tests/cell/support/simulated_cell.cpp
+++ b/tests/cell/support/simulated_cell.cpp
@@ -5,6 +5,7 @@
 
 #include <xxhash.h>
 
+#include "cell/support/run_invariants.hpp"
 #include "dragonflygap/cell/task_size.hpp"
 
 namespace simulated
@@ -371,6 +372,7 @@
 
 void simulated_cell::measure()
 {
+    check_runs(*m_coordinator);
     std::int64_t used = 0;
     for (const auto& [id, worker] : m_workers)
         used += worker.used().m_millicores;
--- a/tests/cell/support/stub_cell.hpp
+++ b/tests/cell/support/stub_cell.hpp
@@ -7,6 +7,7 @@
 #include <utility>
 #include <vector>
 
+#include "cell/support/run_invariants.hpp"
 #include "dragonflygap/cell/coordinator.hpp"
 
 #include <CppUTest/TestHarness.h>
@@ -81,6 +82,7 @@
                 else
                     m_later.emplace_back(when, answer);
             feed(tick{});
+            check_runs(m_coordinator);
         }
     }
 
