Start a task on a worker only after its earlier run there has ended

Symptom: an accepted job never ran although its worker was empty: the leader counted room as used for a run that it no longer held. The room comes back only with the next leader.

Cause: a worker may still hold a run of a task that the task doesn't name. A former leader that is cut off from its successor goes on starting tasks on the workers it reaches; the successor reaches such a worker after it has started the task elsewhere, and stops the former run. If its own run then fails or is refused, the task may be placed on that worker before the stop's end is reported. start() replaced the held run in the map of placements without taking its size from the totals; the number of runs to be stopped and the number of runs of unknown size were kept too high in the same way, and the latter closes a worker for good.

Change: a worker that still holds a run of one of a step's waiting tasks isn't eligible for that step. Such a run is always to be stopped, so workers without a stop request are passed over at once.

--- a/src/dragonflygap/cell/coordinator.hpp
+++ b/src/dragonflygap/cell/coordinator.hpp
@@ -181,6 +181,8 @@
     /// The only way to remove a run from a worker, so that no task names a run that isn't held.
     /// True if the task named the run; the task is waiting now.
     bool release(worker_state& worker, const task_key& key, std::uint64_t run);
+    static bool holds_earlier_run(const worker_state& worker, const job_state& job,
+                                  const step_key& key);
     void end_missing_runs(worker_state& worker, const worker_report& report, instant sent);
     void handle_worker_loss(worker_state& worker, std::string_view cause);
     void send_stops();
--- a/src/dragonflygap/cell/coordinator_ends.cpp
+++ b/src/dragonflygap/cell/coordinator_ends.cpp
@@ -85,6 +85,24 @@
     return true;
 }
 
+// True if a run of one of the step's waiting tasks is still being stopped there, as it may be after
+// another leader started it. A worker holds one run of a task at a time.
+bool coordinator::holds_earlier_run(const worker_state& worker, const job_state& job,
+                                    const step_key& key)
+{
+    if (worker.m_stop_request_count == 0)
+        return false;
+    const auto& tasks = job.step(key.m_occurrence, key.m_step).m_tasks;
+    const int count = static_cast<int>(tasks.size());
+    const task_key first{key.m_job, key.m_occurrence, key.m_step, 0};
+    for (auto run = worker.m_placements.lower_bound(first);
+         run != worker.m_placements.end() && step_of(run->first) == key; ++run)
+        if (run->first.m_index < count &&
+            tasks[run->first.m_index].m_status == task_status::waiting)
+            return true;
+    return false;
+}
+
 void coordinator::send_stops()
 {
     constexpr duration stop_retry_interval = 500ms;
--- a/src/dragonflygap/cell/coordinator_placing.cpp
+++ b/src/dragonflygap/cell/coordinator_placing.cpp
@@ -188,7 +188,8 @@
     {
         const bool closed =
             worker.m_pass.m_closed && !m_claims.has_firm_claim(key, worker.m_info.m_id);
-        if (worker.m_pass.m_open && !closed && suits(worker, job, spec))
+        if (worker.m_pass.m_open && !closed && suits(worker, job, spec) &&
+            !holds_earlier_run(worker, job, key))
             result.push_back(&worker);
     };
     auto consider_id = [&](const worker_id& id)
--- a/tests/cell/missing_run_test.cpp
+++ b/tests/cell/missing_run_test.cpp
@@ -90,3 +90,32 @@
     cell.run(100ms);
     STRCMP_EQUAL("completed", state_of(cell).c_str());
 }
+
+// A former leader, cut off from its successor, started the task on a worker that the successor
+// reached only after it had started the task elsewhere. A third start overwrote that run, whose
+// room stayed counted as used: a task that needs the whole worker never ran.
+TEST(missing_run, a_task_starts_on_a_worker_only_after_its_earlier_run_there_has_ended)
+{
+    constexpr std::uint64_t former_run = 5;
+    stub_cell cell(stored_job({.m_size = {.m_millicores = 1000}}));
+    cell.m_workers[stub_cell::name(1)].m_silent = true;
+    cell.list(2);
+    cell.run(10s); // The leases of the former leader are over.
+    LONGS_EQUAL(1, cell.started("job"));
+    answer_renewal(cell, 1, {.m_running = {{.m_task = only_task, .m_run = former_run}}});
+    cell.m_listed.front().m_leaving = true; // Only worker 1 accepts tasks.
+    cell.feed(workers_listed{cell.m_listed});
+    cell.end("job", end_kind::failed);
+    cell.run(300ms);
+    LONGS_EQUAL(1, cell.started("job"));
+    answer_renewal(cell, 1, {.m_ended = {end_of(1, former_run, end_kind::stopped)}});
+    cell.m_workers[stub_cell::name(1)].m_silent = false;
+    cell.run(300ms);
+    LONGS_EQUAL(2, cell.started("job"));
+    answer_renewal(
+        cell, 1,
+        {.m_ended = {end_of(2, known(cell, 1).m_placements.at(only_task).m_run, end_kind::done)}});
+    cell.submit("whole", {.m_size = {.m_millicores = 4000}});
+    cell.run(10s);
+    LONGS_EQUAL(1, cell.started("whole"));
+}
