Let a leader that learns of its successor from it take part in elections again

A VM that was the leader, froze or was cut off, and then heard its successor's heartbeat before the store's answer to its own commit, never campaigned again until its process ended. With only such VMs left, the cell had no leader for good: callers were rejected and accepted jobs stood still.

The election waits for the result of its campaign. For a campaign that was won, that flag was reset only when the store or a worker deposed the leader; the heartbeat of a successor destroyed the leader task without telling the election. A frozen leader takes this path whenever its peers' messages are read before the answers of the store, which is the usual order after a freeze.

Both ways now go through stop_leading().

Test first: takeover a_leader_that_was_frozen_and_replaced_can_lead_again (build/test-node -sn NAME). On the old code the cell has no leader 3 s after the other VMs died (expected vm0, was none).

--- a/src/dragonflygap/node/node.cpp
+++ b/src/dragonflygap/node/node.cpp
@@ -236,37 +236,39 @@
     m_leader_epoch = state.m_self.m_epoch;
     m_leader = std::make_unique<leader_task>(
         m_loop, m_metrics,
-        leader_task_options{.m_vm = m_options.m_vm,
-                            .m_address = to_string(m_options.m_peer_address),
-                            .m_coordinator = m_options.m_coordinator,
-                            .m_store = m_options.m_store,
-                            .m_directory = m_options.m_directory,
-                            .m_workers = m_options.m_workers,
-                            .m_send = [this](const vm_id& to, const cell::peer_message& message)
-                            { send(to, message); },
-                            .m_add_peer =
-                                [this](const vm_id& peer, const std::string& address)
-                            {
-                                if (const auto parsed = parse_endpoint(address))
-                                    m_options.m_peers.m_add(peer, *parsed);
-                            },
-                            .m_redial = [this](const vm_id& peer)
-                            { m_options.m_peers.m_redial(peer); },
-                            .m_config_version = [this]() -> std::uint64_t
-                            { return m_config ? m_config->m_version : 0; },
-                            .m_on_deposed =
-                                [this](const std::string& cause)
-                            {
-                                log_event(log_level::warning, "leader_deposed",
-                                          {{"epoch", m_leader_epoch}, {"cause", cause}});
-                                m_leader.reset();
-                                m_last_leader_at = monotonic_clock::now();
-                                m_election.campaign_failed(monotonic_clock::now());
-                            }},
+        leader_task_options{
+            .m_vm = m_options.m_vm,
+            .m_address = to_string(m_options.m_peer_address),
+            .m_coordinator = m_options.m_coordinator,
+            .m_store = m_options.m_store,
+            .m_directory = m_options.m_directory,
+            .m_workers = m_options.m_workers,
+            .m_send = [this](const vm_id& to, const cell::peer_message& message)
+            { send(to, message); },
+            .m_add_peer =
+                [this](const vm_id& peer, const std::string& address)
+            {
+                if (const auto parsed = parse_endpoint(address))
+                    m_options.m_peers.m_add(peer, *parsed);
+            },
+            .m_redial = [this](const vm_id& peer) { m_options.m_peers.m_redial(peer); },
+            .m_config_version = [this]() -> std::uint64_t
+            { return m_config ? m_config->m_version : 0; },
+            .m_on_deposed = [this](const std::string& cause) { stop_leading(cause); }},
         state);
     m_callers.leader_changed();
 }
 
+void node::stop_leading(std::string_view cause)
+{
+    if (m_leader == nullptr)
+        return;
+    log_event(log_level::warning, "leader_deposed", {{"epoch", m_leader_epoch}, {"cause", cause}});
+    m_leader.reset();
+    m_last_leader_at = monotonic_clock::now();
+    m_election.campaign_failed(monotonic_clock::now());
+}
+
 void node::stop()
 {
     if (m_stopping)
--- a/src/dragonflygap/node/node.hpp
+++ b/src/dragonflygap/node/node.hpp
@@ -6,6 +6,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <string_view>
 
 #include "dragonflygap/cell/approval_backlog.hpp"
 #include "dragonflygap/cell/election.hpp"
@@ -87,6 +88,8 @@
     void campaign();
     int rank() const;
     void lead(const cell::recovered_state& state);
+    /// Ends the leadership and takes part in elections again.
+    void stop_leading(std::string_view cause);
     bool send_to_leader(const cell::caller_call& call);
     void send(const vm_id& to, const cell::peer_message& message);
     void request_approvals();
--- a/src/dragonflygap/node/node_messages.cpp
+++ b/src/dragonflygap/node/node_messages.cpp
@@ -51,6 +51,7 @@
 {
     if (from == m_options.m_vm || message.m_epoch < m_leader_epoch)
         return;
+    stop_leading("another VM leads");
     const auto now = monotonic_clock::now();
     m_election.heartbeat(message.m_epoch, message.m_commit,
                          std::chrono::milliseconds(message.m_store_age_ms), message.m_resigns, now);
@@ -68,8 +69,6 @@
     {
         log_event(log_level::info, "leader_known",
                   {{"leader", from.m_value}, {"epoch", message.m_epoch}});
-        if (m_leader != nullptr)
-            m_leader.reset();
         m_callers.leader_changed();
     }
     send(from, cell::member_heartbeat{m_options.m_incarnation, m_config ? m_config->m_version : 0,
--- a/tests/node/takeover_test.cpp
+++ b/tests/node/takeover_test.cpp
@@ -168,6 +168,24 @@
     check_no_violations(world);
 }
 
+// Its successor's heartbeats reach it before the store's answer shows that it was deposed.
+TEST(takeover, a_leader_that_was_frozen_and_replaced_can_lead_again)
+{
+    cell_world world({});
+    world.run(3s);
+    const auto old = world.leader();
+    world.freeze(old, true);
+    world.run(4s);
+    world.freeze(old, false);
+    world.run(3s);
+    CHECK_TRUE(world.leader() != old);
+    for (const auto* vm : {"vm0", "vm1", "vm2"})
+        if (vm != old)
+            world.kill(vm);
+    world.run(3s);
+    STRCMP_EQUAL(old.c_str(), world.leader().c_str());
+}
+
 TEST(takeover, a_leader_cut_off_from_the_store_is_replaced)
 {
     cell_world world({});
