Redial a leader that no longer hears this VM

Connections may go silent for good without being reset, while new ones work. If a member's pipe to the leader did, the member passed every call on into it and answered 504 after 2.2 s, for good; it reported ready, because the leader's heartbeats came in over the other pipe. The leader counted it as silent and redialled its own pipe each 1.5 s, which was the sound one.

nng doesn't notice such a pipe (its keep-alive has the system's two hours), and only its sender can replace it. So the heartbeat now tells each member whether the leader heard it within the delay after which the leader redials, and a member that isn't heard redials the leader, at most each 1.5 s. VMs of the version before leave the new field out, which counts as heard.

Test first: takeover a_member_whose_pipe_to_the_leader_went_silent_is_heard_again and pipes_that_went_silent_in_both_directions_are_replaced; on the old code the submission isn't accepted 4 or 5 s later.

--- a/src/dragonflygap/cell/peer_messages.hpp
+++ b/src/dragonflygap/cell/peer_messages.hpp
@@ -25,9 +25,11 @@
     std::string m_address;  ///< The leader's address, for answers.
     bool m_resigns = false; ///< The receiver should take over immediately.
     bool m_cut_off = false; ///< Neither the store nor half of the members answer the leader.
+    /// False: the leader receives nothing from the receiver, whose pipe may be dead.
+    bool m_hears_receiver = true;
 
     MSGPACK_DEFINE(m_epoch, m_commit, m_store_age_ms, m_config_version, m_address, m_resigns,
-                   m_cut_off)
+                   m_cut_off, m_hears_receiver)
 };
 
 /// A member's answer to a heartbeat.
--- a/src/dragonflygap/node/leader_task.cpp
+++ b/src/dragonflygap/node/leader_task.cpp
@@ -252,9 +252,12 @@
 {
     if (m_stopped)
         return;
-    const auto message = heartbeat();
+    auto message = heartbeat();
     for (const auto& [vm, member] : m_members)
+    {
+        message.m_hears_receiver = hears(member);
         m_options.m_send(vm, message);
+    }
 }
 
 void leader_task::resign()
@@ -321,7 +324,7 @@
                 if (member.m_address == record->m_address)
                     continue;
                 member.m_address = record->m_address;
-                member.m_redialled_at = monotonic_clock::now();
+                member.m_dialled_at = member.m_redialled_at = monotonic_clock::now();
                 m_options.m_add_peer(record->m_vm, record->m_address);
                 m_options.m_send(record->m_vm, heartbeat());
             }
@@ -334,6 +337,14 @@
            !candidate.m_stopping;
 }
 
+// A pipe may go silent in one direction, without being reset. Only its sender can replace it, and
+// the messages that it still receives don't tell it.
+bool leader_task::hears(const member& sender) const
+{
+    return monotonic_clock::now() - std::max(sender.m_last_heard_at, sender.m_dialled_at) <=
+           m_options.m_redial_delay;
+}
+
 bool leader_task::cut_off() const
 {
     if (m_coordinator.last_commit_at() == instant{} ||
--- a/src/dragonflygap/node/leader_task.hpp
+++ b/src/dragonflygap/node/leader_task.hpp
@@ -73,6 +73,7 @@
     {
         std::string m_address;
         double m_processor_share = 0; ///< Of a core; 0: unknown yet.
+        instant m_dialled_at{};       ///< First, at its current address.
         instant m_last_heard_at{};
         instant m_redialled_at{};
         bool m_stopping = false;
@@ -98,6 +99,7 @@
     void read_members();
     void check_members();
     bool is_responsive(const member& candidate) const;
+    bool hears(const member& sender) const;
     cell::leader_heartbeat heartbeat() const;
 
     event_loop& m_loop;
--- a/src/dragonflygap/node/node.hpp
+++ b/src/dragonflygap/node/node.hpp
@@ -48,8 +48,9 @@
     duration m_tick_interval = 50ms;
     duration m_config_poll_time = 1500ms; ///< Bounds how long a dead connection goes unnoticed.
     duration m_config_retry_delay = 300ms;
-    duration m_leader_timeout = 600ms;    ///< No calls are sent to a leader silent for longer.
-    duration m_ready_timeout = 1s;        ///< Without a leader for longer, the VM isn't ready.
+    duration m_leader_timeout = 600ms;   ///< No calls are sent to a leader silent for longer.
+    duration m_redial_interval = 1500ms; ///< Between redials of a leader that doesn't hear this VM.
+    duration m_ready_timeout = 1s;       ///< Without a leader for longer, the VM isn't ready.
     duration m_takeover_timeout = 1500ms; ///< After it no successor is expected.
     duration m_min_stop_time = 2500ms;    ///< The balancer notices after two health checks.
     duration m_max_stop_time = 5200ms;    ///< The platform kills a process that takes 6 s to stop.
@@ -118,6 +119,7 @@
     std::string m_leader_address;
     std::uint64_t m_leader_epoch = 0;
     instant m_leader_heard_at{};
+    instant m_leader_redialled_at{};
     instant m_last_leader_at{};    ///< When a leader was last known, this VM included.
     bool m_leader_cut_off = false; ///< As in the leader's last heartbeat.
     std::map<vm_id, cell::member_record> m_members; ///< As last read from the store.
--- a/src/dragonflygap/node/node_messages.cpp
+++ b/src/dragonflygap/node/node_messages.cpp
@@ -65,6 +65,12 @@
         if (const auto address = parse_endpoint(message.m_address))
             m_options.m_peers.m_add(from, *address);
     m_leader_address = message.m_address;
+    if (!message.m_hears_receiver && now - m_leader_redialled_at > m_options.m_redial_interval)
+    {
+        m_leader_redialled_at = now;
+        log_event(log_level::info, "leader_redialled", {{"leader", from.m_value}});
+        m_options.m_peers.m_redial(from);
+    }
     if (changed)
     {
         log_event(log_level::info, "leader_known",
--- a/tests/node/support/cell_world.cpp
+++ b/tests/node/support/cell_world.cpp
@@ -274,26 +274,29 @@
     if (const auto share = m_options.m_processor_shares.find(vm);
         share != m_options.m_processor_shares.end())
         options.m_processor_share = share->second;
-    options.m_peers = {.m_add = [](const vm_id&, const endpoint&) {},
-                       .m_send =
-                           [this, vm](const vm_id& peer, std::string_view bytes)
-                       {
-                           if (m_processes.count(peer.m_value) == 0)
-                               return false;
-                           if (!is_cut(vm, peer.m_value))
-                               schedule(is_answer(bytes) ? network_delay + m_answer_delay
-                                                         : network_delay,
-                                        [this, peer, text = std::string(bytes)]
-                                        {
-                                            const auto found = m_processes.find(peer.m_value);
-                                            if (found != m_processes.end())
-                                                found->second->m_loop.post(
-                                                    [node = found->second->m_node.get(), text]
-                                                    { node->on_peer_message(text); });
-                                        });
-                           return true;
-                       },
-                       .m_redial = [](const vm_id&) {}};
+    options.m_peers = {
+        .m_add = [](const vm_id&, const endpoint&) {},
+        .m_send =
+            [this, vm](const vm_id& peer, std::string_view bytes)
+        {
+            if (m_processes.count(peer.m_value) == 0)
+                return false;
+            if (!is_cut(vm, peer.m_value) && m_silenced.count({vm, peer.m_value}) == 0)
+                schedule(is_answer(bytes) ? network_delay + m_answer_delay : network_delay,
+                         [this, peer, text = std::string(bytes)]
+                         {
+                             const auto found = m_processes.find(peer.m_value);
+                             if (found != m_processes.end())
+                                 found->second->m_loop.post(
+                                     [node = found->second->m_node.get(), text]
+                                     { node->on_peer_message(text); });
+                         });
+            return true;
+        },
+        .m_redial =
+            [this, vm](const vm_id& peer) {
+                m_silenced.erase({vm, peer.m_value});
+            }};
     options.m_on_stopped = [this, vm] { schedule({}, [this, vm] { kill(vm); }); };
     started.m_node =
         std::make_unique<node::node>(started.m_loop, started.m_metrics, std::move(options));
--- a/tests/node/support/cell_world.hpp
+++ b/tests/node/support/cell_world.hpp
@@ -56,6 +56,8 @@
     /// Drops all traffic between two parties: a VM's name, "store", or a worker's address.
     void cut(const std::string& left, const std::string& right);
     void heal() { m_cuts.clear(); }
+    /// Drops one VM's messages to another until it redials it.
+    void silence(const std::string& from, const std::string& to) { m_silenced.insert({from, to}); }
     std::string leader() const; ///< Empty if there is none or more than one.
 
     /// Submits a job through a VM, and retries while the outcome is unknown.
@@ -115,6 +117,7 @@
     std::map<std::string, std::unique_ptr<vm_process>> m_processes;
     std::map<std::string, std::vector<task_spec>> m_jobs;
     std::set<std::pair<std::string, std::string>> m_cuts;
+    std::set<std::pair<std::string, std::string>> m_silenced; ///< Sender and receiver.
     std::uint64_t m_last_incarnation = 0;
     std::uint64_t m_last_call = 0;
 };
--- a/tests/node/takeover_test.cpp
+++ b/tests/node/takeover_test.cpp
@@ -117,6 +117,36 @@
     CHECK_FALSE(world.find(isolated)->ready());
 }
 
+// The leader's heartbeats still arrive, so the member goes on sending it calls.
+TEST(takeover, a_member_whose_pipe_to_the_leader_went_silent_is_heard_again)
+{
+    cell_world world({});
+    world.run(3s);
+    const auto leader = world.leader();
+    const std::string member = leader == "vm0" ? "vm1" : "vm0";
+    world.silence(member, leader);
+    world.run(4s);
+    world.submit(member, job_name(1), {{}});
+    world.run(500ms);
+    CHECK_TRUE(world.m_submissions[job_name(1)].m_accepted);
+    STRCMP_EQUAL(leader.c_str(), world.leader().c_str());
+}
+
+TEST(takeover, pipes_that_went_silent_in_both_directions_are_replaced)
+{
+    cell_world world({});
+    world.run(3s);
+    for (const auto* from : {"vm0", "vm1", "vm2"})
+        for (const auto* to : {"vm0", "vm1", "vm2"})
+            world.silence(from, to);
+    world.run(5s);
+    CHECK_FALSE(world.leader().empty());
+    const std::string member = world.leader() == "vm0" ? "vm1" : "vm0";
+    world.submit(member, job_name(1), {{}});
+    world.run(500ms);
+    CHECK_TRUE(world.m_submissions[job_name(1)].m_accepted);
+}
+
 // The balancer then sends its callers to other data centres.
 TEST(takeover, a_leader_cut_off_from_store_and_members_is_not_ready)
 {
