Answer a call that can't be sent to the leader within the time for answers

A call waits for a successor while one is likely, and that was the only limit of the wait. While a leader's heartbeats arrive but the pipe to it is full (1,024 messages queued in a pipe that went silent), a successor stays likely and the call can't be sent: submissions, cancellations and counts were looked at each 100 ms and never answered, and each was kept in memory until the process ended.

They are now rejected as having no leader after m_submit_timeout, like calls without an answer. No leader got them, so the rejection is certain.

Test first: caller_task a_call_that_can_not_be_sent_is_rejected_in_time; on the old code it has no answer after 3 s.

--- a/src/dragonflygap/node/caller_task.cpp
+++ b/src/dragonflygap/node/caller_task.cpp
@@ -82,7 +82,8 @@
         found->second.m_forward_count = 1;
         return await_answer(found->second);
     }
-    if (m_options.m_takeover_expected())
+    const auto waited = monotonic_clock::now() - found->second.m_received_at;
+    if (m_options.m_takeover_expected() && waited < m_options.m_submit_timeout)
     {
         found->second.m_timer =
             m_loop.after(m_options.m_takeover_check_interval, [this, call] { await_leader(call); });
--- /dev/null
+++ b/tests/node/caller_task_test.cpp
@@ -0,0 +1,66 @@
+#include "dragonflygap/node/caller_task.hpp"
+
+#include "dragonflygap/net/timer_queue.hpp"
+#include "dragonflygap/observe/metrics.hpp"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace dragonflygap;
+
+namespace
+{
+
+instant g_now; // virtual time
+
+instant test_now()
+{
+    return g_now;
+}
+
+} // namespace
+
+TEST_GROUP(caller_task)
+{
+    timer_queue m_timers;
+    event_loop m_loop{m_timers};
+    metrics m_metrics;
+
+    void setup() override
+    {
+        g_now = instant(1s);
+        monotonic_clock::set_source(&test_now);
+    }
+
+    void teardown() override
+    {
+        monotonic_clock::set_source(nullptr);
+    }
+
+    void run(duration length)
+    {
+        const auto until = g_now + length;
+        for (auto next = m_timers.next(); next && *next <= until; next = m_timers.next())
+        {
+            g_now = std::max(g_now, *next);
+            m_timers.run_next(g_now);
+        }
+        g_now = until;
+    }
+};
+
+// The pipe to a leader whose heartbeats still arrive may be full: a successor stays likely.
+TEST(caller_task, a_call_that_can_not_be_sent_is_rejected_in_time)
+{
+    node::caller_task callers(m_loop, m_metrics,
+                              {.m_send_to_leader = [](const cell::caller_call&) { return false; },
+                               .m_takeover_expected = [] { return true; }});
+    std::optional<cell::caller_answer> answer;
+    callers.call({.m_kind = static_cast<int>(cell::call_kind::submit), .m_job = job_id("1")},
+                 [&](const cell::caller_answer& received) { answer = received; });
+    run(1s);
+    CHECK_FALSE(answer.has_value());
+    run(2s);
+    CHECK_TRUE(answer.has_value());
+    CHECK_TRUE(answer->m_status == static_cast<int>(cell::call_status::rejected));
+    LONGS_EQUAL(0, callers.open_count());
+}
