Keep serving when a VM has no descriptor left for a caller

Without a free descriptor accept fails, the waiting connection stays readable, and the event loop turned without pause: 271,805 failed accepts in half a second in the test, each a warning on standard error, on a VM with an eighth to half of a core. The new callers got no answer, while connections that others had stopped using were kept for up to 600 s.

An accept that fails is now logged (accept_failed), closes up to 16 connections that have been idle the longest, and pauses accepting for 100 ms. libevent passes its own argument to a listener's error callback, hence the table of hooks.

Test first: http_server without_free_descriptors_idle_connections_give_way_and_the_loop_does_not_spin; on the old code 271,805 failed accepts where 10 are allowed.

--- a/src/dragonflygap/net/http_server.cpp
+++ b/src/dragonflygap/net/http_server.cpp
@@ -1,8 +1,10 @@
 #include "dragonflygap/net/http_server.hpp"
 
-#include <set>
+#include <map>
+#include <mutex>
 #include <stdexcept>
 #include <utility>
+#include <vector>
 
 #include <event2/buffer.h>
 #include <event2/bufferevent.h>
@@ -10,12 +12,14 @@
 #include <event2/http.h>
 #include <event2/http_struct.h>
 #include <event2/keyvalq_struct.h>
+#include <event2/listener.h>
 #include <netinet/in.h>
 #include <sys/ioctl.h>
 #include <sys/socket.h>
 
 #include "dragonflygap/net/event_loop.hpp"
 #include "dragonflygap/net/socket_options.hpp"
+#include "dragonflygap/observe/log.hpp"
 
 namespace dragonflygap
 {
@@ -24,6 +28,8 @@
 {
 
 constexpr int idle_timeout_s = 600;
+constexpr duration accept_pause = 100ms; ///< After an accept that failed.
+constexpr std::size_t max_closed_per_pause = 16;
 
 const char* method_name(evhttp_cmd_type method)
 {
@@ -82,24 +88,40 @@
 public:
     void add(evhttp_connection* connection)
     {
-        m_idle.insert(connection);
+        remove(connection);
+        m_order[connection] = ++m_last_order;
+        m_idle[m_last_order] = connection;
         evhttp_connection_set_closecb(connection, &idle_connections::on_closed, this);
     }
 
-    void remove(evhttp_connection* connection) { m_idle.erase(connection); }
+    void remove(evhttp_connection* connection)
+    {
+        const auto found = m_order.find(connection);
+        if (found == m_order.end())
+            return;
+        m_idle.erase(found->second);
+        m_order.erase(found);
+    }
 
-    void close_all()
+    /// Closes those that have been idle the longest; returns their number.
+    std::size_t close_oldest(std::size_t max_count)
     {
-        const auto idle = m_idle;
-        for (auto* connection : idle)
-            if (!has_input(connection))
-                evhttp_connection_free(connection); // calls on_closed()
+        std::vector<evhttp_connection*> oldest;
+        for (auto entry = m_idle.begin(); entry != m_idle.end() && oldest.size() < max_count;
+             ++entry)
+            if (!has_input(entry->second))
+                oldest.push_back(entry->second);
+        for (auto* connection : oldest)
+            evhttp_connection_free(connection); // calls on_closed()
+        return oldest.size();
     }
 
+    void close_all() { close_oldest(m_idle.size()); }
+
 private:
     static void on_closed(evhttp_connection* connection, void* self)
     {
-        static_cast<idle_connections*>(self)->m_idle.erase(connection);
+        static_cast<idle_connections*>(self)->remove(connection);
     }
 
     // A request that has arrived but was not read yet still gets its response.
@@ -111,9 +133,50 @@
                (ioctl(bufferevent_getfd(buffered), FIONREAD, &bytes) == 0 && bytes > 0);
     }
 
-    std::set<evhttp_connection*> m_idle;
+    std::uint64_t m_last_order = 0;
+    std::map<std::uint64_t, evhttp_connection*> m_idle; ///< In the order in which they fell idle.
+    std::map<evhttp_connection*, std::uint64_t> m_order;
+};
+
+/// Finds the hook of a listener, as libevent passes no argument of ours to its error callback.
+class accept_error_hooks
+{
+public:
+    void add(evconnlistener* listener, std::function<void(int error)> hook)
+    {
+        const std::scoped_lock lock(m_mutex);
+        m_hooks[listener] = std::move(hook);
+    }
+
+    void remove(evconnlistener* listener)
+    {
+        const std::scoped_lock lock(m_mutex);
+        m_hooks.erase(listener);
+    }
+
+    void call(evconnlistener* listener, int error)
+    {
+        std::function<void(int)> hook;
+        {
+            const std::scoped_lock lock(m_mutex);
+            if (const auto found = m_hooks.find(listener); found != m_hooks.end())
+                hook = found->second;
+        }
+        if (hook)
+            hook(error);
+    }
+
+private:
+    std::mutex m_mutex; ///< Servers may run in different threads.
+    std::map<evconnlistener*, std::function<void(int)>> m_hooks;
 };
 
+accept_error_hooks& accept_errors()
+{
+    static accept_error_hooks hooks;
+    return hooks;
+}
+
 struct server_state
 {
     idle_connections m_idle;
@@ -216,11 +279,42 @@
 
 struct http_server::state
 {
+    explicit state(event_loop& loop) : m_loop(loop) {}
+
+    event_loop& m_loop;
     http_server_options m_options;
     evhttp* m_http = nullptr;
     evhttp_bound_socket* m_socket = nullptr;
+    event_loop::timer_ptr m_accept_timer;
     server_state m_server_state;
 
+    evconnlistener* listener() const { return evhttp_bound_socket_get_listener(m_socket); }
+
+    static void on_accept_error(evconnlistener* listener, void* /*http*/)
+    {
+        accept_errors().call(listener, EVUTIL_SOCKET_ERROR());
+    }
+
+    // Without a free descriptor the waiting connection stays readable, and the loop would spin.
+    // Connections whose peers don't use them give way to it.
+    void pause_accepting(int error)
+    {
+        const auto closed = m_server_state.m_idle.close_oldest(max_closed_per_pause);
+        log_event(log_level::warning, "accept_failed",
+                  {{"listen", to_string(m_options.m_listen)},
+                   {"cause", evutil_socket_error_to_string(error)},
+                   {"idle_closed", closed}});
+        evconnlistener_disable(listener());
+        m_accept_timer = m_loop.after(accept_pause, [this] { evconnlistener_enable(listener()); });
+    }
+
+    void close_listener()
+    {
+        m_accept_timer.reset();
+        accept_errors().remove(listener());
+        evhttp_del_accept_socket(m_http, std::exchange(m_socket, nullptr));
+    }
+
     static void handle(evhttp_request* request, void* self)
     {
         auto* server = static_cast<state*>(self);
@@ -236,7 +330,7 @@
 };
 
 http_server::http_server(event_loop& loop, http_server_options options)
-    : m_state(std::make_unique<state>())
+    : m_state(std::make_unique<state>(loop))
 {
     m_state->m_options = std::move(options);
     m_state->m_http = evhttp_new(loop.base());
@@ -259,10 +353,14 @@
         throw std::runtime_error("can't listen on " + to_string(listen));
     }
     set_connection_options(evhttp_bound_socket_get_fd(m_state->m_socket));
+    accept_errors().add(m_state->listener(),
+                        [owner = m_state.get()](int error) { owner->pause_accepting(error); });
+    evconnlistener_set_error_cb(m_state->listener(), &state::on_accept_error);
 }
 
 http_server::~http_server()
 {
+    stop_accepting();
     evhttp_free(m_state->m_http);
 }
 
@@ -278,7 +376,7 @@
 void http_server::stop_accepting()
 {
     if (m_state->m_socket != nullptr)
-        evhttp_del_accept_socket(m_state->m_http, std::exchange(m_state->m_socket, nullptr));
+        m_state->close_listener();
 }
 
 void http_server::drain()
--- a/tests/net/http_server_test.cpp
+++ b/tests/net/http_server_test.cpp
@@ -1,9 +1,14 @@
 #include "dragonflygap/net/http_server.hpp"
 
 #include <arpa/inet.h>
+#include <event2/event.h>
+#include <sys/resource.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include <string_view>
+#include <vector>
+
 #include "dragonflygap/net/event_loop.hpp"
 #include "dragonflygap/net/http_client.hpp"
 
@@ -14,17 +19,51 @@
 namespace
 {
 
-int connect_to(std::uint16_t port)
+void connect_socket(int caller, std::uint16_t port)
 {
-    const int result = socket(AF_INET, SOCK_STREAM, 0);
     sockaddr_in to{};
     to.sin_family = AF_INET;
     to.sin_port = htons(port);
     to.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-    connect(result, reinterpret_cast<sockaddr*>(&to), sizeof to);
+    connect(caller, reinterpret_cast<sockaddr*>(&to), sizeof to);
+}
+
+int connect_to(std::uint16_t port)
+{
+    const int result = socket(AF_INET, SOCK_STREAM, 0);
+    connect_socket(result, port);
     return result;
 }
 
+/// Lets the process open no further descriptors while it exists.
+class descriptor_limit
+{
+public:
+    descriptor_limit()
+    {
+        getrlimit(RLIMIT_NOFILE, &m_previous);
+        const int lowest_free = dup(STDERR_FILENO);
+        close(lowest_free);
+        const rlimit limit{.rlim_cur = static_cast<rlim_t>(lowest_free),
+                           .rlim_max = m_previous.rlim_max};
+        setrlimit(RLIMIT_NOFILE, &limit);
+    }
+    ~descriptor_limit() { setrlimit(RLIMIT_NOFILE, &m_previous); }
+    descriptor_limit(const descriptor_limit&) = delete;
+    descriptor_limit& operator=(const descriptor_limit&) = delete;
+
+private:
+    rlimit m_previous{};
+};
+
+int g_accept_warnings = 0;
+
+void count_accept_warnings(int /*severity*/, const char* text)
+{
+    if (std::string_view(text).find("accept()") != std::string_view::npos)
+        ++g_accept_warnings;
+}
+
 void send_text(int caller, const std::string& text)
 {
     send(caller, text.data(), text.size(), 0);
@@ -132,6 +171,46 @@
         close(caller);
 }
 
+// Callers keep connections that they don't use; the loop also serves everything else.
+TEST(http_server, without_free_descriptors_idle_connections_give_way_and_the_loop_does_not_spin)
+{
+    constexpr int idle_callers = 8;
+    constexpr int new_callers = 4;
+    const std::string request = "GET / HTTP/1.1\r\nHost: x\r\n\r\n";
+    int answered = 0;
+    m_handler = [&](const http_request& /*request*/, const http_exchange_ptr& exchange)
+    {
+        ++answered;
+        exchange->reply({.m_status = 200, .m_body = "ok"});
+    };
+    std::vector<int> callers;
+    for (int i = 0; i < idle_callers; ++i)
+        send_text(callers.emplace_back(connect_to(m_server.port())), request);
+    auto at_end = m_loop.after(100ms, [&] { m_loop.stop(); });
+    m_loop.run();
+    LONGS_EQUAL(idle_callers, answered);
+    for (int i = 0; i < new_callers; ++i)
+        callers.push_back(socket(AF_INET, SOCK_STREAM, 0));
+    g_accept_warnings = 0;
+    event_set_log_callback(&count_accept_warnings);
+    {
+        const descriptor_limit no_more;
+        for (int i = 0; i < new_callers; ++i)
+        {
+            const int caller = callers[static_cast<std::size_t>(idle_callers + i)];
+            connect_socket(caller, m_server.port());
+            send_text(caller, request);
+        }
+        at_end = m_loop.after(500ms, [&] { m_loop.stop(); });
+        m_loop.run();
+    }
+    event_set_log_callback(nullptr);
+    CHECK_COMPARE(g_accept_warnings, <=, 10);
+    LONGS_EQUAL(idle_callers + new_callers, answered);
+    for (const int caller : callers)
+        close(caller);
+}
+
 TEST(http_server, sends_connection_close_only_once_when_it_drains)
 {
     const int caller = connect_to(m_server.port());
