Keep at most 1,000 unused connections of callers

A caller's connection without a request was kept for 600 s, however many there were. A VM has 3,900 descriptors on the grown deployments, of which a leader needs about 1,500 for workers, the store and its peers (docs/CAPACITY.md); callers that opened connections and left them could take all others, and then orders to workers, the readiness check and peers found none.

Of more than 1,000 idle connections the one that has been idle the longest is closed; a caller opens a new one. Connections with a request in progress aren't touched; each ends with its answer.

Test first: http_server closes_the_longest_idle_connections_of_too_many; on the old code none was closed.

--- a/src/dragonflygap/net/http_server.cpp
+++ b/src/dragonflygap/net/http_server.cpp
@@ -88,6 +88,8 @@
 public:
     void add(evhttp_connection* connection)
     {
+        if (m_idle.size() >= m_max_count)
+            close_oldest(1);
         remove(connection);
         m_order[connection] = ++m_last_order;
         m_idle[m_last_order] = connection;
@@ -118,6 +120,8 @@
 
     void close_all() { close_oldest(m_idle.size()); }
 
+    void set_max_count(std::size_t count) { m_max_count = count; }
+
 private:
     static void on_closed(evhttp_connection* connection, void* self)
     {
@@ -133,6 +137,7 @@
                (ioctl(bufferevent_getfd(buffered), FIONREAD, &bytes) == 0 && bytes > 0);
     }
 
+    std::size_t m_max_count = 0;
     std::uint64_t m_last_order = 0;
     std::map<std::uint64_t, evhttp_connection*> m_idle; ///< In the order in which they fell idle.
     std::map<evhttp_connection*, std::uint64_t> m_order;
@@ -333,6 +338,7 @@
     : m_state(std::make_unique<state>(loop))
 {
     m_state->m_options = std::move(options);
+    m_state->m_server_state.m_idle.set_max_count(m_state->m_options.m_max_idle_connections);
     m_state->m_http = evhttp_new(loop.base());
     // libevent rejects large bodies with an HTML page. Bodies of up to twice the limit are read, so
     // that the handler above can reject them with a reason.
--- a/src/dragonflygap/net/http_server.hpp
+++ b/src/dragonflygap/net/http_server.hpp
@@ -30,6 +30,7 @@
 {
     endpoint m_listen;
     std::size_t m_max_body_bytes = 1 << 20;
+    std::size_t m_max_idle_connections = 1000; ///< Of more, the longest idle ones are closed.
     std::function<void(http_request, http_exchange_ptr)> m_handler;
 };
 
--- a/tests/net/http_server_test.cpp
+++ b/tests/net/http_server_test.cpp
@@ -211,6 +211,32 @@
         close(caller);
 }
 
+// Callers that are gone for good hold descriptors that workers' connections need.
+TEST(http_server, closes_the_longest_idle_connections_of_too_many)
+{
+    constexpr std::size_t max_idle = 3;
+    http_server server(m_loop, {.m_listen = {"127.0.0.1", 0},
+                                .m_max_idle_connections = max_idle,
+                                .m_handler = [](http_request, const http_exchange_ptr& exchange)
+                                { exchange->reply({.m_status = 200, .m_body = "ok"}); }});
+    std::vector<int> callers;
+    for (int i = 0; i < 5; ++i)
+    {
+        send_text(callers.emplace_back(connect_to(server.port())),
+                  "GET / HTTP/1.1\r\nHost: x\r\n\r\n");
+        const auto at_end = m_loop.after(50ms, [&] { m_loop.stop(); });
+        m_loop.run();
+    }
+    for (std::size_t i = 0; i < callers.size(); ++i)
+    {
+        char buffer[1024];
+        CHECK_TRUE(recv(callers[i], buffer, sizeof buffer, MSG_DONTWAIT) > 0);
+        const bool closed = recv(callers[i], buffer, sizeof buffer, MSG_DONTWAIT) == 0;
+        CHECK_EQUAL(i < callers.size() - max_idle, closed);
+        close(callers[i]);
+    }
+}
+
 TEST(http_server, sends_connection_close_only_once_when_it_drains)
 {
     const int caller = connect_to(m_server.port());
