Remove the row of a VM that is gone for good

Each entry VM registers a row in the store's member table, and nobody removed it. A VM that was replaced therefore counted as a member for ever: the leader dialled it anew each 1.5 s and sent it a heartbeat each 150 ms, its row was read each second, and it counted in the majority that makes a leader report that it is cut off and in the rank that orders campaigns (60 ms each, at most 8). With more rows of VMs that are gone than of living ones, a leader whose store doesn't answer for 0.7 s reports itself unready although it hears all its members.

The leader now removes the row of a member that was silent during the reads of 5 minutes, under the condition that the row is unchanged, and forgets members without a row. A VM that only was cut off or frozen looks at the members when it has no leader, and registers again. The ranks come from the rows as last read.

--- a/src/dragonflygap/daemon/cell_daemon.cpp
+++ b/src/dragonflygap/daemon/cell_daemon.cpp
@@ -51,6 +51,7 @@
         options.m_approvals = wire::make_approvals(to_approvals, *cell.m_approvals);
     options.m_peers = {.m_add = [&link](const vm_id& peer, const endpoint& address)
                        { link.add(peer, address); },
+                       .m_remove = [&link](const vm_id& peer) { link.remove(peer); },
                        .m_send = [&link](const vm_id& peer, std::string_view bytes)
                        { return link.send(peer, bytes); },
                        .m_redial = [&link](const vm_id& peer) { link.redial(peer); }};
--- a/src/dragonflygap/node/leader_task.cpp
+++ b/src/dragonflygap/node/leader_task.cpp
@@ -1,6 +1,5 @@
 #include "dragonflygap/node/leader_task.hpp"
 
-#include <algorithm>
 #include <tuple>
 #include <utility>
 
@@ -306,78 +305,4 @@
         });
 }
 
-void leader_task::read_members()
-{
-    m_options.m_store.m_scan(
-        std::string(cell::member_table), m_options.m_commit_timeout,
-        [this, alive = m_alive](const outcome<std::vector<cell::stored_row>>& rows)
-        {
-            if (!*alive || !rows)
-                return;
-            for (const auto& row : *rows)
-            {
-                const auto record = cell::unpack<cell::member_record>(row.m_value);
-                if (!record || record->m_vm == m_options.m_vm)
-                    continue;
-                auto& member = m_members[record->m_vm];
-                member.m_processor_share = record->m_processor_share;
-                if (member.m_address == record->m_address)
-                    continue;
-                member.m_address = record->m_address;
-                member.m_dialled_at = member.m_redialled_at = monotonic_clock::now();
-                m_options.m_add_peer(record->m_vm, record->m_address);
-                m_options.m_send(record->m_vm, heartbeat());
-            }
-        });
-}
-
-bool leader_task::is_responsive(const member& candidate) const
-{
-    return monotonic_clock::now() - candidate.m_last_heard_at < m_options.m_member_timeout &&
-           !candidate.m_stopping;
-}
-
-// A pipe may go silent in one direction, without being reset. Only its sender can replace it, and
-// the messages that it still receives don't tell it.
-bool leader_task::hears(const member& sender) const
-{
-    return monotonic_clock::now() - std::max(sender.m_last_heard_at, sender.m_dialled_at) <=
-           m_options.m_redial_delay;
-}
-
-bool leader_task::cut_off() const
-{
-    if (m_coordinator.last_commit_at() == instant{} ||
-        monotonic_clock::now() - m_coordinator.last_commit_at() <= m_options.m_cut_off_timeout)
-        return false;
-    const auto responsive_count =
-        std::count_if(m_members.begin(), m_members.end(),
-                      [this](const auto& entry)
-                      { return entry.first == m_options.m_vm || is_responsive(entry.second); });
-    return 2 * static_cast<std::size_t>(responsive_count) < m_members.size();
-}
-
-void leader_task::check_members()
-{
-    const auto now = monotonic_clock::now();
-    std::vector<vm_id> responsive;
-    for (auto& [vm, member] : m_members)
-    {
-        const bool self = vm == m_options.m_vm;
-        if (self || is_responsive(member))
-            responsive.push_back(vm);
-        else if (now - std::max(member.m_last_heard_at, member.m_redialled_at) >
-                 m_options.m_redial_delay)
-        {
-            member.m_redialled_at = now;
-            m_options.m_redial(vm);
-        }
-    }
-    if (responsive == m_responsive_members)
-        return;
-    m_responsive_members = responsive;
-    log_event(log_level::info, "members_changed", {{"members", responsive.size()}});
-    process_event(cell::members_changed{std::move(responsive)});
-}
-
 } // namespace dragonflygap::node
--- a/src/dragonflygap/node/leader_task.hpp
+++ b/src/dragonflygap/node/leader_task.hpp
@@ -31,6 +31,7 @@
     cell::worker_port m_workers;
     std::function<void(const vm_id& to, const cell::peer_message&)> m_send;
     std::function<void(const vm_id& peer, const std::string& address)> m_add_peer;
+    std::function<void(const vm_id& peer)> m_remove_peer;
     std::function<void(const vm_id& peer)> m_redial;
     std::function<std::uint64_t()> m_config_version;
     std::function<void(std::string cause)> m_on_deposed;
@@ -39,6 +40,7 @@
     duration m_worker_list_interval = 700ms; ///< A third of a leaving worker's minimum notice.
     duration m_member_read_interval = 1s;
     duration m_member_timeout = 1200ms; ///< A member silent for longer gets no approval calls.
+    duration m_member_retention = 300s; ///< A member silent for longer is no longer a member.
     duration m_redial_delay = 1500ms;
     duration m_commit_timeout = 1500ms;
     duration m_cut_off_timeout = 700ms; ///< Since the last commit; submissions are rejected too.
@@ -76,6 +78,7 @@
         instant m_dialled_at{};       ///< First, at its current address.
         instant m_last_heard_at{};
         instant m_redialled_at{};
+        int m_silent_reads = 0; ///< Reads of the members in a row for which it was silent.
         bool m_stopping = false;
     };
     struct origin
@@ -97,6 +100,8 @@
     void send_heartbeats();
     void list_workers();
     void read_members();
+    void update_members(const std::vector<cell::stored_row>& rows);
+    void retire_member(const vm_id& vm, const cell::stored_row& row);
     void check_members();
     bool is_responsive(const member& candidate) const;
     bool hears(const member& sender) const;
--- a/src/dragonflygap/node/node.cpp
+++ b/src/dragonflygap/node/node.cpp
@@ -43,6 +43,7 @@
 
 void node::register_member()
 {
+    m_registering = true;
     const cell::member_record self{m_options.m_vm, m_options.m_data_centre,
                                    to_string(m_options.m_peer_address), m_options.m_incarnation,
                                    m_options.m_processor_share};
@@ -52,6 +53,7 @@
     m_options.m_store.m_commit(std::move(change), store_timeout,
                                [this](const outcome<cell::transaction_result>& result)
                                {
+                                   m_registering = !result;
                                    if (!result)
                                        m_loop.defer(register_retry, [this] { register_member(); });
                                });
@@ -165,12 +167,8 @@
     m_options.m_store.m_scan(std::string(cell::member_table), store_timeout,
                              [this](const outcome<std::vector<cell::stored_row>>& rows)
                              {
-                                 if (!rows)
-                                     return;
-                                 for (const auto& row : *rows)
-                                     if (const auto member =
-                                             cell::unpack<cell::member_record>(row.m_value))
-                                         m_members[member->m_vm] = *member;
+                                 if (rows)
+                                     update_members(*rows);
                              });
     m_options.m_store.m_read(
         {std::string(cell::leader_table), std::string(cell::leader_key)}, store_timeout,
@@ -184,6 +182,17 @@
         });
 }
 
+void node::update_members(const std::vector<cell::stored_row>& rows)
+{
+    m_members.clear();
+    for (const auto& row : rows)
+        if (const auto member = cell::unpack<cell::member_record>(row.m_value))
+            m_members[member->m_vm] = *member;
+    // A leader has removed the row of this VM, which was silent for long.
+    if (m_members.count(m_options.m_vm) == 0 && !m_registering)
+        register_member();
+}
+
 // This VM's rank among the members by processor share, as leading costs processor time.
 int node::rank() const
 {
@@ -251,6 +260,7 @@
                 if (const auto parsed = parse_endpoint(address))
                     m_options.m_peers.m_add(peer, *parsed);
             },
+            .m_remove_peer = [this](const vm_id& peer) { m_options.m_peers.m_remove(peer); },
             .m_redial = [this](const vm_id& peer) { m_options.m_peers.m_redial(peer); },
             .m_config_version = [this]() -> std::uint64_t
             { return m_config ? m_config->m_version : 0; },
--- a/src/dragonflygap/node/node.hpp
+++ b/src/dragonflygap/node/node.hpp
@@ -24,6 +24,7 @@
 struct peer_port
 {
     std::function<void(const vm_id& peer, const endpoint& address)> m_add;
+    std::function<void(const vm_id& peer)> m_remove;
     std::function<bool(const vm_id& peer, std::string_view bytes)> m_send;
     std::function<void(const vm_id& peer)> m_redial;
 };
@@ -81,6 +82,7 @@
 private:
     bool takeover_expected() const;
     void register_member();
+    void update_members(const std::vector<cell::stored_row>& rows);
     void watch_config();
     void apply_config(cell::cell_config config, std::string_view source);
     void tick();
@@ -123,6 +125,7 @@
     instant m_last_leader_at{};    ///< When a leader was last known, this VM included.
     bool m_leader_cut_off = false; ///< As in the leader's last heartbeat.
     std::map<vm_id, cell::member_record> m_members; ///< As last read from the store.
+    bool m_registering = false;
     bool m_stopping = false;
     instant m_stop_started_at{};
     std::optional<instant> m_closed_at;
--- a/tests/node/support/cell_world.cpp
+++ b/tests/node/support/cell_world.cpp
@@ -276,6 +276,7 @@
         options.m_processor_share = share->second;
     options.m_peers = {
         .m_add = [](const vm_id&, const endpoint&) {},
+        .m_remove = [](const vm_id&) {},
         .m_send =
             [this, vm](const vm_id& peer, std::string_view bytes)
         {
--- a/tests/node/takeover_test.cpp
+++ b/tests/node/takeover_test.cpp
@@ -147,6 +147,61 @@
     CHECK_TRUE(world.m_submissions[job_name(1)].m_accepted);
 }
 
+// Without it, VMs that were replaced would count as members for ever: for the majority that makes
+// a leader cut off, for the order of campaigns, and for redials.
+TEST(takeover, a_vm_that_was_removed_for_good_is_no_longer_a_member)
+{
+    cell_world world({});
+    world.run(3s);
+    const auto leader = world.leader();
+    const std::string gone = leader == "vm0" ? "vm1" : "vm0";
+    world.kill(gone);
+    world.run(240s);
+    CHECK_TRUE(world.rows().find("member", gone) != nullptr);
+    world.run(70s);
+    CHECK_TRUE(world.rows().find("member", gone) == nullptr);
+    STRCMP_EQUAL(leader.c_str(), world.leader().c_str());
+}
+
+// A read of the members may be on its way when the leader freezes.
+TEST(takeover, a_leader_that_was_frozen_for_long_does_not_remove_its_members)
+{
+    for (int i = 0; i < 5; ++i)
+    {
+        cell_world world({});
+        world.run(3s);
+        world.rows().m_faults.m_response_time = 300ms;
+        world.run(1s + i * 200ms);
+        const auto old = world.leader();
+        world.freeze(old, true);
+        world.run(310s);
+        world.freeze(old, false);
+        for (int k = 0; k < 100; ++k)
+        {
+            world.run(10ms);
+            for (const auto* vm : {"vm0", "vm1", "vm2"})
+                CHECK_TRUE(vm == old || world.rows().find("member", vm) != nullptr);
+        }
+    }
+}
+
+TEST(takeover, a_vm_that_was_frozen_for_long_is_a_member_again)
+{
+    cell_world world({});
+    world.run(3s);
+    const auto leader = world.leader();
+    const std::string frozen = leader == "vm0" ? "vm1" : "vm0";
+    world.freeze(frozen, true);
+    world.run(310s);
+    CHECK_TRUE(world.rows().find("member", frozen) == nullptr);
+    world.freeze(frozen, false);
+    world.run(5s);
+    CHECK_TRUE(world.rows().find("member", frozen) != nullptr);
+    world.submit(frozen, job_name(1), {{}});
+    world.run(500ms);
+    CHECK_TRUE(world.m_submissions[job_name(1)].m_accepted);
+}
+
 // The balancer then sends its callers to other data centres.
 TEST(takeover, a_leader_cut_off_from_store_and_members_is_not_ready)
 {
