Probe the pipes that peers have opened

A VM receives over the pipes that its peers dial and sends nothing over them, and the listener didn't set keep-alive. A peer that loses power closes nothing, so each such loss left a descriptor open on every VM that the peer had a pipe to, until the process ended. The dialling side had keep-alive set.

With it the system closes such a pipe (after two hours by Linux's default; nng offers no shorter time).

Test first: peer_link accepted_pipes_are_probed; SO_KEEPALIVE was 0 on the accepted socket.

--- a/src/dragonflygap/net/peer_link.cpp
+++ b/src/dragonflygap/net/peer_link.cpp
@@ -185,8 +185,11 @@
     check(nng_pull0_open(&m_state->m_pull), "can't open a pull socket");
     nng_socket_set_size(m_state->m_pull, NNG_OPT_RECVMAXSZ, m_state->m_options.m_max_message_bytes);
     const std::string url = "tcp://" + to_string(m_state->m_options.m_listen);
-    check(nng_listen(m_state->m_pull, url.c_str(), &m_state->m_listener, 0),
+    check(nng_listener_create(&m_state->m_listener, m_state->m_pull, url.c_str()),
           "can't listen on " + url);
+    // Nothing is sent over accepted pipes, so only probes notice a peer that lost power.
+    nng_listener_set_bool(m_state->m_listener, NNG_OPT_TCP_KEEPALIVE, true);
+    check(nng_listener_start(m_state->m_listener, 0), "can't listen on " + url);
     m_state->m_inbox = std::make_unique<inbox>(m_state->m_pull);
     m_state->m_readable = loop.on_readable(m_state->m_inbox->descriptor(),
                                            [owner = m_state.get()] { owner->receive(); });
--- a/tests/net/peer_link_test.cpp
+++ b/tests/net/peer_link_test.cpp
@@ -1,5 +1,9 @@
 #include "dragonflygap/net/peer_link.hpp"
 
+#include <arpa/inet.h>
+#include <dirent.h>
+#include <sys/socket.h>
+
 #include <algorithm>
 #include <string>
 #include <thread>
@@ -16,6 +20,28 @@
 
 constexpr duration max_wait = 10s;
 
+/// The sockets of this process that were accepted on a port.
+std::vector<int> accepted_sockets(std::uint16_t port)
+{
+    std::vector<int> result;
+    DIR* descriptors = opendir("/proc/self/fd");
+    while (const dirent* entry = readdir(descriptors))
+    {
+        const int descriptor = std::atoi(entry->d_name);
+        sockaddr_in local{};
+        socklen_t size = sizeof local;
+        int listening = 1;
+        socklen_t option_size = sizeof listening;
+        if (getsockname(descriptor, reinterpret_cast<sockaddr*>(&local), &size) == 0 &&
+            local.sin_family == AF_INET && ntohs(local.sin_port) == port &&
+            getsockopt(descriptor, SOL_SOCKET, SO_ACCEPTCONN, &listening, &option_size) == 0 &&
+            listening == 0)
+            result.push_back(descriptor);
+    }
+    closedir(descriptors);
+    return result;
+}
+
 } // namespace
 
 TEST_GROUP(peer_link)
@@ -71,6 +97,20 @@
         STRCMP_EQUAL(std::to_string(i).c_str(), m_received[static_cast<std::size_t>(i)].c_str());
 }
 
+// A VM without power closes nothing, and each restart of it would leave one more open pipe.
+TEST(peer_link, accepted_pipes_are_probed)
+{
+    m_sender.add(m_peer, {"127.0.0.1", m_receiver.port()});
+    send(1);
+    iterations_until(1, 0ms);
+    const auto accepted = accepted_sockets(m_receiver.port());
+    LONGS_EQUAL(1, accepted.size());
+    int probed = 0;
+    socklen_t size = sizeof probed;
+    getsockopt(accepted.front(), SOL_SOCKET, SO_KEEPALIVE, &probed, &size);
+    LONGS_EQUAL(1, probed);
+}
+
 TEST(peer_link, a_burst_does_not_delay_timers)
 {
     constexpr int burst = 400;
