Notice that a run which a worker has reported is gone

Symptom: none seen in a log. A long-running task stays down for good, and a task at 100% of its progress holds its room, while the worker answers.

Cause: a run that disappears from a worker's reports counts as ended only if it was confirmed before the report was requested, and only the answers to a start and to a stop confirmed it. A run that a report confirmed, either an adopted one or one that was reported before its start's answer, could not disappear. That happens if the report with its end was handled before one that still lists it: answers on different connections may overtake each other, and two reports of the same millisecond can't be told apart by the worker's clock. The check for stuck tasks frees other tasks after 2.5 s or more; it leaves out long-running and best-effort tasks and those at 100%.

Evidence: missing_run_test, a_run_reported_after_its_end_is_restarted, fails on the old code: the task isn't started again in 10 s.

Change: a report that lists a run confirms it too. A report that is requested later and lists neither the run nor its end shows that it is gone.

--- a/src/dragonflygap/cell/coordinator_workers.cpp
+++ b/src/dragonflygap/cell/coordinator_workers.cpp
@@ -247,6 +247,8 @@
     if (job != nullptr)
         job->mark_started();
     placed.m_phase = placement_phase::running;
+    if (placed.m_confirmed_at == instant{})
+        placed.m_confirmed_at = m_now;
     if (running.m_progress_percent != placed.m_progress_percent)
     {
         placed.m_progress_percent = running.m_progress_percent;
--- a/tests/cell/missing_run_test.cpp
+++ b/tests/cell/missing_run_test.cpp
@@ -119,3 +119,24 @@
     cell.run(10s);
     LONGS_EQUAL(1, cell.started("whole"));
 }
+
+// The answers of two renewals were computed within the same millisecond of the worker's clock, and
+// the older one, without the run's end, arrived last.
+TEST(missing_run, a_run_reported_after_its_end_is_restarted)
+{
+    stub_cell cell;
+    cell.list(1);
+    cell.submit("job", {.m_size = {.m_millicores = 1000}, .m_long_running = true});
+    cell.run(100ms);
+    auto& worker = cell.m_workers[stub_cell::name(0)];
+    const auto run = worker.m_running.at(only_task);
+    worker.m_silent = true;
+    cell.run(50ms);
+    worker.m_running.clear();
+    answer_renewal(cell, 0, {.m_ended = {end_of(++worker.m_last_end, run, end_kind::failed)}});
+    answer_renewal(cell, 0,
+                   {.m_running = {{.m_task = only_task, .m_run = run, .m_progress_percent = 100}}});
+    worker.m_silent = false;
+    cell.run(10s);
+    LONGS_EQUAL(2, cell.started("job"));
+}
