Acknowledge a worker's ends only to the life that reported them

Symptom: none seen in a log. A task that was done is started once more after its worker restarted under the same id.

Cause: a transaction keeps the highest end number of each worker, which is acknowledged once the transaction is stored. A worker's numbers begin anew when it restarts. If it did so while the transaction was on its way, the number of its former life was acknowledged to the new one, which forgot its ends up to that number before it had reported them. The leader took such a run for one that had vanished and started the task again; it didn't let renewals wait for ends either until the new life had as many.

Evidence: missing_run_test, a_restarted_worker_reports_its_ends_until_they_are_ stored, fails on the old code: a job of one task that was done is started twice.

Change: the transaction also keeps when the worker started; its numbers are dropped if that has changed.

--- a/src/dragonflygap/cell/coordinator.hpp
+++ b/src/dragonflygap/cell/coordinator.hpp
@@ -105,13 +105,19 @@
         instant m_since{};
         bool m_cancels = false;
     };
+    /// Ends that one life of a worker reported; their numbers begin anew when it restarts.
+    struct reported_ends
+    {
+        std::uint64_t m_started_at = 0;
+        std::uint64_t m_highest = 0;
+    };
     /// The changes of one transaction.
     struct batch
     {
         std::vector<job_id> m_jobs;
         std::vector<job_id> m_forgotten;
         /// May be acknowledged once the transaction is stored.
-        std::map<worker_id, std::uint64_t> m_ends;
+        std::map<worker_id, reported_ends> m_ends;
         bool m_workers = false;
     };
     /// An approval call that is being assembled.
--- a/src/dragonflygap/cell/coordinator_commits.cpp
+++ b/src/dragonflygap/cell/coordinator_commits.cpp
@@ -109,7 +109,7 @@
     if (m_dirty.empty())
         for (const auto& [id, worker] : m_workers)
             if (worker.m_ends_seen > worker.m_ends_stored)
-                contents.m_ends[id] = worker.m_ends_seen;
+                contents.m_ends[id] = {worker.m_started_at, worker.m_ends_seen};
     m_batch = std::move(contents);
     const auto& sent = m_chain.begin(std::move(change), m_now);
     m_actions->push_back(send_commit{m_chain.number(), sent});
@@ -174,12 +174,13 @@
         if (accepted_now && !job->m_outcome)
             answer_calls(*job, call_status::accepted);
     }
-    for (const auto& [id, number] : contents.m_ends)
+    for (const auto& [id, ends] : contents.m_ends)
     {
         const auto worker = m_workers.find(id);
-        if (worker == m_workers.end() || number < worker->second.m_ends_stored)
+        if (worker == m_workers.end() || worker->second.m_started_at != ends.m_started_at ||
+            ends.m_highest < worker->second.m_ends_stored)
             continue;
-        worker->second.m_ends_stored = number;
+        worker->second.m_ends_stored = ends.m_highest;
         worker->second.m_next_renewal = m_now;
     }
 }
--- a/tests/cell/missing_run_test.cpp
+++ b/tests/cell/missing_run_test.cpp
@@ -140,3 +140,28 @@
     cell.run(10s);
     LONGS_EQUAL(2, cell.started("job"));
 }
+
+// The worker restarted while the store was writing the effects of its ends. The number that was
+// then acknowledged belonged to its former life, so that it forgot an end of its new life unseen.
+TEST(missing_run, a_restarted_worker_reports_its_ends_until_they_are_stored)
+{
+    constexpr std::uint64_t former_ends = 57;
+    stub_cell cell;
+    cell.list(1);
+    auto& worker = cell.m_workers[stub_cell::name(0)];
+    worker.m_last_end = former_ends - 1;
+    cell.submit("former", {.m_size = {.m_millicores = 1000}});
+    cell.run(100ms);
+    cell.end("former", end_kind::done);
+    while (known(cell, 0).m_ends_seen != former_ends)
+        cell.run(10ms);
+    CHECK(known(cell, 0).m_ends_stored != former_ends);
+    worker = {.m_started_at = 2};
+    answer_renewal(cell, 0, {.m_started_at = 2});
+    cell.submit("job", {.m_size = {.m_millicores = 1000}});
+    cell.run(100ms);
+    cell.end("job", end_kind::done);
+    cell.run(5s);
+    LONGS_EQUAL(1, cell.started("job"));
+    STRCMP_EQUAL("completed", state_of(cell).c_str());
+}
--- a/tests/cell/support/stub_cell.hpp
+++ b/tests/cell/support/stub_cell.hpp
@@ -132,6 +132,7 @@
         bool m_orders_fail = false;
         int m_long_polls = 0; ///< Renewals that would wait for an end.
         int m_leases = 0;     ///< Renewals that extended the lease.
+        std::uint64_t m_started_at = 1;
     };
 
     instant m_now{10s};
@@ -168,7 +169,8 @@
             return;
         std::erase_if(worker.m_ended, [&](const ended_task& end)
                       { return end.m_number <= request.m_renewal.m_acknowledged; });
-        worker_report report{.m_clock_ms = to_ms(m_now.time_since_epoch()), .m_started_at = 1};
+        worker_report report{.m_clock_ms = to_ms(m_now.time_since_epoch()),
+                             .m_started_at = worker.m_started_at};
         for (const auto& [task, run] : worker.m_running)
             report.m_running.push_back({.m_task = task, .m_run = run, .m_progress_percent = 100});
         report.m_ended = worker.m_ended;
