Ignore renewal answers from a worker's former address

Symptom: none seen in a log. A worker that restarted at another address gets no renewal and no task any more while it is listed; its room stays free beside jobs that wait.

Cause: a renewal that was sent to the former address, where another process answers, counted as the answer of the address that the list gives by now. The worker was marked as replaced, which only another change of its address undoes.

Evidence: missing_run_test, a_worker_at_a_new_address_is_kept_when_its_former_ address_answers_late, fails on the old code: the job isn't started again in 20 s.

Change: the state keeps since when the list gives the address, and answers to renewals sent before then are ignored.

--- a/src/dragonflygap/cell/coordinator_workers.cpp
+++ b/src/dragonflygap/cell/coordinator_workers.cpp
@@ -30,7 +30,11 @@
     {
         listed.insert(info.m_id);
         auto& worker = m_workers[info.m_id];
-        m_workers_dirty = m_workers_dirty || worker.m_info.m_address != info.m_address;
+        if (worker.m_info.m_address != info.m_address)
+        {
+            m_workers_dirty = true;
+            worker.m_address_since = m_now;
+        }
         if (info.m_leaving && !worker.m_info.m_leaving)
             log_event(log_level::info, "worker_leaving",
                       {{"worker", info.m_id.m_value}, {"remaining_ms", info.m_remaining_ms}});
@@ -144,6 +148,8 @@
     auto& worker = found->second;
     if (event.m_sent == worker.m_renewal_sent_at)
         worker.m_renewing = false;
+    if (event.m_sent < worker.m_address_since)
+        return; // From the worker's former address.
     if (!event.m_result)
     {
         worker.m_next_renewal = m_now + m_options.m_workers.m_renewal_retry_delay;
--- a/src/dragonflygap/cell/worker_state.hpp
+++ b/src/dragonflygap/cell/worker_state.hpp
@@ -62,6 +62,7 @@
     worker_info m_info;
     bool m_listed = true;       ///< In the platform's latest list.
     instant m_unlisted_since{}; ///< Valid if not listed.
+    instant m_address_since{};  ///< When the list first gave its address.
     bool m_replaced = false;    ///< Another process answers at the address: this one ended.
     bool m_synced = false;      ///< The worker has reported its tasks under this epoch.
     std::uint64_t m_started_at = 0;
--- a/tests/cell/missing_run_test.cpp
+++ b/tests/cell/missing_run_test.cpp
@@ -165,3 +165,26 @@
     LONGS_EQUAL(1, cell.started("job"));
     STRCMP_EQUAL("completed", state_of(cell).c_str());
 }
+
+// A renewal sent to the worker's former address, where another process answers by now, was answered
+// after the worker had been listed at its new one.
+TEST(missing_run, a_worker_at_a_new_address_is_kept_when_its_former_address_answers_late)
+{
+    stub_cell cell;
+    cell.list(1);
+    cell.submit("job", {.m_size = {.m_millicores = 1000}});
+    cell.run(100ms);
+    auto& worker = cell.m_workers[stub_cell::name(0)];
+    worker.m_silent = true;
+    cell.run(50ms); // A renewal waits at the former address.
+    const auto sent = known(cell, 0).m_renewal_sent_at;
+    worker = {.m_started_at = 2};
+    cell.m_listed.front().m_address = endpoint{"10.0.0.2", 80};
+    cell.feed(workers_listed{cell.m_listed});
+    cell.run(50ms);
+    cell.feed(
+        renewal_answered{stub_cell::name(0), sent, fail(verdict::not_run, reason::not_found, "")});
+    cell.feed(workers_listed{cell.m_listed});
+    cell.run(20s);
+    LONGS_EQUAL(2, cell.started("job"));
+}
