Send a peer its configuration once a second, not with each heartbeat

A VM that knows a newer configuration than its leader, or the leader that knows a newer one than a member, sent it with every heartbeat (150 ms) until the peer's next heartbeat named the new version. All members do so at the same time to a leader that reads the store late, and what they send next (answers of approvals, calls) waits behind the copies.

The same version goes to one peer at most once a second, which is still twice within the 2 s in which a configuration has to apply.

--- a/src/dragonflygap/node/node.hpp
+++ b/src/dragonflygap/node/node.hpp
@@ -49,7 +49,8 @@
     duration m_tick_interval = 50ms;
     duration m_config_poll_time = 1500ms; ///< Bounds how long a dead connection goes unnoticed.
     duration m_config_retry_delay = 300ms;
-    duration m_leader_timeout = 600ms;   ///< No calls are sent to a leader silent for longer.
+    duration m_config_resend_interval = 1s; ///< To one peer, which may receive it slowly.
+    duration m_leader_timeout = 600ms;      ///< No calls are sent to a leader silent for longer.
     duration m_redial_interval = 1500ms; ///< Between redials of a leader that doesn't hear this VM.
     duration m_ready_timeout = 1s;       ///< Without a leader for longer, the VM isn't ready.
     duration m_takeover_timeout = 1500ms; ///< After it no successor is expected.
@@ -95,6 +96,7 @@
     void stop_leading(std::string_view cause);
     bool send_to_leader(const cell::caller_call& call);
     void send(const vm_id& to, const cell::peer_message& message);
+    void send_config(const vm_id& to, std::uint64_t known_version);
     void request_approvals();
     void answer_approval(const cell::approval_backlog::entry& entry,
                          const outcome<cell::approval>& result);
@@ -117,6 +119,12 @@
     std::unique_ptr<leader_task> m_leader;
     std::optional<cell::cell_config> m_config;
     std::uint64_t m_config_position = 0;
+    struct sent_config
+    {
+        std::uint64_t m_version = 0;
+        instant m_at{};
+    };
+    std::map<vm_id, sent_config> m_configs_sent; ///< The last one to each peer.
     vm_id m_known_leader;
     std::string m_leader_address;
     std::uint64_t m_leader_epoch = 0;
--- a/src/dragonflygap/node/node_messages.cpp
+++ b/src/dragonflygap/node/node_messages.cpp
@@ -79,8 +79,22 @@
     }
     send(from, cell::member_heartbeat{m_options.m_incarnation, m_config ? m_config->m_version : 0,
                                       m_stopping});
-    if (m_config && m_config->m_version > message.m_config_version)
-        send(from, cell::config_update{*m_config});
+    send_config(from, message.m_config_version);
+}
+
+// A large configuration takes longer to arrive than the interval of heartbeats, and repeating it
+// would delay it and the messages behind it further.
+void node::send_config(const vm_id& to, std::uint64_t known_version)
+{
+    if (!m_config || m_config->m_version <= known_version)
+        return;
+    const auto now = monotonic_clock::now();
+    auto& last = m_configs_sent[to];
+    if (last.m_version == m_config->m_version &&
+        now - last.m_at < m_options.m_config_resend_interval)
+        return;
+    last = {m_config->m_version, now};
+    send(to, cell::config_update{*m_config});
 }
 
 void node::on(const vm_id& from, const cell::member_heartbeat& message)
@@ -88,8 +102,7 @@
     if (m_leader == nullptr)
         return;
     m_leader->handle(from, message);
-    if (m_config && m_config->m_version > message.m_config_version)
-        send(from, cell::config_update{*m_config});
+    send_config(from, message.m_config_version);
 }
 
 void node::on(const vm_id&, const cell::config_update& message)
--- a/tests/node/support/cell_world.cpp
+++ b/tests/node/support/cell_world.cpp
@@ -31,12 +31,6 @@
     return g_now;
 }
 
-bool is_answer(std::string_view bytes)
-{
-    const auto decoded = cell::decode_peer(bytes);
-    return decoded && std::holds_alternative<cell::caller_answer>(decoded->m_message);
-}
-
 /// A caller's end of a connection.
 class caller_exchange : public http_exchange
 {
@@ -115,6 +109,17 @@
     g_now = until;
 }
 
+duration cell_world::delay_of(std::string_view message)
+{
+    const auto decoded = cell::decode_peer(message);
+    if (decoded && std::holds_alternative<cell::caller_answer>(decoded->m_message))
+        return network_delay + m_answer_delay;
+    if (!decoded || !std::holds_alternative<cell::config_update>(decoded->m_message))
+        return network_delay;
+    ++m_configs_sent;
+    return network_delay + m_config_delay;
+}
+
 bool cell_world::step(instant until)
 {
     timer_queue* first = nullptr;
@@ -283,7 +288,7 @@
             if (m_processes.count(peer.m_value) == 0)
                 return false;
             if (!is_cut(vm, peer.m_value) && m_silenced.count({vm, peer.m_value}) == 0)
-                schedule(is_answer(bytes) ? network_delay + m_answer_delay : network_delay,
+                schedule(delay_of(bytes),
                          [this, peer, text = std::string(bytes)]
                          {
                              const auto found = m_processes.find(peer.m_value);
--- a/tests/node/support/cell_world.hpp
+++ b/tests/node/support/cell_world.hpp
@@ -84,6 +84,8 @@
     invariant_checker m_checker;
     std::map<std::string, submission> m_submissions;
     duration m_answer_delay{}; ///< Delays answers to other VMs, as an overloaded leader does.
+    duration m_config_delay{}; ///< Delays configurations to other VMs, as a slow link does.
+    int m_configs_sent = 0;    ///< To other VMs.
 
 private:
     struct vm_process
@@ -100,6 +102,7 @@
     };
 
     bool step(instant until);
+    duration delay_of(std::string_view message);
     void schedule(duration delay, std::function<void()> work);
     http_transport transport_of(const std::string& vm, vm_process& process);
     void route(const std::string& vm, const endpoint& to, const http_request& request,
--- a/tests/node/takeover_test.cpp
+++ b/tests/node/takeover_test.cpp
@@ -202,6 +202,21 @@
     CHECK_TRUE(world.m_submissions[job_name(1)].m_accepted);
 }
 
+// It would take the bandwidth that the first one needs.
+TEST(takeover, a_configuration_is_not_repeated_with_each_heartbeat_while_it_is_on_its_way)
+{
+    cell_world world({.m_vms = 2});
+    world.run(3s);
+    const std::string member = world.leader() == "vm0" ? "vm1" : "vm0";
+    world.cut(member, "store");
+    world.run(2s); // its long poll ends
+    world.m_config_delay = 800ms;
+    world.set_config(2, world.queue_config(2));
+    world.run(4s);
+    UNSIGNED_LONGS_EQUAL(2, world.find(member)->config()->m_version);
+    LONGS_EQUAL(1, world.m_configs_sent);
+}
+
 // The balancer then sends its callers to other data centres.
 TEST(takeover, a_leader_cut_off_from_store_and_members_is_not_ready)
 {
