--- a/tests/node/node_test.cpp
+++ b/tests/node/node_test.cpp
@@ -197,6 +197,28 @@
     check_no_violations(world);
 }
 
+// The platform refuses rows of more than 64 KB, and a transaction that is refused is sent again.
+TEST(node, a_job_that_is_too_large_for_a_row_does_not_stop_the_others)
+{
+    cell_world world({});
+    world.run(3s);
+    int status = 0;
+    std::string steps;
+    for (int i = 0; i < 700; ++i)
+        steps += R"({"count":1,"required_label":")" + std::string(100, 'x') + R"("},)";
+    steps.back() = ']';
+    world.send("vm0",
+               {.m_method = "POST",
+                .m_path = "/q/" + job_name(1),
+                .m_body = R"({"specification":"","steps":[)" + steps + "}"},
+               [&status](const http_response& response) { status = response.m_status; });
+    world.run(500ms);
+    world.submit("vm1", job_name(2), {{}});
+    world.run(5s);
+    CHECK_TRUE(world.m_submissions[job_name(2)].m_accepted);
+    LONGS_EQUAL(400, status);
+}
+
 TEST(node, an_older_configuration_is_never_applied)
 {
     cell_world world({});
--- a/tests/node/support/stand_in_store.cpp
+++ b/tests/node/support/stand_in_store.cpp
@@ -98,6 +98,10 @@
         failed = failed || version != condition.at("schema_version").get<std::uint64_t>();
         conflicts.push_back(encode(name, current));
     }
+    constexpr std::size_t row_bytes = 65536;
+    for (const auto& write : change.at("writes"))
+        if (wire::from_base64(write.at("value").get<std::string>())->size() > row_bytes)
+            return json_response(400, "{}");
     if (failed)
         return json_response(412, json{{"rows", conflicts}, {"schema_version", m_version}}.dump());
     ++m_version;
