--- a/src/dragonflygap/cell/commit_chain.cpp
+++ b/src/dragonflygap/cell/commit_chain.cpp
@@ -70,6 +70,7 @@
         std::min<duration>(now - m_begun_at, m_typical_latency * 3 / 2 + latency_step);
     m_backoff = m_options.m_initial_backoff;
     m_last_success_at = now;
+    m_confirmed_at = m_begun_at;
     m_version = version;
     m_in_flight.reset();
     m_retry_at.reset();
@@ -133,6 +134,7 @@
     }
     m_backoff = m_options.m_initial_backoff;
     m_last_success_at = now;
+    m_confirmed_at = m_begun_at;
     drop();
     return status::conflict;
 }
--- a/src/dragonflygap/cell/commit_chain.hpp
+++ b/src/dragonflygap/cell/commit_chain.hpp
@@ -79,6 +79,9 @@
     const leader_record& record() const { return m_record; }
     /// When the store last answered a transaction, with a commit or a conflict.
     instant last_success_at() const { return m_last_success_at; }
+    /// No other leader had written the row at this time. An answer may be read much later, so it
+    /// counts from the beginning of its transaction.
+    instant confirmed_at() const { return m_confirmed_at; }
 
 private:
     void drop();
@@ -100,6 +103,7 @@
     instant m_not_before{};          ///< Backoff after refusals.
     instant m_begun_at{};
     instant m_last_success_at{};
+    instant m_confirmed_at{};
 };
 
 } // namespace dragonflygap::cell
--- a/src/dragonflygap/cell/coordinator.cpp
+++ b/src/dragonflygap/cell/coordinator.cpp
@@ -40,7 +40,8 @@
       m_chain(options.m_commits, found.m_self, found.m_version),
       m_approval_balancer(options.m_approvals),
       m_now(now),
-      m_taken_over_at(now)
+      m_taken_over_at(now),
+      m_elected_at(found.m_elected_at == instant{} ? now : found.m_elected_at)
 {
     m_predecessor_leases_until = lease_end();
     if (!found.m_predecessor_gone)
--- a/src/dragonflygap/cell/coordinator.hpp
+++ b/src/dragonflygap/cell/coordinator.hpp
@@ -36,10 +36,11 @@
     /// For jobs rejected by a full queue; the length of a load peak.
     std::int64_t m_full_retry_after_ms = 2000;
     duration m_call_timeout = 1s; ///< A call whose write takes longer is answered as unknown.
-    duration m_renewal_store_timeout = 6s; ///< Without the store for longer, leases aren't renewed.
-    duration m_ended_retention = 150s;     ///< How long the outcome of an ended job is kept.
-    duration m_unlisted_retention = 30s;   ///< A worker that is unlisted for longer is removed.
-    std::size_t m_max_ready_steps = 3000;  ///< With more, new jobs are rejected.
+    /// Without the store for longer, no task is started and no lease renewed.
+    duration m_renewal_store_timeout = 6s;
+    duration m_ended_retention = 150s;        ///< How long the outcome of an ended job is kept.
+    duration m_unlisted_retention = 30s;      ///< A worker that is unlisted for longer is removed.
+    std::size_t m_max_ready_steps = 3000;     ///< With more, new jobs are rejected.
     std::uint64_t m_runs_per_epoch = 1000000; ///< Run numbers of a task that belong to one epoch.
 };
 
@@ -54,6 +55,8 @@
     bool m_predecessor_gone = false; ///< The previous leader's process is known to have ended.
     /// Time of the takeover; 0: the age of jobs is unknown and counts as 0.
     std::int64_t m_unix_ms = 0;
+    /// When the transaction of the takeover was sent; zero: when the coordinator was created.
+    instant m_elected_at{};
 };
 
 /// The leader of a cell: runs jobs on the cell's workers from submission to end. Stores every
@@ -173,6 +176,7 @@
     void expire_calls();
     bool store_unavailable() const;
     duration store_age() const; ///< Time since the store last answered, or since the takeover.
+    bool leadership_confirmed() const;
 
     // coordinator_workers.cpp: leases, reports and lost workers; coordinator_ends.cpp: ends and
     // stops
@@ -248,6 +252,7 @@
     instant m_now;
     std::int64_t m_unix_ms = 0;
     instant m_taken_over_at;
+    instant m_elected_at;                 ///< When the transaction of the takeover was sent.
     instant m_predecessor_leases_until{}; ///< Until then unsynced workers may run tasks of an
                                           ///< earlier leader.
     actions* m_actions = nullptr;
--- a/src/dragonflygap/cell/coordinator_commits.cpp
+++ b/src/dragonflygap/cell/coordinator_commits.cpp
@@ -36,6 +36,13 @@
     return m_now - std::max(m_chain.last_success_at(), m_taken_over_at);
 }
 
+// Without this, a successor may count on it that the worker's leases run out.
+bool coordinator::leadership_confirmed() const
+{
+    return m_now - std::max(m_chain.confirmed_at(), m_elected_at) <
+           m_options.m_renewal_store_timeout;
+}
+
 // Adds one job's changes; false if they don't fit into the transaction.
 bool coordinator::add_job(job_state& job, transaction& change, batch& contents)
 {
--- a/src/dragonflygap/cell/coordinator_workers.cpp
+++ b/src/dragonflygap/cell/coordinator_workers.cpp
@@ -113,14 +113,12 @@
     renewal order{.m_acknowledged = worker.m_ends_stored};
     const bool answers = worker.m_failing_since == instant{} ||
                          m_now - worker.m_failing_since < options.m_silence_timeout;
-    const auto store_seen_at = std::max(m_chain.last_success_at(), m_taken_over_at);
-    const bool leadership_confirmed = m_now - store_seen_at < m_options.m_renewal_store_timeout;
     const bool orders_lost = worker.stops_failing() &&
                              m_now - worker.m_stops_failing_since >= options.m_stop_failure_timeout;
     // The lease isn't renewed before the worker has reported its clock, or while it is silent. So
     // the time by which all its tasks must have ended is known. Its end also settles the runs that
     // no stop can reach.
-    if (worker.m_synced && answers && leadership_confirmed && !orders_lost &&
+    if (worker.m_synced && answers && leadership_confirmed() && !orders_lost &&
         !worker.m_placements.empty())
     {
         order.m_deadline_ms = worker.clock_at(m_now) + to_ms(options.m_lease_duration);
--- a/src/dragonflygap/node/node.cpp
+++ b/src/dragonflygap/node/node.cpp
@@ -223,6 +223,7 @@
                .m_predecessor = predecessor,
                .m_version = m_election.row_version(),
                .m_unix_ms = unix_ms(),
+               .m_now = monotonic_clock::now(),
                .m_predecessor_gone = predecessor_gone},
               [this](const outcome<cell::recovered_state>& result)
               {
--- a/src/dragonflygap/node/takeover.cpp
+++ b/src/dragonflygap/node/takeover.cpp
@@ -86,6 +86,7 @@
                     fail(verdict::not_run, reason::conflict, "another VM won the election"));
             state->m_recovered.m_version = result->m_version;
             state->m_recovered.m_unix_ms = state->m_options.m_unix_ms;
+            state->m_recovered.m_elected_at = state->m_options.m_now;
             read_rows(state);
         });
 }
--- a/src/dragonflygap/node/takeover.hpp
+++ b/src/dragonflygap/node/takeover.hpp
@@ -18,6 +18,7 @@
     std::optional<cell::leader_record> m_predecessor; ///< The leader's row as last read.
     std::uint64_t m_version = 0;                      ///< Version of that row; 0: no row.
     std::int64_t m_unix_ms = 0;                       ///< Wall-clock time.
+    instant m_now{};
     bool m_predecessor_gone = false;
     duration m_timeout = 2s; ///< For each call to the store.
 };
--- a/tests/cell/support/stub_cell.hpp
+++ b/tests/cell/support/stub_cell.hpp
@@ -28,8 +28,11 @@
               {},
               [&found]
               {
-                  found.m_self = {.m_epoch = 2, .m_vm = vm_id("vm")};
-                  found.m_predecessor_gone = true;
+                  if (found.m_self.m_epoch == 0)
+                  {
+                      found.m_self = {.m_epoch = 2, .m_vm = vm_id("vm")};
+                      found.m_predecessor_gone = true;
+                  }
                   return found;
               }(),
               instant(10s))
@@ -73,6 +76,9 @@
         {
             std::vector<event> answers;
             answers.swap(m_answers);
+            if (!m_store_silent)
+                for (auto& answer : std::exchange(m_unsent_answers, {}))
+                    answers.push_back(std::move(answer));
             for (const auto& answer : answers)
                 feed(answer);
             auto later = std::exchange(m_later, {});
@@ -140,6 +146,9 @@
     std::map<worker_id, stub_worker> m_workers;
     std::vector<worker_info> m_listed;
     std::int64_t m_valid_ms = 2500; ///< Of the issued tickets.
+    bool m_store_silent = false;    ///< The store's answers are kept back.
+    std::vector<event> m_unsent_answers;
+    std::map<row_name, std::string> m_rows; ///< As written by the coordinator.
     int m_calls = 0;
     int m_renewals = 0;
     std::size_t m_max_named = 0;
@@ -156,8 +165,12 @@
     void act(const step_down&) { FAIL("stepped down"); }
     void act(const send_commit& request)
     {
-        m_answers.push_back(commit_answered{
-            request.m_number, transaction_result{.m_committed = true, .m_version = ++m_version}});
+        for (const auto& write : request.m_change.m_writes)
+            m_rows[write.m_row] = write.m_value;
+        (m_store_silent ? m_unsent_answers : m_answers)
+            .push_back(
+                commit_answered{request.m_number,
+                                transaction_result{.m_committed = true, .m_version = ++m_version}});
     }
     void act(const send_renewal& request)
     {
