Wait once for the leases on a silent worker, not once per leader

A restored job started nothing beside free workers while one worker was silent and leaders changed every few seconds. The platform expects a job that fits to run within finish_s, 14 s.

Cause: a new leader held back every restored job until each known worker had reported, or 12.4 s had passed since its own take-over, as it couldn't know what earlier leaders had granted. Leaders that live for less than 12.4 s never let such a job start. For the same reason a worker that had joined and never answered held them back, though nobody had used it. And the wait was too short after a leader known to have ended: it left out the leader before.

The row `workers` now tells until when leases of earlier leaders can last on the workers that its leader hasn't heard, by the store's clock, and which of them it doesn't use. A worker counts as used only once that is stored under the leader's own epoch, so a deposed leader can't prolong anything there. The row `leader` tells since which epoch all leaders have done so; after a leader of an earlier build the whole time is waited as before.

The stand-in store has a clock, and stand-in workers may have slow or fast ones.

--- a/src/dragonflygap/cell/coordinator.cpp
+++ b/src/dragonflygap/cell/coordinator.cpp
@@ -43,17 +43,7 @@
       m_taken_over_at(now),
       m_elected_at(found.m_elected_at == instant{} ? now : found.m_elected_at)
 {
-    m_predecessor_leases_until = lease_end();
-    if (!found.m_predecessor_gone)
-        m_predecessor_leases_until += m_options.m_renewal_store_timeout;
-    for (const auto& [id, address] : found.m_workers)
-    {
-        auto& worker = m_workers[id];
-        worker.m_info.m_id = id;
-        worker.m_info.m_address = parse_endpoint(address).value_or(endpoint{});
-        worker.m_listed = false;
-        worker.m_unlisted_since = now;
-    }
+    restore_workers(found);
     restore_jobs(found);
 }
 
@@ -113,6 +103,7 @@
         if (!worker.m_placements.empty() && m_now >= worker.m_lease_expires_at)
             handle_worker_loss(worker, "lease_over");
     stop_stuck_tasks();
+    give_up_silent_workers();
     place_ready_steps();
     count_lapsed_tickets();
     send_stops();
--- a/src/dragonflygap/cell/coordinator.hpp
+++ b/src/dragonflygap/cell/coordinator.hpp
@@ -52,6 +52,9 @@
     std::vector<stored_row> m_jobs;
     std::vector<stored_row> m_progress;
     std::vector<std::pair<worker_id, std::string>> m_workers;
+    std::uint64_t m_workers_epoch = 0; ///< Of the leader that stored the workers.
+    std::vector<unheard_workers> m_unheard;
+    std::int64_t m_store_ms = 0;     ///< The store's clock after the takeover; 0: unknown.
     bool m_predecessor_gone = false; ///< The previous leader's process is known to have ended.
     /// Time of the takeover; 0: the age of jobs is unknown and counts as 0.
     std::int64_t m_unix_ms = 0;
@@ -122,6 +125,7 @@
         /// May be acknowledged once the transaction is stored.
         std::map<worker_id, reported_ends> m_ends;
         bool m_workers = false;
+        std::vector<worker_id> m_used; ///< May be used once the transaction is stored.
     };
     /// An approval call that is being assembled.
     struct approval_draft
@@ -203,6 +207,15 @@
     void stop_all_tasks(job_state& job);
     bool workers_unsynced() const;
 
+    // coordinator_worker_use.cpp: what successors need to know about silent workers
+    void restore_workers(const recovered_state& found);
+    void begin_use(worker_state& worker);
+    void give_up_silent_workers();
+    void record_report(worker_state& worker);
+    bool may_use(const worker_state& worker) const;
+    void store_workers(transaction& change, batch& contents);
+    void allow_used_workers(const batch& contents);
+
     // coordinator_placing.cpp, coordinator_gangs.cpp: placement; coordinator_approvals.cpp:
     // approval calls
     void place_ready_steps();
@@ -254,7 +267,10 @@
     instant m_taken_over_at;
     instant m_elected_at;                 ///< When the transaction of the takeover was sent.
     instant m_predecessor_leases_until{}; ///< Until then unsynced workers may run tasks of an
-                                          ///< earlier leader.
+                                          ///< earlier leader, if it used them.
+    std::int64_t m_predecessor_leases_until_ms = 0; ///< The same by the store's clock.
+    bool m_store_clock_known = false;
+    bool m_uses_stored = false; ///< The predecessors stored every worker before they used it.
     actions* m_actions = nullptr;
     bool m_deposed = false;
 
--- a/src/dragonflygap/cell/coordinator_commits.cpp
+++ b/src/dragonflygap/cell/coordinator_commits.cpp
@@ -103,15 +103,7 @@
     for (const auto& id : added)
         m_dirty.erase(id);
     if (m_workers_dirty)
-    {
-        workers_record record;
-        for (const auto& [id, worker] : m_workers)
-            record.m_workers.emplace_back(id, to_string(worker.m_info.m_address));
-        change.m_writes.push_back(
-            {{std::string(workers_table), std::string(workers_key)}, pack(record)});
-        contents.m_workers = true;
-        m_workers_dirty = false;
-    }
+        store_workers(change, contents);
     // All changes caused by the ends seen so far are in this transaction or an earlier one.
     if (m_dirty.empty())
         for (const auto& [id, worker] : m_workers)
@@ -181,6 +173,7 @@
         if (accepted_now && !job->m_outcome)
             answer_calls(*job, call_status::accepted);
     }
+    allow_used_workers(contents);
     for (const auto& [id, ends] : contents.m_ends)
     {
         const auto worker = m_workers.find(id);
--- a/src/dragonflygap/cell/coordinator_placing.cpp
+++ b/src/dragonflygap/cell/coordinator_placing.cpp
@@ -45,7 +45,7 @@
     m_workers_unsynced = workers_unsynced();
     for (auto& [id, worker] : m_workers)
     {
-        worker.m_pass = {.m_open = leadership_confirmed() && accepts_tasks(worker)};
+        worker.m_pass = {.m_open = may_use(worker) && accepts_tasks(worker)};
         if (!worker.m_pass.m_open)
             continue;
         m_workers_by_free_capacity.push_back(&worker);
--- a/src/dragonflygap/cell/coordinator_workers.cpp
+++ b/src/dragonflygap/cell/coordinator_workers.cpp
@@ -29,7 +29,10 @@
     for (const auto& info : event.m_workers)
     {
         listed.insert(info.m_id);
-        auto& worker = m_workers[info.m_id];
+        const auto [entry, inserted] = m_workers.try_emplace(info.m_id);
+        auto& worker = entry->second;
+        if (inserted)
+            begin_use(worker);
         if (worker.m_info.m_address != info.m_address)
         {
             m_workers_dirty = true;
@@ -118,7 +121,7 @@
     // The lease isn't renewed before the worker has reported its clock, or while it is silent. So
     // the time by which all its tasks must have ended is known. Its end also settles the runs that
     // no stop can reach.
-    if (worker.m_synced && answers && leadership_confirmed() && !orders_lost &&
+    if (may_use(worker) && worker.m_synced && answers && !orders_lost &&
         !worker.m_placements.empty())
     {
         order.m_deadline_ms = worker.clock_at(m_now) + to_ms(options.m_lease_duration);
@@ -167,6 +170,7 @@
         return;
     }
     apply_report(worker, *event.m_result, event.m_sent);
+    record_report(worker);
 }
 
 void coordinator::apply_report(worker_state& worker, const worker_report& report, instant sent)
@@ -305,16 +309,21 @@
     for (const auto& [key, placed] : placements)
         apply_end(worker, {.m_task = key, .m_run = placed.m_run, .m_end_kind = end_kind::lapsed});
     worker.m_synced = false;
+    worker.m_earlier_leases_until = {};
+    worker.m_earlier_leases_until_ms = 0;
     worker.m_next_renewal = m_now;
 }
 
 // True while workers that haven't reported yet may run tasks of an earlier leader.
 bool coordinator::workers_unsynced() const
 {
-    return m_now < m_predecessor_leases_until &&
-           std::any_of(m_workers.begin(), m_workers.end(),
-                       [](const auto& entry)
-                       { return !entry.second.m_synced && !entry.second.m_replaced; });
+    return std::any_of(m_workers.begin(), m_workers.end(),
+                       [this](const auto& entry)
+                       {
+                           const auto& worker = entry.second;
+                           return !worker.m_synced && !worker.m_replaced &&
+                                  m_now < worker.m_earlier_leases_until;
+                       });
 }
 
 } // namespace dragonflygap::cell
--- a/src/dragonflygap/cell/ports.hpp
+++ b/src/dragonflygap/cell/ports.hpp
@@ -56,6 +56,7 @@
 {
     bool m_committed = false;
     std::uint64_t m_version = 0;         ///< Of all rows written, if committed.
+    std::int64_t m_clock_ms = 0;         ///< The store's steady clock; 0: unknown.
     std::vector<stored_row> m_conflicts; ///< The conditions' rows as they are, if not committed.
 };
 
--- a/src/dragonflygap/cell/records.hpp
+++ b/src/dragonflygap/cell/records.hpp
@@ -26,9 +26,11 @@
     vm_id m_vm;
     std::uint64_t m_incarnation = 0;
     std::uint64_t m_commit = 0; ///< Number of the transaction that wrote this row.
+    /// All leaders from this epoch on store that they use a worker before they do; 0: unknown.
+    std::uint64_t m_uses_stored_since = 0;
 
     bool operator==(const leader_record&) const = default;
-    MSGPACK_DEFINE(m_epoch, m_vm, m_incarnation, m_commit)
+    MSGPACK_DEFINE(m_epoch, m_vm, m_incarnation, m_commit, m_uses_stored_since)
 };
 
 struct member_record
@@ -76,12 +78,25 @@
     MSGPACK_DEFINE(m_tasks)
 };
 
-/// All workers that may run tasks of this cell: a new leader needs a report from each.
+/// Workers that haven't reported to the leader that wrote the row.
+struct unheard_workers
+{
+    std::int64_t m_leases_until_ms = 0; ///< Of earlier leaders, by the store's clock.
+    bool m_used = true; ///< False: the leader starts nothing there and renews no lease.
+    std::vector<std::uint32_t> m_positions; ///< In workers_record::m_workers.
+
+    MSGPACK_DEFINE(m_leases_until_ms, m_used, m_positions)
+};
+
+/// All workers that may run tasks of this cell: a new leader needs a report from each, or waits
+/// until the leases there have run out.
 struct workers_record
 {
     std::vector<std::pair<worker_id, std::string>> m_workers; ///< With their addresses.
+    std::uint64_t m_epoch = 0;                                ///< Of the leader that wrote the row.
+    std::vector<unheard_workers> m_unheard; ///< The others reported to that leader and are used.
 
-    MSGPACK_DEFINE(m_workers)
+    MSGPACK_DEFINE(m_workers, m_epoch, m_unheard)
 };
 inline constexpr std::string_view workers_table = "workers"; ///< One row: workers_record.
 inline constexpr std::string_view workers_key = "workers";
--- a/src/dragonflygap/cell/worker_state.hpp
+++ b/src/dragonflygap/cell/worker_state.hpp
@@ -10,6 +10,15 @@
 namespace dragonflygap::cell
 {
 
+/// Whether a leader may start tasks on a worker and renew its lease. Successors rely on it, so a
+/// worker is stored as used before it is used.
+enum class worker_use
+{
+    none,    ///< Stored as unused, or about to be.
+    pending, ///< To be stored as used.
+    allowed,
+};
+
 enum class placement_phase
 {
     starting, ///< The order was sent.
@@ -65,6 +74,11 @@
     instant m_address_since{};  ///< When the list first gave its address.
     bool m_replaced = false;    ///< Another process answers at the address: this one ended.
     bool m_synced = false;      ///< The worker has reported its tasks under this epoch.
+    worker_use m_use = worker_use::allowed;
+    /// Leases of earlier leaders may last until then, unless the worker has reported since; by the
+    /// local clock and by the store's.
+    instant m_earlier_leases_until{};
+    std::int64_t m_earlier_leases_until_ms = 0;
     std::uint64_t m_started_at = 0;
     resources m_used;
     std::map<task_key, placement> m_placements;
--- a/src/dragonflygap/node/takeover.cpp
+++ b/src/dragonflygap/node/takeover.cpp
@@ -55,7 +55,11 @@
          {
              for (const auto& row : rows)
                  if (auto record = cell::unpack<cell::workers_record>(row.m_value))
+                 {
                      state->m_recovered.m_workers = std::move(record->m_workers);
+                     state->m_recovered.m_workers_epoch = record->m_epoch;
+                     state->m_recovered.m_unheard = std::move(record->m_unheard);
+                 }
          });
 }
 
@@ -68,6 +72,11 @@
     state->m_recovered.m_self = {.m_epoch = predecessor ? predecessor->m_epoch + 1 : 1,
                                  .m_vm = options.m_vm,
                                  .m_incarnation = options.m_incarnation};
+    // A predecessor of an earlier build doesn't know the field.
+    auto& self = state->m_recovered.m_self;
+    self.m_uses_stored_since = predecessor && predecessor->m_uses_stored_since != 0
+                                   ? predecessor->m_uses_stored_since
+                                   : self.m_epoch;
     state->m_recovered.m_predecessor_gone = options.m_predecessor_gone;
     state->m_options = std::move(options);
     state->m_done = std::move(done);
@@ -85,6 +94,7 @@
                 return state->m_done(
                     fail(verdict::not_run, reason::conflict, "another VM won the election"));
             state->m_recovered.m_version = result->m_version;
+            state->m_recovered.m_store_ms = result->m_clock_ms;
             state->m_recovered.m_unix_ms = state->m_options.m_unix_ms;
             state->m_recovered.m_elected_at = state->m_options.m_now;
             read_rows(state);
--- a/tests/node/support/cell_world.cpp
+++ b/tests/node/support/cell_world.cpp
@@ -22,6 +22,7 @@
 const endpoint store_address{"10.0.0.1", 80};
 const endpoint approval_address{"10.0.0.2", 80};
 constexpr duration network_delay = 1ms;
+constexpr std::int64_t store_clock_ahead_ms = 50000;
 constexpr std::uint16_t worker_port = 9000;
 
 instant g_now; // virtual time; only one cell_world exists at a time
@@ -55,8 +56,10 @@
 cell_world::cell_world(world_options options)
     : m_options(options),
       m_random(options.m_seed),
-      m_store(m_random, [this](duration delay, std::function<void()> work)
-              { schedule(delay, std::move(work)); })
+      m_store(
+          m_random,
+          [this](duration delay, std::function<void()> work) { schedule(delay, std::move(work)); },
+          [this] { return now_ms() + store_clock_ahead_ms; })
 {
     g_now = instant(1s);
     monotonic_clock::set_source(&world_now);
--- a/tests/node/support/stand_in_store.cpp
+++ b/tests/node/support/stand_in_store.cpp
@@ -52,8 +52,9 @@
 
 } // namespace
 
-store::store(std::mt19937_64& random, std::function<void(duration, std::function<void()>)> schedule)
-    : m_random(random), m_schedule(std::move(schedule))
+store::store(std::mt19937_64& random, std::function<void(duration, std::function<void()>)> schedule,
+             std::function<std::int64_t()> clock_ms)
+    : m_random(random), m_schedule(std::move(schedule)), m_clock_ms(std::move(clock_ms))
 {
 }
 
@@ -103,14 +104,16 @@
         if (wire::from_base64(write.at("value").get<std::string>())->size() > row_bytes)
             return json_response(400, "{}");
     if (failed)
-        return json_response(412, json{{"rows", conflicts}, {"schema_version", m_version}}.dump());
+        return json_response(
+            412, json{{"rows", conflicts}, {"schema_version", m_version}, {"now_ms", m_clock_ms()}}
+                     .dump());
     ++m_version;
     for (const auto& write : change.at("writes"))
         m_rows[name_of(write)] = {*wire::from_base64(write.at("value").get<std::string>()),
                                   m_version};
     for (const auto& deleted : change.at("deletes"))
         m_rows.erase(name_of(deleted));
-    return json_response(200, json{{"schema_version", m_version}}.dump());
+    return json_response(200, json{{"schema_version", m_version}, {"now_ms", m_clock_ms()}}.dump());
 }
 
 http_response store::get(const http_request& request) const
@@ -132,8 +135,11 @@
             break;
         rows.push_back(encode(entry->first, &entry->second));
     }
-    return json_response(
-        200, json{{"rows", rows}, {"has_more", has_more}, {"schema_version", m_version}}.dump());
+    return json_response(200, json{{"rows", rows},
+                                   {"has_more", has_more},
+                                   {"schema_version", m_version},
+                                   {"now_ms", m_clock_ms()}}
+                                  .dump());
 }
 
 void store::feed(const http_request& request, duration waited, reply done)
@@ -147,7 +153,9 @@
             rows.push_back(encode(name, &row));
     const auto wait = std::chrono::milliseconds(std::stoll(query_parameter(request, "wait_ms")));
     if (!rows.empty() || waited >= wait)
-        return done(json_response(200, json{{"rows", rows}, {"schema_version", m_version}}.dump()));
+        return done(json_response(
+            200,
+            json{{"rows", rows}, {"schema_version", m_version}, {"now_ms", m_clock_ms()}}.dump()));
     m_schedule(step, [this, request, waited, done, step] { feed(request, waited + step, done); });
 }
 
--- a/tests/node/support/stand_in_store.hpp
+++ b/tests/node/support/stand_in_store.hpp
@@ -39,7 +39,9 @@
     };
 
     /// schedule runs a function after a delay; it is never cancelled.
-    store(std::mt19937_64& random, std::function<void(duration, std::function<void()>)> schedule);
+    /// clock_ms is the store's own steady clock.
+    store(std::mt19937_64& random, std::function<void(duration, std::function<void()>)> schedule,
+          std::function<std::int64_t()> clock_ms);
 
     /// Answers a call; if the answer is lost, done is never called.
     void handle(const http_request& request, reply done);
@@ -60,6 +62,7 @@
 
     std::mt19937_64& m_random;
     std::function<void(duration, std::function<void()>)> m_schedule;
+    std::function<std::int64_t()> m_clock_ms;
     std::map<row_name, row> m_rows;
     std::uint64_t m_version = 1;
 };
--- a/tests/node/support/stand_in_worker.hpp
+++ b/tests/node/support/stand_in_worker.hpp
@@ -93,6 +93,7 @@
     bool m_draining = false;
     std::int64_t m_cpu = 16000;
     std::int64_t m_memory_mb = 32768;
+    double m_clock_rate = 1; ///< Of its own clock.
 
 private:
     struct run
@@ -109,7 +110,11 @@
         std::string m_result;
     };
 
-    std::int64_t clock() const { return m_checker.m_now_ms() - m_process_start_ms; }
+    std::int64_t clock() const
+    {
+        return static_cast<std::int64_t>(
+            m_clock_rate * static_cast<double>(m_checker.m_now_ms() - m_process_start_ms));
+    }
     http_response execute(const http_request& request);
     http_response start(const std::string& task, std::uint64_t run_number, std::int64_t deadline);
     void finish(const std::string& task, const std::string& result);
