Store the progress of long schedules and wide steps in ranges

Each done step of an occurrence, and each done task of a step that isn't done, took an entry in the job's progress row. A row holds 64 KB and the store refuses the leader's whole transaction if one is larger, again and again and under every later leader: no job is accepted and no end stored. A schedule of two steps got there after some 3,000 occurrences (1.9 MB for the 100,000 that are allowed), a step of 10,000 tasks while its last ones ran; the existing test stopped at 1,000 occurrences.

Above 1,000 entries, done tasks are now stored as ranges. Shorter records keep the old form, since earlier versions don't read ranges.

Test first: job_state the_progress_of_the_longest_schedule_fits_in_a_row (1,937,083 bytes on the old code). the_progress_of_a_wide_step_fits_in_a_row was written with it; its final pattern wasn't run on the old code. Not covered: more than some 2,000 checkpoints in one job.

--- a/src/dragonflygap/cell/job_state.cpp
+++ b/src/dragonflygap/cell/job_state.cpp
@@ -6,6 +6,48 @@
 namespace dragonflygap::cell
 {
 
+namespace
+{
+
+bool is_plainly_done(const task_progress& task)
+{
+    return task.m_done && task.m_failed_runs.empty();
+}
+
+// Whether a range goes on with a task that is done.
+bool continues(const done_range& range, const task_progress& task)
+{
+    if (range.m_step != task.m_step)
+        return false;
+    if (task.m_index == task_progress::whole_step)
+        return range.m_first_index == task_progress::whole_step &&
+               range.m_last_occurrence + 1 == task.m_occurrence;
+    return range.m_first_index != task_progress::whole_step &&
+           range.m_last_occurrence == task.m_occurrence && range.m_last_index + 1 == task.m_index;
+}
+
+/// Moves tasks that are done into ranges.
+void compact(progress_record& progress)
+{
+    std::stable_sort(progress.m_tasks.begin(), progress.m_tasks.end(),
+                     [](const task_progress& left, const task_progress& right)
+                     { return left.m_step < right.m_step; });
+    for (const auto& task : progress.m_tasks)
+    {
+        if (!is_plainly_done(task))
+            continue;
+        if (progress.m_done.empty() || !continues(progress.m_done.back(), task))
+            progress.m_done.push_back({.m_step = task.m_step,
+                                       .m_first_occurrence = task.m_occurrence,
+                                       .m_first_index = task.m_index});
+        progress.m_done.back().m_last_occurrence = task.m_occurrence;
+        progress.m_done.back().m_last_index = task.m_index;
+    }
+    std::erase_if(progress.m_tasks, is_plainly_done);
+}
+
+} // namespace
+
 job_state::job_state(job_id id, job_record record)
     : m_id(std::move(id)), m_record(std::move(record))
 {
@@ -44,14 +86,38 @@
         if (saved.m_done)
             set_done(key);
     }
+    for (const auto& range : progress.m_done)
+        restore_range(range);
+}
+
+void job_state::restore_range(const done_range& range)
+{
+    m_started = true;
+    if (range.m_first_index == task_progress::whole_step)
+    {
+        const int last = std::min(range.m_last_occurrence, occurrences() - 1);
+        for (int k = range.m_first_occurrence; k <= last; ++k)
+            set_step_done(k, range.m_step);
+        return;
+    }
+    for (int i = range.m_first_index; i <= range.m_last_index; ++i)
+    {
+        const task_key key{m_id, range.m_first_occurrence, range.m_step, i};
+        if (find(key) == nullptr)
+            return;
+        set_done(key);
+    }
 }
 
 progress_record job_state::progress() const
 {
+    constexpr std::size_t max_plain_entries = 1000; // of at most 64 bytes on average
     progress_record result;
     for (int k = 0; k < occurrences(); ++k)
         for (int s = 0; s < steps(); ++s)
             add_progress(result, k, s);
+    if (result.m_tasks.size() > max_plain_entries)
+        compact(result);
     return result;
 }
 
--- a/src/dragonflygap/cell/job_state.hpp
+++ b/src/dragonflygap/cell/job_state.hpp
@@ -101,6 +101,7 @@
     instant m_ended_at{};
 
 private:
+    void restore_range(const done_range& range);
     void add_progress(progress_record& result, int occurrence, int step) const;
 
     job_id m_id;
--- a/src/dragonflygap/cell/records.hpp
+++ b/src/dragonflygap/cell/records.hpp
@@ -71,11 +71,26 @@
     MSGPACK_DEFINE(m_occurrence, m_step, m_index, m_done, m_failed_runs, m_checkpoint)
 };
 
+/// Tasks of a step that are done: all, in successive occurrences, or some, in one occurrence.
+struct done_range
+{
+    int m_step = 0;
+    int m_first_occurrence = 0;
+    int m_last_occurrence = 0;
+    int m_first_index = task_progress::whole_step;
+    int m_last_index = task_progress::whole_step;
+
+    MSGPACK_DEFINE(m_step, m_first_occurrence, m_last_occurrence, m_first_index, m_last_index)
+};
+
 struct progress_record
 {
     std::vector<task_progress> m_tasks; ///< Only tasks with progress.
+    /// Done tasks that aren't in m_tasks; used only for long schedules and wide steps, as earlier
+    /// versions don't read it.
+    std::vector<done_range> m_done;
 
-    MSGPACK_DEFINE(m_tasks)
+    MSGPACK_DEFINE(m_tasks, m_done)
 };
 
 /// Workers that haven't reported to the leader that wrote the row.
--- a/tests/cell/job_state_test.cpp
+++ b/tests/cell/job_state_test.cpp
@@ -71,12 +71,60 @@
     CHECK_TRUE(pack(job.progress()).size() < row_bytes);
 }
 
+// Without it, a schedule that repeats each minute stops its cell after four days: the store refuses
+// the row, and with it every transaction of the leader.
+TEST(job_state, the_progress_of_the_longest_schedule_fits_in_a_row)
+{
+    constexpr int occurrences = 100000;
+    constexpr std::size_t row_bytes = 65536;
+    auto job = make_job(occurrences, 1);
+    for (int k = 0; k + 1 < occurrences; ++k)
+    {
+        job.set_step_done(k, 0);
+        job.set_step_done(k, 1);
+    }
+    job.set_step_done(occurrences - 1, 0);
+    const auto stored = pack(job.progress());
+    CHECK_COMPARE(stored.size(), <, row_bytes);
+    auto later = make_job(occurrences, 1);
+    later.restore(*unpack<progress_record>(stored));
+    for (int k = 0; k < occurrences; ++k)
+    {
+        LONGS_EQUAL(1, later.step(k, 0).m_done);
+        LONGS_EQUAL(k + 1 < occurrences ? 1 : 0, later.step(k, 1).m_done);
+    }
+}
+
+TEST(job_state, the_progress_of_a_wide_step_fits_in_a_row)
+{
+    constexpr int width = 10000;
+    constexpr std::size_t row_bytes = 65536;
+    auto job = make_job(1, width);
+    for (int i = 0; i < width; ++i)
+        if (i % 10 != 0)
+            job.set_done({job.id(), 0, 0, i});
+    job.find({job.id(), 0, 0, 20})->m_checkpoint = "saved";
+    job.find({job.id(), 0, 0, 21})->m_failed_runs = {7};
+    const auto stored = pack(job.progress());
+    CHECK_COMPARE(stored.size(), <, row_bytes);
+    auto later = make_job(1, width);
+    later.restore(*unpack<progress_record>(stored));
+    LONGS_EQUAL(job.step(0, 0).m_done, later.step(0, 0).m_done);
+    for (int i = 0; i < width; ++i)
+        CHECK_EQUAL(i % 10 != 0, later.find({job.id(), 0, 0, i})->m_status == task_status::done);
+    STRCMP_EQUAL("saved", later.find({job.id(), 0, 0, 20})->m_checkpoint.c_str());
+    LONGS_EQUAL(1, later.find({job.id(), 0, 0, 21})->m_failed_runs.size());
+}
+
 TEST(job_state, progress_that_does_not_fit_the_job_is_ignored)
 {
     progress_record progress;
     progress.m_tasks.push_back({9, 0, task_progress::whole_step, true, {}, {}});
     progress.m_tasks.push_back({0, 9, task_progress::whole_step, true, {}, {}});
     progress.m_tasks.push_back({0, 0, 99, true, {}, {}});
+    progress.m_done.push_back({.m_step = 9, .m_last_occurrence = 9});
+    progress.m_done.push_back({.m_step = 0, .m_first_occurrence = 5, .m_last_occurrence = 1000});
+    progress.m_done.push_back({.m_step = 0, .m_first_index = 5, .m_last_index = 1000});
     auto job = make_job(1, 2);
     job.restore(progress);
     LONGS_EQUAL(2, job.step(0, 0).m_waiting);
