--- a/tests/node/support/cell_world.cpp
+++ b/tests/node/support/cell_world.cpp
@@ -19,11 +19,7 @@
 
 using nlohmann::json;
 
-const endpoint store_address{"10.0.0.1", 80};
-const endpoint approval_address{"10.0.0.2", 80};
-constexpr duration network_delay = 1ms;
 constexpr std::int64_t store_clock_ahead_ms = 50000;
-constexpr std::uint16_t worker_port = 9000;
 
 instant g_now; // virtual time; only one cell_world exists at a time
 
@@ -59,7 +55,8 @@
       m_store(
           m_random,
           [this](duration delay, std::function<void()> work) { schedule(delay, std::move(work)); },
-          [this] { return now_ms() + store_clock_ahead_ms; })
+          [this] { return now_ms() + store_clock_ahead_ms; }),
+      m_worker_connections(options.m_connections ? options.m_connections->m_max_per_worker : 0)
 {
     g_now = instant(1s);
     monotonic_clock::set_source(&world_now);
@@ -178,90 +175,6 @@
     schedule(interval, [this] { publish_workers(); });
 }
 
-http_transport cell_world::transport_of(const std::string& vm, vm_process& process)
-{
-    http_transport transport;
-    transport.m_send = [this, vm, &process](const endpoint& to, http_request request,
-                                            duration timeout, http_transport::done on_done)
-    {
-        const auto call = ++m_last_call;
-        auto open = std::make_shared<http_transport::done>(std::move(on_done));
-        // Both callbacks run in the VM's own event loop, which ends with its process.
-        auto finish =
-            [this, vm, open, incarnation = process.m_incarnation](outcome<http_response> result)
-        {
-            const auto found = m_processes.find(vm);
-            if (found == m_processes.end() || found->second->m_incarnation != incarnation || !*open)
-                return;
-            found->second->m_loop.post(
-                [open, result = std::move(result)]
-                {
-                    if (const auto done = std::exchange(*open, nullptr))
-                        done(result);
-                });
-        };
-        process.m_loop.defer(timeout,
-                             [open]
-                             {
-                                 if (const auto done = std::exchange(*open, nullptr))
-                                     done(fail(verdict::may_have_run, reason::target_silent, ""));
-                             });
-        schedule(network_delay,
-                 [this, vm, to, request = std::move(request), finish]
-                 {
-                     route(vm, to, request,
-                           [this, finish](http_response response)
-                           { schedule(network_delay, [finish, response] { finish(response); }); });
-                 });
-        return call;
-    };
-    transport.m_cancel = [](http_transport::call_id) {};
-    transport.m_close_idle = [](const endpoint&) {};
-    return transport;
-}
-
-void cell_world::route(const std::string& vm, const endpoint& to, const http_request& request,
-                       const std::function<void(http_response)>& done)
-{
-    if (to == store_address)
-    {
-        if (!is_cut(vm, "store"))
-            m_store.handle(request, done);
-        return;
-    }
-    if (to == approval_address)
-        return approve(request, done);
-    for (std::size_t i = 0; i < m_workers.size(); ++i)
-        if (address_of(static_cast<int>(i)) == to.m_ip && !is_cut(vm, to.m_ip))
-            m_workers[i]->handle(request, done);
-}
-
-// Denies each step a quarter of the workers, always the same ones.
-void cell_world::approve(const http_request& request,
-                         const std::function<void(http_response)>& done)
-{
-    constexpr duration decision = 15ms;
-    const auto body = json::parse(request.m_body);
-    const auto step = body.at("step").get<std::string>();
-    json approved = json::array();
-    for (const auto& name : body.at("workers"))
-        if ((std::hash<std::string>()(step) + std::stoull(name.get<std::string>().substr(1))) % 4 !=
-            0)
-            approved.push_back({name, "ticket"});
-    auto response = json_response(200, json{{"approved", approved}, {"validity_ms", 2000}}.dump());
-    schedule(decision, [done, response = std::move(response)] { done(response); });
-}
-
-bool cell_world::is_cut(const std::string& left, const std::string& right) const
-{
-    return m_cuts.count({left, right}) != 0 || m_cuts.count({right, left}) != 0;
-}
-
-void cell_world::cut(const std::string& left, const std::string& right)
-{
-    m_cuts.insert({left, right});
-}
-
 void cell_world::start(const std::string& vm)
 {
     auto process = std::make_unique<vm_process>();
@@ -269,6 +182,10 @@
     started.m_incarnation = ++m_last_incarnation;
     m_processes[vm] = std::move(process);
     started.m_transport = transport_of(vm, started);
+    if (m_options.m_connections)
+        started.m_connections = std::make_unique<connection_pools>(
+            started.m_loop, *m_options.m_connections, started.m_incarnation,
+            network_of(vm, started.m_incarnation));
     const auto number = static_cast<std::uint16_t>(7000 + std::stoi(vm.substr(2)));
     node::node_options options{
         .m_vm = vm_id(vm),
@@ -317,11 +234,6 @@
          .m_stopping = [&started] { return started.m_node->stopping(); }});
 }
 
-void cell_world::kill(const std::string& vm)
-{
-    m_processes.erase(vm);
-}
-
 void cell_world::stop(const std::string& vm)
 {
     if (const auto found = m_processes.find(vm); found != m_processes.end())
@@ -333,6 +245,12 @@
     m_processes.at(vm)->m_frozen = frozen;
 }
 
+bool cell_world::is_frozen(const std::string& vm) const
+{
+    const auto found = m_processes.find(vm);
+    return found != m_processes.end() && found->second->m_frozen;
+}
+
 node::node* cell_world::find(const std::string& vm)
 {
     const auto found = m_processes.find(vm);
--- a/tests/node/support/cell_world.hpp
+++ b/tests/node/support/cell_world.hpp
@@ -4,6 +4,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <random>
 #include <set>
 #include <string>
@@ -16,10 +17,16 @@
 #include "dragonflygap/observe/metrics.hpp"
 #include "node/support/stand_in_store.hpp"
 #include "node/support/stand_in_worker.hpp"
+#include "node/support/worker_connections.hpp"
 
 namespace stand_in
 {
 
+inline const endpoint store_address{"10.0.0.1", 80};
+inline const endpoint approval_address{"10.0.0.2", 80};
+constexpr std::uint16_t worker_port = 9000;
+constexpr duration network_delay = 1ms;
+
 struct world_options
 {
     int m_vms = 3;
@@ -27,6 +34,8 @@
     unsigned m_seed = 1;
     bool m_approvals = true;                          ///< The queue requires tickets.
     std::map<std::string, double> m_processor_shares; ///< Of a core, by VM; default 1.
+    /// Without it, calls to workers need no connections.
+    std::optional<connection_options> m_connections;
 };
 
 /// A job's submission, as its caller saw it.
@@ -51,13 +60,21 @@
 
     void start(const std::string& vm);
     void kill(const std::string& vm);
+    /// Ends a VM's process without closing its connections.
+    void cut_power(const std::string& vm);
     void stop(const std::string& vm);
     void freeze(const std::string& vm, bool frozen);
     /// Drops all traffic between two parties: a VM's name, "store", or a worker's address.
     void cut(const std::string& left, const std::string& right);
+    void cut_off(const std::string& vm); ///< From the store, the workers and all other VMs.
     void heal() { m_cuts.clear(); }
+    void heal(const std::string& party);
     /// Drops one VM's messages to another until it redials it.
     void silence(const std::string& from, const std::string& to) { m_silenced.insert({from, to}); }
+    bool is_cut(const std::string& party) const;
+    bool is_frozen(const std::string& vm) const;
+    /// Restarts a worker under a new id; its connections and running tasks are lost.
+    void crash_worker(int number, const std::string& new_id);
     std::string leader() const; ///< Empty if there is none or more than one.
 
     /// Submits a job through a VM, and retries while the outcome is unknown.
@@ -75,6 +92,8 @@
     bool all_accepted_are_done() const { return accepted_not_done().empty(); }
     std::vector<std::string> accepted_not_done() const;
     worker& at(int number) { return *m_workers.at(static_cast<std::size_t>(number)); }
+    const world_options& options() const { return m_options; }
+    const worker_connections& connections() const { return m_worker_connections; }
     static std::string address_of(int number);
 
     node::node* find(const std::string& vm);
@@ -94,6 +113,7 @@
         timer_queue m_timers;
         event_loop m_loop;
         metrics m_metrics;
+        std::unique_ptr<connection_pools> m_connections;
         http_transport m_transport;
         std::unique_ptr<node::node> m_node;
         std::function<void(http_request, http_exchange_ptr)> m_handler;
@@ -105,9 +125,14 @@
     duration delay_of(std::string_view message);
     void schedule(duration delay, std::function<void()> work);
     http_transport transport_of(const std::string& vm, vm_process& process);
+    connection_network network_of(const std::string& vm, std::uint64_t incarnation);
+    worker* worker_at(const endpoint& address);
+    bool reaches_worker(const std::string& vm, const endpoint& address);
+    void post_to(const std::string& vm, std::uint64_t incarnation, std::function<void()> work);
+    void close(const std::string& vm, const endpoint& to, connection_id connection);
     void route(const std::string& vm, const endpoint& to, const http_request& request,
-               const std::function<void(http_response)>& done);
-    void approve(const http_request& request, const std::function<void(http_response)>& done);
+               const worker::reply& done);
+    void approve(const http_request& request, const worker::reply& done);
     bool is_cut(const std::string& left, const std::string& right) const;
     void publish_workers();
     void retry(const std::string& vm, const std::string& job, const std::string& body);
@@ -116,6 +141,7 @@
     std::mt19937_64 m_random;
     timer_queue m_network;
     store m_store;
+    worker_connections m_worker_connections;
     std::vector<std::unique_ptr<worker>> m_workers;
     std::map<std::string, std::unique_ptr<vm_process>> m_processes;
     std::map<std::string, std::vector<task_spec>> m_jobs;
--- a/tests/node/support/stand_in_worker.cpp
+++ b/tests/node/support/stand_in_worker.cpp
@@ -109,6 +109,8 @@
     if (request.m_path == "/hold")
         return hold(request, m_checker.m_now_ms() + json::parse(request.m_body).value("wait_ms", 0),
                     done);
+    if (m_faults.m_resets_orders)
+        return done(fail(verdict::may_have_run, reason::target_failed, ""));
     if (with_probability(m_random, m_faults.m_unanswered_order_rate))
     {
         const duration delay = std::chrono::milliseconds(2000 + m_random() % 10000);
--- a/tests/node/support/stand_in_worker.hpp
+++ b/tests/node/support/stand_in_worker.hpp
@@ -65,6 +65,7 @@
 {
     bool m_unreachable = false;         ///< Receives nothing and answers nothing.
     double m_unanswered_order_rate = 0; ///< Share of the orders executed late, without an answer.
+    bool m_resets_orders = false;       ///< Renewals are answered, orders get a reset.
     bool m_fails_all = false;
     bool m_hangs = false; ///< Started tasks make no progress.
 };
@@ -73,7 +74,7 @@
 class worker
 {
 public:
-    using reply = std::function<void(http_response)>;
+    using reply = std::function<void(outcome<http_response>)>;
     using scheduler = std::function<void(duration, std::function<void()>)>;
 
     worker(std::string id, std::mt19937_64& random, invariant_checker& checker, scheduler schedule);
