Number a process's calls apart from those of earlier processes

Cause: the leader was frozen while a VM restarted. Its answers name only the number of the call, each process counted from 1, so the answer to a call of the former process was taken for that of another caller's job. Change: numbers begin with the process's incarnation.

--- a/src/dragonflygap/node/caller_task.cpp
+++ b/src/dragonflygap/node/caller_task.cpp
@@ -33,10 +33,17 @@
     return names[static_cast<int>(outcome)];
 }
 
+constexpr int calls_per_incarnation_bits = 20; // incarnations are a millisecond apart at least
+
 } // namespace
 
+// A leader may still answer calls of an earlier process of this VM, and its answers name no
+// process.
 caller_task::caller_task(event_loop& loop, metrics& registry, caller_task_options options)
-    : m_loop(loop), m_metrics(registry), m_options(std::move(options))
+    : m_loop(loop),
+      m_metrics(registry),
+      m_options(std::move(options)),
+      m_last_call(m_options.m_incarnation << calls_per_incarnation_bits)
 {
 }
 
--- a/src/dragonflygap/node/caller_task.hpp
+++ b/src/dragonflygap/node/caller_task.hpp
@@ -26,6 +26,8 @@
     std::function<bool(const cell::caller_call&)> m_send_to_leader;
     /// True while the leader has been silent so briefly that a successor is likely.
     std::function<bool()> m_takeover_expected;
+    /// Distinguishes the calls of this process from those of earlier processes of the VM.
+    std::uint64_t m_incarnation = 0;
     duration m_submit_timeout = 2200ms;         ///< Below the 3 s that callers of the sites wait.
     duration m_state_timeout = 600ms;           ///< After it the store is read instead.
     duration m_store_timeout = 1s;              ///< For one read.
@@ -82,7 +84,7 @@
     event_loop& m_loop;
     metrics& m_metrics;
     caller_task_options m_options;
-    std::uint64_t m_last_call = 0;
+    std::uint64_t m_last_call;
     std::map<std::uint64_t, open_call> m_open_calls;
     std::optional<instant> m_deadline; ///< Set while stopping: no answers are given after it.
     bool m_closed = false;
--- a/src/dragonflygap/node/node.cpp
+++ b/src/dragonflygap/node/node.cpp
@@ -28,6 +28,7 @@
                 {
                     auto callers = m_options.m_callers;
                     callers.m_store = m_options.m_store;
+                    callers.m_incarnation = m_options.m_incarnation;
                     callers.m_send_to_leader = [this](const cell::caller_call& call)
                     { return send_to_leader(call); };
                     callers.m_takeover_expected = [this] { return takeover_expected(); };
--- a/tests/node/caller_task_test.cpp
+++ b/tests/node/caller_task_test.cpp
@@ -64,3 +64,34 @@
     CHECK_TRUE(answer->m_status == static_cast<int>(cell::call_status::rejected));
     LONGS_EQUAL(0, callers.open_count());
 }
+
+// The leader was frozen while a VM restarted, and then answered a call of the former process: the
+// job of another caller counted as rejected, and ran.
+TEST(caller_task, an_answer_to_an_earlier_process_of_the_vm_is_ignored)
+{
+    std::uint64_t number = 0;
+    const auto options = [&](std::uint64_t incarnation)
+    {
+        return node::caller_task_options{.m_send_to_leader =
+                                             [&](const cell::caller_call& call)
+                                         {
+                                             number = call.m_call;
+                                             return true;
+                                         },
+                                         .m_takeover_expected = [] { return false; },
+                                         .m_incarnation = incarnation};
+    };
+    const cell::caller_call submission{.m_kind = static_cast<int>(cell::call_kind::submit),
+                                       .m_job = job_id("1")};
+    node::caller_task former(m_loop, m_metrics, options(1));
+    former.call(submission, [](const cell::caller_answer&) {});
+    const auto former_number = number;
+    node::caller_task callers(m_loop, m_metrics, options(2));
+    int answers = 0;
+    callers.call(submission, [&](const cell::caller_answer&) { ++answers; });
+    callers.on_answer(
+        {.m_call = former_number, .m_status = static_cast<int>(cell::call_status::rejected)});
+    LONGS_EQUAL(0, answers);
+    callers.on_answer({.m_call = number});
+    LONGS_EQUAL(1, answers);
+}
