Drop posted work of an HTTP client that was destroyed

Cause: the client posts work to its loop that uses it later. The daemon destroys its clients after the loop has ended. Change: posted work is skipped when the client is gone. What fills in a request moves to evhttp_message.

--- a/src/dragonflygap/net/evhttp_message.cpp
+++ b/src/dragonflygap/net/evhttp_message.cpp
@@ -18,6 +18,19 @@
     return EVHTTP_REQ_GET;
 }
 
+void fill_request(evhttp_request* filled, const http_request& request, const std::string& host,
+                  bool reuse)
+{
+    evkeyvalq* headers = evhttp_request_get_output_headers(filled);
+    evhttp_add_header(headers, "Host", host.c_str());
+    if (!reuse)
+        evhttp_add_header(headers, "Connection", "close");
+    for (const auto& header : request.m_headers)
+        evhttp_add_header(headers, header.m_name.c_str(), header.m_value.c_str());
+    evbuffer_add(evhttp_request_get_output_buffer(filled), request.m_body.data(),
+                 request.m_body.size());
+}
+
 http_response read_response(evhttp_request* request)
 {
     http_response result{.m_status = evhttp_request_get_response_code(request)};
--- a/src/dragonflygap/net/evhttp_message.hpp
+++ b/src/dragonflygap/net/evhttp_message.hpp
@@ -16,6 +16,10 @@
 /// Path and query as they appear in the request line.
 std::string encoded_target(const http_request& request);
 
+/// Adds the headers and the body of a request; without reuse, the connection closes after it.
+void fill_request(evhttp_request* filled, const http_request& request, const std::string& host,
+                  bool reuse);
+
 /// Takes the body out of the request.
 http_response read_response(evhttp_request* request);
 
--- a/src/dragonflygap/net/http_client.cpp
+++ b/src/dragonflygap/net/http_client.cpp
@@ -13,10 +13,8 @@
 #include "dragonflygap/net/event_loop.hpp"
 #include "dragonflygap/net/evhttp_message.hpp"
 #include "dragonflygap/net/socket_options.hpp"
-#include <event2/buffer.h>
 #include <event2/http.h>
 #include <event2/http_struct.h>
-#include <event2/keyvalq_struct.h>
 
 namespace dragonflygap
 {
@@ -36,6 +34,8 @@
         std::unique_ptr<client_connection> m_connection;
         reason m_reason = reason::target_silent;
         bool m_waited = false; ///< For a connection.
+
+        bool written() const { return m_connection && m_connection->m_request_written; }
         state* m_owner = nullptr;
     };
 
@@ -52,11 +52,12 @@
     event_loop& m_loop;
     http_client_options m_options;
     http_client_counts m_counts;
+    std::shared_ptr<bool> m_alive = std::make_shared<bool>(true);
     call_id m_last_call = 0;
     std::map<endpoint, pool> m_pools;
     std::unordered_map<call_id, std::shared_ptr<call>> m_calls;
-    std::set<std::shared_ptr<call>>
-        m_closing; ///< Ended calls whose connections are still to be closed or reused.
+    /// Ended calls whose connections are still to be closed or reused.
+    std::set<std::shared_ptr<call>> m_closing;
 
     event_loop::timer_ptr m_expiry_timer;
 
@@ -75,8 +76,7 @@
         close(std::move(aborted), connections);
     }
 
-    // Without a reset, which is lost if the path is interrupted; then the target would never learn
-    // that the connection is closed.
+    // Without a reset, which would be lost if the path is interrupted.
     void close(std::unique_ptr<client_connection> closed, pool& connections)
     {
         --connections.m_open_count;
@@ -155,16 +155,26 @@
         ++m_counts.m_calls_queued;
     }
 
+    // The loop may go on after the client was destroyed.
+    void post(std::function<void()> work)
+    {
+        m_loop.post(
+            [alive = std::weak_ptr(m_alive), work = std::move(work)]
+            {
+                if (!alive.expired())
+                    work();
+            });
+    }
+
     void retry_after_backoff(const endpoint& to, pool& connections)
     {
         const instant due = connections.m_backoff.delayed_until();
         if (connections.m_next_attempt_at == due)
             return;
         connections.m_next_attempt_at = due;
-        // The call that starts may replace the timer, so it doesn't start within its callback.
-        connections.m_retry_timer =
-            m_loop.after(due - monotonic_clock::now(),
-                         [this, to] { m_loop.post([this, to] { start_next_waiting(to); }); });
+        // Not within the timer's callback, as the call may replace the timer.
+        connections.m_retry_timer = m_loop.after(due - monotonic_clock::now(), [this, to]
+                                                 { post([this, to] { start_next_waiting(to); }); });
     }
 
     void write_request(call& outgoing)
@@ -173,22 +183,14 @@
         used.m_request_written = false;
         evhttp_request* request = evhttp_request_new(&state::on_response, &outgoing);
         evhttp_request_set_error_cb(request, &state::on_request_error);
-        evkeyvalq* headers = evhttp_request_get_output_headers(request);
-        evhttp_add_header(headers, "Host", to_string(outgoing.m_to).c_str());
-        if (!m_options.m_reuse)
-            evhttp_add_header(headers, "Connection", "close");
-        for (const auto& header : outgoing.m_request.m_headers)
-            evhttp_add_header(headers, header.m_name.c_str(), header.m_value.c_str());
-        evbuffer_add(evhttp_request_get_output_buffer(request), outgoing.m_request.m_body.data(),
-                     outgoing.m_request.m_body.size());
-        const auto method = method_type(outgoing.m_request.m_method);
+        fill_request(request, outgoing.m_request, to_string(outgoing.m_to), m_options.m_reuse);
         const auto target = encoded_target(outgoing.m_request);
         const call_id id = outgoing.m_id;
         const bool is_new = used.socket() < 0;
-        if (evhttp_make_request(used.http(), request, method, target.c_str()) != 0)
+        if (evhttp_make_request(used.http(), request, method_type(outgoing.m_request.m_method),
+                                target.c_str()) != 0)
         {
-            m_loop.post([this, id]
-                        { fail_call(id, verdict::not_run, reason::target_unreachable); });
+            post([this, id] { fail_call(id, verdict::not_run, reason::target_unreachable); });
             return;
         }
         if (!is_new)
@@ -215,7 +217,7 @@
 
     static void on_response(evhttp_request* request, void* argument)
     {
-        auto* ended = static_cast<call*>(argument);
+        const auto* ended = static_cast<call*>(argument);
         state* owner = ended->m_owner;
         // libevent passes null for a broken connection, and a request without a status if the
         // connection could not be established.
@@ -250,7 +252,7 @@
             m_pools[ended->m_to].m_backoff.accepted();
         // This callback runs within the connection, which must not be reused before it returns.
         m_closing.insert(ended);
-        m_loop.post(
+        post(
             [this, ended]
             {
                 m_closing.erase(ended);
@@ -265,8 +267,7 @@
         if (ended == nullptr)
             return;
         const auto* used = ended->m_connection.get();
-        const bool slow = cause == reason::timeout && used != nullptr && used->m_request_written;
-        if (used != nullptr && !used->m_answered && !slow)
+        if (used != nullptr && !used->m_answered && !(cause == reason::timeout && ended->written()))
             m_pools[ended->m_to].m_backoff.refused(monotonic_clock::now());
         close_later(ended);
         ended->m_done(fail(result_verdict, cause,
@@ -282,7 +283,7 @@
             return;
         // libevent may still call back with this call's address until the connection is freed.
         m_closing.insert(ended);
-        m_loop.post(
+        post(
             [this, ended]
             {
                 m_closing.erase(ended);
@@ -324,9 +325,8 @@
         const auto found = m_calls.find(id);
         if (found == m_calls.end())
             return;
-        const auto& used = found->second->m_connection;
-        const bool written = used != nullptr && used->m_request_written;
-        fail_call(id, written ? verdict::may_have_run : verdict::not_run, reason::timeout);
+        fail_call(id, found->second->written() ? verdict::may_have_run : verdict::not_run,
+                  reason::timeout);
     }
 };
 
@@ -337,8 +337,7 @@
 
 http_client::~http_client()
 {
-    // Work that is still posted to the loop keeps calls alive; their connections must not outlive
-    // the loop.
+    // Posted work may keep calls alive; their connections must not outlive the loop.
     for (auto& [id, call] : m_state->m_calls)
         call->m_connection.reset();
     for (const auto& ended : m_state->m_closing)
@@ -364,8 +363,7 @@
 
 void http_client::cancel(call_id call)
 {
-    const auto ended = m_state->extract_call(call);
-    if (ended != nullptr)
+    if (const auto ended = m_state->extract_call(call); ended != nullptr)
         m_state->close_later(ended);
 }
 
@@ -388,9 +386,8 @@
     const auto found = m_state->m_pools.find(to);
     if (found == m_state->m_pools.end())
         return;
-    for (auto& idle : found->second.m_idle)
+    for (auto& idle : std::exchange(found->second.m_idle, {}))
         m_state->close(std::move(idle), found->second);
-    found->second.m_idle.clear();
 }
 
 } // namespace dragonflygap
