Start a call that waited once the delay of new connections is over

Cause: timers count from the begin of the loop's turn, so the timer of the delay may fire early. The call then found the delay not over and set no other timer, as one for that time had been set. Only one waiting call was started, too. The delay also held for the store, whose configuration read keeps a connection open, so it could add 400 ms to a leader's commit. Change: the timer's end forgets its time, so a call that still waits sets the next; all calls that the limit allows are started; the delay is an option of the workers' client.

--- a/src/dragonflygap/daemon/connection_limits.hpp
+++ b/src/dragonflygap/daemon/connection_limits.hpp
@@ -9,8 +9,8 @@
 ///
 /// A worker has 64 for all VMs. Former leaders share them until their idle connections are closed,
 /// and those that are frozen or have lost power for longer.
-constexpr http_client_options worker_client_options{.m_max_connections_per_endpoint = 3,
-                                                    .m_idle_timeout = 3s};
+constexpr http_client_options worker_client_options{
+    .m_max_connections_per_endpoint = 3, .m_delay_refused = true, .m_idle_timeout = 3s};
 
 /// A response that is lost occupies a connection until the call's timeout.
 constexpr http_client_options store_client_options{
--- a/src/dragonflygap/net/http_client.cpp
+++ b/src/dragonflygap/net/http_client.cpp
@@ -120,7 +120,8 @@
         }
     }
 
-    void start(call& outgoing)
+    // False if the call waits for a connection.
+    bool start(call& outgoing)
     {
         pool& connections = m_pools[outgoing.m_to];
         outgoing.m_connection = acquire_idle(connections);
@@ -133,7 +134,7 @@
             if (delayed || connections.m_open_count >= m_options.m_max_connections_per_endpoint)
             {
                 wait(outgoing, connections);
-                return;
+                return false;
             }
             outgoing.m_connection = std::make_unique<client_connection>(m_loop, outgoing.m_to,
                                                                         m_options.m_max_body_bytes);
@@ -141,6 +142,7 @@
             ++m_counts.m_opened;
         }
         write_request(outgoing);
+        return true;
     }
 
     // A call that waited before keeps its place.
@@ -174,7 +176,14 @@
         connections.m_next_attempt_at = due;
         // Not within the timer's callback, as the call may replace the timer.
         connections.m_retry_timer = m_loop.after(due - monotonic_clock::now(), [this, to]
-                                                 { post([this, to] { start_next_waiting(to); }); });
+                                                 { post([this, to] { end_backoff(to); }); });
+    }
+
+    // A timer may fire early; then the call sets the next one.
+    void end_backoff(const endpoint& to)
+    {
+        m_pools[to].m_next_attempt_at = {};
+        start_waiting(to);
     }
 
     void write_request(call& outgoing)
@@ -267,7 +276,8 @@
         if (ended == nullptr)
             return;
         const auto* used = ended->m_connection.get();
-        if (used != nullptr && !used->m_answered && !(cause == reason::timeout && ended->written()))
+        if (m_options.m_delay_refused && used != nullptr && !used->m_answered &&
+            !(cause == reason::timeout && ended->written()))
             m_pools[ended->m_to].m_backoff.refused(monotonic_clock::now());
         close_later(ended);
         ended->m_done(fail(result_verdict, cause,
@@ -288,7 +298,7 @@
             {
                 m_closing.erase(ended);
                 abort(std::move(ended->m_connection), m_pools[ended->m_to]);
-                start_next_waiting(ended->m_to);
+                start_waiting(ended->m_to);
             });
     }
 
@@ -302,10 +312,10 @@
         }
         else
             close(std::move(ended.m_connection), connections);
-        start_next_waiting(ended.m_to);
+        start_waiting(ended.m_to);
     }
 
-    void start_next_waiting(const endpoint& to)
+    void start_waiting(const endpoint& to)
     {
         pool& connections = m_pools[to];
         while (!connections.m_waiting.empty())
@@ -315,8 +325,8 @@
             const auto found = m_calls.find(next);
             if (found == m_calls.end())
                 continue;
-            start(*found->second);
-            return;
+            if (!start(*found->second))
+                return;
         }
     }
 
--- a/src/dragonflygap/net/http_client.hpp
+++ b/src/dragonflygap/net/http_client.hpp
@@ -19,6 +19,9 @@
     std::size_t m_max_body_bytes = 1 << 20;
     int m_max_connections_per_endpoint = 8;
     bool m_reuse = true; ///< If false, opens a new connection for every request.
+    /// While an endpoint refuses new connections, calls wait for an open one, if there is any; new
+    /// ones are tried after an exponential delay.
+    bool m_delay_refused = false;
     duration m_connect_timeout = 1500ms;
     duration m_idle_timeout = 10s; ///< Connections idle for longer are closed.
 };
@@ -38,9 +41,6 @@
 
 /// HTTP client with a connection pool per endpoint; runs in the event loop of a task.
 ///
-/// While an endpoint refuses new connections, calls wait for an open one, if there is any; new ones
-/// are tried after an exponential delay.
-///
 /// The verdict of a failure is not_run if no byte was written to a connection, else may_have_run.
 /// A response that is truncated, too large or of unknown length is a failure.
 class http_client
--- a/tests/net/connection_limit_test.cpp
+++ b/tests/net/connection_limit_test.cpp
@@ -1,4 +1,5 @@
 #include <memory>
+#include <thread>
 #include <vector>
 
 #include "dragonflygap/daemon/connection_limits.hpp"
@@ -110,7 +111,7 @@
 TEST(connection_limit, calls_use_an_open_connection_while_new_ones_are_reset)
 {
     capped_target target(1);
-    http_client client(m_loop, {});
+    http_client client(m_loop, {.m_delay_refused = true});
     constexpr int rounds = 20;
     int ended = 0;
     int served = 0;
@@ -143,7 +144,7 @@
     bool taken = false;
     other.send(target.address(), respond_after(0), 10s, [&](const auto&) { taken = true; });
     run_until([&] { return taken; });
-    http_client client(m_loop, {});
+    http_client client(m_loop, {.m_delay_refused = true});
     int served = 0;
     std::function<void()> order = [&]
     {
@@ -159,3 +160,34 @@
         order();
     run_until([&] { return served == 3; });
 }
+
+// A call that waited for the delay was never started by it: timers count from the begin of the
+// loop's turn, so the timer fired early and wasn't set again. The call waited for the end of the
+// long poll.
+TEST(connection_limit, a_call_that_waited_for_the_delay_does_not_wait_for_a_long_poll)
+{
+    constexpr int long_poll_ms = 3000;
+    constexpr duration work_in_turn = 5ms;
+    capped_target target(2);
+    http_client other(m_loop, {});
+    http_client client(m_loop, {.m_delay_refused = true});
+    bool polled = false;
+    bool taken = false;
+    bool served = false;
+    client.send(target.address(), respond_after(long_poll_ms), 10s,
+                [&](const auto&) { polled = true; });
+    other.send(target.address(), respond_after(0), 10s, [&](const auto&) { taken = true; });
+    run_until([&] { return taken && target.open() == 2; });
+    client.send(target.address(), respond_after(0), 10s,
+                [&](const auto& answer)
+                {
+                    CHECK_FALSE(answer.has_value());
+                    other.close_idle(target.address());
+                    std::this_thread::sleep_for(work_in_turn);
+                    client.send(target.address(), respond_after(0), 10s,
+                                [&](const auto& second) { served = second.has_value(); });
+                });
+    run_until([&] { return served || polled; });
+    CHECK_TRUE(served);
+    CHECK_FALSE(polled);
+}
