--- a/tests/cell/stop_failure_test.cpp
+++ b/tests/cell/stop_failure_test.cpp
@@ -103,3 +103,17 @@
     cell.run(1s);
     CHECK_COMPARE(worker.m_leases, >, leases);
 }
+
+// The task is tried on one of them after the other. The platform expects a job that fits to run
+// within 14 s.
+TEST(stop_failure, a_task_starts_in_time_beside_two_workers_that_stops_do_not_reach)
+{
+    constexpr duration finish_time = 14s;
+    stub_cell cell;
+    cell.list(3);
+    cell.m_workers[stub_cell::name(0)].m_orders_fail = true;
+    cell.m_workers[stub_cell::name(1)].m_orders_fail = true;
+    cell.submit("job", {.m_size = {.m_millicores = 500}});
+    cell.run(finish_time);
+    LONGS_EQUAL(1, cell.started("job"));
+}
