--- a/src/dragonflygap/net/http_server.cpp
+++ b/src/dragonflygap/net/http_server.cpp
@@ -1,5 +1,6 @@
 #include "dragonflygap/net/http_server.hpp"
 
+#include <cstring>
 #include <map>
 #include <mutex>
 #include <stdexcept>
