--- a/src/dragonflygap/net/http_client.cpp
+++ b/src/dragonflygap/net/http_client.cpp
@@ -34,9 +34,9 @@
         std::unique_ptr<client_connection> m_connection;
         reason m_reason = reason::target_silent;
         bool m_waited = false; ///< For a connection.
+        state* m_owner = nullptr;
 
         bool written() const { return m_connection && m_connection->m_request_written; }
-        state* m_owner = nullptr;
     };
 
     struct pool
@@ -58,7 +58,6 @@
     std::unordered_map<call_id, std::shared_ptr<call>> m_calls;
     /// Ended calls whose connections are still to be closed or reused.
     std::set<std::shared_ptr<call>> m_closing;
-
     event_loop::timer_ptr m_expiry_timer;
 
     state(event_loop& loop, http_client_options options)
@@ -332,11 +331,9 @@
 
     void on_timeout(call_id id)
     {
-        const auto found = m_calls.find(id);
-        if (found == m_calls.end())
-            return;
-        fail_call(id, found->second->written() ? verdict::may_have_run : verdict::not_run,
-                  reason::timeout);
+        if (const auto found = m_calls.find(id); found != m_calls.end())
+            fail_call(id, found->second->written() ? verdict::may_have_run : verdict::not_run,
+                      reason::timeout);
     }
 };
 
