Close idle connections after a timeout that haven't answered since

The read that followed the first one without an answer took another idle connection of the pool, which was silent too, for 3.3 s more on all nine VMs. Change: after a timeout the client keeps only idle connections that answered since the call began; a call may ask for a new connection, which replaces the oldest idle one at the limit.

--- a/src/dragonflygap/net/http_client.cpp
+++ b/src/dragonflygap/net/http_client.cpp
@@ -33,7 +33,8 @@
         event_loop::timer_ptr m_connect_timer;
         std::unique_ptr<client_connection> m_connection;
         reason m_reason = reason::target_silent;
-        bool m_waited = false; ///< For a connection.
+        bool m_waited = false;  ///< For a connection.
+        instant m_started_at{}; ///< When it got its connection.
         state* m_owner = nullptr;
 
         bool written() const { return m_connection && m_connection->m_request_written; }
@@ -41,7 +42,7 @@
 
     struct pool
     {
-        std::vector<std::unique_ptr<client_connection>> m_idle;
+        std::vector<std::unique_ptr<client_connection>> m_idle; ///< Used last: at the end.
         std::deque<call_id> m_waiting;
         int m_open_count = 0;
         connect_backoff m_backoff;
@@ -95,17 +96,22 @@
 
     void close_expired(pool& connections)
     {
-        const instant expiry = monotonic_clock::now() - m_options.m_idle_timeout;
-        const auto usable = [expiry](const std::unique_ptr<client_connection>& idle)
-        { return idle->m_idle_since > expiry && idle->socket() >= 0; };
+        close_unused_since(connections, monotonic_clock::now() - m_options.m_idle_timeout);
+    }
+
+    // Closes idle connections without an answer since then, and those that the server closed.
+    void close_unused_since(pool& connections, instant since)
+    {
+        const auto usable = [since](const std::unique_ptr<client_connection>& idle)
+        { return idle->m_idle_since > since && idle->socket() >= 0; };
         auto& idle = connections.m_idle;
-        const auto expired = std::stable_partition(idle.begin(), idle.end(), usable);
-        for (auto closed = expired; closed != idle.end(); ++closed)
+        const auto unused = std::stable_partition(idle.begin(), idle.end(), usable);
+        for (auto closed = unused; closed != idle.end(); ++closed)
         {
             close(std::move(*closed), connections);
             ++m_counts.m_closed_idle;
         }
-        idle.erase(expired, idle.end());
+        idle.erase(unused, idle.end());
     }
 
     void close_expired()
@@ -119,11 +125,22 @@
         }
     }
 
+    void close_oldest_idle(pool& connections)
+    {
+        if (connections.m_idle.empty())
+            return;
+        close(std::move(connections.m_idle.front()), connections);
+        connections.m_idle.erase(connections.m_idle.begin());
+    }
+
     // False if the call waits for a connection.
     bool start(call& outgoing)
     {
         pool& connections = m_pools[outgoing.m_to];
-        outgoing.m_connection = acquire_idle(connections);
+        if (!outgoing.m_request.m_new_connection)
+            outgoing.m_connection = acquire_idle(connections);
+        else if (connections.m_open_count >= m_options.m_max_connections_per_endpoint)
+            close_oldest_idle(connections);
         if (outgoing.m_connection == nullptr)
         {
             const bool delayed = connections.m_open_count > 0 &&
@@ -189,6 +206,7 @@
     {
         client_connection& used = *outgoing.m_connection;
         used.m_request_written = false;
+        outgoing.m_started_at = monotonic_clock::now();
         evhttp_request* request = evhttp_request_new(&state::on_response, &outgoing);
         evhttp_request_set_error_cb(request, &state::on_request_error);
         fill_request(request, outgoing.m_request, to_string(outgoing.m_to), m_options.m_reuse);
@@ -278,6 +296,10 @@
         if (m_options.m_delay_refused && used != nullptr && !used->m_answered &&
             !(cause == reason::timeout && ended->written()))
             m_pools[ended->m_to].m_backoff.refused(monotonic_clock::now());
+        // Connections may go silent without a reset, all at once: only those that answered since
+        // are known to work.
+        if (cause == reason::timeout && ended->written())
+            close_unused_since(m_pools[ended->m_to], ended->m_started_at);
         close_later(ended);
         ended->m_done(fail(result_verdict, cause,
                            "call to " + to_string(ended->m_to) +
--- a/src/dragonflygap/net/http_message.hpp
+++ b/src/dragonflygap/net/http_message.hpp
@@ -24,6 +24,8 @@
     std::vector<http_header> m_headers;
     std::string m_body;
     endpoint m_peer; ///< Remote address; set by the server.
+    /// The client doesn't use a connection that is open already.
+    bool m_new_connection = false;
 
     /// Value of a header, empty if there is none; compares names case-insensitively.
     std::string_view header(std::string_view name) const;
