--- /dev/null
+++ b/src/dragonflygap/cell/change_watch.cpp
@@ -0,0 +1,70 @@
+#include "dragonflygap/cell/change_watch.hpp"
+
+#include <algorithm>
+
+namespace dragonflygap::cell
+{
+
+std::optional<table_read> change_watch::next(instant now)
+{
+    if (now < m_not_before)
+        return std::nullopt;
+    if (m_reads.empty())
+    {
+        const bool probe = m_overdue > 0 || m_position == 0;
+        return send(probe ? duration{} : m_options.m_wait, m_overdue > 0, now);
+    }
+    const auto& latest = m_reads.rbegin()->second;
+    constexpr int max_doublings = 2;
+    const auto answer_delay = m_options.m_answer_delay * (1 << std::min(m_overdue, max_doublings));
+    if (m_reads.size() >= m_options.m_max_reads || now < latest.m_at + latest.m_wait + answer_delay)
+        return std::nullopt;
+    ++m_overdue;
+    return send({}, true, now);
+}
+
+table_read change_watch::send(duration wait, bool new_connection, instant now)
+{
+    m_reads[++m_last_read] = {now, wait, m_position};
+    return {.m_number = m_last_read,
+            .m_position = m_position,
+            .m_wait = wait,
+            .m_timeout = wait + m_options.m_timeout,
+            .m_new_connection = new_connection};
+}
+
+bool change_watch::answered(std::uint64_t read, std::uint64_t position, instant now)
+{
+    const auto found = m_reads.find(read);
+    if (found == m_reads.end())
+        return false;
+    const auto sent = found->second;
+    m_reads.erase(found);
+    m_overdue = 0;
+    // Rows before the answer's position may have been removed since, if the read began elsewhere.
+    if (position < m_position && position != 0)
+        return false;
+    if (position == 0 && sent.m_position != m_position)
+        return false;
+    m_position = position;
+    // An empty table, or history that the store no longer has.
+    if (position == 0)
+        m_not_before = now + m_options.m_retry_delay;
+    m_confirmed_at = std::max(m_confirmed_at, sent.m_at);
+    return true;
+}
+
+void change_watch::failed(std::uint64_t read, bool refused, instant now)
+{
+    const auto found = m_reads.find(read);
+    if (found == m_reads.end())
+        return;
+    // Not at once, as a store that resets connections would get a flood of new ones.
+    const auto since = refused ? now : found->second.m_at;
+    m_not_before = std::max(m_not_before, since + m_options.m_retry_delay);
+    m_reads.erase(found);
+    if (m_reads.empty())
+        ++m_overdue;
+}
+
+} // namespace dragonflygap::cell
--- /dev/null
+++ b/src/dragonflygap/cell/change_watch.hpp
@@ -0,0 +1,60 @@
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <optional>
+
+#include "dragonflygap/cell/ports.hpp"
+#include "dragonflygap/core/time.hpp"
+
+namespace dragonflygap::cell
+{
+
+struct change_watch_options
+{
+    duration m_wait = 1s; ///< How long the store holds back the answer to a waiting read.
+    duration m_answer_delay = 300ms; ///< Answers that take longer after the wait are overdue.
+    duration m_timeout = 1500ms;     ///< After the wait; a slow store still answers.
+    duration m_retry_delay = 300ms;  ///< After a refusal.
+    std::size_t m_max_reads = 3;     ///< In flight.
+};
+
+/// Follows the changes of one table of the store by reads that wait for a change. A read whose
+/// answer is overdue is repeated beside it on a new connection, without waiting, until one is
+/// answered: so a lost answer, or connections that went silent, delay a change by little more than
+/// the wait. Does no I/O.
+class change_watch
+{
+public:
+    explicit change_watch(change_watch_options options) : m_options(options) {}
+
+    /// The next read, if one is due. To be called several times a second, and after each answer.
+    std::optional<table_read> next(instant now);
+
+    /// True if the answer's changes are to be applied; false if later changes are known already.
+    bool answered(std::uint64_t read, std::uint64_t position, instant now);
+    void failed(std::uint64_t read, bool refused, instant now);
+
+    /// All changes up to this time are known.
+    instant confirmed_at() const { return m_confirmed_at; }
+
+private:
+    struct sent_read
+    {
+        instant m_at{};
+        duration m_wait{};
+        std::uint64_t m_position = 0;
+    };
+
+    table_read send(duration wait, bool new_connection, instant now);
+
+    change_watch_options m_options;
+    std::map<std::uint64_t, sent_read> m_reads; ///< In flight, by number.
+    std::uint64_t m_last_read = 0;
+    std::uint64_t m_position = 0; ///< 0: all rows have to be read.
+    int m_overdue = 0;            ///< Reads in a row that weren't answered in time.
+    instant m_not_before{};
+    instant m_confirmed_at{};
+};
+
+} // namespace dragonflygap::cell
--- a/src/dragonflygap/cell/coordinator.cpp
+++ b/src/dragonflygap/cell/coordinator.cpp
@@ -99,16 +99,31 @@
     reject_unstored();
     expire_calls();
     apply_due_occurrences();
-    for (auto& [id, worker] : m_workers)
+    stop_stuck_tasks();
+    remove_expired_workers();
+    check_list_age();
+    auto checked = workers_to_check();
+    for (const auto number : checked)
+    {
+        auto& worker = m_index.at(number);
         if (!worker.m_placements.empty() && m_now >= worker.m_lease_expires_at)
             handle_worker_loss(worker, "lease_over");
-    stop_stuck_tasks();
-    give_up_silent_workers();
+        give_up_if_silent(worker);
+        m_index.set_open(worker, !m_list_outdated && may_use(worker) && accepts_tasks(worker));
+    }
     place_ready_steps();
     count_lapsed_tickets();
-    send_stops();
+    // Placing and losses changed more of them.
+    const auto changed = m_index.take_changed();
+    checked.insert(checked.end(), changed.begin(), changed.end());
+    std::sort(checked.begin(), checked.end());
+    checked.erase(std::unique(checked.begin(), checked.end()), checked.end());
+    for (const auto number : checked)
+        send_stops(m_index.at(number));
     build_commit();
-    renew_workers();
+    for (const auto number : checked)
+        if (auto& worker = m_index.at(number); renewal_needed(worker) || worker.m_report_wanted)
+            renew(worker);
 }
 
 void coordinator::on(const job_submitted& event)
@@ -214,13 +229,14 @@
             const step_key key{job.id(), k, s};
             m_ready.erase(rank_of(job, key));
             m_unsuited.erase(key);
-            m_counts.m_tickets_lapsed += job.step(k, s).m_approval.collect_unused(instant::max());
+            m_counts.m_tickets_lapsed += job.step(k, s).m_approval.drop_lapsed(instant::max());
             m_claims.drop(key);
+            set_drained(job.step(k, s), {});
         }
     stop_all_tasks(job);
 }
 
-coordinator::rank coordinator::rank_of(const job_state& job, const step_key& step)
+step_rank coordinator::rank_of(const job_state& job, const step_key& step)
 {
     return {job.record().m_queue.m_priority, job.m_rank_time, step};
 }
@@ -242,7 +258,7 @@
         const step_key key{job.id(), occurrence, s};
         if (step.m_waiting > 0 && job.is_due(occurrence, s, m_unix_ms))
         {
-            m_ready.emplace(rank_of(job, key), m_jobs.at(job.id()));
+            m_ready.insert(rank_of(job, key), m_jobs.at(job.id()));
             if (step.m_ready_since == instant{})
                 step.m_ready_since = m_now;
         }
@@ -250,11 +266,11 @@
         {
             m_ready.erase(rank_of(job, key));
             m_claims.drop(key);
-            step.m_drained.clear();
+            set_drained(step, {});
         }
         if (step.m_done == static_cast<int>(step.m_tasks.size()))
         {
-            m_counts.m_tickets_lapsed += step.m_approval.collect_unused(instant::max());
+            m_counts.m_tickets_lapsed += step.m_approval.drop_lapsed(instant::max());
             step.m_approval = {};
         }
     }
--- a/src/dragonflygap/cell/coordinator.hpp
+++ b/src/dragonflygap/cell/coordinator.hpp
@@ -15,8 +15,10 @@
 #include "dragonflygap/cell/events.hpp"
 #include "dragonflygap/cell/job_state.hpp"
 #include "dragonflygap/cell/occurrence_timetable.hpp"
+#include "dragonflygap/cell/ready_queue.hpp"
 #include "dragonflygap/cell/task_plan.hpp"
 #include "dragonflygap/cell/wait_report.hpp"
+#include "dragonflygap/cell/worker_index.hpp"
 #include "dragonflygap/cell/worker_state.hpp"
 
 namespace dragonflygap::cell
@@ -38,7 +40,9 @@
     duration m_call_timeout = 1s; ///< A call whose write takes longer is answered as unknown.
     /// Without the store for longer, no task is started and no lease renewed.
     duration m_renewal_store_timeout = 6s;
-    duration m_ended_retention = 150s;        ///< How long the outcome of an ended job is kept.
+    duration m_ended_retention = 150s; ///< How long the outcome of an ended job is kept.
+    /// A leaving worker runs its tasks for as long at least after it said so.
+    duration m_min_notice = 2s;
     duration m_unlisted_retention = 30s;      ///< A worker that is unlisted for longer is removed.
     std::size_t m_max_ready_steps = 3000;     ///< With more, new jobs are rejected.
     std::uint64_t m_runs_per_epoch = 1000000; ///< Run numbers of a task that belong to one epoch.
@@ -68,6 +72,8 @@
 {
 public:
     coordinator(coordinator_options options, const recovered_state& found, instant now);
+    coordinator(const coordinator&) = delete;
+    coordinator& operator=(const coordinator&) = delete;
 
     /// Handles an event; unix_ms is the wall clock, used for scheduled occurrences.
     std::vector<action> handle(const event& incoming, instant now, std::int64_t unix_ms);
@@ -96,15 +102,6 @@
     using actions = std::vector<action>;
     using job_ptr = std::shared_ptr<job_state>;
 
-    /// The order in which steps are placed: by priority, then by rank time.
-    struct rank
-    {
-        int m_priority = 0;
-        instant m_rank_time{};
-        step_key m_step;
-
-        auto operator<=>(const rank&) const = default;
-    };
     struct open_call
     {
         std::uint64_t m_call = 0;
@@ -130,16 +127,9 @@
     /// An approval call that is being assembled.
     struct approval_draft
     {
-        std::vector<worker_id> m_worker_ids;
+        std::vector<worker_number> m_workers;
         room_claim m_claim;
     };
-    /// A worker whose approval for a step isn't known.
-    struct unknown_worker
-    {
-        const worker_state* m_worker = nullptr;
-        int m_fits = 0;                ///< Tasks that fit beside the tentative claims of others.
-        std::int64_t m_millicores = 0; ///< Free millicores less the tentative claims of others.
-    };
     enum class ticket_need
     {
         valid, ///< Workers with a valid ticket.
@@ -166,7 +156,7 @@
     void update_ready_steps(job_state& job, int occurrence);
     void apply_due_occurrences();
     job_state* find(const job_id& job);
-    static rank rank_of(const job_state& job, const step_key& step);
+    static step_rank rank_of(const job_state& job, const step_key& step);
 
     // coordinator_commits.cpp: transactions and their results
     void build_commit();
@@ -184,8 +174,17 @@
 
     // coordinator_workers.cpp: leases, reports and lost workers; coordinator_ends.cpp: ends and
     // stops
-    void renew_workers();
     void renew(worker_state& worker);
+    worker_state* find_worker(const worker_id& worker);
+    worker_state& add_worker(const worker_id& worker);
+    std::map<worker_id, worker_state>::iterator
+    remove_worker(std::map<worker_id, worker_state>::iterator worker);
+    void list_worker(const worker_info& info);
+    void unlist_worker(worker_state& worker);
+    void remove_expired_workers();
+    bool list_outdated() const;
+    void check_list_age();
+    std::vector<worker_number> workers_to_check();
     instant lease_end() const;
     void apply_report(worker_state& worker, const worker_report& report, instant sent);
     bool renewal_needed(const worker_state& worker) const;
@@ -199,7 +198,7 @@
                                   const step_key& key);
     void end_missing_runs(worker_state& worker, const worker_report& report, instant sent);
     void handle_worker_loss(worker_state& worker, std::string_view cause);
-    void send_stops();
+    void send_stops(worker_state& worker);
     void log_failed_stop(const stop_answered& event, placement& placed);
     void stop_stuck_tasks();
     void stop_gang(job_state& job, const step_key& step, std::uint64_t run);
@@ -210,7 +209,8 @@
     // coordinator_worker_use.cpp: what successors need to know about silent workers
     void restore_workers(const recovered_state& found);
     void begin_use(worker_state& worker);
-    void give_up_silent_workers();
+    void give_up_if_silent(worker_state& worker);
+    void set_earlier_leases(worker_state& worker, instant until, std::int64_t until_ms);
     void record_report(worker_state& worker);
     bool may_use(const worker_state& worker) const;
     void store_workers(transaction& change, batch& contents);
@@ -219,10 +219,13 @@
     // coordinator_placing.cpp, coordinator_gangs.cpp: placement; coordinator_approvals.cpp:
     // approval calls
     void place_ready_steps();
-    void place_step(job_state& job, const step_key& key, std::size_t position);
-    bool should_try_placing(const job_state& job, const step_key& key) const;
+    void place_step(std::size_t position);
+    bool should_try_placing(ready_step& ready) const;
+    bool may_continue(const ready_step& ready, instant wake_at);
+    bool fits_on_grown_worker(const ready_step& ready) const;
+    instant next_visit(const ready_step& ready) const;
     void place_tasks(job_state& job, const step_key& key, const step_approval* approved);
-    void request_capacity(job_state& job, const step_key& key, std::size_t position);
+    void request_capacity(ready_step& ready, std::size_t position);
     void report_unsuited();
     void report_unsuited(const job_state& job, const step_key& key);
     void log_started(const job_state& job, const step_key& key, int count) const;
@@ -240,14 +243,16 @@
                const step_approval* approved);
     void drain_for_gang(job_state& job, const step_key& key);
     void close_drained(const step_state& step);
+    std::vector<worker_number> choose_drained(const job_state& job, const step_key& key);
+    void set_drained(step_state& step, std::vector<worker_number> drained);
     double approval_rate(const queue_id& queue) const;
     void update_approval_rate(const queue_id& queue, const step_approval& before,
                               const approval_answered& event);
-    bool request_step_approval(job_state& job, const step_key& key);
+    bool vm_is_free(duration call_time);
+    bool request_step_approval(ready_step& ready);
     approval_draft choose_workers(const job_state& job, const step_key& key, duration until_answer);
     void choose_approved(const job_state& job, const step_key& key, duration until_answer,
                          approval_draft& draft);
-    std::vector<unknown_worker> unknown_workers(const job_state& job, const step_key& key) const;
     void choose_unknown(const job_state& job, const step_key& key, approval_draft& draft);
     int possible_tasks(const job_state& job, const step_key& key) const;
     static const step_approval* approval_of(const job_state& job, const step_key& key);
@@ -279,26 +284,33 @@
     std::map<job_id, std::vector<open_call>> m_calls;
     std::set<job_id> m_dirty;
     occurrence_timetable m_timetable;
-    std::map<rank, job_ptr> m_ready; ///< Due steps with waiting tasks.
-    std::set<step_key> m_unsuited;   ///< Waiting steps already logged as unsuited.
+    ready_queue m_ready;           ///< Due steps with waiting tasks.
+    std::set<step_key> m_unsuited; ///< Waiting steps already logged as unsuited.
     /// Estimated share of a queue's workers that the policy approves.
     std::map<queue_id, double> m_approval_rates;
     std::map<worker_id, worker_state> m_workers;
+    worker_index m_index;
+    instant m_list_confirmed_at{}; ///< All changes of the list of workers until then are known.
+    bool m_list_outdated = false;
+    worker_number m_next_checked = 0; ///< Where the next tick goes on looking at all workers.
     bool m_workers_dirty = false;
     std::optional<batch> m_batch;
-    room_claims m_claims;
+    room_claims m_claims{m_index};
     std::uint64_t m_last_approval_call = 0;
     // State of one placement pass.
-    /// Open workers, most free millicores first.
-    std::vector<worker_state*> m_workers_by_free_capacity;
-    resources m_max_free;     ///< The maximum of any open worker, for each resource.
-    std::size_t m_closed = 0; ///< Number of workers closed for gangs.
+    resources m_max_free;                ///< The maximum of any open worker, for each resource.
+    std::vector<worker_number> m_closed; ///< Workers closed for gangs.
+    bool m_workers_usable = false;       ///< As of the last tick, this leader may start tasks.
+    /// Whether one of a number of VMs can serve an approval call; as far as looked up.
+    std::map<std::size_t, bool> m_free_vms;
     /// Restored jobs may run on workers that haven't reported yet.
     bool m_workers_unsynced = false;
+    instant m_earlier_leases_until{}; ///< Until then workers may count as unsynced.
     instant m_last_trim{};
     instant m_last_stuck_check{};
     instant m_last_unsuited_check{};
     instant m_last_lapse_count{};
+    instant m_last_expiry_check{};
     leader_counts m_counts;
 };
 
--- a/src/dragonflygap/cell/coordinator_approvals.cpp
+++ b/src/dragonflygap/cell/coordinator_approvals.cpp
@@ -27,50 +27,64 @@
 
 } // namespace
 
+// False if the step has to wait until other calls are served.
+bool coordinator::vm_is_free(duration call_time)
+{
+    const auto [known, added] = m_free_vms.try_emplace(m_approval_balancer.vm_count(call_time));
+    if (added)
+        known->second = m_approval_balancer.choose(call_time, max_wait, m_now).has_value();
+    return known->second;
+}
+
 // Requests tickets for places that were found, or approval of workers for which it is unknown.
 // False if there is no worker to name in a call.
-bool coordinator::request_step_approval(job_state& job, const step_key& key)
+bool coordinator::request_step_approval(ready_step& ready)
 {
-    auto& step = job.step(key.m_occurrence, key.m_step);
+    const auto& job = *ready.m_job;
+    const auto& key = ready.m_rank.m_step;
+    auto& step = *ready.m_state;
     const auto& cost = job.record().m_queue.m_approval;
     const auto min_cost = service_time(cost, 1);
+    if (!vm_is_free(min_cost))
+    {
+        ready.m_wanted_call = min_cost;
+        return true;
+    }
     const auto first_free = m_approval_balancer.choose(min_cost, max_wait, m_now);
-    if (!first_free)
-        return true; // Retried as soon as a VM is free.
     auto draft = choose_workers(job, key,
                                 m_approval_balancer.queue_delay(*first_free, m_now) +
                                     service_time(cost, max_named));
-    if (draft.m_worker_ids.empty())
+    if (draft.m_workers.empty())
         return false;
-    const auto time = service_time(cost, draft.m_worker_ids.size());
+    const auto time = service_time(cost, draft.m_workers.size());
     const auto via = m_approval_balancer.choose(time, max_wait, m_now);
     if (!via)
     {
         // Fewer VMs may serve a call for so many workers, and all of those are busy.
-        constexpr duration retry_interval = 20ms;
-        step.m_next_attempt_at = m_now + retry_interval;
+        ready.m_wanted_call = time;
         return true;
     }
     const auto expected = m_approval_balancer.queue_delay(*via, m_now) + time;
     m_approval_balancer.record_call(*via, time, m_now);
+    m_free_vms.clear();
     step.m_approval.m_call_in_flight = true;
     step.m_approval.m_call = ++m_last_approval_call;
     step.m_approval.m_requested_at = m_now;
-    step.m_drained.clear();
+    set_drained(step, {});
     log_event(log_level::info, "approval_asked",
               {{"job", key.m_job.m_value},
                {"step", key.m_step},
                {"through", via->m_value},
-               {"workers", draft.m_worker_ids.size()},
+               {"workers", draft.m_workers.size()},
                {"places_kept", task_count(draft.m_claim.m_firm)},
                {"expected_ms", to_ms(expected)}});
-    for (const auto& place : draft.m_claim.m_tentative)
-        m_workers.at(place.m_worker).m_pass.m_tentative_millicores += static_cast<std::int64_t>(
-            draft.m_claim.m_approval_rate *
-            static_cast<double>(draft.m_claim.m_size.m_millicores * place.m_tasks));
     m_claims.set(key, std::move(draft.m_claim));
-    m_actions->push_back(request_approval{m_last_approval_call, *via, key,
-                                          std::move(draft.m_worker_ids), time, expected});
+    std::vector<worker_id> named;
+    named.reserve(draft.m_workers.size());
+    for (const auto number : draft.m_workers)
+        named.push_back(m_index.at(number).m_info.m_id);
+    m_actions->push_back(
+        request_approval{m_last_approval_call, *via, key, std::move(named), time, expected});
     return true;
 }
 
@@ -102,57 +116,30 @@
     const auto firm_count = task_count(draft.m_claim.m_firm);
     if (firm_count == 0)
         return;
-    std::set<worker_id> has_places;
+    std::set<worker_number> has_places;
     for (const auto& place : draft.m_claim.m_firm)
     {
         has_places.insert(place.m_worker);
         if (approval.find_valid_ticket(place.m_worker, m_now + until_answer) == nullptr &&
-            draft.m_worker_ids.size() < max_named)
-            draft.m_worker_ids.push_back(place.m_worker);
+            draft.m_workers.size() < max_named)
+            draft.m_workers.push_back(place.m_worker);
     }
     int spare = min_spare + static_cast<int>(spare_share * firm_count);
     for (const worker_state* worker : eligible_workers(job, key, ticket_need::known))
     {
-        const auto& id = worker->m_info.m_id;
-        if (spare <= 0 || draft.m_worker_ids.size() >= max_named)
+        const auto number = worker->m_number;
+        if (spare <= 0 || draft.m_workers.size() >= max_named)
             break;
         const int fits = std::min(fit_count(size_of(spec), worker->free_for_others()),
                                   max_tasks_on(*worker, spec, key));
-        if (fits == 0 || has_places.count(id) != 0 ||
-            approval.find_valid_ticket(id, m_now + until_answer) != nullptr)
+        if (fits == 0 || has_places.count(number) != 0 ||
+            approval.find_valid_ticket(number, m_now + until_answer) != nullptr)
             continue;
         spare -= fits;
-        draft.m_worker_ids.push_back(id);
+        draft.m_workers.push_back(number);
     }
 }
 
-// Workers whose approval for the step is unknown, sorted by free millicores less the tentative
-// claims, largest first.
-std::vector<coordinator::unknown_worker> coordinator::unknown_workers(const job_state& job,
-                                                                      const step_key& key) const
-{
-    const auto& spec = job.spec(key.m_step);
-    const auto& approval = job.step(key.m_occurrence, key.m_step).m_approval;
-    std::vector<unknown_worker> result;
-    for (const worker_state* worker : m_workers_by_free_capacity)
-    {
-        const auto& id = worker->m_info.m_id;
-        if (!suits(*worker, job, spec) || approval.m_denied.count(id) != 0 ||
-            approval.m_approved.count(id) != 0)
-            continue;
-        auto free = worker->free_for_others();
-        free.m_millicores -= worker->m_pass.m_tentative_millicores;
-        const int fits = worker->m_pass.m_closed ? 0
-                                                 : std::min(fit_count(size_of(spec), free),
-                                                            max_tasks_on(*worker, spec, key));
-        result.push_back({worker, fits, free.m_millicores});
-    }
-    std::stable_sort(result.begin(), result.end(),
-                     [](const unknown_worker& left, const unknown_worker& right)
-                     { return left.m_millicores > right.m_millicores; });
-    return result;
-}
-
 // Many steps request approvals at the same time. Tentative claims make each one choose workers that
 // the others haven't chosen; otherwise all would get tickets for the same workers.
 void coordinator::choose_unknown(const job_state& job, const step_key& key, approval_draft& draft)
@@ -172,18 +159,29 @@
     for (const worker_state* worker : eligible_workers(job, key, ticket_need::known))
         expected += std::min(fit_count(size_of(spec), worker->free_for_others()),
                              max_tasks_on(*worker, spec, key));
-    std::vector<worker_id> named;
+    std::vector<worker_number> named;
     std::vector<task_places> tentative;
-    for (const auto& option : unknown_workers(job, key))
+    for (const auto& [room, number] : m_index.open_workers(job.record().m_queue.m_service))
     {
-        if (expected >= wanted_tasks || draft.m_worker_ids.size() + named.size() >= max_named)
+        if (expected >= wanted_tasks || draft.m_workers.size() + named.size() >= max_named)
             break;
-        if (option.m_fits == 0 && !first)
+        const auto& worker = m_index.at(number);
+        if (step.m_approval.is_known(number) || !suits(worker, job, spec))
             continue;
-        expected += rate * std::max<double>(option.m_fits, full_worker_tasks);
-        named.push_back(option.m_worker->m_info.m_id);
-        if (option.m_fits > 0)
-            tentative.push_back({option.m_worker->m_info.m_id, option.m_fits});
+        auto free = worker.free_for_others();
+        free.m_millicores = worker.expected_free_millicores();
+        const int fits = worker.m_pass.m_closed ? 0
+                                                : std::min(fit_count(size_of(spec), free),
+                                                           max_tasks_on(worker, spec, key));
+        // The others have even fewer millicores.
+        if (fits == 0 && !first && free.m_millicores < size_of(spec).m_millicores)
+            break;
+        if (fits == 0 && !first)
+            continue;
+        expected += rate * std::max<double>(fits, full_worker_tasks);
+        named.push_back(number);
+        if (fits > 0)
+            tentative.push_back({number, fits});
     }
     // The approved workers are enough: the gang only waits for free capacity.
     if (spec.m_gang && !first && expected < step.m_waiting &&
@@ -191,7 +189,7 @@
         return;
     draft.m_claim.m_approval_rate = rate;
     draft.m_claim.m_tentative = std::move(tentative);
-    draft.m_worker_ids.insert(draft.m_worker_ids.end(), named.begin(), named.end());
+    draft.m_workers.insert(draft.m_workers.end(), named.begin(), named.end());
 }
 
 // Number of the step's tasks that fit on its approved workers if these were empty.
@@ -199,10 +197,9 @@
 {
     const auto& spec = job.spec(key.m_step);
     int tasks = 0;
-    for (const auto& id : job.step(key.m_occurrence, key.m_step).m_approval.m_approved)
-        if (const auto found = m_workers.find(id);
-            found != m_workers.end() && found->second.m_listed)
-            tasks += std::min(fit_count(size_of(spec), found->second.m_info.m_capacity),
+    for (const auto number : job.step(key.m_occurrence, key.m_step).m_approval.approved())
+        if (const auto& worker = m_index.at(number); worker.m_listed)
+            tasks += std::min(fit_count(size_of(spec), worker.m_info.m_capacity),
                               spec.m_max_per_worker > 0 ? spec.m_max_per_worker : spec.m_count);
     return tasks;
 }
@@ -231,9 +228,12 @@
     std::set<worker_id> approved_ids;
     for (const auto& ticket : event.m_result->m_tickets)
         approved_ids.insert(ticket.m_worker);
-    for (const auto& worker : event.m_workers)
-        if (before.m_approved.count(worker) == 0)
-            rate += weight * ((approved_ids.count(worker) != 0 ? 1.0 : 0.0) - rate);
+    for (const auto& id : event.m_workers)
+    {
+        const auto worker = m_workers.find(id);
+        if (worker == m_workers.end() || !before.is_approved(worker->second.m_number))
+            rate += weight * ((approved_ids.count(id) != 0 ? 1.0 : 0.0) - rate);
+    }
     m_approval_rates[queue] = std::max(rate, min_rate);
 }
 
@@ -265,6 +265,7 @@
         approved.m_call_in_flight = false;
         step.m_next_attempt_at = event.m_result ? m_now : m_now + retry_delay;
     }
+    m_ready.wake(rank_of(*job, event.m_step));
     if (!event.m_result)
         return;
     // A delayed leader may read the answer seconds late. The service issued the tickets no earlier
@@ -275,16 +276,19 @@
     const auto expires_at =
         std::min(m_now, approved.m_requested_at + event.m_response_time) + valid - delivery_time;
     update_approval_rate(job->record().m_queue.m_name, approved, event);
-    for (const auto& worker : event.m_workers)
-        approved.m_denied.insert(worker);
     for (const auto& ticket : event.m_result->m_tickets)
     {
-        approved.m_denied.erase(ticket.m_worker);
-        approved.m_approved.insert(ticket.m_worker);
+        const auto worker = m_workers.find(ticket.m_worker);
+        if (worker == m_workers.end())
+            continue;
+        approved.approve(worker->second.m_number);
         // Approval is permanent, but the expiry of tickets from an abandoned call is unknown.
         if (awaited)
-            approved.m_tickets[ticket.m_worker] = {ticket.m_text, expires_at};
+            approved.m_tickets[worker->second.m_number] = {ticket.m_text, expires_at};
     }
+    for (const auto& id : event.m_workers)
+        if (const auto worker = m_workers.find(id); worker != m_workers.end())
+            approved.deny(worker->second.m_number);
 }
 
 } // namespace dragonflygap::cell
--- a/src/dragonflygap/cell/coordinator_commits.cpp
+++ b/src/dragonflygap/cell/coordinator_commits.cpp
@@ -169,6 +169,8 @@
             m_jobs.erase(id);
             continue;
         }
+        if (accepted_now)
+            update_ready_steps(*job); // It may be placed now.
         // A cancellation that arrived meanwhile is answered by its own transaction.
         if (accepted_now && !job->m_outcome)
             answer_calls(*job, call_status::accepted);
@@ -176,12 +178,12 @@
     allow_used_workers(contents);
     for (const auto& [id, ends] : contents.m_ends)
     {
-        const auto worker = m_workers.find(id);
-        if (worker == m_workers.end() || worker->second.m_started_at != ends.m_started_at ||
-            ends.m_highest < worker->second.m_ends_stored)
+        auto* worker = find_worker(id);
+        if (worker == nullptr || worker->m_started_at != ends.m_started_at ||
+            ends.m_highest < worker->m_ends_stored)
             continue;
-        worker->second.m_ends_stored = ends.m_highest;
-        worker->second.m_next_renewal = m_now;
+        worker->m_ends_stored = ends.m_highest;
+        worker->m_next_renewal = m_now;
     }
 }
 
--- a/src/dragonflygap/cell/coordinator_ends.cpp
+++ b/src/dragonflygap/cell/coordinator_ends.cpp
@@ -75,6 +75,9 @@
     if (placed == worker.m_placements.end() || placed->second.m_run != run)
         return false;
     worker.remove(placed);
+    m_index.update_room(worker);
+    m_index.mark_changed(worker);
+    m_index.mark_grown(worker);
     job_state* job = find(key.m_job);
     const task_state* task = job == nullptr ? nullptr : job->find(key);
     if (task == nullptr || task->m_status != task_status::placed || task->m_run != run ||
@@ -103,13 +106,10 @@
     return false;
 }
 
-void coordinator::send_stops()
+void coordinator::send_stops(worker_state& worker)
 {
     constexpr duration stop_retry_interval = 500ms;
-    for (auto& [id, worker] : m_workers)
-    {
-        if (worker.m_stop_request_count == 0)
-            continue;
+    if (worker.m_stop_request_count > 0)
         for (auto& [key, placed] : worker.m_placements)
         {
             if (!placed.m_stop_requested || placed.m_stop_in_flight || m_now < placed.m_next_stop ||
@@ -119,16 +119,12 @@
             placed.m_next_stop = m_now + stop_retry_interval;
             m_actions->push_back(send_stop{address_of(worker), key, placed.m_run});
         }
-    }
-    for (auto& [id, worker] : m_workers)
-    {
-        if (worker.m_unconfirmed_starts.empty() || !worker.m_synced ||
-            m_now < worker.m_next_unconfirmed_stop)
-            continue;
-        worker.m_next_unconfirmed_stop = m_now + stop_retry_interval;
-        for (const auto& [key, run] : worker.m_unconfirmed_starts)
-            m_actions->push_back(send_stop{address_of(worker), key, run});
-    }
+    if (worker.m_unconfirmed_starts.empty() || !worker.m_synced ||
+        m_now < worker.m_next_unconfirmed_stop)
+        return;
+    worker.m_next_unconfirmed_stop = m_now + stop_retry_interval;
+    for (const auto& [key, run] : worker.m_unconfirmed_starts)
+        m_actions->push_back(send_stop{address_of(worker), key, run});
 }
 
 // Logs the first failure and then each that doubles their number, as stops are retried for long.
@@ -150,21 +146,21 @@
 
 void coordinator::on(const stop_answered& event)
 {
-    const auto worker = m_workers.find(event.m_worker);
-    if (worker == m_workers.end())
+    auto* stopping = find_worker(event.m_worker);
+    if (stopping == nullptr)
         return;
+    auto& worker = *stopping;
     const bool failed = !event.m_result || event.m_result->m_refusal == start_refusal::unhealthy;
-    auto& failing_since = worker->second.m_stops_failing_since;
+    auto& failing_since = worker.m_stops_failing_since;
     if (!failed)
         failing_since = {};
     else if (failing_since == instant{})
         failing_since = m_now;
-    if (const auto open = worker->second.m_unconfirmed_starts.find(event.m_task);
-        event.m_result && open != worker->second.m_unconfirmed_starts.end() &&
-        open->second == event.m_run)
-        worker->second.m_unconfirmed_starts.erase(open);
-    const auto found = worker->second.m_placements.find(event.m_task);
-    if (found == worker->second.m_placements.end() || found->second.m_run != event.m_run)
+    if (const auto open = worker.m_unconfirmed_starts.find(event.m_task);
+        event.m_result && open != worker.m_unconfirmed_starts.end() && open->second == event.m_run)
+        worker.m_unconfirmed_starts.erase(open);
+    const auto found = worker.m_placements.find(event.m_task);
+    if (found == worker.m_placements.end() || found->second.m_run != event.m_run)
         return;
     auto& placed = found->second;
     placed.m_stop_in_flight = false;
@@ -183,7 +179,7 @@
     // The run can't start any more; the next report shows whether it had started.
     placed.m_stop_acknowledged = true;
     placed.m_confirmed_at = m_now;
-    worker->second.m_report_wanted = placed.m_phase == placement_phase::unknown;
+    worker.m_report_wanted = placed.m_phase == placement_phase::unknown;
 }
 
 void coordinator::stop_task(job_state& job, const task_key& key)
@@ -191,12 +187,12 @@
     task_state* task = job.find(key);
     if (task == nullptr || task->m_status != task_status::placed)
         return;
-    const auto worker = m_workers.find(task->m_worker);
-    if (worker == m_workers.end())
+    auto* worker = find_worker(task->m_worker);
+    if (worker == nullptr)
         return;
-    const auto placed = worker->second.m_placements.find(key);
-    if (placed != worker->second.m_placements.end() && placed->second.m_run == task->m_run)
-        worker->second.request_stop(placed->second, m_now);
+    const auto placed = worker->m_placements.find(key);
+    if (placed != worker->m_placements.end() && placed->second.m_run == task->m_run)
+        worker->request_stop(placed->second, m_now);
 }
 
 // Some workers stop making progress but still answer. A task whose progress doesn't rise over
@@ -234,6 +230,7 @@
                        {"unchanged_ms", to_ms(worker.m_last_report_at - placed.m_progress_at)}});
             worker.request_stop(placed, m_now);
             worker.m_avoid_until = std::max(worker.m_avoid_until, m_now + avoid_duration);
+            m_index.mark_changed(worker);
         }
 }
 
--- a/src/dragonflygap/cell/coordinator_gangs.cpp
+++ b/src/dragonflygap/cell/coordinator_gangs.cpp
@@ -24,22 +24,26 @@
 
 } // namespace
 
-// Chooses the workers to drain for a gang, those with the most free capacity first, as they fit it
-// the soonest. They are closed to steps of lower rank until then.
+// Drains workers until the gang fits on them. They are closed to steps of lower rank until then.
 void coordinator::drain_for_gang(job_state& job, const step_key& key)
 {
-    auto& step = job.step(key.m_occurrence, key.m_step);
-    step.m_drained.clear();
+    set_drained(job.step(key.m_occurrence, key.m_step), choose_drained(job, key));
+}
+
+// Those with the most free capacity first, as they fit the gang the soonest.
+std::vector<worker_number> coordinator::choose_drained(const job_state& job, const step_key& key)
+{
     // The other half remains for small tasks.
-    const std::size_t max_closed = m_workers_by_free_capacity.size() / 2;
+    const std::size_t max_closed = m_index.open_count() / 2;
     const auto& spec = job.spec(key.m_step);
-    if (m_closed >= max_closed)
-        return;
+    if (m_closed.size() >= max_closed)
+        return {};
     auto candidates = eligible_workers(job, key, ticket_need::known);
     std::stable_sort(
         candidates.begin(), candidates.end(),
-        [](const worker_state* left, const worker_state* right)
-        { return left->free_for_pass().m_millicores > right->free_for_pass().m_millicores; });
+        [priority = job.record().m_queue.m_priority](const worker_state* left,
+                                                     const worker_state* right)
+        { return left->free_for(priority).m_millicores > right->free_for(priority).m_millicores; });
     const auto is_long_running = [this](const task_key& task)
     {
         const job_state* other = find_job(task.m_job);
@@ -52,22 +56,35 @@
             std::min(fit_count(size_of(spec),
                                capacity_when_drained(*candidates[drained_count], is_long_running)),
                      spec.m_max_per_worker > 0 ? spec.m_max_per_worker : spec.m_count);
-    if (places < spec.m_count || m_closed + drained_count > max_closed)
-        return;
+    if (places < spec.m_count || m_closed.size() + drained_count > max_closed)
+        return {};
+    std::vector<worker_number> result;
     for (std::size_t i = 0; i < drained_count; ++i)
-        step.m_drained.push_back(candidates[i]->m_info.m_id);
+        result.push_back(candidates[i]->m_number);
+    return result;
+}
+
+// Other steps may use workers again that are no longer drained.
+void coordinator::set_drained(step_state& step, std::vector<worker_number> drained)
+{
+    const auto before = std::exchange(step.m_drained, std::move(drained));
+    const auto& after = step.m_drained;
+    for (const auto number : before)
+        if (auto* worker = m_index.find(number);
+            worker != nullptr && std::find(after.begin(), after.end(), number) == after.end())
+            m_index.mark_grown(*worker);
 }
 
 void coordinator::close_drained(const step_state& step)
 {
-    const std::size_t max_closed = m_workers_by_free_capacity.size() / 2;
-    for (const auto& id : step.m_drained)
+    const std::size_t max_closed = m_index.open_count() / 2;
+    for (const auto number : step.m_drained)
     {
-        const auto found = m_workers.find(id);
-        if (found == m_workers.end() || found->second.m_pass.m_closed || m_closed >= max_closed)
+        auto* worker = m_index.find(number);
+        if (worker == nullptr || worker->m_pass.m_closed || m_closed.size() >= max_closed)
             continue;
-        found->second.m_pass.m_closed = true;
-        ++m_closed;
+        worker->m_pass.m_closed = true;
+        m_closed.push_back(number);
     }
 }
 
--- a/src/dragonflygap/cell/coordinator_placing.cpp
+++ b/src/dragonflygap/cell/coordinator_placing.cpp
@@ -17,76 +17,101 @@
         m_last_unsuited_check = m_now;
         report_unsuited();
     }
-    struct ready_step
+    for (std::size_t position = 0; position < m_ready.size();)
     {
-        job_state* m_job;
-        int m_priority;
-        step_key m_key;
-    };
-    // Placing a step changes the set of ready steps.
-    std::vector<ready_step> order;
-    order.reserve(m_ready.size());
-    for (const auto& [rank, job] : m_ready)
-        order.push_back({job.get(), rank.m_priority, rank.m_step});
-    for (std::size_t i = 0; i < order.size(); ++i)
-    {
-        m_claims.bind_up_to(order[i].m_priority);
-        if (should_try_placing(*order[i].m_job, order[i].m_key))
-            place_step(*order[i].m_job, order[i].m_key, i);
+        const auto ready_before = m_ready.size();
+        if (may_continue(m_ready.at(position), m_ready.wake_at(position)))
+            place_step(position);
+        // A step without waiting tasks is no longer ready.
+        if (m_ready.size() < ready_before)
+            continue;
+        if (const auto& step = *m_ready.at(position).m_state; !step.m_drained.empty())
+            close_drained(step);
+        ++position;
     }
 }
 
-// Determines the workers that accept tasks and sorts them by free millicores.
 void coordinator::begin_pass()
 {
-    m_workers_by_free_capacity.clear();
-    m_max_free = {};
-    m_closed = 0;
     m_workers_unsynced = workers_unsynced();
-    for (auto& [id, worker] : m_workers)
+    m_free_vms.clear();
+    m_index.take_grown();
+    for (const auto number : std::exchange(m_closed, {}))
+        if (auto* worker = m_index.find(number); worker != nullptr)
+            worker->m_pass.m_closed = false;
+    m_max_free = m_index.max_free();
+}
+
+// True if something that the step waits for may have happened since the last visit.
+bool coordinator::may_continue(const ready_step& ready, instant wake_at)
+{
+    return wake_at <= m_now || fits_on_grown_worker(ready) ||
+           (ready.m_wanted_call > duration{} && vm_is_free(ready.m_wanted_call));
+}
+
+bool coordinator::fits_on_grown_worker(const ready_step& ready) const
+{
+    if (m_index.grown().empty())
+        return false;
+    const auto& size = ready.m_task_size;
+    const auto& approval = ready.m_state->m_approval;
+    const bool needs_ticket = ready.m_job->record().m_queue.m_approval.required();
+    const auto fits = [&](worker_number number)
     {
-        worker.m_pass = {.m_open = may_use(worker) && accepts_tasks(worker)};
-        if (!worker.m_pass.m_open)
-            continue;
-        m_workers_by_free_capacity.push_back(&worker);
-        const auto free = worker.free();
-        m_max_free = {std::max(m_max_free.m_millicores, free.m_millicores),
-                      std::max(m_max_free.m_memory_mb, free.m_memory_mb),
-                      std::max(m_max_free.m_accelerators, free.m_accelerators)};
-    }
-    std::sort(m_workers_by_free_capacity.begin(), m_workers_by_free_capacity.end(),
-              [](const worker_state* left, const worker_state* right)
-              { return left->free().m_millicores > right->free().m_millicores; });
-    m_claims.begin_pass(m_workers);
+        const auto& worker = m_index.at(number);
+        if (!worker.m_pass.m_open || !size.fits_in(worker.free()))
+            return false;
+        if (ready.m_without_room)
+            return true;
+        return size.fits_in(worker.free_for(ready.m_rank.m_priority)) &&
+               (!needs_ticket || (approval.is_approved(number) &&
+                                  approval.find_valid_ticket(number, m_now) != nullptr));
+    };
+    return std::any_of(m_index.grown().begin(), m_index.grown().end(), fits);
 }
 
 // In a full cell with a long backlog, steps that fit on no worker are skipped without a search,
 // except gangs, for which workers are drained, and steps that still need their first approval call.
-bool coordinator::should_try_placing(const job_state& job, const step_key& key) const
+bool coordinator::should_try_placing(ready_step& ready) const
 {
-    const auto& step = job.step(key.m_occurrence, key.m_step);
+    const auto& key = ready.m_rank.m_step;
+    const auto& job = *ready.m_job;
+    const auto& step = *ready.m_state;
+    ready.m_without_room = false;
     if (step.m_waiting == 0 || job.m_outcome || m_now < step.m_not_before ||
         (job.m_restored && m_workers_unsynced))
         return false;
     const auto& spec = job.spec(key.m_step);
     const bool first_approval = job.record().m_queue.m_approval.required() &&
                                 step.m_approval.no_answer() && !step.m_approval.m_call_in_flight;
-    return spec.m_gang || first_approval || m_claims.has(key) || size_of(spec).fits_in(m_max_free);
+    if (spec.m_gang || first_approval || m_claims.has(key) || size_of(spec).fits_in(m_max_free))
+        return true;
+    ready.m_without_room = true;
+    return false;
 }
 
-void coordinator::place_step(job_state& job, const step_key& key, std::size_t position)
+void coordinator::place_step(std::size_t position)
 {
-    auto& step = job.step(key.m_occurrence, key.m_step);
-    const step_approval* approved = approval_of(job, key);
-    m_claims.suspend(key, m_workers);
-    if (job.m_stored)
-        place_tasks(job, key, approved);
+    auto& ready = m_ready.at(position);
+    // Ends of tasks may remove the step from the queue.
+    const auto job = ready.m_job;
+    const auto rank = ready.m_rank;
+    const auto& key = rank.m_step;
+    ready.m_wanted_call = {};
+    if (!should_try_placing(ready))
+        return m_ready.set_wake_at(position, next_visit(ready));
+    auto& step = *ready.m_state;
+    const step_approval* approved = approval_of(*job, key);
+    m_claims.suspend(key);
+    if (job->m_stored)
+        place_tasks(*job, key, approved);
     if (step.m_waiting == 0)
     {
         m_claims.drop(key);
         return;
     }
     const bool call_in_flight = approved != nullptr && approved->m_call_in_flight;
+    m_claims.resume();
     if (!call_in_flight && m_claims.has(key))
     {
         // No start followed: other steps may use the capacity before it is claimed again.
@@ -94,26 +119,43 @@
         step.m_next_attempt_at = m_now + 1ms;
     }
     if (!call_in_flight && m_now >= step.m_next_attempt_at)
-        request_capacity(job, key, position);
-    m_claims.resume(key, m_workers);
-    close_drained(step);
+        request_capacity(ready, position);
+    m_ready.set_wake_at(position, next_visit(ready));
+}
+
+// When a visit may have a result without any event that wakes the step before.
+instant coordinator::next_visit(const ready_step& ready) const
+{
+    constexpr duration max_interval = 500ms; // in case that no event tells of a change
+    const auto& step = *ready.m_state;
+    const auto latest = m_now + max_interval;
+    if (ready.m_job->m_restored && m_workers_unsynced)
+        return m_now;
+    if (m_now < step.m_not_before)
+        return std::min(latest, step.m_not_before);
+    if (ready.m_without_room || step.m_approval.m_call_in_flight ||
+        ready.m_wanted_call > duration{})
+        return latest;
+    return std::min(latest, step.m_next_attempt_at);
 }
 
 // Requests approval for a step, or drains workers for a gang. With hundreds of steps waiting in a
 // full cell, a step that doesn't fit is retried less often the more steps are before it, so that a
 // pass costs about the same however many wait.
-void coordinator::request_capacity(job_state& job, const step_key& key, std::size_t position)
+void coordinator::request_capacity(ready_step& ready, std::size_t position)
 {
     constexpr duration retry_interval = 50ms;
     constexpr duration interval_per_position = 1ms;
     constexpr duration max_retry_interval = 1s;
+    auto& job = *ready.m_job;
+    const auto& key = ready.m_rank.m_step;
     const bool gang = job.spec(key.m_step).m_gang;
     const step_approval* approved = approval_of(job, key);
-    if (approved == nullptr ? !gang : request_step_approval(job, key))
+    if (approved == nullptr ? !gang : request_step_approval(ready))
         return;
     if (gang)
         drain_for_gang(job, key);
-    job.step(key.m_occurrence, key.m_step).m_next_attempt_at =
+    ready.m_state->m_next_attempt_at =
         m_now +
         std::min<duration>(max_retry_interval, retry_interval + position * interval_per_position);
 }
@@ -121,10 +163,10 @@
 void coordinator::report_unsuited()
 {
     // A new leader hasn't received the list of workers yet.
-    if (m_workers_by_free_capacity.empty())
+    if (m_index.open_count() == 0)
         return;
-    for (const auto& [rank, job] : m_ready)
-        report_unsuited(*job, rank.m_step);
+    for (std::size_t i = 0; i < m_ready.size(); ++i)
+        report_unsuited(*m_ready.at(i).m_job, m_ready.at(i).m_rank.m_step);
 }
 
 // Logs once that no listed worker has the service, label and capacity that a step needs. Such a
@@ -187,28 +229,23 @@
     auto consider = [&](worker_state& worker)
     {
         const bool closed =
-            worker.m_pass.m_closed && !m_claims.has_firm_claim(key, worker.m_info.m_id);
+            worker.m_pass.m_closed && !m_claims.has_firm_claim(key, worker.m_number);
         if (worker.m_pass.m_open && !closed && suits(worker, job, spec) &&
             !holds_earlier_run(worker, job, key))
             result.push_back(&worker);
     };
-    auto consider_id = [&](const worker_id& id)
-    {
-        if (const auto found = m_workers.find(id); found != m_workers.end())
-            consider(found->second);
-    };
     if (approved == nullptr)
-        for (worker_state* worker : m_workers_by_free_capacity)
-            consider(*worker);
+        for (const auto& [room, number] : m_index.open_workers(job.record().m_queue.m_service))
+            consider(m_index.at(number));
     else if (need == ticket_need::valid)
     {
-        for (const auto& [id, ticket] : approved->m_tickets)
+        for (const auto& [number, ticket] : approved->m_tickets)
             if (m_now < ticket.m_expires_at)
-                consider_id(id);
+                consider(m_index.at(number));
     }
     else
-        for (const auto& id : approved->m_approved)
-            consider_id(id);
+        for (const auto number : approved->approved())
+            consider(m_index.at(number));
     return result;
 }
 
@@ -218,6 +255,7 @@
 {
     const auto& spec = job.spec(key.m_step);
     const int count = job.step(key.m_occurrence, key.m_step).m_waiting;
+    const int priority = job.record().m_queue.m_priority;
     std::vector<candidate> candidates;
     std::set<rack_id> racks;
     candidates.reserve(eligible.size());
@@ -225,11 +263,12 @@
     {
         candidates.push_back(
             {.m_worker = worker,
-             .m_free = avoid_claims ? worker->free_for_others() : worker->free_for_pass(),
+             .m_free = avoid_claims ? worker->free_for_others() : worker->free_for(priority),
              .m_max_tasks = max_tasks_on(*worker, spec, key),
              .m_data_remote =
                  !spec.m_data_rack.empty() && worker->m_info.m_rack != spec.m_data_rack});
-        racks.insert(worker->m_info.m_rack);
+        if (spec.m_gang && spec.m_same_rack)
+            racks.insert(worker->m_info.m_rack);
     }
     if (!spec.m_gang)
         return plan_tasks(candidates, size_of(spec), count, order);
@@ -258,7 +297,7 @@
     const auto eligible = eligible_workers(job, key, need);
     auto places = places_on(eligible, job, key, order, true);
     if (task_count(places) == job.step(key.m_occurrence, key.m_step).m_waiting ||
-        !m_claims.any_lower_priority())
+        !m_claims.any_below(job.record().m_queue.m_priority))
         return places;
     return places_on(eligible, job, key, order, false);
 }
@@ -293,7 +332,7 @@
         if (step.m_tasks[i].m_status != task_status::waiting)
             continue;
         start(job, {key.m_job, key.m_occurrence, key.m_step, static_cast<int>(i)},
-              m_workers.at(place->m_worker), gang ? gang_run : job.m_next_run++, approved);
+              m_index.at(place->m_worker), gang ? gang_run : job.m_next_run++, approved);
         ++started;
         if (++here == place->m_tasks)
         {
@@ -314,6 +353,8 @@
     placement placed{
         .m_run = run, .m_size = size_of(spec), .m_started = m_now, .m_progress_at = m_now};
     worker.add(key, placed);
+    m_index.update_room(worker);
+    m_index.mark_changed(worker);
     worker.m_lease_expires_at =
         std::max(worker.m_lease_expires_at, m_now + options.m_order_window + options.m_clock_slack);
     start_order order{.m_task = key,
@@ -322,21 +363,21 @@
                       .m_checkpoint = task.m_checkpoint,
                       .m_deadline_ms = worker.clock_at(m_now) + to_ms(options.m_order_window)};
     if (approved != nullptr)
-        if (const auto* ticket = approved->find_valid_ticket(worker.m_info.m_id, m_now))
+        if (const auto* ticket = approved->find_valid_ticket(worker.m_number, m_now))
             order.m_ticket = *ticket;
     job.set_placed(key, worker.m_info.m_id, run);
     m_counts.m_tickets_used +=
-        job.step(key.m_occurrence, key.m_step).m_approval.mark_used(worker.m_info.m_id) ? 1 : 0;
+        job.step(key.m_occurrence, key.m_step).m_approval.mark_used(worker.m_number) ? 1 : 0;
     m_actions->push_back(
         send_start{{worker.m_info.m_id, worker.m_info.m_address}, std::move(order)});
 }
 
 void coordinator::on(const start_answered& event)
 {
-    const auto found = m_workers.find(event.m_worker);
-    if (found == m_workers.end())
+    auto* found = find_worker(event.m_worker);
+    if (found == nullptr)
         return;
-    auto& worker = found->second;
+    auto& worker = *found;
     const auto entry = worker.m_placements.find(event.m_task);
     if (entry == worker.m_placements.end() || entry->second.m_run != event.m_run ||
         entry->second.m_phase != placement_phase::starting)
@@ -381,7 +422,7 @@
     {
         if (refusal == start_refusal::no_ticket && job != nullptr)
             job->step(event.m_task.m_occurrence, event.m_task.m_step)
-                .m_approval.m_tickets.erase(event.m_worker);
+                .m_approval.m_tickets.erase(worker.m_number);
         if (!event.m_result || refusal == start_refusal::unhealthy ||
             refusal == start_refusal::no_room)
             worker.m_avoid_until = std::max(worker.m_avoid_until, m_now + avoid_unhealthy);
--- a/src/dragonflygap/cell/coordinator_waits.cpp
+++ b/src/dragonflygap/cell/coordinator_waits.cpp
@@ -29,7 +29,7 @@
             continue;
         ++summary.m_workers_open;
         summary.m_millicores_free += worker.free().m_millicores;
-        summary.m_millicores_reserved += worker.m_pass.m_reserved.m_millicores;
+        summary.m_millicores_reserved += worker.m_claimed.m_millicores;
         if (!worker.m_pass.m_closed)
             continue;
         ++summary.m_workers_closed;
@@ -77,12 +77,11 @@
                                                .m_queued = step.m_queued}));
     };
     std::set<step_key> reported;
-    for (const auto& [rank, job] : m_ready)
+    for (std::size_t i = 0; i < std::min(max_by_rank, m_ready.size()); ++i)
     {
-        if (reported.size() == max_by_rank)
-            break;
-        reported.insert(rank.m_step);
-        add({job.get(), rank.m_step, true, {}});
+        const auto& ready = m_ready.at(i);
+        reported.insert(ready.m_rank.m_step);
+        add({ready.m_job.get(), ready.m_rank.m_step, true, {}});
     }
     std::vector<candidate> oldest;
     auto consider = [&](const job_state& job, const step_key& key)
@@ -92,7 +91,7 @@
         if (!is_waiting(job, key, m_workers, m_unix_ms))
             return;
         const auto since = waiting_since(job, key);
-        const bool queued = m_ready.count(rank_of(job, key)) != 0;
+        const bool queued = m_ready.contains(rank_of(job, key));
         auto& pass = result.m_pass;
         ++pass.m_steps_waiting;
         pass.m_gangs_waiting += job.spec(key.m_step).m_gang ? 1 : 0;
@@ -122,7 +121,7 @@
     step_state* step =
         job == nullptr ? nullptr : &job->step(event.m_step.m_occurrence, event.m_step.m_step);
     if (step != nullptr)
-        m_counts.m_tickets_lapsed += step->m_approval.collect_unused(m_now);
+        m_counts.m_tickets_lapsed += step->m_approval.drop_lapsed(m_now);
     if (!event.m_result)
     {
         ++m_counts.m_answers_failed;
@@ -149,7 +148,7 @@
         for (int k = 0; k < job->occurrences(); ++k)
             for (int s = 0; s < job->steps(); ++s)
                 if (auto& approval = job->step(k, s).m_approval; !approval.m_tickets.empty())
-                    m_counts.m_tickets_lapsed += approval.collect_unused(m_now);
+                    m_counts.m_tickets_lapsed += approval.drop_lapsed(m_now);
 }
 
 } // namespace dragonflygap::cell
--- a/src/dragonflygap/cell/coordinator_worker_use.cpp
+++ b/src/dragonflygap/cell/coordinator_worker_use.cpp
@@ -25,13 +25,11 @@
     std::vector<worker_state*> workers;
     for (const auto& [id, address] : found.m_workers)
     {
-        auto& worker = m_workers[id];
-        worker.m_info.m_id = id;
+        auto& worker = add_worker(id);
         worker.m_info.m_address = parse_endpoint(address).value_or(endpoint{});
         worker.m_listed = false;
         worker.m_unlisted_since = m_now;
-        worker.m_earlier_leases_until = m_predecessor_leases_until;
-        worker.m_earlier_leases_until_ms = m_predecessor_leases_until_ms;
+        set_earlier_leases(worker, m_predecessor_leases_until, m_predecessor_leases_until_ms);
         workers.push_back(&worker);
     }
     m_workers_dirty = true;
@@ -50,10 +48,10 @@
                 worker.m_use = worker_use::none;
             if (used && group.m_leases_until_ms <= worker.m_earlier_leases_until_ms)
                 continue;
-            worker.m_earlier_leases_until_ms = group.m_leases_until_ms;
-            worker.m_earlier_leases_until =
-                m_now + std::chrono::milliseconds(
-                            std::max<std::int64_t>(0, group.m_leases_until_ms - found.m_store_ms));
+            const auto remaining_ms =
+                std::max<std::int64_t>(0, group.m_leases_until_ms - found.m_store_ms);
+            set_earlier_leases(worker, m_now + std::chrono::milliseconds(remaining_ms),
+                               group.m_leases_until_ms);
         }
 }
 
@@ -63,8 +61,14 @@
     worker.m_use = worker_use::pending;
     if (m_uses_stored)
         return;
-    worker.m_earlier_leases_until = m_predecessor_leases_until;
-    worker.m_earlier_leases_until_ms = m_predecessor_leases_until_ms;
+    set_earlier_leases(worker, m_predecessor_leases_until, m_predecessor_leases_until_ms);
+}
+
+void coordinator::set_earlier_leases(worker_state& worker, instant until, std::int64_t until_ms)
+{
+    worker.m_earlier_leases_until = until;
+    worker.m_earlier_leases_until_ms = until_ms;
+    m_earlier_leases_until = std::max(m_earlier_leases_until, until);
 }
 
 bool coordinator::may_use(const worker_state& worker) const
@@ -73,23 +77,18 @@
 }
 
 // A worker that doesn't answer isn't used any more, and its successors learn that from the store.
-void coordinator::give_up_silent_workers()
+void coordinator::give_up_if_silent(worker_state& worker)
 {
     constexpr duration answer_timeout = 500ms; // workers answer within milliseconds
-    if (!m_store_clock_known)
+    const bool failing = worker.m_failing_since != instant{};
+    if (!m_store_clock_known || worker.m_use != worker_use::allowed || worker.m_synced ||
+        !(failing || worker.m_renewing))
         return;
-    for (auto& [id, worker] : m_workers)
-    {
-        const bool failing = worker.m_failing_since != instant{};
-        if (worker.m_use != worker_use::allowed || worker.m_synced ||
-            !(failing || worker.m_renewing))
-            continue;
-        const auto silent_since = failing ? worker.m_failing_since : worker.m_renewal_sent_at;
-        if (m_now - silent_since < answer_timeout)
-            continue;
-        worker.m_use = worker_use::none;
-        m_workers_dirty = true;
-    }
+    const auto silent_since = failing ? worker.m_failing_since : worker.m_renewal_sent_at;
+    if (m_now - silent_since < answer_timeout)
+        return;
+    worker.m_use = worker_use::none;
+    m_workers_dirty = true;
 }
 
 // The worker obeys no earlier leader any more, and the tasks that it listed are known.
@@ -128,11 +127,11 @@
 void coordinator::allow_used_workers(const batch& contents)
 {
     for (const auto& id : contents.m_used)
-        if (const auto found = m_workers.find(id);
-            found != m_workers.end() && found->second.m_use == worker_use::pending)
+        if (auto* worker = find_worker(id);
+            worker != nullptr && worker->m_use == worker_use::pending)
         {
-            found->second.m_use = worker_use::allowed;
-            found->second.m_next_renewal = m_now;
+            worker->m_use = worker_use::allowed;
+            worker->m_next_renewal = m_now;
         }
 }
 
--- a/src/dragonflygap/cell/coordinator_workers.cpp
+++ b/src/dragonflygap/cell/coordinator_workers.cpp
@@ -23,68 +23,179 @@
 
 } // namespace
 
+// For events: the next tick looks at the worker.
+worker_state* coordinator::find_worker(const worker_id& worker)
+{
+    const auto found = m_workers.find(worker);
+    if (found == m_workers.end())
+        return nullptr;
+    m_index.mark_changed(found->second);
+    return &found->second;
+}
+
+// The worker may be known.
+worker_state& coordinator::add_worker(const worker_id& id)
+{
+    const auto [entry, inserted] = m_workers.try_emplace(id);
+    auto& worker = entry->second;
+    if (inserted)
+    {
+        worker.m_info.m_id = id;
+        m_index.add(worker);
+    }
+    return worker;
+}
+
+std::map<worker_id, worker_state>::iterator
+coordinator::remove_worker(std::map<worker_id, worker_state>::iterator worker)
+{
+    const auto number = worker->second.m_number;
+    m_claims.forget(number);
+    for (auto& [id, job] : m_jobs)
+        for (int k = 0; k < job->occurrences(); ++k)
+            for (int s = 0; s < job->steps(); ++s)
+            {
+                auto& step = job->step(k, s);
+                step.m_approval.forget(number);
+                std::erase(step.m_drained, number);
+            }
+    std::erase(m_closed, number);
+    m_index.remove(worker->second);
+    return m_workers.erase(worker);
+}
+
+// The workers that events changed, and some others in turn, since leases and delays run out
+// without any event: all of them within ten ticks.
+std::vector<worker_number> coordinator::workers_to_check()
+{
+    constexpr worker_number min_count = 128;
+    constexpr worker_number rounds = 10;
+    const auto all = m_index.end();
+    // All of them if this leader may no longer start tasks, or may again.
+    const bool usable = leadership_confirmed() && !m_list_outdated;
+    const bool turned = std::exchange(m_workers_usable, usable) != usable;
+    const auto count = turned ? all : std::min(all, std::max(min_count, all / rounds + 1));
+    for (worker_number i = 0; i < count; ++i)
+    {
+        if (m_next_checked >= all)
+            m_next_checked = 0;
+        if (auto* worker = m_index.find(m_next_checked++); worker != nullptr)
+            m_index.mark_changed(*worker);
+    }
+    auto result = m_index.take_changed();
+    std::sort(result.begin(), result.end());
+    return result;
+}
+
 void coordinator::on(const workers_listed& event)
 {
+    m_list_confirmed_at = event.m_confirmed_at;
     std::set<worker_id> listed;
     for (const auto& info : event.m_workers)
     {
-        listed.insert(info.m_id);
-        const auto [entry, inserted] = m_workers.try_emplace(info.m_id);
-        auto& worker = entry->second;
-        if (inserted)
-            begin_use(worker);
-        if (worker.m_info.m_address != info.m_address)
-        {
-            m_workers_dirty = true;
-            worker.m_address_since = m_now;
-        }
-        if (info.m_leaving && !worker.m_info.m_leaving)
-            log_event(log_level::info, "worker_leaving",
-                      {{"worker", info.m_id.m_value}, {"remaining_ms", info.m_remaining_ms}});
-        if (!worker.m_listed || worker.m_info.m_capacity == resources{})
-            log_event(log_level::info, "worker_listed",
-                      {{"worker", info.m_id.m_value},
-                       {"address", to_string(info.m_address)},
-                       {"data_centre", info.m_data_centre.m_value},
-                       {"rack", info.m_rack.m_value},
-                       {"labels", joined(info.m_labels)},
-                       {"millicores", info.m_capacity.m_millicores},
-                       {"memory_mb", info.m_capacity.m_memory_mb}});
-        if (worker.m_replaced && worker.m_info.m_address != info.m_address)
-        {
-            // The worker restarted under the same id at another address.
-            worker.m_replaced = false;
-            worker.m_next_renewal = m_now;
-        }
-        worker.m_info = info;
-        worker.m_listed = true;
+        list_worker(info);
+        if (event.m_complete)
+            listed.insert(info.m_id);
+    }
+    if (event.m_complete)
+    {
+        for (auto& [id, worker] : m_workers)
+            if (listed.count(id) == 0)
+                unlist_worker(worker);
     }
+    else
+        for (const auto& id : event.m_unlisted)
+            if (auto* worker = find_worker(id); worker != nullptr)
+                unlist_worker(*worker);
+}
+
+void coordinator::list_worker(const worker_info& info)
+{
+    const bool inserted = m_workers.count(info.m_id) == 0;
+    auto& worker = add_worker(info.m_id);
+    if (inserted)
+        begin_use(worker);
+    if (worker.m_listed && worker.m_info == info)
+        return;
+    m_index.mark_changed(worker);
+    if (worker.m_info.m_address != info.m_address)
+    {
+        m_workers_dirty = true;
+        worker.m_address_since = m_now;
+    }
+    if (info.m_leaving && !worker.m_info.m_leaving)
+        log_event(log_level::info, "worker_leaving",
+                  {{"worker", info.m_id.m_value}, {"remaining_ms", info.m_remaining_ms}});
+    if (!worker.m_listed || worker.m_info.m_capacity == resources{})
+        log_event(log_level::info, "worker_listed",
+                  {{"worker", info.m_id.m_value},
+                   {"address", to_string(info.m_address)},
+                   {"data_centre", info.m_data_centre.m_value},
+                   {"rack", info.m_rack.m_value},
+                   {"labels", joined(info.m_labels)},
+                   {"millicores", info.m_capacity.m_millicores},
+                   {"memory_mb", info.m_capacity.m_memory_mb}});
+    if (worker.m_replaced && worker.m_info.m_address != info.m_address)
+    {
+        // The worker restarted under the same id at another address.
+        worker.m_replaced = false;
+        worker.m_next_renewal = m_now;
+    }
+    worker.m_info = info;
+    worker.m_listed = true;
+}
+
+void coordinator::unlist_worker(worker_state& worker)
+{
+    if (!std::exchange(worker.m_listed, false))
+        return;
+    m_index.mark_changed(worker);
+    worker.m_unlisted_since = m_now;
+    log_event(log_level::info, "worker_unlisted",
+              {{"worker", worker.m_info.m_id.m_value},
+               {"tasks", worker.m_placements.size()},
+               {"silent_ms", to_ms(m_now - worker.m_last_report_at)}});
+}
+
+void coordinator::remove_expired_workers()
+{
+    constexpr duration check_interval = 1s;
+    if (m_now - m_last_expiry_check < check_interval)
+        return;
+    m_last_expiry_check = m_now;
     for (auto entry = m_workers.begin(); entry != m_workers.end();)
     {
         auto& worker = entry->second;
-        if (listed.count(entry->first) == 0)
+        const bool expired = m_now >= m_predecessor_leases_until &&
+                             m_now - worker.m_unlisted_since > m_options.m_unlisted_retention;
+        if (worker.m_listed || !worker.m_placements.empty() || !(worker.m_replaced || expired))
         {
-            if (std::exchange(worker.m_listed, false))
-            {
-                worker.m_unlisted_since = m_now;
-                log_event(log_level::info, "worker_unlisted",
-                          {{"worker", entry->first.m_value},
-                           {"tasks", worker.m_placements.size()},
-                           {"silent_ms", to_ms(m_now - worker.m_last_report_at)}});
-            }
-            const bool expired = m_now >= m_predecessor_leases_until &&
-                                 m_now - worker.m_unlisted_since > m_options.m_unlisted_retention;
-            if (worker.m_placements.empty() && (worker.m_replaced || expired))
-            {
-                entry = m_workers.erase(entry);
-                m_workers_dirty = true;
-                continue;
-            }
+            ++entry;
+            continue;
         }
-        ++entry;
+        entry = remove_worker(entry);
+        m_workers_dirty = true;
     }
 }
 
+// The store answers, but a worker's notice that it leaves may have gone unseen until its end.
+bool coordinator::list_outdated() const
+{
+    const auto store_delay = 2 * m_chain.typical_latency();
+    return m_list_confirmed_at != instant{} && !store_unavailable() &&
+           m_now - m_list_confirmed_at > m_options.m_min_notice + store_delay;
+}
+
+// Without the list, tasks could start on workers that are about to end.
+void coordinator::check_list_age()
+{
+    const bool outdated = list_outdated();
+    if (std::exchange(m_list_outdated, outdated) != outdated)
+        log_event(log_level::warning, outdated ? "worker_list_outdated" : "worker_list_current",
+                  {{"list_age_ms", to_ms(m_now - m_list_confirmed_at)},
+                   {"store_age_ms", to_ms(store_age())}});
+}
+
 bool coordinator::renewal_needed(const worker_state& worker) const
 {
     const bool known_idle = worker.m_synced && worker.m_placements.empty();
@@ -96,13 +207,6 @@
            m_now - worker.m_last_report_at > m_options.m_workers.m_idle_renewal_interval;
 }
 
-void coordinator::renew_workers()
-{
-    for (auto& [id, worker] : m_workers)
-        if (renewal_needed(worker) || worker.m_report_wanted)
-            renew(worker);
-}
-
 // When a lease granted now has certainly expired, even by a clock that runs 2% slow.
 instant coordinator::lease_end() const
 {
@@ -143,10 +247,10 @@
 
 void coordinator::on(const renewal_answered& event)
 {
-    const auto found = m_workers.find(event.m_worker);
-    if (found == m_workers.end())
+    auto* found = find_worker(event.m_worker);
+    if (found == nullptr)
         return;
-    auto& worker = found->second;
+    auto& worker = *found;
     if (event.m_sent == worker.m_renewal_sent_at)
         worker.m_renewing = false;
     if (event.m_sent < worker.m_address_since)
@@ -235,6 +339,7 @@
         if (task != nullptr)
             placed.m_size = size_of(job->spec(running.m_task.m_step));
         worker.add(running.m_task, placed);
+        m_index.update_room(worker);
         known = worker.m_placements.find(running.m_task);
         if (expected)
         {
@@ -308,6 +413,7 @@
             worker.m_unconfirmed_starts[key] = placed.m_run;
     for (const auto& [key, placed] : placements)
         apply_end(worker, {.m_task = key, .m_run = placed.m_run, .m_end_kind = end_kind::lapsed});
+    m_index.mark_changed(worker);
     worker.m_synced = false;
     worker.m_earlier_leases_until = {};
     worker.m_earlier_leases_until_ms = 0;
@@ -317,6 +423,8 @@
 // True while workers that haven't reported yet may run tasks of an earlier leader.
 bool coordinator::workers_unsynced() const
 {
+    if (m_now >= m_earlier_leases_until)
+        return false;
     return std::any_of(m_workers.begin(), m_workers.end(),
                        [this](const auto& entry)
                        {
--- a/src/dragonflygap/cell/events.hpp
+++ b/src/dragonflygap/cell/events.hpp
@@ -28,6 +28,9 @@
 struct workers_listed
 {
     std::vector<worker_info> m_workers;
+    std::vector<worker_id> m_unlisted; ///< They were removed, unless the list is complete.
+    bool m_complete = true;            ///< Workers that aren't in m_workers are unlisted.
+    instant m_confirmed_at{};          ///< All changes until then are known; zero: unknown.
 };
 struct commit_answered
 {
--- a/src/dragonflygap/cell/job_state.hpp
+++ b/src/dragonflygap/cell/job_state.hpp
@@ -39,11 +39,11 @@
     std::vector<task_state> m_tasks;
     int m_done = 0;
     int m_waiting = 0;
-    instant m_ready_since{};          ///< When this leader first found it due; zero: not yet.
-    instant m_not_before{};           ///< Backoff after a failed start.
-    instant m_next_attempt_at{};      ///< When to search for free capacity again.
-    step_approval m_approval;         ///< Unused if the queue needs no approval.
-    std::vector<worker_id> m_drained; ///< Workers closed to other steps until the gang fits.
+    instant m_ready_since{};              ///< When this leader first found it due; zero: not yet.
+    instant m_not_before{};               ///< Backoff after a failed start.
+    instant m_next_attempt_at{};          ///< When to search for free capacity again.
+    step_approval m_approval;             ///< Unused if the queue needs no approval.
+    std::vector<worker_number> m_drained; ///< Workers closed to other steps until the gang fits.
 };
 
 /// A job and the state of its tasks. Does no I/O; the coordinator makes the decisions.
--- a/src/dragonflygap/cell/ports.hpp
+++ b/src/dragonflygap/cell/ports.hpp
@@ -74,15 +74,34 @@
         m_read;
 };
 
+/// A read of a table: its changes after a position, or all rows.
+struct table_read
+{
+    std::uint64_t m_number = 0;
+    std::uint64_t m_position = 0; ///< 0: read all rows.
+    duration m_wait{};            ///< How long to wait for a change.
+    duration m_timeout{};
+    bool m_new_connection = false; ///< Earlier connections may be silent.
+};
+
+/// Entries of workers that a read found.
+struct worker_changes
+{
+    bool m_complete = false; ///< All workers are in m_listed, not only changed ones.
+    std::vector<worker_info> m_listed;
+    std::vector<worker_id> m_unlisted;
+};
+
+/// Gets the result and the position for the next read; 0: all rows have to be read again.
+template <class T>
+using read_done = std::function<void(outcome<T>, std::uint64_t position)>;
+
 /// Workers and configuration as the platform provides them.
 struct directory_port
 {
-    std::function<void(duration timeout, std::function<void(outcome<std::vector<worker_info>>)>)>
-        m_list_workers;
-    /// Waits for a configuration other than the known one; nothing if the wait ends first.
-    std::function<void(std::uint64_t known_position, duration wait,
-                       std::function<void(outcome<std::optional<cell_config>>, std::uint64_t)>)>
-        m_watch_config;
+    std::function<void(const table_read&, read_done<worker_changes>)> m_read_workers;
+    /// Nothing if the configuration hasn't changed, or there is none.
+    std::function<void(const table_read&, read_done<std::optional<cell_config>>)> m_read_config;
 };
 
 struct start_order
--- a/src/dragonflygap/cell/room_claims.cpp
+++ b/src/dragonflygap/cell/room_claims.cpp
@@ -1,7 +1,6 @@
 #include "dragonflygap/cell/room_claims.hpp"
 
 #include <algorithm>
-#include <functional>
 #include <utility>
 
 namespace dragonflygap::cell
@@ -17,76 +16,115 @@
             .m_accelerators = size.m_accelerators * count};
 }
 
-void for_each_firm(const room_claim& claim, room_claims::worker_map& workers,
-                   const std::function<void(worker_state&, const resources&)>& visit)
-{
-    for (const auto& place : claim.m_firm)
-        if (const auto worker = workers.find(place.m_worker); worker != workers.end())
-            visit(worker->second, times(claim.m_size, place.m_tasks));
-}
-
 } // namespace
 
 void room_claims::set(const step_key& step, room_claim claim)
 {
-    m_claims.insert_or_assign(step, std::move(claim));
+    drop(step);
+    if (!claim.m_firm.empty())
+        count_firm(claim.m_priority, 1);
+    add_firm(claim);
+    add_tentative(claim, 1);
+    m_claims.emplace(step, std::move(claim));
+}
+
+void room_claims::drop(const step_key& step)
+{
+    const auto found = m_claims.find(step);
+    if (found == m_claims.end())
+        return;
+    const auto claim = std::move(found->second);
+    m_claims.erase(found);
+    if (m_suspended == step)
+        m_suspended.reset();
+    else
+        remove_firm(claim);
+    add_tentative(claim, -1);
+    if (claim.m_firm.empty())
+        return;
+    count_firm(claim.m_priority, -1);
+    for (const auto& place : claim.m_firm)
+        m_workers.mark_grown(m_workers.at(place.m_worker));
 }
 
-bool room_claims::has_firm_claim(const step_key& step, const worker_id& worker) const
+bool room_claims::has_firm_claim(const step_key& step, worker_number worker) const
 {
     const auto found = m_claims.find(step);
     return found != m_claims.end() &&
            std::any_of(found->second.m_firm.begin(), found->second.m_firm.end(),
-                       [&worker](const task_places& place) { return place.m_worker == worker; });
+                       [worker](const task_places& place) { return place.m_worker == worker; });
+}
+
+bool room_claims::any_below(int priority) const
+{
+    return m_firm_counts.upper_bound(priority) != m_firm_counts.end();
+}
+
+void room_claims::suspend(const step_key& step)
+{
+    const auto found = m_claims.find(step);
+    if (found == m_claims.end())
+        return;
+    remove_firm(found->second);
+    m_suspended = step;
 }
 
-void room_claims::begin_pass(worker_map& workers)
+void room_claims::resume()
 {
-    m_lower_priority.clear();
-    for (const auto& [step, claim] : m_claims)
+    if (!m_suspended)
+        return;
+    add_firm(m_claims.at(*m_suspended));
+    m_suspended.reset();
+}
+
+void room_claims::forget(worker_number worker)
+{
+    const auto here = [worker](const task_places& place) { return place.m_worker == worker; };
+    for (auto& [step, claim] : m_claims)
     {
-        for_each_firm(claim, workers,
-                      [&, priority = claim.m_priority](worker_state& worker, const resources& size)
-                      {
-                          worker.m_pass.m_lower_priority += size;
-                          m_lower_priority.push_back({priority, &worker, size});
-                      });
-        for (const auto& place : claim.m_tentative)
-            if (const auto worker = workers.find(place.m_worker); worker != workers.end())
-                worker->second.m_pass.m_tentative_millicores += static_cast<std::int64_t>(
-                    claim.m_approval_rate *
-                    static_cast<double>(claim.m_size.m_millicores * place.m_tasks));
+        std::erase_if(claim.m_tentative, here);
+        if (std::erase_if(claim.m_firm, here) > 0 && claim.m_firm.empty())
+            count_firm(claim.m_priority, -1);
     }
-    std::stable_sort(m_lower_priority.begin(), m_lower_priority.end(),
-                     [](const applied& left, const applied& right)
-                     { return left.m_priority > right.m_priority; });
 }
 
-void room_claims::bind_up_to(int priority)
+void room_claims::count_firm(int priority, int change)
+{
+    if ((m_firm_counts[priority] += change) == 0)
+        m_firm_counts.erase(priority);
+}
+
+void room_claims::add_firm(const room_claim& claim)
 {
-    while (!m_lower_priority.empty() && m_lower_priority.back().m_priority <= priority)
+    for (const auto& place : claim.m_firm)
     {
-        const auto& next = m_lower_priority.back();
-        next.m_worker->m_pass.m_lower_priority -= next.m_size;
-        next.m_worker->m_pass.m_reserved += next.m_size;
-        m_lower_priority.pop_back();
+        auto& worker = m_workers.at(place.m_worker);
+        worker.add_claim(claim.m_priority, times(claim.m_size, place.m_tasks));
+        m_workers.update_room(worker);
     }
 }
 
-void room_claims::suspend(const step_key& step, worker_map& workers) const
+void room_claims::remove_firm(const room_claim& claim)
 {
-    if (const auto found = m_claims.find(step); found != m_claims.end())
-        for_each_firm(found->second, workers,
-                      [](worker_state& worker, const resources& size)
-                      { worker.m_pass.m_reserved -= size; });
+    for (const auto& place : claim.m_firm)
+    {
+        auto& worker = m_workers.at(place.m_worker);
+        worker.remove_claim(claim.m_priority, times(claim.m_size, place.m_tasks));
+        m_workers.update_room(worker);
+    }
 }
 
-void room_claims::resume(const step_key& step, worker_map& workers) const
+void room_claims::add_tentative(const room_claim& claim, int sign)
 {
-    if (const auto found = m_claims.find(step); found != m_claims.end())
-        for_each_firm(found->second, workers,
-                      [](worker_state& worker, const resources& size)
-                      { worker.m_pass.m_reserved += size; });
+    for (const auto& place : claim.m_tentative)
+    {
+        auto& worker = m_workers.at(place.m_worker);
+        worker.m_tentative_millicores +=
+            sign * static_cast<std::int64_t>(
+                       claim.m_approval_rate *
+                       static_cast<double>(claim.m_size.m_millicores * place.m_tasks));
+        m_workers.update_room(worker);
+    }
 }
 
 } // namespace dragonflygap::cell
--- a/src/dragonflygap/cell/room_claims.hpp
+++ b/src/dragonflygap/cell/room_claims.hpp
@@ -1,9 +1,10 @@
 #pragma once
 
 #include <map>
+#include <optional>
 #include <vector>
 
-#include "dragonflygap/cell/worker_state.hpp"
+#include "dragonflygap/cell/worker_index.hpp"
 
 namespace dragonflygap::cell
 {
@@ -11,7 +12,7 @@
 /// Places for some tasks of a step on one worker.
 struct task_places
 {
-    worker_id m_worker;
+    worker_number m_worker = 0;
     int m_tasks = 0;
 };
 
@@ -27,46 +28,41 @@
     double m_approval_rate = 0; ///< Expected share of the tentative places that is approved.
 };
 
-/// The claims of all steps, applied to the workers at the beginning of each pass. Claims
-/// bind steps of the same or lower priority; steps of higher priority only avoid them. Does no I/O.
+/// The claims of all steps, kept at the workers they are for. Claims bind steps of the same or
+/// lower priority; steps of higher priority only avoid them. Does no I/O.
 class room_claims
 {
 public:
-    using worker_map = std::map<worker_id, worker_state>;
+    explicit room_claims(worker_index& workers) : m_workers(workers) {}
 
+    /// Replaces the step's claim.
     void set(const step_key& step, room_claim claim);
-    void drop(const step_key& step) { m_claims.erase(step); }
+    void drop(const step_key& step);
     bool has(const step_key& step) const { return m_claims.count(step) != 0; }
 
     /// True if the step has a firm place on the worker.
-    bool has_firm_claim(const step_key& step, const worker_id& worker) const;
+    bool has_firm_claim(const step_key& step, worker_number worker) const;
 
-    /// Counts all claims as lower priority; to be called before any step is placed.
-    void begin_pass(worker_map& workers);
+    /// True if steps of lower priority have firm places.
+    bool any_below(int priority) const;
 
-    /// True if there are claims that aren't binding yet.
-    bool any_lower_priority() const { return !m_lower_priority.empty(); }
+    /// Removes a step's own firm claim until resume(), so that the step can use this capacity.
+    void suspend(const step_key& step);
+    void resume();
 
-    /// Makes the claims up to this priority binding; steps are visited in order of priority.
-    void bind_up_to(int priority);
-
-    /// Removes a step's own claim from the pass, so that the step can use this capacity.
-    void suspend(const step_key& step, worker_map& workers) const;
-
-    /// Restores the claim.
-    void resume(const step_key& step, worker_map& workers) const;
+    /// To be called before a worker is removed.
+    void forget(worker_number worker);
 
 private:
-    struct applied
-    {
-        int m_priority = 0;
-        worker_state* m_worker = nullptr;
-        resources m_size;
-    };
+    void add_firm(const room_claim& claim);
+    void remove_firm(const room_claim& claim);
+    void add_tentative(const room_claim& claim, int sign);
+    void count_firm(int priority, int change);
 
+    worker_index& m_workers;
     std::map<step_key, room_claim> m_claims;
-    /// Claims of this pass that aren't binding yet, least urgent first.
-    std::vector<applied> m_lower_priority;
+    std::optional<step_key> m_suspended; ///< One of m_claims.
+    std::map<int, int> m_firm_counts;    ///< Claims with firm places, by priority.
 };
 
 } // namespace dragonflygap::cell
--- a/src/dragonflygap/cell/task_plan.cpp
+++ b/src/dragonflygap/cell/task_plan.cpp
@@ -42,7 +42,7 @@
         if (count <= 0)
             break;
         const int tasks = std::min(entry.m_fits, count);
-        result.push_back({entry.m_candidate->m_worker->m_info.m_id, tasks});
+        result.push_back({entry.m_candidate->m_worker->m_number, tasks});
         count -= tasks;
     }
     return result;
--- a/src/dragonflygap/cell/waiting_cause.cpp
+++ b/src/dragonflygap/cell/waiting_cause.cpp
@@ -128,9 +128,9 @@
     for (const auto& [id, worker] : workers)
     {
         result.m_anywhere.add(counter, worker);
-        if (!needed || approval.m_approved.count(id) != 0)
+        if (!needed || approval.is_approved(worker.m_number))
             result.m_approved.add(counter, worker);
-        if (!needed || approval.find_valid_ticket(id, now) != nullptr)
+        if (!needed || approval.find_valid_ticket(worker.m_number, now) != nullptr)
             result.m_ticketed.add(counter, worker);
     }
     return result;
@@ -245,8 +245,8 @@
             .m_gang = job.spec(key.m_step).m_gang,
             .m_count = job.spec(key.m_step).m_count,
             .m_waiting = step.m_waiting,
-            .m_approved = approval.m_approved.size(),
-            .m_denied = approval.m_denied.size(),
+            .m_approved = approval.approved().size(),
+            .m_denied = approval.denied_count(),
             .m_tickets = static_cast<std::size_t>(valid),
             .m_call_in_flight = approval.m_call_in_flight,
             .m_room_ticketed = capacity.m_ticketed.m_now,
--- a/src/dragonflygap/cell/worker_state.hpp
+++ b/src/dragonflygap/cell/worker_state.hpp
@@ -1,8 +1,10 @@
 #pragma once
 
+#include <algorithm>
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <vector>
 
 #include "dragonflygap/cell/worker.hpp"
 #include "dragonflygap/core/time.hpp"
@@ -10,6 +12,9 @@
 namespace dragonflygap::cell
 {
 
+/// Dense number of a worker within one leader. The number of a removed worker is used again.
+using worker_number = std::uint32_t;
+
 /// Whether a leader may start tasks on a worker and renew its lease. Successors rely on it, so a
 /// worker is stored as used before it is used.
 enum class worker_use
@@ -110,14 +115,23 @@
     int m_consecutive_failures = 0; ///< Failed tasks since the last successful one.
     instant m_avoid_until{};        ///< No new tasks before then.
 
-    /// State of the current placement pass.
+    worker_number m_number = 0; ///< Given by the worker_index.
+
+    /// Capacity claimed by waiting steps, one entry for each priority.
+    struct priority_claim
+    {
+        int m_priority = 0;
+        resources m_size;
+    };
+    std::vector<priority_claim> m_claims;
+    resources m_claimed;                     ///< Sum of m_claims.
+    std::int64_t m_tentative_millicores = 0; ///< Expected use by tentative claims.
+
+    /// State of the last placement pass.
     struct pass_state
     {
-        bool m_open = false;          ///< May get tasks.
-        bool m_closed = false;        ///< Drained for a gang.
-        resources m_reserved{};       ///< Claimed by steps of the same or higher priority.
-        resources m_lower_priority{}; ///< Claimed by steps of lower priority.
-        std::int64_t m_tentative_millicores = 0; ///< Expected use by tentative claims.
+        bool m_open = false;   ///< May get tasks.
+        bool m_closed = false; ///< Drained for a gang.
     };
     pass_state m_pass;
 
@@ -168,9 +182,50 @@
     /// True if a task of unknown size runs there: the worker may be full.
     bool free_capacity_unknown() const { return m_unknown_size_count > 0; }
 
+    void add_claim(int priority, const resources& size)
+    {
+        auto claim = std::find_if(m_claims.begin(), m_claims.end(),
+                                  [priority](const priority_claim& one)
+                                  { return one.m_priority == priority; });
+        if (claim == m_claims.end())
+            claim = m_claims.insert(m_claims.end(), {.m_priority = priority});
+        claim->m_size += size;
+        m_claimed += size;
+    }
+
+    void remove_claim(int priority, const resources& size)
+    {
+        const auto claim = std::find_if(m_claims.begin(), m_claims.end(),
+                                        [priority](const priority_claim& one)
+                                        { return one.m_priority == priority; });
+        if (claim == m_claims.end())
+            return;
+        claim->m_size -= size;
+        m_claimed -= size;
+        if (claim->m_size == resources{})
+            m_claims.erase(claim);
+    }
+
     resources free() const { return m_info.m_capacity - m_used; }
-    resources free_for_pass() const { return free() - m_pass.m_reserved; }
-    resources free_for_others() const { return free_for_pass() - m_pass.m_lower_priority; }
+
+    /// Free capacity for a step of a priority: less the claims of steps that are as urgent or more.
+    resources free_for(int priority) const
+    {
+        auto result = free();
+        for (const auto& claim : m_claims)
+            if (claim.m_priority <= priority)
+                result -= claim.m_size;
+        return result;
+    }
+
+    /// Free capacity that no step claims.
+    resources free_for_others() const { return free() - m_claimed; }
+
+    /// The same less what tentative claims are expected to use.
+    std::int64_t expected_free_millicores() const
+    {
+        return free_for_others().m_millicores - m_tentative_millicores;
+    }
 
     /// Estimate of the worker's clock that is never ahead of it.
     std::int64_t clock_at(instant now) const
--- a/src/dragonflygap/config/settings.hpp
+++ b/src/dragonflygap/config/settings.hpp
@@ -32,6 +32,8 @@
     endpoint m_ready_listen;
     double m_processor_share = 1; ///< Share of one core that this process may use.
     duration m_max_lease = 10s;   ///< Workers shorten longer leases to this.
+    /// A worker that leaves runs its tasks for as long at least after it said so.
+    duration m_worker_notice = 2s;
     duration m_stop_timeout = 6s; ///< Time from SIGTERM until the platform kills the process.
 };
 
--- a/src/dragonflygap/node/leader_task.cpp
+++ b/src/dragonflygap/node/leader_task.cpp
@@ -17,6 +17,7 @@
       m_options(std::move(options)),
       m_coordinator(m_options.m_coordinator, state, monotonic_clock::now()),
       m_report(registry, m_options.m_tick_interval),
+      m_worker_watch(m_options.m_worker_watch),
       m_epoch(state.m_self.m_epoch)
 {
     m_members[m_options.m_vm].m_address = m_options.m_address;
@@ -27,9 +28,10 @@
                                         check_members();
                                         send_heartbeats();
                                     }));
-    m_timers.push_back(m_loop.every(m_options.m_worker_list_interval, [this] { list_workers(); }));
+    m_timers.push_back(
+        m_loop.every(m_options.m_worker_watch_interval, [this] { watch_workers(); }));
     m_timers.push_back(m_loop.every(m_options.m_member_read_interval, [this] { read_members(); }));
-    list_workers();
+    watch_workers();
     read_members();
     check_members();
     tick();
@@ -285,24 +287,36 @@
               {{"epoch", m_epoch}, {"successor", successor == nullptr ? "" : successor->m_value}});
 }
 
-void leader_task::list_workers()
+// Reads the list of workers once and then its changes.
+void leader_task::watch_workers()
 {
-    if (m_list_in_flight || m_stopped)
+    if (m_stopped)
         return;
-    m_list_in_flight = true;
-    m_options.m_directory.m_list_workers(
-        m_options.m_commit_timeout,
-        [this, alive = m_alive](outcome<std::vector<cell::worker_info>> workers)
-        {
-            if (!*alive)
-                return;
-            m_list_in_flight = false;
-            if (workers)
-                process_event(cell::workers_listed{std::move(*workers)});
-            else
-                log_event(log_level::warning, "workers_not_listed",
-                          {{"detail", workers.error().m_detail}});
-        });
+    while (const auto read = m_worker_watch.next(monotonic_clock::now()))
+        m_options.m_directory.m_read_workers(
+            *read,
+            [this, number = read->m_number, alive = m_alive](outcome<cell::worker_changes> changes,
+                                                             std::uint64_t position)
+            {
+                if (!*alive)
+                    return;
+                const auto now = monotonic_clock::now();
+                if (!changes)
+                {
+                    log_event(log_level::warning, "workers_not_listed",
+                              {{"detail", changes.error().m_detail},
+                               {"list_age_ms", to_ms(now - m_worker_watch.confirmed_at())}});
+                    m_worker_watch.failed(number, changes.error().m_verdict == verdict::not_run,
+                                          now);
+                }
+                else if (m_worker_watch.answered(number, position, now))
+                    process_event(
+                        cell::workers_listed{.m_workers = std::move(changes->m_listed),
+                                             .m_unlisted = std::move(changes->m_unlisted),
+                                             .m_complete = changes->m_complete,
+                                             .m_confirmed_at = m_worker_watch.confirmed_at()});
+                watch_workers();
+            });
 }
 
 } // namespace dragonflygap::node
--- a/src/dragonflygap/node/leader_task.hpp
+++ b/src/dragonflygap/node/leader_task.hpp
@@ -8,6 +8,7 @@
 #include <string>
 #include <vector>
 
+#include "dragonflygap/cell/change_watch.hpp"
 #include "dragonflygap/cell/coordinator.hpp"
 #include "dragonflygap/cell/peer_messages.hpp"
 #include "dragonflygap/net/event_loop.hpp"
@@ -37,7 +38,8 @@
     std::function<void(std::string cause)> m_on_deposed;
     duration m_tick_interval = 10ms;
     duration m_heartbeat_interval = 150ms;
-    duration m_worker_list_interval = 700ms; ///< A third of a leaving worker's minimum notice.
+    duration m_worker_watch_interval = 50ms; ///< Between looks whether a read is due.
+    cell::change_watch_options m_worker_watch;
     duration m_member_read_interval = 1s;
     duration m_member_timeout = 1200ms; ///< A member silent for longer gets no approval calls.
     duration m_member_retention = 300s; ///< A member silent for longer is no longer a member.
@@ -98,7 +100,7 @@
     void execute(const cell::request_approval& action);
     void execute(const cell::step_down& action);
     void send_heartbeats();
-    void list_workers();
+    void watch_workers();
     void read_members();
     void update_members(const std::vector<cell::stored_row>& rows);
     void retire_member(const vm_id& vm, const cell::stored_row& row);
@@ -112,13 +114,13 @@
     leader_task_options m_options;
     cell::coordinator m_coordinator;
     leader_report m_report;
+    cell::change_watch m_worker_watch;
     std::uint64_t m_epoch;
     std::map<vm_id, member> m_members;
     std::vector<vm_id> m_responsive_members;
     std::map<std::uint64_t, origin> m_origins;
     std::set<std::uint64_t> m_pending_approvals; ///< Approval calls in flight.
     std::uint64_t m_last_call = 0;
-    bool m_list_in_flight = false;
     bool m_stopped = false;
     std::shared_ptr<bool> m_alive = std::make_shared<bool>(true);
     std::vector<event_loop::timer_ptr> m_timers;
--- a/src/dragonflygap/node/node.cpp
+++ b/src/dragonflygap/node/node.cpp
@@ -33,7 +33,8 @@
                     { return send_to_leader(call); };
                     callers.m_takeover_expected = [this] { return takeover_expected(); };
                     return callers;
-                }())
+                }()),
+      m_config_watch(m_options.m_config_watch)
 {
     register_member();
     watch_config();
@@ -62,25 +63,24 @@
 
 void node::watch_config()
 {
-    m_options.m_directory.m_watch_config(
-        m_config_position, m_options.m_config_poll_time,
-        [this](outcome<std::optional<cell::cell_config>> config, std::uint64_t position)
-        {
-            m_config_position = position;
-            if (!config)
+    while (const auto read = m_config_watch.next(monotonic_clock::now()))
+        m_options.m_directory.m_read_config(
+            *read,
+            [this, number = read->m_number](outcome<std::optional<cell::cell_config>> config,
+                                            std::uint64_t position)
             {
-                log_event(log_level::warning, "config_not_read",
-                          {{"detail", config.error().m_detail}});
-                m_loop.defer(m_options.m_config_retry_delay, [this] { watch_config(); });
-                return;
-            }
-            if (*config)
-                apply_config(std::move(**config), "store");
-            // An empty first read: the operator hasn't written a configuration yet.
-            const bool early = m_config_position <= 1;
-            m_loop.defer(early ? m_options.m_config_retry_delay : duration{},
-                         [this] { watch_config(); });
-        });
+                const auto now = monotonic_clock::now();
+                if (!config)
+                {
+                    log_event(log_level::warning, "config_not_read",
+                              {{"detail", config.error().m_detail}});
+                    m_config_watch.failed(number, config.error().m_verdict == verdict::not_run,
+                                          now);
+                }
+                else if (m_config_watch.answered(number, position, now) && *config)
+                    apply_config(std::move(**config), "store");
+                watch_config();
+            });
 }
 
 void node::apply_config(cell::cell_config config, std::string_view source)
@@ -123,6 +123,7 @@
 
 void node::tick()
 {
+    watch_config();
     request_approvals();
     if (m_stopping)
         return tick_stopping();
--- a/src/dragonflygap/node/node.hpp
+++ b/src/dragonflygap/node/node.hpp
@@ -9,6 +9,7 @@
 #include <string_view>
 
 #include "dragonflygap/cell/approval_backlog.hpp"
+#include "dragonflygap/cell/change_watch.hpp"
 #include "dragonflygap/cell/election.hpp"
 #include "dragonflygap/cell/peer_messages.hpp"
 #include "dragonflygap/cell/ports.hpp"
@@ -47,8 +48,7 @@
     std::function<void()> m_on_closing; ///< All calls are answered; new ones are rejected.
     std::function<void()> m_on_stopped;
     duration m_tick_interval = 50ms;
-    duration m_config_poll_time = 1500ms; ///< Bounds how long a dead connection goes unnoticed.
-    duration m_config_retry_delay = 300ms;
+    cell::change_watch_options m_config_watch;
     duration m_config_resend_interval = 1s; ///< To one peer, which may receive it slowly.
     duration m_leader_timeout = 600ms;      ///< No calls are sent to a leader silent for longer.
     duration m_redial_interval = 1500ms; ///< Between redials of a leader that doesn't hear this VM.
@@ -118,7 +118,7 @@
     caller_task m_callers;
     std::unique_ptr<leader_task> m_leader;
     std::optional<cell::cell_config> m_config;
-    std::uint64_t m_config_position = 0;
+    cell::change_watch m_config_watch;
     struct sent_config
     {
         std::uint64_t m_version = 0;
--- a/tests/cell/approvals_test.cpp
+++ b/tests/cell/approvals_test.cpp
@@ -61,24 +61,42 @@
 TEST(approvals, a_lapsed_ticket_is_not_used)
 {
     step_approval approved;
-    approved.m_tickets[worker_id("w")] = {"t", start + 1s};
-    CHECK_TRUE(approved.find_valid_ticket(worker_id("w"), start) != nullptr);
-    CHECK_TRUE(approved.find_valid_ticket(worker_id("w"), start + 1s) == nullptr);
+    approved.m_tickets[7] = {"t", start + 1s};
+    CHECK_TRUE(approved.find_valid_ticket(7, start) != nullptr);
+    CHECK_TRUE(approved.find_valid_ticket(7, start + 1s) == nullptr);
 }
 
 TEST(approvals, each_ticket_is_counted_once_as_used_or_unused)
 {
     step_approval approved;
-    approved.m_tickets[worker_id("a")] = {"a", start + 1s};
-    approved.m_tickets[worker_id("b")] = {"b", start + 1s};
-    approved.m_tickets[worker_id("c")] = {"c", start + 2s};
-    CHECK_TRUE(approved.mark_used(worker_id("a")));
-    CHECK_FALSE(approved.mark_used(worker_id("a")));
-    CHECK_FALSE(approved.mark_used(worker_id("unknown")));
-    LONGS_EQUAL(0, approved.collect_unused(start));
-    LONGS_EQUAL(1, approved.collect_unused(start + 1s));
-    LONGS_EQUAL(0, approved.collect_unused(start + 1s));
-    LONGS_EQUAL(1, approved.collect_unused(instant::max()));
+    approved.m_tickets[1] = {"a", start + 1s};
+    approved.m_tickets[2] = {"b", start + 1s};
+    approved.m_tickets[3] = {"c", start + 2s};
+    CHECK_TRUE(approved.mark_used(1));
+    CHECK_FALSE(approved.mark_used(1));
+    CHECK_FALSE(approved.mark_used(4));
+    LONGS_EQUAL(0, approved.drop_lapsed(start));
+    LONGS_EQUAL(1, approved.drop_lapsed(start + 1s));
+    LONGS_EQUAL(0, approved.drop_lapsed(start + 1s));
+    LONGS_EQUAL(1, approved.drop_lapsed(instant::max()));
+}
+
+// A number is given to another worker once its first one was removed.
+TEST(approvals, a_removed_workers_decision_is_forgotten)
+{
+    step_approval approved;
+    approved.approve(1);
+    approved.deny(2);
+    approved.deny(1);
+    CHECK_TRUE(approved.is_approved(1));
+    LONGS_EQUAL(1, approved.denied_count());
+    approved.m_tickets[1] = {"a", start + 1s};
+    approved.forget(1);
+    approved.forget(2);
+    CHECK_FALSE(approved.is_known(1));
+    CHECK_FALSE(approved.is_known(2));
+    CHECK_TRUE(approved.find_valid_ticket(1, start) == nullptr);
+    CHECK_TRUE(approved.no_answer());
 }
 
 // Seen in run scale-1 of a large site: 565 of 570 calls went through one VM that was considered
--- a/tests/cell/stall_test.cpp
+++ b/tests/cell/stall_test.cpp
@@ -238,7 +238,7 @@
         if (i == 100)
             cell.end("base", end_kind::done);
         for (const auto& [id, worker] : cell.m_coordinator.workers())
-            CHECK((worker.free() - worker.m_pass.m_reserved).m_millicores >= 0);
+            CHECK((worker.free() - worker.m_claimed).m_millicores >= 0);
     }
 }
 
--- a/tests/cell/waiting_cause_test.cpp
+++ b/tests/cell/waiting_cause_test.cpp
@@ -1,5 +1,7 @@
 #include "dragonflygap/cell/waiting_cause.hpp"
 
+#include "dragonflygap/cell/worker_index.hpp"
+
 #include <CppUTest/TestHarness.h>
 
 using namespace dragonflygap;
@@ -30,6 +32,7 @@
                              .m_service = service_id("pool"),
                              .m_capacity = {worker_millicores, 0, 0}};
             worker.m_pass.m_open = true;
+            m_index.add(worker);
         }
     }
 
@@ -46,10 +49,14 @@
 
     void approve(const char* name, instant until)
     {
-        step().m_approval.m_approved.insert(worker_id(name));
-        step().m_approval.m_tickets[worker_id(name)] = {"ticket", until};
+        step().m_approval.approve(number(name));
+        step().m_approval.m_tickets[number(name)] = {"ticket", until};
     }
 
+    void deny(const char* name) { step().m_approval.deny(number(name)); }
+
+    worker_number number(const char* name) const { return m_workers.at(worker_id(name)).m_number; }
+
     /// Places a member as the leader does; returns its placement.
     placement& place(int index, const char* name)
     {
@@ -74,6 +81,7 @@
 
     job_state m_job;
     std::map<worker_id, worker_state> m_workers;
+    worker_index m_index;
     wait_circumstances m_at{.m_now = now};
 };
 
@@ -88,7 +96,8 @@
     gang.step().m_approval.m_call_in_flight = true;
     STRCMP_EQUAL("approval_asked", gang.cause().c_str());
     gang.step().m_approval.m_call_in_flight = false;
-    gang.step().m_approval.m_denied = {worker_id("b"), worker_id("c")};
+    gang.deny("b");
+    gang.deny("c");
     gang.approve("a", now + 1s);
     STRCMP_EQUAL("too_few_approved", gang.cause().c_str());
     gang.approve("b", now + 1s);
@@ -106,7 +115,7 @@
     STRCMP_EQUAL("no_room", gang.cause().c_str());
     gang.m_workers[worker_id("b")].remove_all();
     gang.approve("b", now + 1s);
-    gang.m_workers[worker_id("a")].m_pass.m_reserved = {worker_millicores, 0, 0};
+    gang.m_workers[worker_id("a")].m_claimed = {worker_millicores, 0, 0};
     STRCMP_EQUAL("room_held", gang.cause().c_str());
     gang.m_workers[worker_id("a")].m_pass = {.m_open = true, .m_closed = true};
     STRCMP_EQUAL("room_held", gang.cause().c_str());
@@ -119,7 +128,7 @@
     waiting_gang gang;
     gang.approve("a", now + 1s);
     gang.approve("b", now);
-    gang.step().m_approval.m_denied.insert(worker_id("c"));
+    gang.deny("c");
     gang.step().m_approval.m_call_in_flight = true;
     gang.step().m_ready_since = now - 2s;
     const auto wait = gang.explain();
@@ -217,7 +226,7 @@
     tasks.fill("c");
     STRCMP_EQUAL("no_room", tasks.cause().c_str());
     tasks.m_workers[worker_id("c")].remove_all();
-    tasks.m_workers[worker_id("c")].m_pass.m_reserved = {worker_millicores, 0, 0};
+    tasks.m_workers[worker_id("c")].m_claimed = {worker_millicores, 0, 0};
     STRCMP_EQUAL("room_held", tasks.cause().c_str());
     for (auto& [id, worker] : tasks.m_workers)
         worker.m_info.m_service = service_id("another");
--- a/tests/node/support/stand_in_store.cpp
+++ b/tests/node/support/stand_in_store.cpp
@@ -70,9 +70,13 @@
     if (request.m_path != "/rows-tx")
     {
         ++m_reads;
+        const bool lost = with_probability(m_random, m_faults.m_lost_read_rate);
         if (request.m_path == "/rows-feed")
-            return feed(request, {}, done);
-        return answer(get(request));
+            return feed(request, {}, lost ? reply([](const http_response&) {}) : done);
+        auto response = get(request);
+        if (!lost)
+            answer(std::move(response));
+        return;
     }
     ++m_writes;
     if (with_probability(m_random, m_faults.m_delayed_write_rate))
@@ -112,7 +116,8 @@
         m_rows[name_of(write)] = {*wire::from_base64(write.at("value").get<std::string>()),
                                   m_version};
     for (const auto& deleted : change.at("deletes"))
-        m_rows.erase(name_of(deleted));
+        if (m_rows.erase(name_of(deleted)) != 0)
+            m_deleted[name_of(deleted)] = m_version;
     return json_response(200, json{{"schema_version", m_version}, {"now_ms", m_clock_ms()}}.dump());
 }
 
@@ -147,16 +152,30 @@
     constexpr duration step = 50ms;
     const auto table = query_parameter(request, "table");
     const auto after_version = std::stoull(query_parameter(request, "depends_on"));
+    if (after_version < m_compacted)
+        return done(json_response(410, "{}"));
     json rows = json::array();
     for (const auto& [name, row] : m_rows)
         if (std::get<0>(name) == table && row.m_version > after_version)
             rows.push_back(encode(name, &row));
+    for (const auto& [name, version] : m_deleted)
+        if (std::get<0>(name) == table && version > after_version && m_rows.count(name) == 0)
+        {
+            auto row = encode(name, nullptr);
+            row["schema_version"] = version;
+            row["deleted"] = true;
+            rows.push_back(std::move(row));
+        }
     const auto wait = std::chrono::milliseconds(std::stoll(query_parameter(request, "wait_ms")));
-    if (!rows.empty() || waited >= wait)
-        return done(json_response(
+    if (rows.empty() && waited < wait)
+        return m_schedule(step, [this, request, waited, done, step]
+                          { feed(request, waited + step, done); });
+    if (m_faults.m_lost_feed_answers > 0)
+        --m_faults.m_lost_feed_answers;
+    else
+        done(json_response(
             200,
             json{{"rows", rows}, {"schema_version", m_version}, {"now_ms", m_clock_ms()}}.dump()));
-    m_schedule(step, [this, request, waited, done, step] { feed(request, waited + step, done); });
 }
 
 void store::put(const std::string& table, const std::string& key, std::string value)
@@ -166,8 +185,8 @@
 
 void store::drop(const std::string& table, const std::string& key)
 {
-    m_rows.erase({table, "", key});
-    ++m_version;
+    if (m_rows.erase({table, "", key}) != 0)
+        m_deleted[{table, "", key}] = ++m_version;
 }
 
 std::size_t store::rows(const std::string& table) const
--- a/tests/node/support/stand_in_store.hpp
+++ b/tests/node/support/stand_in_store.hpp
@@ -19,8 +19,11 @@
 /// Faults that the store simulates.
 struct store_faults
 {
-    bool m_down = false;             ///< Answers 503 and does nothing else.
-    double m_lost_reply_rate = 0;    ///< Share of the writes whose answer is lost.
+    bool m_down = false;          ///< Answers 503 and does nothing else.
+    double m_lost_reply_rate = 0; ///< Share of the writes whose answer is lost.
+    int m_lost_feed_answers = 0;  ///< The next answers of the feed that are lost.
+    /// Share of the reads whose answer is lost.
+    double m_lost_read_rate = 0;
     double m_delayed_write_rate = 0; ///< Share of the writes applied late and not answered.
     duration m_response_time = 4ms;
 };
@@ -47,6 +50,8 @@
     void handle(const http_request& request, reply done);
 
     void put(const std::string& table, const std::string& key, std::string value);
+    /// Forgets all changes so far, so that the feed can't be continued from before.
+    void compact() { m_compacted = m_version; }
     void drop(const std::string& table, const std::string& key);
     std::size_t rows(const std::string& table) const;
     const row* find(const std::string& table, const std::string& key) const;
@@ -64,7 +69,9 @@
     std::function<void(duration, std::function<void()>)> m_schedule;
     std::function<std::int64_t()> m_clock_ms;
     std::map<row_name, row> m_rows;
+    std::map<row_name, std::uint64_t> m_deleted; ///< Versions at which rows were removed.
     std::uint64_t m_version = 1;
+    std::uint64_t m_compacted = 0; ///< The feed's history begins after this version.
 };
 
 } // namespace stand_in
