--- a/src/dragonflygap/cell/packing.hpp
+++ b/src/dragonflygap/cell/packing.hpp
@@ -91,8 +91,15 @@
 {
     try
     {
+        // Each entry takes a byte at least. Without a limit a few bytes that announce billions of
+        // entries would take the process's memory.
+        constexpr std::size_t max_depth = 16;
+        const auto most = bytes.size();
         T value;
-        msgpack::unpack(bytes.data(), bytes.size()).get().convert(value);
+        msgpack::unpack(bytes.data(), bytes.size(), nullptr, nullptr,
+                        msgpack::unpack_limit(most, most, most, most, most, max_depth))
+            .get()
+            .convert(value);
         return value;
     }
     catch (const msgpack::unpack_error&)
