Let order timeouts and orders in flight follow answers; rank late jobs last; drain for fewer gangs

The test of half of the workers for gangs is replaced by one of an eighth, and one of half for the first gang.

--- a/src/dragonflygap/cell/change_watch.cpp
+++ b/src/dragonflygap/cell/change_watch.cpp
@@ -16,7 +16,9 @@
     }
     const auto& latest = m_reads.rbegin()->second;
     constexpr int max_doublings = 2;
-    const auto answer_delay = m_options.m_answer_delay * (1 << std::min(m_overdue, max_doublings));
+    const auto usual_delay =
+        latest.m_position == 0 ? m_options.m_full_read_time : m_options.m_answer_delay;
+    const auto answer_delay = usual_delay * (1 << std::min(m_overdue, max_doublings));
     if (m_reads.size() >= m_options.m_max_reads || now < latest.m_at + latest.m_wait + answer_delay)
         return std::nullopt;
     ++m_overdue;
--- a/src/dragonflygap/cell/change_watch.hpp
+++ b/src/dragonflygap/cell/change_watch.hpp
@@ -14,6 +14,7 @@
 {
     duration m_wait = 1s; ///< How long the store holds back the answer to a waiting read.
     duration m_answer_delay = 300ms; ///< Answers that take longer after the wait are overdue.
+    duration m_full_read_time = 3s;  ///< Of all rows, page by page; overdue after it.
     duration m_timeout = 1500ms;     ///< After the wait; a slow store still answers.
     duration m_retry_delay = 300ms;  ///< After a refusal.
     std::size_t m_max_reads = 3;     ///< In flight.
--- a/src/dragonflygap/cell/coordinator.cpp
+++ b/src/dragonflygap/cell/coordinator.cpp
@@ -39,6 +39,8 @@
     : m_options(options),
       m_chain(options.m_commits, found.m_self, found.m_version),
       m_approval_balancer(options.m_approvals),
+      m_order_time(options.m_orders),
+      m_order_window(options.m_order_window),
       m_now(now),
       m_taken_over_at(now),
       m_elected_at(found.m_elected_at == instant{} ? now : found.m_elected_at)
@@ -99,6 +101,7 @@
     reject_unstored();
     expire_calls();
     apply_due_occurrences();
+    rank_late_jobs();
     stop_stuck_tasks();
     remove_expired_workers();
     check_list_age();
@@ -238,7 +241,7 @@
 
 step_rank coordinator::rank_of(const job_state& job, const step_key& step)
 {
-    return {job.record().m_queue.m_priority, job.m_rank_time, step};
+    return {job.record().m_queue.m_priority, job.m_lateness, job.m_rank_time, step};
 }
 
 void coordinator::update_ready_steps(job_state& job)
@@ -276,6 +279,29 @@
     }
 }
 
+// At a load peak, jobs that are late already would make all that come after them late too.
+void coordinator::rank_late_jobs()
+{
+    constexpr duration check_interval = 250ms;
+    if (m_now - m_last_lateness_check < check_interval)
+        return;
+    m_last_lateness_check = m_now;
+    std::vector<job_ptr> changed;
+    for (std::size_t i = 0; i < m_ready.size(); ++i)
+    {
+        const auto& job = m_ready.at(i).m_job;
+        if (lateness_of(*job, m_now) > job->m_lateness)
+            changed.push_back(job);
+    }
+    for (const auto& job : changed)
+    {
+        for (int s = 0; s < job->steps(); ++s)
+            m_ready.erase(rank_of(*job, {job->id(), 0, s}));
+        job->m_lateness = lateness_of(*job, m_now);
+        update_ready_steps(*job);
+    }
+}
+
 void coordinator::apply_due_occurrences()
 {
     for (const auto& due : m_timetable.pop_due(m_unix_ms))
--- a/src/dragonflygap/cell/coordinator.hpp
+++ b/src/dragonflygap/cell/coordinator.hpp
@@ -15,7 +15,9 @@
 #include "dragonflygap/cell/events.hpp"
 #include "dragonflygap/cell/job_state.hpp"
 #include "dragonflygap/cell/occurrence_timetable.hpp"
+#include "dragonflygap/cell/order_window.hpp"
 #include "dragonflygap/cell/ready_queue.hpp"
+#include "dragonflygap/cell/response_time.hpp"
 #include "dragonflygap/cell/task_plan.hpp"
 #include "dragonflygap/cell/wait_report.hpp"
 #include "dragonflygap/cell/worker_index.hpp"
@@ -29,6 +31,8 @@
     worker_options m_workers;
     commit_chain_options m_commits;
     approval_balancer_options m_approvals;
+    response_time_options m_orders;
+    order_window_options m_order_window;
     std::size_t m_max_entries = 96; ///< Per transaction; the platform accepts 100.
     /// Of a transaction's values; the platform accepts 1 MB encoded.
     std::size_t m_max_bytes = 600000;
@@ -155,6 +159,7 @@
     void update_ready_steps(job_state& job);
     void update_ready_steps(job_state& job, int occurrence);
     void apply_due_occurrences();
+    void rank_late_jobs();
     job_state* find(const job_id& job);
     static step_rank rank_of(const job_state& job, const step_key& step);
 
@@ -228,6 +233,7 @@
     void request_capacity(ready_step& ready, std::size_t position);
     void report_unsuited();
     void report_unsuited(const job_state& job, const step_key& key);
+    void record_order_time(const start_answered& event);
     void log_started(const job_state& job, const step_key& key, int count) const;
     std::vector<task_places> find_places(const job_state& job, const step_key& key,
                                          ticket_need need, plan_order order);
@@ -243,6 +249,7 @@
                const step_approval* approved);
     void drain_for_gang(job_state& job, const step_key& key);
     void close_drained(const step_state& step);
+    std::size_t max_closed_workers() const;
     std::vector<worker_number> choose_drained(const job_state& job, const step_key& key);
     void set_drained(step_state& step, std::vector<worker_number> drained);
     double approval_rate(const queue_id& queue) const;
@@ -297,6 +304,8 @@
     std::optional<batch> m_batch;
     room_claims m_claims{m_index};
     std::uint64_t m_last_approval_call = 0;
+    response_time m_order_time;
+    order_window m_order_window;
     // State of one placement pass.
     resources m_max_free;                ///< The maximum of any open worker, for each resource.
     std::vector<worker_number> m_closed; ///< Workers closed for gangs.
@@ -311,6 +320,7 @@
     instant m_last_unsuited_check{};
     instant m_last_lapse_count{};
     instant m_last_expiry_check{};
+    instant m_last_lateness_check{};
     leader_counts m_counts;
 };
 
--- a/src/dragonflygap/cell/coordinator_ends.cpp
+++ b/src/dragonflygap/cell/coordinator_ends.cpp
@@ -117,14 +117,15 @@
                 continue;
             placed.m_stop_in_flight = true;
             placed.m_next_stop = m_now + stop_retry_interval;
-            m_actions->push_back(send_stop{address_of(worker), key, placed.m_run});
+            m_actions->push_back(
+                send_stop{address_of(worker), key, placed.m_run, m_order_time.timeout()});
         }
     if (worker.m_unconfirmed_starts.empty() || !worker.m_synced ||
         m_now < worker.m_next_unconfirmed_stop)
         return;
     worker.m_next_unconfirmed_stop = m_now + stop_retry_interval;
     for (const auto& [key, run] : worker.m_unconfirmed_starts)
-        m_actions->push_back(send_stop{address_of(worker), key, run});
+        m_actions->push_back(send_stop{address_of(worker), key, run, m_order_time.timeout()});
 }
 
 // Logs the first failure and then each that doubles their number, as stops are retried for long.
--- a/src/dragonflygap/cell/coordinator_gangs.cpp
+++ b/src/dragonflygap/cell/coordinator_gangs.cpp
@@ -33,8 +33,7 @@
 // Those with the most free capacity first, as they fit the gang the soonest.
 std::vector<worker_number> coordinator::choose_drained(const job_state& job, const step_key& key)
 {
-    // The other half remains for small tasks.
-    const std::size_t max_closed = m_index.open_count() / 2;
+    const auto max_closed = max_closed_workers();
     const auto& spec = job.spec(key.m_step);
     if (m_closed.size() >= max_closed)
         return {};
@@ -75,9 +74,18 @@
             m_index.mark_grown(*worker);
 }
 
+// The first gang may close half of the workers, as it could starve otherwise. More gangs at the
+// same time would leave much of the cell's capacity unused, as each waits for its last worker.
+std::size_t coordinator::max_closed_workers() const
+{
+    constexpr std::size_t first_divisor = 2;
+    constexpr std::size_t divisor = 8;
+    return m_index.open_count() / (m_closed.empty() ? first_divisor : divisor);
+}
+
 void coordinator::close_drained(const step_state& step)
 {
-    const std::size_t max_closed = m_index.open_count() / 2;
+    const auto max_closed = max_closed_workers();
     for (const auto number : step.m_drained)
     {
         auto* worker = m_index.find(number);
--- a/src/dragonflygap/cell/coordinator_placing.cpp
+++ b/src/dragonflygap/cell/coordinator_placing.cpp
@@ -110,6 +110,13 @@
         m_claims.drop(key);
         return;
     }
+    if (m_order_window.full() && (approved == nullptr || !approved->m_tickets.empty()))
+    {
+        // It keeps its places and goes on once orders were answered.
+        m_claims.resume();
+        m_ready.set_wake_at(position, m_now);
+        return;
+    }
     const bool call_in_flight = approved != nullptr && approved->m_call_in_flight;
     m_claims.resume();
     if (!call_in_flight && m_claims.has(key))
@@ -320,6 +327,8 @@
         return; // Tasks of an earlier run are still being stopped.
     if (approved == nullptr ? gang && m_now < step.m_next_attempt_at : approved->m_tickets.empty())
         return;
+    if (m_order_window.full())
+        return;
     const auto places = find_places(job, key, ticket_need::valid, plan_order::best_fit);
     if (places.empty())
         return;
@@ -331,6 +340,8 @@
     {
         if (step.m_tasks[i].m_status != task_status::waiting)
             continue;
+        if (!gang && m_order_window.full())
+            break;
         start(job, {key.m_job, key.m_occurrence, key.m_step, static_cast<int>(i)},
               m_index.at(place->m_worker), gang ? gang_run : job.m_next_run++, approved);
         ++started;
@@ -344,6 +355,18 @@
     update_ready_steps(job, key.m_occurrence);
 }
 
+// Answers that an order had to wait for on its way say how long the next ones may take.
+void coordinator::record_order_time(const start_answered& event)
+{
+    const bool on_its_way = event.m_result || event.m_result.error().m_reason == reason::timeout ||
+                            event.m_result.error().m_reason == reason::target_silent;
+    const bool known = on_its_way && event.m_sent != instant{};
+    const duration taken = known ? m_now - event.m_sent : duration{};
+    if (known)
+        m_order_time.add(taken);
+    m_order_window.answered(taken, m_now);
+}
+
 void coordinator::start(job_state& job, const task_key& key, worker_state& worker,
                         std::uint64_t run, const step_approval* approved)
 {
@@ -368,12 +391,16 @@
     job.set_placed(key, worker.m_info.m_id, run);
     m_counts.m_tickets_used +=
         job.step(key.m_occurrence, key.m_step).m_approval.mark_used(worker.m_number) ? 1 : 0;
-    m_actions->push_back(
-        send_start{{worker.m_info.m_id, worker.m_info.m_address}, std::move(order)});
+    m_order_window.sent();
+    m_actions->push_back(send_start{{worker.m_info.m_id, worker.m_info.m_address},
+                                    std::move(order),
+                                    m_order_time.timeout(),
+                                    m_now});
 }
 
 void coordinator::on(const start_answered& event)
 {
+    record_order_time(event);
     auto* found = find_worker(event.m_worker);
     if (found == nullptr)
         return;
--- a/src/dragonflygap/cell/coordinator_workers.cpp
+++ b/src/dragonflygap/cell/coordinator_workers.cpp
@@ -181,9 +181,12 @@
 // The store answers, but a worker's notice that it leaves may have gone unseen until its end.
 bool coordinator::list_outdated() const
 {
-    const auto store_delay = 2 * m_chain.typical_latency();
+    constexpr duration order_time = 500ms; // until a start takes effect
+    constexpr duration usual_age = 1300ms; // between two answers of a store without delay
+    const auto limit = std::max<duration>(m_options.m_min_notice - order_time,
+                                          usual_age + 2 * m_chain.typical_latency());
     return m_list_confirmed_at != instant{} && !store_unavailable() &&
-           m_now - m_list_confirmed_at > m_options.m_min_notice + store_delay;
+           m_now - m_list_confirmed_at > limit;
 }
 
 // Without the list, tasks could start on workers that are about to end.
@@ -217,7 +220,10 @@
 void coordinator::renew(worker_state& worker)
 {
     const auto& options = m_options.m_workers;
-    renewal order{.m_acknowledged = worker.m_ends_stored};
+    constexpr duration min_timeout = 1200ms;
+    constexpr duration margin = 500ms; // The report is longer than the answer to an order.
+    renewal order{.m_acknowledged = worker.m_ends_stored,
+                  .m_timeout = std::max<duration>(min_timeout, m_order_time.timeout() + margin)};
     const bool answers = worker.m_failing_since == instant{} ||
                          m_now - worker.m_failing_since < options.m_silence_timeout;
     const bool orders_lost = worker.stops_failing() &&
--- a/src/dragonflygap/cell/events.hpp
+++ b/src/dragonflygap/cell/events.hpp
@@ -54,6 +54,7 @@
     task_key m_task;
     std::uint64_t m_run = 0;
     outcome<start_result> m_result;
+    instant m_sent{}; ///< Zero: unknown.
 };
 struct stop_answered
 {
@@ -119,12 +120,15 @@
 {
     worker_address m_worker;
     start_order m_order;
+    duration m_timeout{};
+    instant m_sent{}; ///< Returned in the answer.
 };
 struct send_stop
 {
     worker_address m_worker;
     task_key m_task;
     std::uint64_t m_run = 0;
+    duration m_timeout{};
 };
 struct request_approval
 {
--- a/src/dragonflygap/cell/job_state.hpp
+++ b/src/dragonflygap/cell/job_state.hpp
@@ -33,6 +33,15 @@
     bool m_stopping = false;
 };
 
+/// How a job stands against the objective of its queue: a multiple of its longest chain of work,
+/// and a slack.
+enum class lateness
+{
+    on_time, ///< It can still meet its objective.
+    late,
+    very_late, ///< Beyond three times its objective: hardly of use to its caller.
+};
+
 /// One step of one occurrence.
 struct step_state
 {
@@ -96,8 +105,9 @@
     /// From an earlier leader: its tasks may run on workers that haven't reported.
     bool m_restored = false;
     std::uint64_t m_next_run = 1;
-    instant m_since{};     ///< When the job was accepted, by this leader's clock.
-    instant m_rank_time{}; ///< Its order among jobs of the same priority.
+    instant m_since{};                       ///< When the job was accepted, by this leader's clock.
+    instant m_rank_time{};                   ///< Its order among jobs of the same priority.
+    lateness m_lateness = lateness::on_time; ///< As last looked at.
     instant m_ended_at{};
 
 private:
--- /dev/null
+++ b/src/dragonflygap/cell/objective.cpp
@@ -0,0 +1,75 @@
+#include "dragonflygap/cell/objective.hpp"
+
+#include <algorithm>
+#include <chrono>
+#include <functional>
+#include <vector>
+
+namespace dragonflygap::cell
+{
+
+namespace
+{
+
+constexpr int workers_per_approval = 30; // that the users count for one call
+
+// The longest chain of steps, each counted by its time.
+duration longest_chain(const job_request& request, const std::function<duration(int)>& time_of)
+{
+    std::vector<duration> ends;
+    for (int s = 0; s < static_cast<int>(request.m_steps.size()); ++s)
+    {
+        duration begin{};
+        for (const int earlier : request.m_steps[s].m_depends_on)
+            begin = std::max(begin, ends[earlier]);
+        ends.push_back(begin + time_of(s));
+    }
+    return ends.empty() ? duration{} : *std::max_element(ends.begin(), ends.end());
+}
+
+duration time_of_step(const job_record& record, int step)
+{
+    const auto& cost = record.m_queue.m_approval;
+    const auto approval_ms =
+        cost.required() ? cost.m_decision_ms + workers_per_approval * cost.m_per_worker_ms : 0;
+    return std::chrono::milliseconds(record.m_request.m_steps[step].m_expected_ms +
+                                     static_cast<std::int64_t>(approval_ms));
+}
+
+} // namespace
+
+duration objective_of(const job_record& record)
+{
+    const auto chain =
+        longest_chain(record.m_request, [&](int step) { return time_of_step(record, step); });
+    return std::chrono::duration_cast<duration>(record.m_queue.m_stretch * chain) +
+           std::chrono::milliseconds(record.m_queue.m_slack_ms);
+}
+
+duration remaining_work(const job_state& job)
+{
+    return longest_chain(job.record().m_request,
+                         [&](int number)
+                         {
+                             const auto& step = job.step(0, number);
+                             const bool done = step.m_done == static_cast<int>(step.m_tasks.size());
+                             return done ? duration{} : time_of_step(job.record(), number);
+                         });
+}
+
+lateness lateness_of(const job_state& job, instant now)
+{
+    constexpr int late_limit = 3; // times the objective
+    const auto& request = job.record().m_request;
+    const bool lasting = std::any_of(request.m_steps.begin(), request.m_steps.end(),
+                                     [](const step_spec& step) { return step.m_long_running; });
+    if (request.m_occurrences > 0 || lasting)
+        return lateness::on_time;
+    const auto objective = objective_of(job.record());
+    const auto end = now - job.m_since + remaining_work(job);
+    if (end <= objective)
+        return lateness::on_time;
+    return end <= late_limit * objective ? lateness::late : lateness::very_late;
+}
+
+} // namespace dragonflygap::cell
--- /dev/null
+++ b/src/dragonflygap/cell/objective.hpp
@@ -0,0 +1,19 @@
+#pragma once
+
+#include "dragonflygap/cell/job_state.hpp"
+
+namespace dragonflygap::cell
+{
+
+/// The objective of a job, from its acceptance.
+duration objective_of(const job_record& record);
+
+/// Time that the unfinished steps still take by their estimates, one after another as they depend
+/// on each other, with an approval call each.
+duration remaining_work(const job_state& job);
+
+/// Scheduled and long-running jobs are always on time, as they aren't measured from their
+/// acceptance.
+lateness lateness_of(const job_state& job, instant now);
+
+} // namespace dragonflygap::cell
--- /dev/null
+++ b/src/dragonflygap/cell/order_window.hpp
@@ -0,0 +1,63 @@
+#pragma once
+
+#include <algorithm>
+#include <cstddef>
+
+#include "dragonflygap/core/time.hpp"
+
+namespace dragonflygap::cell
+{
+
+struct order_window_options
+{
+    double m_min = 16; ///< Orders in flight.
+    double m_max = 4000;
+    double m_initial = 64;
+    /// Answers that take longer show that orders wait on their way.
+    duration m_slow_answer = 150ms;
+};
+
+/// Limits the start orders in flight: the window grows while answers are quick and shrinks when
+/// they are slow. Orders beyond it wait where they can still be given to another worker, instead of
+/// in a queue where they would be lost. Does no I/O.
+class order_window
+{
+public:
+    explicit order_window(order_window_options options)
+        : m_options(options), m_size(options.m_initial)
+    {
+    }
+
+    void sent() { ++m_in_flight; }
+
+    void answered(duration taken, instant now)
+    {
+        m_in_flight -= m_in_flight > 0 ? 1 : 0;
+        constexpr double growth = 1;
+        constexpr double shrink_factor = 0.7;
+        if (taken < m_options.m_slow_answer)
+        {
+            // Unused room says nothing about a larger window.
+            if (2 * static_cast<double>(m_in_flight) >= m_size)
+                m_size = std::min(m_options.m_max, m_size + growth);
+            return;
+        }
+        // Once for all orders that were on the way at the same time.
+        if (now - m_shrunk_at < taken)
+            return;
+        m_shrunk_at = now;
+        m_size = std::max(m_options.m_min, m_size * shrink_factor);
+    }
+
+    bool full() const { return static_cast<double>(m_in_flight) >= m_size; }
+    std::size_t in_flight() const { return m_in_flight; }
+    std::size_t size() const { return static_cast<std::size_t>(m_size); }
+
+private:
+    order_window_options m_options;
+    double m_size;
+    std::size_t m_in_flight = 0;
+    instant m_shrunk_at{};
+};
+
+} // namespace dragonflygap::cell
--- a/src/dragonflygap/cell/ports.hpp
+++ b/src/dragonflygap/cell/ports.hpp
@@ -133,16 +133,18 @@
     std::optional<std::int64_t> m_deadline_ms;
     std::uint64_t m_acknowledged = 0; ///< The worker may discard ends up to this number.
     duration m_wait{};                ///< How long to wait for a task to end.
+    duration m_timeout{};             ///< Of the answer, after the wait.
 };
 
 /// Workers run tasks under leases; every call carries the caller's fencing token.
 struct worker_port
 {
-    std::function<void(const worker_address&, std::uint64_t token, start_order,
+    std::function<void(const worker_address&, std::uint64_t token, start_order, duration timeout,
                        std::function<void(outcome<start_result>)>)>
         m_start;
     std::function<void(const worker_address&, std::uint64_t token, const task_key&,
-                       std::uint64_t run, std::function<void(outcome<start_result>)>)>
+                       std::uint64_t run, duration timeout,
+                       std::function<void(outcome<start_result>)>)>
         m_stop;
     /// Fails with stale_epoch if the token is fenced, and with not_found if another worker answers.
     std::function<void(const worker_address&, std::uint64_t token, renewal,
--- a/src/dragonflygap/cell/ready_queue.hpp
+++ b/src/dragonflygap/cell/ready_queue.hpp
@@ -5,15 +5,17 @@
 #include <memory>
 #include <vector>
 
-#include "dragonflygap/cell/job_state.hpp"
+#include "dragonflygap/cell/objective.hpp"
 
 namespace dragonflygap::cell
 {
 
-/// The order in which steps are placed: by priority, then by rank time.
+/// The order in which steps are placed: by priority, then those that can meet their objective,
+/// then by rank time.
 struct step_rank
 {
     int m_priority = 0;
+    lateness m_lateness = lateness::on_time;
     instant m_rank_time{};
     step_key m_step;
 
--- a/src/dragonflygap/node/leader_task.cpp
+++ b/src/dragonflygap/node/leader_task.cpp
@@ -115,9 +115,9 @@
 void leader_task::execute(const cell::send_start& action)
 {
     m_options.m_workers.m_start(
-        action.m_worker, m_epoch, action.m_order,
+        action.m_worker, m_epoch, action.m_order, action.m_timeout,
         [this, id = action.m_worker.m_id, task = action.m_order.m_task, run = action.m_order.m_run,
-         alive = m_alive](outcome<cell::start_result> result)
+         sent = action.m_sent, alive = m_alive](outcome<cell::start_result> result)
         {
             if (!*alive)
                 return;
@@ -125,14 +125,14 @@
                 m_metrics.count("dragonflygap_start_refusals_total",
                                 {"kind", result ? cell::name_of(result->m_refusal)
                                                 : to_string(result.error().m_reason)});
-            process_event(cell::start_answered{id, task, run, std::move(result)});
+            process_event(cell::start_answered{id, task, run, std::move(result), sent});
         });
 }
 
 void leader_task::execute(const cell::send_stop& action)
 {
     m_options.m_workers.m_stop(
-        action.m_worker, m_epoch, action.m_task, action.m_run,
+        action.m_worker, m_epoch, action.m_task, action.m_run, action.m_timeout,
         [this, id = action.m_worker.m_id, task = action.m_task, run = action.m_run,
          alive = m_alive](outcome<cell::start_result> result)
         {
--- a/tests/cell/coordinator_test.cpp
+++ b/tests/cell/coordinator_test.cpp
@@ -52,7 +52,12 @@
         std::vector<send_start> starts;
         for (const auto until = m_now + length; m_now < until; m_now += 10ms, m_unix_ms += 10)
         {
+            const auto sent_before = starts.size();
             collect(feed(tick{}), starts);
+            // Workers accept every order.
+            for (std::size_t i = sent_before; m_answers_starts && i < starts.size(); ++i)
+                feed(start_answered{starts[i].m_worker.m_id, starts[i].m_order.m_task,
+                                    starts[i].m_order.m_run, start_result{}, starts[i].m_sent});
             if (const auto number = std::exchange(m_commit, 0))
                 collect(feed(commit_answered{number, transaction_result{.m_committed = true,
                                                                         .m_version = ++m_version}}),
@@ -95,6 +100,7 @@
         return starts.front().m_order;
     }
 
+    bool m_answers_starts = false;
     instant m_now = start;
     std::int64_t m_unix_ms = 1000000;
     coordinator m_coordinator;
@@ -132,14 +138,13 @@
     LONGS_EQUAL(1, leader.run(200ms).size());
 }
 
-// At peak load wide gangs wait behind a stream of small tasks that takes every place as it becomes
-// free. The number of workers drained for gangs grows with the cell.
-TEST(coordinator, a_large_cell_keeps_half_of_its_workers_for_gangs)
+namespace
 {
-    constexpr int workers = 120;
-    constexpr int gangs = 20;
-    constexpr int members = 4;
-    successor leader;
+
+/// Fills three quarters of each worker.
+void fill(successor& leader, int workers)
+{
+    leader.m_answers_starts = true;
     std::vector<worker_info> listed;
     for (int i = 0; i < workers; ++i)
         listed.push_back(listed_worker(worker_id("worker-" + std::to_string(i))));
@@ -148,11 +153,41 @@
         leader.feed(renewal_answered{worker.m_id, leader.m_now, worker_report{.m_clock_ms = 1}});
     leader.submit("base", {.m_count = workers, .m_size = {.m_millicores = 3000}});
     LONGS_EQUAL(workers, leader.run(200ms).size());
+}
+
+} // namespace
+
+// At peak load wide gangs wait behind a stream of small tasks that takes every place as it becomes
+// free. The number of workers drained for gangs grows with the cell, up to an eighth: in run
+// scale-1 of a large site half of 1,100 workers were closed for dozens of gangs at once, and half
+// of the cell's capacity was unused while hundreds of steps waited.
+TEST(coordinator, a_large_cell_keeps_an_eighth_of_its_workers_for_gangs)
+{
+    constexpr int workers = 120;
+    constexpr int gangs = 20;
+    constexpr int members = 4;
+    constexpr int drained_gangs = workers / 8 / members;
+    successor leader;
+    fill(leader, workers);
     for (int i = 0; i < gangs; ++i)
         leader.submit("gang-" + std::to_string(i),
                       {.m_count = members, .m_size = {.m_millicores = 3500}, .m_gang = true});
     LONGS_EQUAL(0, leader.run(200ms).size());
     leader.submit("small", {.m_count = workers, .m_size = {.m_millicores = 1000}});
+    LONGS_EQUAL(workers - drained_gangs * members, leader.run(200ms).size());
+}
+
+// The first gang would starve otherwise.
+TEST(coordinator, half_of_the_workers_may_be_kept_for_the_first_gang)
+{
+    constexpr int workers = 120;
+    successor leader;
+    fill(leader, workers);
+    for (const auto* id : {"gang-1", "gang-2"})
+        leader.submit(id,
+                      {.m_count = workers / 2, .m_size = {.m_millicores = 3500}, .m_gang = true});
+    LONGS_EQUAL(0, leader.run(200ms).size());
+    leader.submit("small", {.m_count = workers, .m_size = {.m_millicores = 1000}});
     LONGS_EQUAL(workers / 2, leader.run(200ms).size());
 }
 
@@ -202,3 +237,30 @@
     LONGS_EQUAL(1, starts.size());
     STRCMP_EQUAL("wide-and-old", starts.front().m_order.m_task.m_job.m_value.c_str());
 }
+
+// A worker that leaves says so in the list; a leader whose list is old can't know it.
+TEST(coordinator, with_an_outdated_list_no_task_starts)
+{
+    successor leader;
+    leader.feed(
+        workers_listed{.m_workers = {listed_worker(worker_a)}, .m_confirmed_at = leader.m_now});
+    leader.report({});
+    leader.run(1s);
+    leader.feed(workers_listed{.m_complete = false, .m_confirmed_at = leader.m_now});
+    leader.run(2s);
+    leader.submit("job", {.m_size = {.m_millicores = 1000, .m_memory_mb = 100}});
+    LONGS_EQUAL(0, leader.run(500ms).size());
+    leader.feed(workers_listed{.m_complete = false, .m_confirmed_at = leader.m_now});
+    LONGS_EQUAL(1, leader.run(200ms).size());
+}
+
+TEST(coordinator, a_change_of_the_list_leaves_the_other_workers_listed)
+{
+    const worker_id worker_b("b");
+    successor leader;
+    leader.feed(workers_listed{{listed_worker(worker_a), listed_worker(worker_b)}});
+    leader.feed(
+        workers_listed{.m_unlisted = {worker_b, worker_id("unknown")}, .m_complete = false});
+    CHECK_TRUE(leader.m_coordinator.workers().at(worker_a).m_listed);
+    CHECK_FALSE(leader.m_coordinator.workers().at(worker_b).m_listed);
+}
--- a/tests/cell/support/simulated_cell.cpp
+++ b/tests/cell/support/simulated_cell.cpp
@@ -1,6 +1,7 @@
 #include "cell/support/simulated_cell.hpp"
 
 #include <algorithm>
+#include <memory>
 #include <utility>
 
 #include <xxhash.h>
@@ -18,6 +19,11 @@
 constexpr duration list_interval = 700ms;
 constexpr duration gang_timeout = 4s; // A gang that isn't complete by then ends.
 constexpr duration measure_interval = 100ms;
+// With their heads, as written to a connection.
+constexpr std::int64_t start_bytes = 900;
+constexpr std::int64_t stop_bytes = 350;
+constexpr std::int64_t renewal_bytes = 300;
+constexpr std::int64_t approval_bytes = 900;
 
 worker_id worker_named(int number)
 {
@@ -79,7 +85,7 @@
 
 void simulated_cell::take_over()
 {
-    m_coordinator = std::make_unique<coordinator>(coordinator_options{}, m_backlog, m_now);
+    m_coordinator = std::make_unique<coordinator>(m_options.m_leader, m_backlog, m_now);
     std::vector<vm_id> members;
     for (const auto& [vm, member] : m_members)
         members.push_back(vm);
@@ -114,7 +120,12 @@
                                   .m_capacity = m_options.m_capacity});
             feed(workers_listed{std::move(listed)});
         }
-        feed(tick{});
+        if (!stalled())
+        {
+            for (const auto& held : std::exchange(m_held_events, {}))
+                feed(held);
+            feed(tick{});
+        }
         const auto next = m_now + tick_interval;
         const auto tick_time = m_now;
         while (!m_due.empty() && m_due.begin()->first < next)
@@ -134,8 +145,28 @@
     m_due.emplace(when, std::move(callback));
 }
 
+instant simulated_cell::leave_link(std::int64_t bytes)
+{
+    if (m_options.m_link_bytes_per_s == 0)
+        return m_now;
+    constexpr std::int64_t us_per_s = 1000000;
+    m_link_free =
+        std::max(m_now, m_link_free) + duration(bytes * us_per_s / m_options.m_link_bytes_per_s);
+    return m_link_free;
+}
+
+bool simulated_cell::stalled() const
+{
+    return (m_now - m_start) % 1s < m_options.m_stall;
+}
+
 void simulated_cell::feed(const event& incoming)
 {
+    if (stalled())
+    {
+        m_held_events.push_back(incoming);
+        return;
+    }
     for (const auto& action : m_coordinator->handle(incoming, m_now, to_ms(m_now - m_start)))
         std::visit([this](const auto& request) { act(request); }, action);
 }
@@ -156,7 +187,7 @@
 
 void simulated_cell::act(const send_renewal& action)
 {
-    schedule(m_now + m_options.m_network_delay,
+    schedule(leave_link(renewal_bytes) + m_options.m_network_delay,
              [this, id = action.m_worker.m_id, sent = action.m_sent, order = action.m_renewal]
              {
                  auto& worker = m_workers.at(id);
@@ -190,20 +221,31 @@
 
 void simulated_cell::act(const send_start& action)
 {
-    schedule(m_now + m_options.m_network_delay,
-             [this, id = action.m_worker.m_id, order = action.m_order]
+    const auto& order = action.m_order;
+    const auto answer = [this, open = std::make_shared<bool>(true), id = action.m_worker.m_id,
+                         task = order.m_task, run = order.m_run,
+                         sent = action.m_sent](const outcome<start_result>& result)
+    {
+        if (!std::exchange(*open, false))
+            return;
+        m_timed_out += result ? 0 : 1;
+        feed(start_answered{id, task, run, result, sent});
+    };
+    schedule(leave_link(start_bytes) + m_options.m_network_delay,
+             [this, id = action.m_worker.m_id, order, answer]
              {
                  const auto result = start(id, order);
-                 schedule(m_now + m_options.m_network_delay,
-                          [this, id, task = order.m_task, run = order.m_run, result] {
-                              feed(start_answered{id, task, run, result});
-                          });
+                 schedule(m_now + m_options.m_network_delay, [answer, result] { answer(result); });
              });
+    schedule(m_now + action.m_timeout,
+             [answer] { answer(fail(verdict::may_have_run, reason::timeout, "")); });
 }
 
 start_result simulated_cell::start(const worker_id& id, const start_order& order)
 {
     const auto& job = order.m_task.m_job;
+    if (to_ms(m_now.time_since_epoch()) > order.m_deadline_ms)
+        return {.m_refusal = start_refusal::too_late};
     const auto ticket = m_tickets.find({step_of(order.m_task), id});
     if (m_kinds.at(job).m_queue.m_approval.required() &&
         (ticket == m_tickets.end() || ticket->second < m_now))
@@ -276,9 +318,10 @@
 
 void simulated_cell::act(const send_stop& action)
 {
-    schedule(m_now + m_options.m_network_delay,
+    schedule(leave_link(stop_bytes) + m_options.m_network_delay,
              [this, id = action.m_worker.m_id, task = action.m_task, run = action.m_run]
              {
+                 m_stopped += m_workers.at(id).m_running.count(task) != 0 ? 1 : 0;
                  end(id, task, run, end_kind::stopped);
                  break_gang(step_of(task), run, end_kind::broken);
                  schedule(m_now + m_options.m_network_delay,
@@ -298,7 +341,7 @@
                        .m_timeout_ms = to_ms(action.m_expected + margin),
                        .m_cost_ms = to_ms(action.m_cost),
                        .m_call = action.m_call};
-    schedule(m_now + m_options.m_network_delay,
+    schedule(leave_link(approval_bytes) + m_options.m_network_delay,
              [this, vm = action.m_via, call = std::move(call)]
              {
                  m_members.at(vm).m_backlog.add(vm, call, m_now);
--- a/tests/cell/support/simulated_cell.hpp
+++ b/tests/cell/support/simulated_cell.hpp
@@ -32,6 +32,11 @@
     resources m_capacity{.m_millicores = 16000, .m_memory_mb = 32768};
     duration m_network_delay = 1500us; ///< One-way delay between any two processes.
     duration m_store_wait = 4ms;       ///< Latency of a transaction.
+    /// Of the leader's link; calls wait for it one after another. Zero: unlimited.
+    std::int64_t m_link_bytes_per_s = 0;
+    /// The leader handles nothing for this time, once in each second.
+    duration m_stall{};
+    coordinator_options m_leader;
     duration m_approval_lag{}; ///< Additional delay of approvals on their way to the leader.
     unsigned m_seed = 1;
 };
@@ -63,6 +68,8 @@
 
     /// Starts without a valid ticket.
     int refused_starts() const { return m_refused_starts; }
+    int stopped() const { return m_stopped; }     ///< Runs that the leader stopped.
+    int timed_out() const { return m_timed_out; } ///< Start orders without an answer in time.
     int overcommitted() const { return m_overcommitted; }
     /// Members of gangs that weren't complete in time.
     int incomplete_gang_members() const { return m_incomplete_gang_members; }
@@ -84,6 +91,9 @@
 
     job_request request_of(const job_kind& kind);
     void schedule(instant when, std::function<void()> callback);
+    /// When a call of the leader has left its link.
+    instant leave_link(std::int64_t bytes);
+    bool stalled() const;
     void feed(const event& incoming);
     void act(const answer_call& action);
     void act(const send_commit& action);
@@ -125,6 +135,10 @@
     std::size_t m_jobs = 0;
     instant m_measured_from = m_start;
     duration m_max_avoidable_wait{};
+    instant m_link_free = m_start;
+    std::vector<event> m_held_events; ///< Arrived while the leader stalled.
+    int m_stopped = 0;
+    int m_timed_out = 0;
     int m_refused_starts = 0;
     int m_overcommitted = 0;
     int m_incomplete_gang_members = 0;
--- a/tests/cell/support/stub_cell.hpp
+++ b/tests/cell/support/stub_cell.hpp
@@ -194,13 +194,13 @@
         if (m_workers[request.m_worker.m_id].m_orders_fail)
         {
             m_answers.push_back(start_answered{request.m_worker.m_id, request.m_order.m_task,
-                                               request.m_order.m_run, no_answer()});
+                                               request.m_order.m_run, no_answer(), request.m_sent});
             return;
         }
         m_workers[request.m_worker.m_id].m_running[request.m_order.m_task] = request.m_order.m_run;
         ++m_started[request.m_order.m_task.m_job];
         m_answers.push_back(start_answered{request.m_worker.m_id, request.m_order.m_task,
-                                           request.m_order.m_run, start_result{}});
+                                           request.m_order.m_run, start_result{}, request.m_sent});
     }
     void act(const send_stop& request)
     {
--- a/tests/node/support/stand_in_store.cpp
+++ b/tests/node/support/stand_in_store.cpp
@@ -123,7 +123,8 @@
 
 http_response store::get(const http_request& request) const
 {
-    constexpr std::size_t page = 500;
+    const auto limit = query_parameter(request, "limit");
+    const std::size_t page = limit.empty() ? 500 : std::stoull(limit);
     const auto table = query_parameter(request, "table");
     const auto part = query_parameter(request, "part");
     const auto from = query_parameter(request, "from");
