Let a wide gang go on asking about free workers that one call can't name

Change: places beyond the limit of one call count too when a gang decides whether to ask again. Measured: a_wide_gang_requests_approval_of_free_workers_that_take_more_than_one_call (fails without it).

--- a/src/dragonflygap/cell/coordinator_approvals.cpp
+++ b/src/dragonflygap/cell/coordinator_approvals.cpp
@@ -163,7 +163,8 @@
     std::vector<task_places> tentative;
     for (const auto& [room, number] : m_index.open_workers(job.record().m_queue.m_service))
     {
-        if (expected >= wanted_tasks || draft.m_workers.size() + named.size() >= max_named)
+        const bool call_full = draft.m_workers.size() + named.size() >= max_named;
+        if (expected >= wanted_tasks || (call_full && !spec.m_gang))
             break;
         const auto& worker = m_index.at(number);
         if (step.m_approval.is_known(number) || !suits(worker, job, spec))
@@ -179,6 +180,9 @@
         if (fits == 0 && !first)
             continue;
         expected += rate * std::max<double>(fits, full_worker_tasks);
+        // Later calls can name the others, so that a wide gang has reason to go on asking.
+        if (call_full)
+            continue;
         named.push_back(number);
         if (fits > 0)
             tentative.push_back({number, fits});
--- a/tests/cell/stall_test.cpp
+++ b/tests/cell/stall_test.cpp
@@ -56,6 +56,31 @@
     LONGS_EQUAL(4, cell.started("gang"));
 }
 
+// Of a large site: a gang of 128 whose 133 approved workers were busy waited for their room for 40
+// s, as the 100 free workers that one call can name wouldn't have held the rest of it.
+TEST(stall, a_wide_gang_requests_approval_of_free_workers_that_take_more_than_one_call)
+{
+    stub_cell cell;
+    cell.list(100);
+    int number = 0;
+    cell.m_approves = [&](const worker_id&) { return number++ % 3 == 0; };
+    cell.submit("base", {.m_count = 100, .m_size = {.m_millicores = 3500}, .m_max_per_worker = 1});
+    cell.run(200ms);
+    LONGS_EQUAL(100, cell.started("base"));
+    // When empty, its 33 approved workers would hold it more than three times.
+    cell.submit("gang", {.m_count = 40, .m_size = {.m_millicores = 1000}, .m_gang = true},
+                {.m_priority = 1, .m_approval = advice});
+    cell.run(1s);
+    for (int i = 100; i < 400; ++i)
+        cell.m_listed.push_back({.m_id = stub_cell::name(i),
+                                 .m_service = service_id("pool"),
+                                 .m_address = endpoint{"10.0.0.1", 80},
+                                 .m_capacity = {.m_millicores = 1500, .m_memory_mb = 4000}});
+    cell.feed(workers_listed{cell.m_listed});
+    cell.run(10s);
+    LONGS_EQUAL(40, cell.started("gang"));
+}
+
 // Long-running tasks leave too little capacity for the gang, so workers must not stay drained for
 // it.
 TEST(stall, workers_drained_for_a_gang_that_cannot_fit_run_other_tasks)
