--- a/src/dragonflygap/cell/coordinator.hpp
+++ b/src/dragonflygap/cell/coordinator.hpp
@@ -177,8 +177,8 @@
     duration store_age() const; ///< Time since the store last answered, or since the takeover.
     bool leadership_confirmed() const;
 
-    // coordinator_workers.cpp: leases, reports and lost workers; coordinator_ends.cpp: ends and
-    // stops
+    // coordinator_workers.cpp: leases, reports and lost workers; coordinator_worker_list.cpp: the
+    // list of workers; coordinator_ends.cpp: ends and stops
     void renew(worker_state& worker);
     worker_state* find_worker(const worker_id& worker);
     worker_state& add_worker(const worker_id& worker);
@@ -221,8 +221,8 @@
     void store_workers(transaction& change, batch& contents);
     void allow_used_workers(const batch& contents);
 
-    // coordinator_placing.cpp, coordinator_gangs.cpp: placement; coordinator_approvals.cpp:
-    // approval calls
+    // coordinator_placing.cpp, coordinator_gangs.cpp: placement; coordinator_orders.cpp: start
+    // orders; coordinator_approvals.cpp: approval calls
     void place_ready_steps();
     void place_step(std::size_t position);
     bool should_try_placing(ready_step& ready) const;
--- a/tests/cell/backlog_test.cpp
+++ b/tests/cell/backlog_test.cpp
@@ -7,17 +7,6 @@
 namespace
 {
 
-job_kind kind_of(const std::string& queue, int priority, approval_cost cost, double approved,
-                 step_spec step)
-{
-    return {{.m_name = queue_id(queue),
-             .m_service = service_id("pool"),
-             .m_priority = priority,
-             .m_approval = cost},
-            approved,
-            std::move(step)};
-}
-
 // The load of a cell of 350 workers and 35 VMs.
 const job_kind plans = kind_of("plans", 1, {572, 8.06, 2500}, 0.35,
                                {.m_count = 20,
--- a/tests/cell/congestion_test.cpp
+++ b/tests/cell/congestion_test.cpp
@@ -9,17 +9,6 @@
 namespace
 {
 
-job_kind kind_of(const std::string& queue, int priority, approval_cost cost, double approved,
-                 step_spec step)
-{
-    return {{.m_name = queue_id(queue),
-             .m_service = service_id("pool"),
-             .m_priority = priority,
-             .m_approval = cost},
-            approved,
-            std::move(step)};
-}
-
 // The load of the small twin of a cell of 1,100 workers, in jobs of 100 s.
 const job_kind plans = kind_of("plans", 1, {507, 7.28, 2500}, 0.35,
                                {.m_count = 40,
@@ -33,7 +22,8 @@
     "lookups", 0, {18.2, 0.26, 2500}, 0.7,
     {.m_count = 4, .m_size = {.m_millicores = 3900, .m_memory_mb = 3600}, .m_expected_ms = 850});
 
-void submit_load(simulated_cell& cell, duration length)
+/// Submits jobs for this time and lets them end.
+void run_load(simulated_cell& cell, duration length)
 {
     cell.take_over();
     cell.run(1s);
@@ -48,6 +38,9 @@
             cell.submit(matches, 1);
         cell.run(slice);
     }
+    constexpr int max_seconds = 40;
+    for (int i = 0; i < max_seconds && cell.live_jobs() > 0; ++i)
+        cell.run(1s);
 }
 
 constexpr cell_options twin{.m_vms = 19, .m_workers = 120};
@@ -64,9 +57,7 @@
     auto options = twin;
     options.m_link_bytes_per_s = 250000;
     simulated_cell cell(options);
-    submit_load(cell, 20s);
-    for (int i = 0; i < 40 && cell.live_jobs() > 0; ++i)
-        cell.run(1s);
+    run_load(cell, 20s);
     LONGS_EQUAL(0, cell.live_jobs());
     LONGS_EQUAL(0, cell.timed_out());
     LONGS_EQUAL(0, cell.stopped());
@@ -80,9 +71,7 @@
     auto options = twin;
     options.m_stall = 500ms;
     simulated_cell cell(options);
-    submit_load(cell, 20s);
-    for (int i = 0; i < 40 && cell.live_jobs() > 0; ++i)
-        cell.run(1s);
+    run_load(cell, 20s);
     LONGS_EQUAL(0, cell.live_jobs());
     LONGS_EQUAL(0, cell.stopped());
     LONGS_EQUAL(0, cell.overcommitted());
--- a/tests/cell/support/simulated_cell.hpp
+++ b/tests/cell/support/simulated_cell.hpp
@@ -5,6 +5,7 @@
 #include <memory>
 #include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "cell/support/simulated_worker.hpp"
@@ -25,6 +26,17 @@
     step_spec m_step;
 };
 
+inline job_kind kind_of(const std::string& queue, int priority, approval_cost cost, double approved,
+                        step_spec step)
+{
+    return {{.m_name = queue_id(queue),
+             .m_service = service_id("pool"),
+             .m_priority = priority,
+             .m_approval = cost},
+            approved,
+            std::move(step)};
+}
+
 struct cell_options
 {
     int m_vms = 35;
