--- a/src/dragonflygap/cell/coordinator.cpp
+++ b/src/dragonflygap/cell/coordinator.cpp
@@ -33,12 +33,21 @@
     return unix_ms == 0 ? duration{} : std::clamp<duration>(age, duration{}, max_age);
 }
 
+// At a takeover the stored rows stand beside the state that is made of them.
+std::size_t memory_limit(std::int64_t process_mb)
+{
+    constexpr std::size_t bytes_per_mb = 1000000;
+    constexpr std::size_t share = 3; // a third of the process's memory
+    return static_cast<std::size_t>(process_mb) * bytes_per_mb / share;
+}
+
 } // namespace
 
-coordinator::coordinator(coordinator_options options, const recovered_state& found, instant now)
+coordinator::coordinator(coordinator_options options, recovered_state found, instant now)
     : m_options(options),
       m_chain(options.m_commits, found.m_self, found.m_version),
       m_approval_balancer(options.m_approvals),
+      m_memory(std::make_shared<memory_budget>(memory_limit(options.m_memory_mb))),
       m_order_time(options.m_orders),
       m_order_window(options.m_order_window),
       m_now(now),
@@ -49,23 +58,24 @@
     restore_jobs(found);
 }
 
-void coordinator::restore_jobs(const recovered_state& found)
+// Frees each row that it has read, as all of them take as much memory as the jobs.
+void coordinator::restore_jobs(recovered_state& found)
 {
-    for (const auto& row : found.m_jobs)
+    for (auto& row : found.m_jobs)
     {
-        auto record = unpack<job_record>(row.m_value);
+        auto record = unpack<job_record>(std::exchange(row.m_value, {}));
         if (!record)
         {
             log_event(log_level::error, "job_row_unreadable", {{"job", row.m_name.m_key}});
             continue;
         }
-        auto job = std::make_shared<job_state>(job_id(row.m_name.m_key), std::move(*record));
+        auto job =
+            std::make_shared<job_state>(job_id(row.m_name.m_key), std::move(*record), m_memory);
         job->restore({});
         job->m_since = m_now - age_of(job->record(), found.m_unix_ms);
         job->m_rank_time = rank_time_of(job->record().m_request, job->m_since);
         // Higher than the run numbers of all earlier epochs.
         job->m_next_run = (m_chain.record().m_epoch - 1) * m_options.m_runs_per_epoch + 1;
-        m_timetable.add(job->id(), job->record().m_request);
         m_jobs[job->id()] = std::move(job);
     }
     for (const auto& row : found.m_progress)
@@ -77,10 +87,15 @@
         job->second->restore(*progress);
     }
     for (auto& [id, job] : m_jobs)
+    {
         if (job->all_done())
+        {
             end_job(*job, job_outcome::completed);
-        else
-            update_ready_steps(*job);
+            continue;
+        }
+        m_timetable.add(id, job->record().m_request, job->next_undone(0));
+        update_ready_steps(*job);
+    }
 }
 
 std::vector<action> coordinator::handle(const event& incoming, instant now, std::int64_t unix_ms)
@@ -100,6 +115,7 @@
 {
     reject_unstored();
     expire_calls();
+    m_memory->measure(m_now);
     apply_due_occurrences();
     rank_late_jobs();
     stop_stuck_tasks();
@@ -158,8 +174,21 @@
         m_actions->push_back(answer_call{event.m_call, call_status::rejected, wait});
         return;
     }
-    auto job = std::make_shared<job_state>(event.m_job,
-                                           job_record{event.m_queue, event.m_request, m_unix_ms});
+    job_record record{event.m_queue, event.m_request, m_unix_ms};
+    // The jobs have to fit into each successor too, so their memory is limited, not the process's.
+    if (const auto memory = job_state::min_memory(record); !m_memory->fits(memory))
+    {
+        log_event(log_level::info, "job_rejected",
+                  {{"job", event.m_job.m_value},
+                   {"cause", "memory_full"},
+                   {"job_bytes", memory},
+                   {"used_bytes", m_memory->used()},
+                   {"limit_bytes", m_memory->limit()}});
+        m_actions->push_back(
+            answer_call{event.m_call, call_status::rejected, m_memory->retry_after_ms(memory)});
+        return;
+    }
+    auto job = std::make_shared<job_state>(event.m_job, std::move(record), m_memory);
     job->m_since = m_now;
     job->m_rank_time = rank_time_of(event.m_request, m_now);
     job->m_next_run = (m_chain.record().m_epoch - 1) * m_options.m_runs_per_epoch + 1;
@@ -188,6 +217,8 @@
 void coordinator::on(const members_changed& event)
 {
     m_approval_balancer.set_members(event.m_members);
+    if (event.m_least_memory_mb > 0)
+        m_memory->set_limit(memory_limit(std::min(m_options.m_memory_mb, event.m_least_memory_mb)));
 }
 
 job_state* coordinator::find(const job_id& job)
@@ -196,6 +227,14 @@
     return found == m_jobs.end() ? nullptr : found->second.get();
 }
 
+step_state* coordinator::find_step(const step_key& key)
+{
+    job_state* job = find(key.m_job);
+    if (job == nullptr || job->find({key.m_job, key.m_occurrence, key.m_step, 0}) == nullptr)
+        return nullptr;
+    return &job->step(key.m_occurrence, key.m_step);
+}
+
 const job_state* coordinator::find_job(const job_id& job) const
 {
     const auto found = m_jobs.find(job);
@@ -226,15 +265,16 @@
     job.m_ended_at = m_now;
     job.m_dirty = true;
     m_dirty.insert(job.id());
-    for (int k = 0; k < job.occurrences(); ++k)
+    m_timetable.remove(job.id());
+    for (auto& [k, steps] : job.open_occurrences())
         for (int s = 0; s < job.steps(); ++s)
         {
             const step_key key{job.id(), k, s};
             m_ready.erase(rank_of(job, key));
             m_unsuited.erase(key);
-            m_counts.m_tickets_lapsed += job.step(k, s).m_approval.drop_lapsed(instant::max());
+            m_counts.m_tickets_lapsed += steps[s].m_approval.drop_lapsed(instant::max());
             m_claims.drop(key);
-            set_drained(job.step(k, s), {});
+            set_drained(steps[s], {});
         }
     stop_all_tasks(job);
 }
@@ -246,14 +286,17 @@
 
 void coordinator::update_ready_steps(job_state& job)
 {
-    for (int k = 0; k < job.occurrences(); ++k)
+    std::vector<int> open;
+    for (const auto& [k, steps] : job.open_occurrences())
+        open.push_back(k);
+    for (const int k : open)
         update_ready_steps(job, k);
 }
 
 // One occurrence is enough, as steps depend only on steps of the same occurrence.
 void coordinator::update_ready_steps(job_state& job, int occurrence)
 {
-    if (job.m_outcome)
+    if (job.m_outcome || job.next_undone(occurrence) != occurrence)
         return;
     for (int s = 0; s < job.steps(); ++s)
     {
@@ -275,8 +318,10 @@
         {
             m_counts.m_tickets_lapsed += step.m_approval.drop_lapsed(instant::max());
             step.m_approval = {};
+            m_unsuited.erase(key);
         }
     }
+    job.close_if_done(occurrence);
 }
 
 // At a load peak, jobs that are late already would make all that come after them late too.
@@ -304,12 +349,27 @@
 
 void coordinator::apply_due_occurrences()
 {
-    for (const auto& due : m_timetable.pop_due(m_unix_ms))
-        if (job_state* job = find(due.m_job); job != nullptr)
-        {
-            job->mark_due(due.m_occurrence);
-            update_ready_steps(*job, due.m_occurrence);
-        }
+    m_timetable.begin_due(m_unix_ms,
+                          [this](const occurrence_key& due) -> std::optional<int>
+                          {
+                              auto& job = *find(due.m_job);
+                              if (!may_open(job, due.m_occurrence))
+                                  return std::nullopt;
+                              job.mark_due(due.m_occurrence);
+                              job.open(due.m_occurrence);
+                              update_ready_steps(job, due.m_occurrence);
+                              return job.next_undone(due.m_occurrence + 1);
+                          });
+}
+
+// Each job may have one open occurrence. More of them leave memory to the other jobs, and half of
+// the queue of ready steps to new ones.
+bool coordinator::may_open(const job_state& job, int occurrence) const
+{
+    const auto& open = job.open_occurrences();
+    return open.empty() || open.count(occurrence) != 0 ||
+           (m_memory->fits(job.occurrence_memory()) &&
+            m_ready.size() < m_options.m_max_ready_steps / 2);
 }
 
 std::string_view coordinator::state_of(const job_id& id) const
--- a/src/dragonflygap/cell/coordinator.hpp
+++ b/src/dragonflygap/cell/coordinator.hpp
@@ -49,6 +49,7 @@
     duration m_min_notice = 2s;
     duration m_unlisted_retention = 30s;      ///< A worker that is unlisted for longer is removed.
     std::size_t m_max_ready_steps = 3000;     ///< With more, new jobs are rejected.
+    std::int64_t m_memory_mb = 256;           ///< Of this process; a part of it is for jobs.
     std::uint64_t m_runs_per_epoch = 1000000; ///< Run numbers of a task that belong to one epoch.
 };
 
@@ -75,7 +76,7 @@
 class coordinator
 {
 public:
-    coordinator(coordinator_options options, const recovered_state& found, instant now);
+    coordinator(coordinator_options options, recovered_state found, instant now);
     coordinator(const coordinator&) = delete;
     coordinator& operator=(const coordinator&) = delete;
 
@@ -92,6 +93,7 @@
     instant last_commit_at() const { return m_chain.last_success_at(); }
     std::size_t live_jobs() const { return m_jobs.size(); }
     std::size_t ready_steps() const { return m_ready.size(); }
+    const memory_budget& memory() const { return *m_memory; }
     const std::map<worker_id, worker_state>& workers() const { return m_workers; }
     const job_state* find_job(const job_id& job) const;
     void for_each_job(const std::function<void(const job_state&)>& visit) const;
@@ -153,14 +155,17 @@
     void on(const tick& event);
 
     // coordinator.cpp: jobs and calls
-    void restore_jobs(const recovered_state& found);
+    void restore_jobs(recovered_state& found);
     void answer_calls(job_state& job, call_status status);
     void end_job(job_state& job, job_outcome outcome);
     void update_ready_steps(job_state& job);
     void update_ready_steps(job_state& job, int occurrence);
     void apply_due_occurrences();
+    bool may_open(const job_state& job, int occurrence) const;
     void rank_late_jobs();
     job_state* find(const job_id& job);
+    /// nullptr if there is no such step, or its occurrence was closed.
+    step_state* find_step(const step_key& step);
     static step_rank rank_of(const job_state& job, const step_key& step);
 
     // coordinator_commits.cpp: transactions and their results
@@ -274,6 +279,7 @@
     coordinator_options m_options;
     commit_chain m_chain;
     approval_balancer m_approval_balancer;
+    std::shared_ptr<memory_budget> m_memory; ///< Of all jobs.
     instant m_now;
     std::int64_t m_unix_ms = 0;
     instant m_taken_over_at;
--- a/src/dragonflygap/cell/coordinator_approvals.cpp
+++ b/src/dragonflygap/cell/coordinator_approvals.cpp
@@ -249,9 +249,10 @@
         m_approval_balancer.set_unresponsive(event.m_via, m_now);
     count_answer(event);
     job_state* job = find(event.m_step.m_job);
-    if (job == nullptr)
+    step_state* found = find_step(event.m_step);
+    if (found == nullptr)
         return;
-    auto& step = job->step(event.m_step.m_occurrence, event.m_step.m_step);
+    auto& step = *found;
     auto& approved = step.m_approval;
     const bool awaited = approved.m_call_in_flight && approved.m_call == event.m_call;
     log_event(log_level::info, "approval_answered",
--- a/src/dragonflygap/cell/coordinator_ends.cpp
+++ b/src/dragonflygap/cell/coordinator_ends.cpp
@@ -245,9 +245,9 @@
 
 void coordinator::stop_all_tasks(job_state& job)
 {
-    for (int k = 0; k < job.occurrences(); ++k)
+    for (const auto& [k, steps] : job.open_occurrences())
         for (int s = 0; s < job.steps(); ++s)
-            for (std::size_t i = 0; i < job.step(k, s).m_tasks.size(); ++i)
+            for (std::size_t i = 0; i < steps[s].m_tasks.size(); ++i)
                 stop_task(job, {job.id(), k, s, static_cast<int>(i)});
 }
 
--- a/src/dragonflygap/cell/coordinator_orders.cpp
+++ b/src/dragonflygap/cell/coordinator_orders.cpp
@@ -89,18 +89,17 @@
     }
     else
     {
-        if (refusal == start_refusal::no_ticket && job != nullptr)
-            job->step(event.m_task.m_occurrence, event.m_task.m_step)
-                .m_approval.m_tickets.erase(worker.m_number);
+        step_state* step = find_step(step_of(event.m_task));
+        if (refusal == start_refusal::no_ticket && step != nullptr)
+            step->m_approval.m_tickets.erase(worker.m_number);
         if (!event.m_result || refusal == start_refusal::unhealthy ||
             refusal == start_refusal::no_room)
             worker.m_avoid_until = std::max(worker.m_avoid_until, m_now + avoid_unhealthy);
-        if (job != nullptr)
-            job->step(event.m_task.m_occurrence, event.m_task.m_step).m_not_before =
-                m_now + start_retry_delay;
+        if (step != nullptr)
+            step->m_not_before = m_now + start_retry_delay;
         release(worker, event.m_task, event.m_run);
     }
-    if (job != nullptr && job->spec(event.m_task.m_step).m_gang)
+    if (job != nullptr && job->spec(event.m_task.m_step).m_gang && find_step(step_of(event.m_task)))
         stop_gang(*job, step_of(event.m_task), event.m_run);
 }
 
--- a/src/dragonflygap/cell/coordinator_waits.cpp
+++ b/src/dragonflygap/cell/coordinator_waits.cpp
@@ -39,17 +39,15 @@
 
 } // namespace
 
-// Skips occurrences that aren't due yet, as schedules may be long.
 void coordinator::for_each_due_step(
     const std::function<void(const job_state&, const step_key&)>& visit) const
 {
     for (const auto& [id, job] : m_jobs)
     {
         const auto& request = job->record().m_request;
-        for (int k = 0; k < job->occurrences(); ++k)
+        for (const auto& [k, steps] : job->open_occurrences())
         {
-            if (request.m_occurrences > 0 &&
-                m_unix_ms < request.m_first_due_ms + k * request.m_interval_ms)
+            if (request.m_occurrences > 0 && m_unix_ms < due_time(request, k))
                 break;
             for (int s = 0; s < job->steps(); ++s)
                 visit(*job, {id, k, s});
@@ -117,9 +115,7 @@
 // To be called before the answer is applied.
 void coordinator::count_answer(const approval_answered& event)
 {
-    job_state* job = find(event.m_step.m_job);
-    step_state* step =
-        job == nullptr ? nullptr : &job->step(event.m_step.m_occurrence, event.m_step.m_step);
+    step_state* step = find_step(event.m_step);
     if (step != nullptr)
         m_counts.m_tickets_lapsed += step->m_approval.drop_lapsed(m_now);
     if (!event.m_result)
@@ -131,7 +127,7 @@
     ++m_counts.m_answers;
     m_counts.m_workers_named += event.m_workers.size();
     m_counts.m_tickets_received += ticket_count;
-    if (step != nullptr && step->m_waiting > 0 && !job->m_outcome)
+    if (step != nullptr && step->m_waiting > 0 && !find(event.m_step.m_job)->m_outcome)
         return;
     ++m_counts.m_answers_late;
     if (step == nullptr)
@@ -145,10 +141,10 @@
         return;
     m_last_lapse_count = m_now;
     for (auto& [id, job] : m_jobs)
-        for (int k = 0; k < job->occurrences(); ++k)
-            for (int s = 0; s < job->steps(); ++s)
-                if (auto& approval = job->step(k, s).m_approval; !approval.m_tickets.empty())
-                    m_counts.m_tickets_lapsed += approval.drop_lapsed(m_now);
+        for (auto& [k, steps] : job->open_occurrences())
+            for (auto& step : steps)
+                if (!step.m_approval.m_tickets.empty())
+                    m_counts.m_tickets_lapsed += step.m_approval.drop_lapsed(m_now);
 }
 
 } // namespace dragonflygap::cell
--- a/src/dragonflygap/cell/coordinator_worker_list.cpp
+++ b/src/dragonflygap/cell/coordinator_worker_list.cpp
@@ -51,10 +51,9 @@
     const auto number = worker->second.m_number;
     m_claims.forget(number);
     for (auto& [id, job] : m_jobs)
-        for (int k = 0; k < job->occurrences(); ++k)
-            for (int s = 0; s < job->steps(); ++s)
+        for (auto& [k, steps] : job->open_occurrences())
+            for (auto& step : steps)
             {
-                auto& step = job->step(k, s);
                 step.m_approval.forget(number);
                 std::erase(step.m_drained, number);
             }
--- a/src/dragonflygap/cell/coordinator_workers.cpp
+++ b/src/dragonflygap/cell/coordinator_workers.cpp
@@ -147,13 +147,13 @@
         if (known != worker.m_placements.end())
             release(worker, running.m_task, known->second.m_run);
         placement placed{.m_run = running.m_run,
-                         .m_size_known = task != nullptr,
+                         .m_size_known = job != nullptr && job->has_task(running.m_task),
                          .m_phase = placement_phase::running,
                          .m_started = m_now,
                          .m_progress_at = m_now};
         const bool expected =
             task != nullptr && !job->m_outcome && task->m_status == task_status::waiting;
-        if (task != nullptr)
+        if (placed.m_size_known)
             placed.m_size = size_of(job->spec(running.m_task.m_step));
         worker.add(running.m_task, placed);
         m_index.update_room(worker);
--- a/src/dragonflygap/cell/events.hpp
+++ b/src/dragonflygap/cell/events.hpp
@@ -77,6 +77,7 @@
 struct members_changed
 {
     std::vector<vm_id> m_members;
+    std::int64_t m_least_memory_mb = 0; ///< Of a VM that may lead; 0: unknown.
 };
 struct tick
 {
--- a/src/dragonflygap/cell/job_state.hpp
+++ b/src/dragonflygap/cell/job_state.hpp
@@ -1,13 +1,16 @@
 #pragma once
 
+#include <algorithm>
 #include <cstdint>
 #include <map>
+#include <memory>
 #include <optional>
-#include <set>
 #include <string>
 #include <vector>
 
 #include "dragonflygap/cell/approvals.hpp"
+#include "dragonflygap/cell/memory_budget.hpp"
+#include "dragonflygap/cell/number_ranges.hpp"
 #include "dragonflygap/cell/records.hpp"
 #include "dragonflygap/cell/worker.hpp"
 #include "dragonflygap/core/time.hpp"
@@ -55,11 +58,23 @@
     std::vector<worker_number> m_drained; ///< Workers closed to other steps until the gang fits.
 };
 
-/// A job and the state of its tasks. Does no I/O; the coordinator makes the decisions.
+/// The steps of one occurrence.
+using occurrence_state = std::vector<step_state>;
+
+/// A job and the state of its tasks. Holds a state only of the occurrences that are due or have
+/// progress, as a schedule may have any number of them. Does no I/O; the coordinator makes the
+/// decisions.
 class job_state
 {
 public:
-    job_state(job_id id, job_record record);
+    job_state(job_id id, job_record record, std::shared_ptr<memory_budget> budget = nullptr);
+
+    /// Estimate of the memory that a job takes at least: for itself and one occurrence, in bytes.
+    static std::size_t min_memory(const job_record& record);
+    /// The same for one occurrence that is due, in bytes.
+    std::size_t occurrence_memory() const { return m_occurrence_memory; }
+    /// Estimate of the memory that the job takes, in bytes.
+    std::size_t memory() const { return m_memory.bytes(); }
 
     const job_id& id() const { return m_id; }
     const job_record& record() const { return m_record; }
@@ -69,19 +84,28 @@
     void restore(const progress_record& progress);
     progress_record progress() const;
 
-    int occurrences() const { return static_cast<int>(m_occurrences.size()); }
-    step_state& step(int occurrence, int step) { return m_occurrences[occurrence][step]; }
-    const step_state& step(int occurrence, int step) const
-    {
-        return m_occurrences[occurrence][step];
-    }
+    int occurrences() const { return std::max(1, m_record.m_request.m_occurrences); }
+    /// Occurrences with a state, by number; the others aren't due yet or are done.
+    const std::map<int, occurrence_state>& open_occurrences() const { return m_open; }
+    std::map<int, occurrence_state>& open_occurrences() { return m_open; }
+    /// Gives an occurrence a state unless it has one.
+    occurrence_state& open(int occurrence);
+    /// Drops the state of a scheduled occurrence whose steps are all done.
+    void close_if_done(int occurrence);
+    /// The first occurrence from this one on that isn't done.
+    int next_undone(int occurrence) const { return m_done.next_absent(occurrence); }
+
+    step_state& step(int occurrence, int step) { return open(occurrence)[step]; }
+    /// The occurrence has to be open.
+    const step_state& step(int occurrence, int step) const { return m_open.at(occurrence)[step]; }
     int steps() const { return static_cast<int>(m_record.m_request.m_steps.size()); }
 
-    /// nullptr if the job has no such task.
+    bool has_task(const task_key& task) const;
+    /// nullptr if the job has no such task, or its occurrence was closed.
     task_state* find(const task_key& task);
 
-    /// Marks an occurrence as due, even if the clock is set back afterwards.
-    void mark_due(int occurrence) { m_due.insert(occurrence); }
+    /// Marks an occurrence and all before it as due, even if the clock is set back afterwards.
+    void mark_due(int occurrence) { m_due_count = std::max(m_due_count, occurrence + 1); }
 
     /// True if the occurrence is due and the steps that the step depends on are done.
     bool is_due(int occurrence, int step, std::int64_t unix_ms) const;
@@ -111,15 +135,22 @@
     instant m_ended_at{};
 
 private:
-    void restore_range(const done_range& range);
+    void restore_tasks(const done_range& range);
+    void restore_steps(const std::vector<number_ranges>& done_steps);
+    std::int64_t tasks_per_occurrence() const;
+    void update_memory();
     void add_progress(progress_record& result, int occurrence, int step) const;
 
     job_id m_id;
     job_record m_record;
-    std::vector<std::vector<step_state>> m_occurrences;
-    std::size_t m_remaining_tasks = 0; ///< Tasks that aren't done yet.
+    std::map<int, occurrence_state> m_open;
+    number_ranges m_done;               ///< Occurrences that were closed.
+    std::int64_t m_remaining_tasks = 0; ///< Tasks that aren't done yet.
     bool m_started = false;
-    std::set<int> m_due; ///< Occurrences marked as due.
+    int m_due_count = 0;                 ///< Occurrences marked as due.
+    std::size_t m_own_memory = 0;        ///< Without occurrences.
+    std::size_t m_occurrence_memory = 0; ///< Of each open occurrence.
+    memory_share m_memory;
 };
 
 } // namespace dragonflygap::cell
--- a/src/dragonflygap/cell/occurrence_timetable.hpp
+++ b/src/dragonflygap/cell/occurrence_timetable.hpp
@@ -1,9 +1,11 @@
 #pragma once
 
 #include <cstdint>
+#include <functional>
+#include <map>
+#include <optional>
 #include <set>
-#include <tuple>
-#include <vector>
+#include <utility>
 
 #include "dragonflygap/cell/job_request.hpp"
 
@@ -19,35 +21,41 @@
     bool operator==(const occurrence_key&) const = default;
 };
 
+/// Unix time in ms at which an occurrence of a scheduled job is due.
+std::int64_t due_time(const job_request& request, int occurrence);
+
 /// Due times of scheduled occurrences, earliest first. Holds only the next occurrence of each job,
 /// so a check costs nothing while none is due. Does no I/O.
 class occurrence_timetable
 {
 public:
-    /// Adds a job's occurrences; ignores a job without a schedule.
-    void add(const job_id& job, const job_request& request);
+    /// Begins an occurrence that is due and returns the one to begin after it; nothing if it has to
+    /// wait.
+    using begin_hook = std::function<std::optional<int>(const occurrence_key&)>;
+
+    /// Adds a job's occurrences from this one on; ignores a job without a schedule.
+    void add(const job_id& job, const job_request& request, int first = 0);
+    void remove(const job_id& job);
 
-    /// Removes the occurrences due by this time and returns them in order of time. Returns each one
-    /// once, even if the wall clock is set back.
-    std::vector<occurrence_key> pop_due(std::int64_t unix_ms);
+    /// Begins the occurrences due by this time in the order of their times; each one once, even if
+    /// the wall clock is set back. While one has to wait, so do the later ones of its job.
+    void begin_due(std::int64_t unix_ms, const begin_hook& begin);
 
     bool empty() const { return m_next.empty(); }
 
 private:
-    struct entry
+    struct schedule
     {
-        std::int64_t m_due_ms = 0; ///< Unix time.
-        job_id m_job;
-        int m_occurrence = 0;
-        int m_remaining = 0; ///< Occurrences after this one.
+        int m_next = 0; ///< The occurrence to begin next.
+        int m_count = 0;
+        std::int64_t m_first_due_ms = 0; ///< Unix time.
         std::int64_t m_interval_ms = 0;
 
-        bool operator<(const entry& other) const
-        {
-            return std::tie(m_due_ms, m_job) < std::tie(other.m_due_ms, other.m_job);
-        }
+        std::int64_t due_ms() const { return m_first_due_ms + m_next * m_interval_ms; }
     };
-    std::set<entry> m_next;
+
+    std::set<std::pair<std::int64_t, job_id>> m_next; ///< Due time of each job's next occurrence.
+    std::map<job_id, schedule> m_schedules;
 };
 
 } // namespace dragonflygap::cell
--- a/src/dragonflygap/cell/records.hpp
+++ b/src/dragonflygap/cell/records.hpp
@@ -40,9 +40,10 @@
     std::string m_address; ///< For peer messages.
     std::uint64_t m_incarnation = 0;
     double m_processor_share = 1; ///< In cores; VMs with a larger share are preferred as leader.
+    std::int64_t m_memory_mb = 0; ///< That its process may use; 0: unknown, from an earlier build.
 
     bool operator==(const member_record&) const = default;
-    MSGPACK_DEFINE(m_vm, m_data_centre, m_address, m_incarnation, m_processor_share)
+    MSGPACK_DEFINE(m_vm, m_data_centre, m_address, m_incarnation, m_processor_share, m_memory_mb)
 };
 
 /// A job and the rules under which it was accepted.
--- a/src/dragonflygap/config/settings.cpp
+++ b/src/dragonflygap/config/settings.cpp
@@ -54,6 +54,7 @@
         endpoints.read(object, "approvals", "$.cell", *cell.m_approvals);
     }
     cell.m_processor_share = object.value("processor_share", cell.m_processor_share);
+    cell.m_memory_mb = object.value("memory_mb", cell.m_memory_mb);
     cell.m_max_lease =
         std::chrono::milliseconds(object.value("longest_lease_ms", to_ms(cell.m_max_lease)));
     cell.m_worker_notice =
--- a/src/dragonflygap/config/settings.hpp
+++ b/src/dragonflygap/config/settings.hpp
@@ -30,8 +30,9 @@
     endpoint m_store;
     std::optional<endpoint> m_approvals;
     endpoint m_ready_listen;
-    double m_processor_share = 1; ///< Share of one core that this process may use.
-    duration m_max_lease = 10s;   ///< Workers shorten longer leases to this.
+    double m_processor_share = 1;   ///< Share of one core that this process may use.
+    std::int64_t m_memory_mb = 256; ///< That this process may use.
+    duration m_max_lease = 10s;     ///< Workers shorten longer leases to this.
     /// A worker that leaves runs its tasks for as long at least after it said so.
     duration m_worker_notice = 2s;
     duration m_stop_timeout = 6s; ///< Time from SIGTERM until the platform kills the process.
--- a/src/dragonflygap/daemon/cell_daemon.cpp
+++ b/src/dragonflygap/daemon/cell_daemon.cpp
@@ -57,6 +57,7 @@
                        .m_redial = [&link](const vm_id& peer) { link.redial(peer); }};
     auto& lease = options.m_coordinator.m_workers.m_lease_duration;
     lease = std::min(lease, cell.m_max_lease);
+    options.m_coordinator.m_memory_mb = cell.m_memory_mb;
     options.m_coordinator.m_min_notice = cell.m_worker_notice;
     constexpr duration exit_margin = 800ms;
     options.m_max_stop_time = std::max<duration>(cell.m_stop_timeout - exit_margin, 500ms);
--- a/src/dragonflygap/node/leader_members.cpp
+++ b/src/dragonflygap/node/leader_members.cpp
@@ -32,6 +32,7 @@
         registered.insert(record->m_vm);
         auto& member = m_members[record->m_vm];
         member.m_processor_share = record->m_processor_share;
+        member.m_memory_mb = record->m_memory_mb;
         if (member.m_address != record->m_address)
         {
             member.m_address = record->m_address;
@@ -95,6 +96,16 @@
     return 2 * static_cast<std::size_t>(responsive_count) < m_members.size();
 }
 
+// Any member may lead next, also one that is silent now.
+std::int64_t leader_task::least_memory_mb() const
+{
+    std::int64_t least = 0;
+    for (const auto& [vm, member] : m_members)
+        if (member.m_memory_mb > 0 && (least == 0 || member.m_memory_mb < least))
+            least = member.m_memory_mb;
+    return least;
+}
+
 void leader_task::check_members()
 {
     const auto now = monotonic_clock::now();
@@ -111,11 +122,14 @@
             m_options.m_redial(vm);
         }
     }
-    if (responsive == m_responsive_members)
+    const auto least_memory = least_memory_mb();
+    if (responsive == m_responsive_members && least_memory == m_least_memory_mb)
         return;
     m_responsive_members = responsive;
-    log_event(log_level::info, "members_changed", {{"members", responsive.size()}});
-    process_event(cell::members_changed{std::move(responsive)});
+    m_least_memory_mb = least_memory;
+    log_event(log_level::info, "members_changed",
+              {{"members", responsive.size()}, {"least_memory_mb", least_memory}});
+    process_event(cell::members_changed{std::move(responsive), least_memory});
 }
 
 } // namespace dragonflygap::node
--- a/src/dragonflygap/node/leader_task.cpp
+++ b/src/dragonflygap/node/leader_task.cpp
@@ -11,14 +11,14 @@
 {
 
 leader_task::leader_task(event_loop& loop, metrics& registry, leader_task_options options,
-                         const cell::recovered_state& state)
+                         cell::recovered_state state)
     : m_loop(loop),
       m_metrics(registry),
       m_options(std::move(options)),
-      m_coordinator(m_options.m_coordinator, state, monotonic_clock::now()),
+      m_coordinator(m_options.m_coordinator, std::move(state), monotonic_clock::now()),
       m_report(registry, m_options.m_tick_interval),
       m_worker_watch(m_options.m_worker_watch),
-      m_epoch(state.m_self.m_epoch)
+      m_epoch(m_coordinator.record().m_epoch)
 {
     m_members[m_options.m_vm].m_address = m_options.m_address;
     m_timers.push_back(m_loop.every(m_options.m_tick_interval, [this] { tick(); }));
--- a/src/dragonflygap/node/leader_task.hpp
+++ b/src/dragonflygap/node/leader_task.hpp
@@ -53,7 +53,7 @@
 {
 public:
     leader_task(event_loop& loop, metrics& registry, leader_task_options options,
-                const cell::recovered_state& state);
+                cell::recovered_state state);
     ~leader_task();
     leader_task(const leader_task&) = delete;
     leader_task& operator=(const leader_task&) = delete;
@@ -77,6 +77,7 @@
     {
         std::string m_address;
         double m_processor_share = 0; ///< Of a core; 0: unknown yet.
+        std::int64_t m_memory_mb = 0; ///< 0: unknown.
         instant m_dialled_at{};       ///< First, at its current address.
         instant m_last_heard_at{};
         instant m_redialled_at{};
@@ -105,6 +106,7 @@
     void update_members(const std::vector<cell::stored_row>& rows);
     void retire_member(const vm_id& vm, const cell::stored_row& row);
     void check_members();
+    std::int64_t least_memory_mb() const;
     bool is_responsive(const member& candidate) const;
     bool hears(const member& sender) const;
     cell::leader_heartbeat heartbeat() const;
@@ -118,6 +120,7 @@
     std::uint64_t m_epoch;
     std::map<vm_id, member> m_members;
     std::vector<vm_id> m_responsive_members;
+    std::int64_t m_least_memory_mb = 0; ///< Of all members that told theirs.
     std::map<std::uint64_t, origin> m_origins;
     std::set<std::uint64_t> m_pending_approvals; ///< Approval calls in flight.
     std::uint64_t m_last_call = 0;
--- a/src/dragonflygap/node/node.cpp
+++ b/src/dragonflygap/node/node.cpp
@@ -46,9 +46,9 @@
 void node::register_member()
 {
     m_registering = true;
-    const cell::member_record self{m_options.m_vm, m_options.m_data_centre,
-                                   to_string(m_options.m_peer_address), m_options.m_incarnation,
-                                   m_options.m_processor_share};
+    const cell::member_record self{
+        m_options.m_vm,          m_options.m_data_centre,     to_string(m_options.m_peer_address),
+        m_options.m_incarnation, m_options.m_processor_share, m_options.m_coordinator.m_memory_mb};
     cell::transaction change;
     change.m_writes.push_back(
         {{std::string(cell::member_table), m_options.m_vm.m_value}, cell::pack(self)});
@@ -227,10 +227,10 @@
                .m_unix_ms = unix_ms(),
                .m_now = monotonic_clock::now(),
                .m_predecessor_gone = predecessor_gone},
-              [this](const outcome<cell::recovered_state>& result)
+              [this](outcome<cell::recovered_state> result)
               {
                   if (result && !m_stopping)
-                      return lead(*result);
+                      return lead(std::move(*result));
                   if (!result)
                       log_event(log_level::info, "campaign_failed",
                                 {{"reason", to_string(result.error().m_reason)}});
@@ -238,7 +238,7 @@
               });
 }
 
-void node::lead(const cell::recovered_state& state)
+void node::lead(cell::recovered_state state)
 {
     log_event(log_level::info, "leader_started",
               {{"epoch", state.m_self.m_epoch},
@@ -268,7 +268,7 @@
             .m_config_version = [this]() -> std::uint64_t
             { return m_config ? m_config->m_version : 0; },
             .m_on_deposed = [this](const std::string& cause) { stop_leading(cause); }},
-        state);
+        std::move(state));
     m_callers.leader_changed();
 }
 
--- a/src/dragonflygap/node/node.hpp
+++ b/src/dragonflygap/node/node.hpp
@@ -91,7 +91,7 @@
     void read_row();
     void campaign();
     int rank() const;
-    void lead(const cell::recovered_state& state);
+    void lead(cell::recovered_state state);
     /// Ends the leadership and takes part in elections again.
     void stop_leading(std::string_view cause);
     bool send_to_leader(const cell::caller_call& call);
--- a/src/dragonflygap/node/operator_view.cpp
+++ b/src/dragonflygap/node/operator_view.cpp
@@ -56,9 +56,9 @@
 json job_of(const cell::job_state& job, const cell::coordinator& state)
 {
     json tasks = json::array();
-    for (int k = 0; k < job.occurrences(); ++k)
+    for (const auto& [k, steps] : job.open_occurrences())
         for (int s = 0; s < job.steps(); ++s)
-            for (const auto& task : job.step(k, s).m_tasks)
+            for (const auto& task : steps[s].m_tasks)
                 tasks.push_back({{"occurrence", k},
                                  {"step", s},
                                  {"state", status_names[static_cast<int>(task.m_status)]},
--- a/tests/cell/occurrence_timetable_test.cpp
+++ b/tests/cell/occurrence_timetable_test.cpp
@@ -17,6 +17,19 @@
     return request;
 }
 
+/// Begins all that is due, and returns it.
+std::vector<occurrence_key> begin_due(occurrence_timetable& timetable, std::int64_t unix_ms)
+{
+    std::vector<occurrence_key> begun;
+    timetable.begin_due(unix_ms,
+                        [&begun](const occurrence_key& due)
+                        {
+                            begun.push_back(due);
+                            return due.m_occurrence + 1;
+                        });
+    return begun;
+}
+
 } // namespace
 
 TEST_GROUP(occurrence_timetable){};
@@ -25,11 +38,11 @@
 {
     occurrence_timetable timetable;
     timetable.add(job_id("a"), every(100, 1000, 3));
-    CHECK_TRUE(timetable.pop_due(999).empty());
-    CHECK(timetable.pop_due(1000) == std::vector<occurrence_key>({{job_id("a"), 0}}));
-    CHECK_TRUE(timetable.pop_due(1000).empty());
-    CHECK_TRUE(timetable.pop_due(500).empty());
-    CHECK(timetable.pop_due(1250) ==
+    CHECK_TRUE(begin_due(timetable, 999).empty());
+    CHECK(begin_due(timetable, 1000) == std::vector<occurrence_key>({{job_id("a"), 0}}));
+    CHECK_TRUE(begin_due(timetable, 1000).empty());
+    CHECK_TRUE(begin_due(timetable, 500).empty());
+    CHECK(begin_due(timetable, 1250) ==
           std::vector<occurrence_key>({{job_id("a"), 1}, {job_id("a"), 2}}));
     CHECK_TRUE(timetable.empty());
 }
@@ -39,7 +52,7 @@
     occurrence_timetable timetable;
     timetable.add(job_id("a"), every(100, 1000, 2));
     timetable.add(job_id("b"), every(100, 1050, 2));
-    CHECK(timetable.pop_due(1120) ==
+    CHECK(begin_due(timetable, 1120) ==
           std::vector<occurrence_key>({{job_id("a"), 0}, {job_id("b"), 0}, {job_id("a"), 1}}));
 }
 
--- a/tests/cell/support/run_invariants.hpp
+++ b/tests/cell/support/run_invariants.hpp
@@ -47,6 +47,10 @@
     const job_state* job = leader.find_job(key.m_job);
     if (placed.m_stop_requested || job == nullptr)
         return true;
+    if (job->next_undone(key.m_occurrence) != key.m_occurrence)
+        return true;
+    if (job->open_occurrences().count(key.m_occurrence) == 0)
+        return false;
     const auto& task = job->step(key.m_occurrence, key.m_step).m_tasks[key.m_index];
     return task.m_status == task_status::done ||
            (task.m_status == task_status::placed && task.m_worker == worker.m_info.m_id &&
@@ -56,11 +60,11 @@
 /// The first placed task whose run its worker doesn't hold; empty if there is none.
 inline std::string missing_run(const job_state& job, const worker_map& workers)
 {
-    for (int k = 0; k < job.occurrences(); ++k)
+    for (const auto& [k, steps] : job.open_occurrences())
         for (int s = 0; s < job.steps(); ++s)
         {
             task_key key{job.id(), k, s, 0};
-            for (const auto& task : job.step(k, s).m_tasks)
+            for (const auto& task : steps[s].m_tasks)
             {
                 if (task.m_status == task_status::placed && !is_held(key, task, workers))
                     return text_of(key) + " names run " + std::to_string(task.m_run);
--- a/tests/cell/support/stub_cell.hpp
+++ b/tests/cell/support/stub_cell.hpp
@@ -23,9 +23,9 @@
 class stub_cell
 {
 public:
-    explicit stub_cell(recovered_state found = {})
+    explicit stub_cell(recovered_state found = {}, coordinator_options options = {})
         : m_coordinator(
-              {},
+              options,
               [&found]
               {
                   if (found.m_self.m_epoch == 0)
@@ -149,6 +149,7 @@
     bool m_store_silent = false;    ///< The store's answers are kept back.
     std::vector<event> m_unsent_answers;
     std::map<row_name, std::string> m_rows; ///< As written by the coordinator.
+    std::vector<answer_call> m_answered;    ///< Submissions and cancellations.
     int m_calls = 0;
     int m_renewals = 0;
     std::size_t m_max_named = 0;
@@ -160,7 +161,7 @@
     {
         return fail(verdict::may_have_run, reason::target_failed, "connection reset");
     }
-    void act(const answer_call&) {}
+    void act(const answer_call& answer) { m_answered.push_back(answer); }
     void act(const read_leader_row&) {}
     void act(const step_down&) { FAIL("stepped down"); }
     void act(const send_commit& request)
--- a/tests/cell/waiting_cause_test.cpp
+++ b/tests/cell/waiting_cause_test.cpp
@@ -208,6 +208,7 @@
     record.m_request.m_occurrences = 1;
     record.m_request.m_first_due_ms = 1000;
     waiting_gang gang(std::move(record));
+    gang.m_job.open(0); // only open occurrences are explained
     STRCMP_EQUAL("not_due", gang.cause().c_str());
     gang.m_at.m_unix_ms = 1000;
     STRCMP_EQUAL("approval_not_asked", gang.cause().c_str());
