--- a/src/dragonflygap/cell/coordinator.hpp
+++ b/src/dragonflygap/cell/coordinator.hpp
@@ -214,7 +214,7 @@
     void stop_gang(job_state& job, const step_key& step, std::uint64_t run);
     void stop_task(job_state& job, const task_key& key);
     void stop_all_tasks(job_state& job);
-    bool workers_unsynced() const;
+    bool workers_unsynced();
 
     // coordinator_worker_use.cpp: what successors need to know about silent workers
     void restore_workers(const recovered_state& found);
@@ -321,6 +321,7 @@
     /// Restored jobs may run on workers that haven't reported yet.
     bool m_workers_unsynced = false;
     instant m_earlier_leases_until{}; ///< Until then workers may count as unsynced.
+    bool m_ends_outstanding = false;  ///< Some worker may have more ends than its first reports.
     instant m_last_trim{};
     instant m_last_stuck_check{};
     instant m_last_unsuited_check{};
--- a/src/dragonflygap/cell/coordinator_worker_use.cpp
+++ b/src/dragonflygap/cell/coordinator_worker_use.cpp
@@ -91,11 +91,14 @@
     m_workers_dirty = true;
 }
 
-// The worker obeys no earlier leader any more, and the tasks that it listed are known.
+// The worker obeys no earlier leader any more. Once it has reported all ends, its tasks are known.
 void coordinator::record_report(worker_state& worker)
 {
-    worker.m_earlier_leases_until = {};
-    worker.m_earlier_leases_until_ms = 0;
+    if (worker.m_synced)
+    {
+        worker.m_earlier_leases_until = {};
+        worker.m_earlier_leases_until_ms = 0;
+    }
     if (worker.m_use != worker_use::none)
         return;
     worker.m_use = worker_use::pending;
--- a/src/dragonflygap/cell/coordinator_workers.cpp
+++ b/src/dragonflygap/cell/coordinator_workers.cpp
@@ -42,7 +42,7 @@
     // The lease isn't renewed before the worker has reported its clock, or while it is silent. So
     // the time by which all its tasks must have ended is known. Its end also settles the runs that
     // no stop can reach.
-    if (may_use(worker) && worker.m_synced && answers && !orders_lost &&
+    if (may_use(worker) && worker.m_reported && answers && !orders_lost &&
         !worker.m_placements.empty())
     {
         order.m_deadline_ms = worker.clock_at(m_now) + to_ms(options.m_lease_duration);
@@ -105,7 +105,7 @@
         worker.m_clock_ms = 0;
     }
     // Reports on different connections may arrive out of order.
-    if (worker.m_synced && report.m_clock_ms < worker.m_clock_ms)
+    if (worker.m_reported && report.m_clock_ms < worker.m_clock_ms)
         return;
     worker.m_started_at = report.m_started_at;
     worker.m_last_report_at = m_now;
@@ -115,7 +115,7 @@
     worker.m_next_renewal =
         worker.stops_failing() ? m_now + m_options.m_workers.m_unpolled_renewal_interval : m_now;
     // An earlier leader's lease is no longer than this leader's.
-    if (!worker.m_synced)
+    if (!worker.m_reported)
         worker.m_lease_expires_at = std::max(worker.m_lease_expires_at, lease_end());
     for (const auto& running : report.m_running)
         adopt(worker, running);
@@ -129,7 +129,13 @@
         apply_end(worker, end);
     }
     end_missing_runs(worker, report, sent);
-    worker.m_synced = true;
+    worker.m_reported = true;
+    // A full report says nothing about the ends that follow it. Tasks that aren't listed as running
+    // may be among them.
+    if (report.m_ended.size() < max_ends_per_report)
+        worker.m_synced = true;
+    else if (!worker.m_synced)
+        m_ends_outstanding = true;
     // The next renewal acknowledges the ends once their effects are stored.
     constexpr duration unstored_renewal_delay = 1s;
     if (worker.m_ends_seen > worker.m_ends_stored)
@@ -231,24 +237,33 @@
     for (const auto& [key, placed] : placements)
         apply_end(worker, {.m_task = key, .m_run = placed.m_run, .m_end_kind = end_kind::lapsed});
     m_index.mark_changed(worker);
+    worker.m_reported = false;
     worker.m_synced = false;
     worker.m_earlier_leases_until = {};
     worker.m_earlier_leases_until_ms = 0;
     worker.m_next_renewal = m_now;
 }
 
-// True while workers that haven't reported yet may run tasks of an earlier leader.
-bool coordinator::workers_unsynced() const
+// True while workers may run tasks of an earlier leader, or list their ends.
+bool coordinator::workers_unsynced()
 {
-    if (m_now >= m_earlier_leases_until)
+    if (m_now >= m_earlier_leases_until && !m_ends_outstanding)
         return false;
-    return std::any_of(m_workers.begin(), m_workers.end(),
-                       [this](const auto& entry)
-                       {
-                           const auto& worker = entry.second;
-                           return !worker.m_synced && !worker.m_replaced &&
-                                  m_now < worker.m_earlier_leases_until;
-                       });
+    // The ends of a silent worker can be read until its lease is over.
+    const auto lists_ends = [this](const worker_state& worker)
+    {
+        return worker.m_reported && !worker.m_synced && !worker.m_replaced &&
+               (worker.m_failing_since == instant{} || m_now < worker.m_lease_expires_at);
+    };
+    m_ends_outstanding = std::any_of(m_workers.begin(), m_workers.end(),
+                                     [&](const auto& entry) { return lists_ends(entry.second); });
+    return m_ends_outstanding || std::any_of(m_workers.begin(), m_workers.end(),
+                                             [this](const auto& entry)
+                                             {
+                                                 const auto& worker = entry.second;
+                                                 return !worker.m_synced && !worker.m_replaced &&
+                                                        m_now < worker.m_earlier_leases_until;
+                                             });
 }
 
 } // namespace dragonflygap::cell
--- a/src/dragonflygap/cell/worker_state.hpp
+++ b/src/dragonflygap/cell/worker_state.hpp
@@ -78,7 +78,10 @@
     instant m_unlisted_since{}; ///< Valid if not listed.
     instant m_address_since{};  ///< When the list first gave its address.
     bool m_replaced = false;    ///< Another process answers at the address: this one ended.
-    bool m_synced = false;      ///< The worker has reported its tasks under this epoch.
+    /// The worker has reported under this epoch: its clock and what runs there are known.
+    bool m_reported = false;
+    /// It has also reported all of its ends, which may take several reports.
+    bool m_synced = false;
     worker_use m_use = worker_use::allowed;
     /// Leases of earlier leaders may last until then, unless the worker has reported since; by the
     /// local clock and by the store's.
--- a/tests/cell/restored_jobs_test.cpp
+++ b/tests/cell/restored_jobs_test.cpp
@@ -200,3 +200,111 @@
     leader.run(longest_lease);
     LONGS_EQUAL(0, leader.started("job"));
 }
+
+namespace
+{
+
+/// A job of which all tasks ended on one worker while there was no leader.
+struct ended_on_one_worker
+{
+    static constexpr int tasks = 1800;
+
+    ended_on_one_worker()
+    {
+        job_request request;
+        request.m_steps.push_back({.m_count = tasks, .m_size = {.m_millicores = 1}});
+        m_found = first_state();
+        m_found.m_jobs = {{{std::string(job_table), "job"},
+                           1,
+                           pack(job_record{{.m_name = queue_id("queue"),
+                                            .m_service = service_id("pool"),
+                                            .m_max_attempts = 2},
+                                           request})}};
+    }
+
+    /// Prepares a worker that has the ends but for what earlier leaders acknowledged.
+    void prepare(stub_cell& cell) const
+    {
+        auto& worker = cell.m_workers[stub_cell::name(0)];
+        for (int i = 0; i < tasks; ++i)
+            worker.m_ended.push_back({.m_number = ++worker.m_last_end,
+                                      .m_task = {job_id("job"), 0, 0, i},
+                                      .m_run = static_cast<std::uint64_t>(i + 1),
+                                      .m_end_kind = end_kind::done});
+    }
+
+    recovered_state m_found;
+};
+
+} // namespace
+
+// Review case 3: the first 500 ends were taken for all, and the tasks of the others started again.
+TEST(restored_jobs, wait_for_all_ends_that_a_worker_lists)
+{
+    const ended_on_one_worker ended;
+    stub_cell cell(ended.m_found);
+    ended.prepare(cell);
+    cell.list(2);
+    cell.run(3s);
+    LONGS_EQUAL(0, cell.started("job"));
+    STRCMP_EQUAL("completed", std::string(cell.m_coordinator.state_of(job_id("job"))).c_str());
+}
+
+// The effects of one report are stored before the next one can be asked for.
+TEST(restored_jobs, wait_for_ends_beyond_the_earlier_leases_while_the_store_is_silent)
+{
+    const ended_on_one_worker ended;
+    stub_cell cell(ended.m_found);
+    ended.prepare(cell);
+    cell.list(2);
+    cell.m_store_silent = true;
+    cell.run(longest_lease + 5s);
+    LONGS_EQUAL(0, cell.started("job"));
+    cell.m_store_silent = false;
+    cell.run(3s);
+    LONGS_EQUAL(0, cell.started("job"));
+    STRCMP_EQUAL("completed", std::string(cell.m_coordinator.state_of(job_id("job"))).c_str());
+}
+
+// Without it, the worker's other tasks would lapse while its ends are read.
+TEST(restored_jobs, keep_the_lease_of_a_worker_that_still_lists_ends)
+{
+    const ended_on_one_worker ended;
+    stub_cell cell(ended.m_found);
+    ended.prepare(cell);
+    auto& worker = cell.m_workers[stub_cell::name(0)];
+    worker.m_ended.pop_back();
+    worker.m_running[{job_id("job"), 0, 0, ended_on_one_worker::tasks - 1}] = 5000;
+    cell.list(2);
+    cell.m_store_silent = true;
+    cell.run(1s);
+    CHECK_TRUE(worker.m_leases > 0);
+}
+
+// A worker that falls silent between two reports may list the other ends until its lease is over.
+TEST(restored_jobs, wait_for_the_lease_of_a_worker_that_falls_silent_between_reports)
+{
+    const ended_on_one_worker ended;
+    stub_cell cell(ended.m_found);
+    ended.prepare(cell);
+    auto& worker = cell.m_workers[stub_cell::name(0)];
+    cell.feed(workers_listed{{{.m_id = stub_cell::name(0),
+                               .m_service = service_id("pool"),
+                               .m_address = endpoint{"10.0.0.1", 80},
+                               .m_capacity = {.m_millicores = 4000, .m_memory_mb = 4000}}}});
+    for (int i = 0; i < 100 && cell.m_coordinator.workers().at(stub_cell::name(0)).m_ends_seen == 0;
+         ++i)
+        cell.run(10ms);
+    worker.m_silent = true;
+    cell.list(2);
+    cell.run(1200ms);
+    const auto sent = cell.m_coordinator.workers().at(stub_cell::name(0)).m_renewal_sent_at;
+    cell.feed(renewal_answered{stub_cell::name(0), sent,
+                               fail(verdict::may_have_run, reason::timeout, "")});
+    cell.run(200ms);
+    LONGS_EQUAL(0, cell.started("job"));
+    worker.m_silent = false;
+    cell.run(3s);
+    LONGS_EQUAL(0, cell.started("job"));
+    STRCMP_EQUAL("completed", std::string(cell.m_coordinator.state_of(job_id("job"))).c_str());
+}
--- a/tests/cell/support/simulated_worker.hpp
+++ b/tests/cell/support/simulated_worker.hpp
@@ -14,6 +14,15 @@
 using namespace dragonflygap;
 using namespace dragonflygap::cell;
 
+/// The ends that a worker lists in one report.
+inline std::vector<ended_task> first_ends(std::vector<ended_task> ends)
+{
+    constexpr std::size_t ends_per_report = 500;
+    if (ends.size() > ends_per_report)
+        ends.resize(ends_per_report);
+    return ends;
+}
+
 /// A worker that accepts every order and answers renewals.
 struct simulated_worker
 {
@@ -76,7 +85,7 @@
         for (const auto& [task, run] : m_running)
             result.m_running.push_back(
                 {.m_task = task, .m_run = run.m_run, .m_progress_percent = run.percent(now)});
-        result.m_ended = m_ended;
+        result.m_ended = first_ends(m_ended);
         return result;
     }
 };
--- a/tests/cell/support/stub_cell.hpp
+++ b/tests/cell/support/stub_cell.hpp
@@ -8,6 +8,7 @@
 #include <vector>
 
 #include "cell/support/run_invariants.hpp"
+#include "cell/support/simulated_worker.hpp"
 #include "dragonflygap/cell/coordinator.hpp"
 
 #include <CppUTest/TestHarness.h>
@@ -187,7 +188,7 @@
                              .m_started_at = worker.m_started_at};
         for (const auto& [task, run] : worker.m_running)
             report.m_running.push_back({.m_task = task, .m_run = run, .m_progress_percent = 100});
-        report.m_ended = worker.m_ended;
+        report.m_ended = first_ends(worker.m_ended);
         m_answers.push_back(renewal_answered{request.m_worker.m_id, request.m_sent, report});
     }
     void act(const send_start& request)
--- a/tests/cell/support/worker_life.hpp
+++ b/tests/cell/support/worker_life.hpp
@@ -4,6 +4,7 @@
 #include <map>
 #include <vector>
 
+#include "cell/support/simulated_worker.hpp"
 #include "dragonflygap/cell/ports.hpp"
 #include "dragonflygap/cell/task_size.hpp"
 
@@ -72,7 +73,7 @@
                      state.m_done_at == instant{}
                          ? 0
                          : 100 - static_cast<int>((state.m_done_at - now) * 100 / 20s)});
-        result.m_ended = m_ended;
+        result.m_ended = first_ends(m_ended);
         return result;
     }
 
--- a/tests/node/support/stand_in_worker.cpp
+++ b/tests/node/support/stand_in_worker.cpp
@@ -1,6 +1,7 @@
 #include "node/support/stand_in_worker.hpp"
 
 #include <algorithm>
+#include <span>
 #include <utility>
 
 #include <nlohmann/json.hpp>
@@ -284,8 +285,9 @@
                                          100 * (clock() - run.m_started_at_ms) / run.m_run_time_ms);
         running.push_back({task, run.m_number, "", percent, 0});
     }
+    constexpr std::size_t ends_per_report = 500;
     json ended = json::array();
-    for (const auto& end : m_ends)
+    for (const auto& end : std::span(m_ends).first(std::min(m_ends.size(), ends_per_report)))
         ended.push_back({end.m_number, end.m_task, end.m_run, end.m_result, ""});
     return json{{"clock_ms", clock()},
                 {"born", m_process_start_ms + 1},
--- a/tests/node/takeover_test.cpp
+++ b/tests/node/takeover_test.cpp
@@ -363,3 +363,22 @@
     world.run(400ms);
     STRCMP_EQUAL("vm1", world.leader().c_str());
 }
+
+// Review case 3, as workers see it: the tasks of a wide step end while there is no leader.
+TEST(takeover, tasks_with_ends_beyond_the_first_report_are_not_started_again)
+{
+    constexpr int tasks = 1500;
+    cell_world world({.m_workers = 1, .m_approvals = false});
+    world.at(0).m_memory_mb = 1000000;
+    world.run(3s);
+    world.submit("vm1", job_name(1),
+                 {{.m_cpu = 1, .m_memory_mb = 1, .m_run_time = 3s, .m_gang_size = tasks}});
+    world.run(2500ms);
+    LONGS_EQUAL(tasks, world.at(0).running());
+    world.kill(world.leader());
+    world.run(12s);
+    for (const auto& [task, starts] : world.m_checker.m_starts)
+        LONGS_EQUAL(1, starts);
+    STRCMP_EQUAL("completed", world.state("vm2", job_name(1)).c_str());
+    check_no_violations(world);
+}
