--- a/src/dragonflygap/cell/commit_chain.cpp
+++ b/src/dragonflygap/cell/commit_chain.cpp
@@ -56,11 +56,16 @@
 }
 
 void commit_chain::drop()
+{
+    clear();
+    --m_record.m_commit;
+}
+
+void commit_chain::clear()
 {
     m_in_flight.reset();
     m_retry_at.reset();
     m_check_at.reset();
-    --m_record.m_commit;
 }
 
 commit_chain::status commit_chain::committed(std::uint64_t version, instant now)
@@ -72,9 +77,7 @@
     m_last_success_at = now;
     m_confirmed_at = m_begun_at;
     m_version = version;
-    m_in_flight.reset();
-    m_retry_at.reset();
-    m_check_at.reset();
+    clear();
     return status::committed;
 }
 
@@ -104,6 +107,12 @@
                                                 instant now)
 {
     --m_attempts_in_flight;
+    if (!result && result.error().m_reason == reason::never_fits)
+    {
+        // The number isn't used again: a row with it would be mistaken for the next transaction.
+        clear();
+        return status::rejected;
+    }
     if (!result)
     {
         m_certainly_not_run = m_certainly_not_run && result.error().m_verdict == verdict::not_run;
--- a/src/dragonflygap/cell/commit_chain.hpp
+++ b/src/dragonflygap/cell/commit_chain.hpp
@@ -36,6 +36,7 @@
         pending,  ///< Undecided: waits for the answer to another attempt.
         refused,  ///< No attempt had any effect: the transaction is dropped and has to be rebuilt.
         conflict, ///< Conditions other than the chain's own failed: rebuild it without them.
+        rejected, ///< The store will never accept it, so it has to be built otherwise. Dropped.
         deposed,  ///< Another leader has written the row.
     };
 
@@ -86,6 +87,7 @@
 
 private:
     void drop();
+    void clear();
     void schedule_check(instant now);
     status committed(std::uint64_t version, instant now);
 
--- a/src/dragonflygap/cell/coordinator.cpp
+++ b/src/dragonflygap/cell/coordinator.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <utility>
 
+#include "dragonflygap/cell/row_split.hpp"
 #include "dragonflygap/observe/log.hpp"
 
 namespace dragonflygap::cell
@@ -78,14 +79,7 @@
         job->m_next_run = (m_chain.record().m_epoch - 1) * m_options.m_runs_per_epoch + 1;
         m_jobs[job->id()] = std::move(job);
     }
-    for (const auto& row : found.m_progress)
-    {
-        const auto job = m_jobs.find(job_id(row.m_name.m_key));
-        const auto progress = unpack<progress_record>(row.m_value);
-        if (job == m_jobs.end() || !progress)
-            continue;
-        job->second->restore(*progress);
-    }
+    restore_progress(found);
     for (auto& [id, job] : m_jobs)
     {
         if (job->all_done())
@@ -98,6 +92,27 @@
     }
 }
 
+void coordinator::restore_progress(recovered_state& found)
+{
+    std::map<job_id, progress_record> all;
+    for (auto& row : found.m_progress)
+    {
+        const job_id id(std::string(name_of_row(row.m_name.m_key)));
+        const auto job = m_jobs.find(id);
+        auto progress = unpack<progress_record>(std::exchange(row.m_value, {}));
+        if (job == m_jobs.end())
+            continue;
+        job->second->m_progress_rows =
+            std::max(job->second->m_progress_rows, number_of_row(row.m_name.m_key) + 1);
+        if (progress)
+            merge(all[id], std::move(*progress));
+        else
+            log_event(log_level::error, "progress_row_unreadable", {{"key", row.m_name.m_key}});
+    }
+    for (const auto& [id, progress] : all)
+        m_jobs.at(id)->restore(progress);
+}
+
 std::vector<action> coordinator::handle(const event& incoming, instant now, std::int64_t unix_ms)
 {
     actions out;
--- a/src/dragonflygap/cell/coordinator.hpp
+++ b/src/dragonflygap/cell/coordinator.hpp
@@ -2,6 +2,7 @@
 
 #include <cstdint>
 #include <functional>
+#include <limits>
 #include <map>
 #include <memory>
 #include <optional>
@@ -34,8 +35,8 @@
     response_time_options m_orders;
     order_window_options m_order_window;
     std::size_t m_max_entries = 96; ///< Per transaction; the platform accepts 100.
-    /// Of a transaction's values; the platform accepts 1 MB encoded.
-    std::size_t m_max_bytes = 600000;
+    /// Of a transaction as it is sent; the platform accepts 1 MB.
+    std::size_t m_max_bytes = 900000;
     duration m_store_timeout = 700ms; ///< Without the store for longer, submissions are rejected.
     /// For jobs rejected without the store; outages last seconds.
     std::int64_t m_store_retry_after_ms = 1000;
@@ -62,6 +63,7 @@
     std::vector<stored_row> m_progress;
     std::vector<std::pair<worker_id, std::string>> m_workers;
     std::uint64_t m_workers_epoch = 0; ///< Of the leader that stored the workers.
+    std::size_t m_worker_rows = 0;     ///< That hold them.
     std::vector<unheard_workers> m_unheard;
     std::int64_t m_store_ms = 0;     ///< The store's clock after the takeover; 0: unknown.
     bool m_predecessor_gone = false; ///< The previous leader's process is known to have ended.
@@ -156,6 +158,7 @@
 
     // coordinator.cpp: jobs and calls
     void restore_jobs(recovered_state& found);
+    void restore_progress(recovered_state& found);
     void answer_calls(job_state& job, call_status status);
     void end_job(job_state& job, job_outcome outcome);
     void update_ready_steps(job_state& job);
@@ -170,7 +173,13 @@
 
     // coordinator_commits.cpp: transactions and their results
     void build_commit();
+    void add_jobs(transaction& change, batch& contents);
     bool add_job(job_state& job, transaction& change, batch& contents);
+    transaction changes_of(job_state& job);
+    void add_progress(job_state& job, transaction& change);
+    static void delete_progress(const job_state& job, std::size_t first, transaction& change);
+    void take_apart();
+    void give_way(const job_id& job);
     void apply_commit_status(commit_chain::status status);
     void committed();
     void drop_duplicates(const transaction_result& result);
@@ -308,6 +317,11 @@
     worker_number m_next_checked = 0; ///< Where the next tick goes on looking at all workers.
     bool m_workers_dirty = false;
     std::optional<batch> m_batch;
+    static constexpr std::size_t all_jobs = std::numeric_limits<std::size_t>::max();
+    std::size_t m_max_jobs = all_jobs; ///< In a transaction.
+    std::set<job_id> m_refused;        ///< By the store, so they are sent alone.
+    std::size_t m_worker_rows = 0;     ///< That the store may have.
+    instant m_workers_not_before{};    ///< Backoff after the store refused these rows.
     room_claims m_claims{m_index};
     std::uint64_t m_last_approval_call = 0;
     response_time m_order_time;
--- a/src/dragonflygap/cell/coordinator_commits.cpp
+++ b/src/dragonflygap/cell/coordinator_commits.cpp
@@ -1,7 +1,9 @@
 #include <algorithm>
+#include <iterator>
 #include <utility>
 
 #include "dragonflygap/cell/coordinator.hpp"
+#include "dragonflygap/cell/row_split.hpp"
 #include "dragonflygap/observe/log.hpp"
 
 namespace dragonflygap::cell
@@ -15,14 +17,22 @@
     return {std::string(table), job.m_value};
 }
 
-std::size_t bytes_of(const transaction& change)
+// A call to the store carries names as text and values as base64.
+std::size_t encoded_bytes(const transaction& change)
 {
-    std::size_t bytes = 0;
+    constexpr std::size_t entry_bytes = 100;
+    std::size_t bytes = change.entries() * entry_bytes;
     for (const auto& write : change.m_writes)
-        bytes += write.m_value.size();
+        bytes += (write.m_value.size() + 2) / 3 * 4;
     return bytes;
 }
 
+template <class T>
+void append(std::vector<T>& to, std::vector<T>&& from)
+{
+    to.insert(to.end(), std::make_move_iterator(from.begin()), std::make_move_iterator(from.end()));
+}
+
 } // namespace
 
 bool coordinator::store_unavailable() const
@@ -43,14 +53,29 @@
            m_options.m_renewal_store_timeout;
 }
 
-// Adds one job's changes; false if they don't fit into the transaction.
+// Adds one job's changes; false if they don't fit into the transaction beside others.
 bool coordinator::add_job(job_state& job, transaction& change, batch& contents)
 {
-    constexpr std::size_t max_entries_per_job = 4;
-    if (change.entries() + max_entries_per_job > m_options.m_max_entries ||
-        bytes_of(change) > m_options.m_max_bytes)
+    constexpr std::size_t least_entries = 4;
+    const bool alone = change.entries() == 0;
+    if (!alone && (change.entries() + least_entries > m_options.m_max_entries ||
+                   encoded_bytes(change) > m_options.m_max_bytes))
+        return false;
+    auto added = changes_of(job);
+    if (!alone && (change.entries() + added.entries() > m_options.m_max_entries ||
+                   encoded_bytes(change) + encoded_bytes(added) > m_options.m_max_bytes))
         return false;
     contents.m_jobs.push_back(job.id());
+    job.m_dirty = false;
+    append(change.m_conditions, std::move(added.m_conditions));
+    append(change.m_writes, std::move(added.m_writes));
+    append(change.m_deletes, std::move(added.m_deletes));
+    return true;
+}
+
+transaction coordinator::changes_of(job_state& job)
+{
+    transaction change;
     if (!job.m_stored)
         change.m_conditions.push_back({row_of(ended_table, job.id()), 0});
     if (job.m_outcome)
@@ -60,14 +85,72 @@
         if (job.m_stored)
         {
             change.m_deletes.push_back(row_of(job_table, job.id()));
-            change.m_deletes.push_back(row_of(progress_table, job.id()));
+            delete_progress(job, 0, change);
         }
     }
     else if (!job.m_stored)
         change.m_writes.push_back({row_of(job_table, job.id()), pack(job.record())});
     else
-        change.m_writes.push_back({row_of(progress_table, job.id()), pack(job.progress())});
-    return true;
+        add_progress(job, change);
+    return change;
+}
+
+void coordinator::delete_progress(const job_state& job, std::size_t first, transaction& change)
+{
+    for (auto i = first; i < std::max<std::size_t>(1, job.m_progress_rows); ++i)
+        change.m_deletes.push_back({std::string(progress_table), row_key(job.id().m_value, i)});
+}
+
+// A wide step of tasks that checkpoint takes several rows. Ends are stored at once; the rows beyond
+// them, with checkpoints alone, only now and then, as they change with each report.
+void coordinator::add_progress(job_state& job, transaction& change)
+{
+    constexpr std::size_t max_rows = 6; // of 1 MB that a transaction may have
+    constexpr duration checkpoint_interval = 2s;
+    auto progress = job.progress();
+    if (job.m_store_without_checkpoints)
+        for (auto& task : progress.m_tasks)
+            task.m_checkpoint.clear();
+    auto packed = pack_progress(progress, max_rows);
+    const bool all = packed.m_rows.size() == packed.m_with_ends ||
+                     job.m_checkpoints_stored_at == instant{} ||
+                     m_now - job.m_checkpoints_stored_at >= checkpoint_interval;
+    const auto count = all ? packed.m_rows.size() : packed.m_with_ends;
+    for (std::size_t i = 0; i < count; ++i)
+        change.m_writes.push_back({{std::string(progress_table), row_key(job.id().m_value, i)},
+                                   std::move(packed.m_rows[i])});
+    if (all)
+    {
+        delete_progress(job, count, change);
+        job.m_checkpoints_stored_at = m_now;
+    }
+    job.m_progress_rows = std::max(job.m_progress_rows, count);
+}
+
+// Adds the changes of as many jobs as fit, or of one that the store refused before.
+void coordinator::add_jobs(transaction& change, batch& contents)
+{
+    std::erase_if(m_refused, [this](const job_id& id) { return find(id) == nullptr; });
+    for (const auto& id : m_refused)
+        if (auto& job = *find(id); m_now >= job.m_store_not_before && m_dirty.count(id) != 0)
+        {
+            if (add_job(job, change, contents))
+                m_dirty.erase(id);
+            return;
+        }
+    std::vector<job_id> added;
+    for (const auto& id : m_dirty)
+    {
+        if (m_refused.count(id) != 0)
+            continue;
+        job_state* job = find(id);
+        if (job != nullptr &&
+            (contents.m_jobs.size() >= m_max_jobs || !add_job(*job, change, contents)))
+            break;
+        added.push_back(id);
+    }
+    for (const auto& id : added)
+        m_dirty.erase(id);
 }
 
 void coordinator::build_commit()
@@ -90,20 +173,15 @@
         return;
     transaction change;
     batch contents;
-    std::vector<job_id> added;
-    for (const auto& id : m_dirty)
-    {
-        job_state* job = find(id);
-        if (job != nullptr && !add_job(*job, change, contents))
-            break;
-        added.push_back(id);
-        if (job != nullptr)
-            job->m_dirty = false;
-    }
-    for (const auto& id : added)
-        m_dirty.erase(id);
-    if (m_workers_dirty)
+    if (m_workers_dirty && m_now >= m_workers_not_before)
         store_workers(change, contents);
+    // While a transaction that the store rejected is taken apart, the workers go alone.
+    if (!contents.m_workers || m_max_jobs == all_jobs)
+        add_jobs(change, contents);
+    // Jobs that the store refused wait before they are sent again.
+    if (contents.m_jobs.empty() && !contents.m_workers && changed && !m_dirty.empty() &&
+        !m_chain.due(m_now))
+        return;
     // All changes caused by the ends seen so far are in this transaction or an earlier one.
     if (m_dirty.empty())
         for (const auto& [id, worker] : m_workers)
@@ -144,6 +222,9 @@
     case commit_chain::status::refused:
         requeue();
         break;
+    case commit_chain::status::rejected:
+        take_apart();
+        break;
     case commit_chain::status::conflict:
     case commit_chain::status::retry:
     case commit_chain::status::pending:
@@ -155,11 +236,15 @@
 void coordinator::committed()
 {
     const batch contents = std::exchange(m_batch, std::nullopt).value_or(batch{});
+    if (!contents.m_jobs.empty())
+        m_max_jobs = m_max_jobs >= m_options.m_max_entries ? all_jobs : 2 * m_max_jobs;
     for (const auto& id : contents.m_jobs)
     {
         job_state* job = find(id);
         if (job == nullptr)
             continue;
+        job->m_store_refusals = 0;
+        m_refused.erase(id);
         const bool accepted_now = !job->m_stored;
         job->m_stored = true;
         if (job->m_outcome && m_dirty.count(id) == 0)
@@ -197,6 +282,62 @@
     m_workers_dirty = m_workers_dirty || contents.m_workers;
 }
 
+// The store will never accept the last transaction. The next ones have ever fewer jobs, until the
+// one that can't be stored stands alone.
+void coordinator::take_apart()
+{
+    const batch contents = m_batch.value_or(batch{});
+    log_event(log_level::error, "commit_rejected",
+              {{"jobs", contents.m_jobs.size()}, {"workers", contents.m_workers}});
+    requeue();
+    if (contents.m_jobs.size() == 1 && !contents.m_workers)
+        return give_way(contents.m_jobs.front());
+    constexpr duration workers_retry = 1s;
+    if (contents.m_jobs.empty() && contents.m_workers)
+        m_workers_not_before = m_now + workers_retry;
+    m_max_jobs = std::max<std::size_t>(1, contents.m_jobs.size() / 2);
+}
+
+// Lets the others pass a job that the store refuses. Without checkpoints it may be accepted; at the
+// worst it fails, as nothing that happens to it can be kept.
+void coordinator::give_way(const job_id& id)
+{
+    constexpr duration first_retry = 250ms;
+    constexpr duration longest_retry = 8s;
+    constexpr int max_refusals = 6;
+    job_state* job = find(id);
+    if (job == nullptr)
+        return;
+    // If the store refuses even the leader's own row, it isn't the job.
+    if (job->m_store_refusals == 0 || m_chain.last_success_at() > job->m_store_refused_at)
+        ++job->m_store_refusals;
+    job->m_store_refused_at = m_now;
+    m_refused.insert(id);
+    log_event(log_level::error, "job_not_stored",
+              {{"job", id.m_value},
+               {"refusals", job->m_store_refusals},
+               {"accepted", job->m_stored},
+               {"progress_rows", job->m_progress_rows}});
+    if (!job->m_stored)
+    {
+        answer_calls(*job, call_status::rejected);
+        end_job(*job, job_outcome::cancelled);
+        m_dirty.erase(id);
+        m_jobs.erase(id);
+        return;
+    }
+    const bool had_checkpoints = !std::exchange(job->m_store_without_checkpoints, true);
+    if (had_checkpoints && !job->m_outcome)
+        return;
+    job->m_store_not_before =
+        m_now + std::min(longest_retry, first_retry * (1 << std::min(job->m_store_refusals, 8)));
+    if (job->m_store_refusals >= max_refusals && !job->m_outcome)
+    {
+        end_job(*job, job_outcome::failed);
+        job->m_store_not_before = {};
+    }
+}
+
 // While the store is unavailable, rejects jobs that were never sent to it, or only in transactions
 // without effect: they aren't stored and will never run.
 void coordinator::reject_unstored()
--- a/src/dragonflygap/cell/coordinator_worker_use.cpp
+++ b/src/dragonflygap/cell/coordinator_worker_use.cpp
@@ -5,6 +5,7 @@
 #include <vector>
 
 #include "dragonflygap/cell/coordinator.hpp"
+#include "dragonflygap/cell/row_split.hpp"
 
 namespace dragonflygap::cell
 {
@@ -33,6 +34,7 @@
         workers.push_back(&worker);
     }
     m_workers_dirty = true;
+    m_worker_rows = found.m_worker_rows;
     const auto stored_since = found.m_self.m_uses_stored_since;
     m_uses_stored = stored_since != 0 && found.m_workers_epoch >= stored_since;
     if (!m_store_clock_known)
@@ -121,8 +123,13 @@
     }
     for (auto& [key, positions] : unheard)
         record.m_unheard.push_back({key.first, key.second, std::move(positions)});
-    change.m_writes.push_back(
-        {{std::string(workers_table), std::string(workers_key)}, pack(record)});
+    auto rows = pack_workers(record);
+    for (std::size_t i = 0; i < rows.size(); ++i)
+        change.m_writes.push_back(
+            {{std::string(workers_table), row_key(workers_key, i)}, std::move(rows[i])});
+    for (auto i = rows.size(); i < m_worker_rows; ++i)
+        change.m_deletes.push_back({std::string(workers_table), row_key(workers_key, i)});
+    m_worker_rows = std::max(m_worker_rows, rows.size());
     contents.m_workers = true;
     m_workers_dirty = false;
 }
--- a/src/dragonflygap/cell/job_state.cpp
+++ b/src/dragonflygap/cell/job_state.cpp
@@ -79,6 +79,35 @@
     std::erase_if(progress.m_tasks, is_plainly_done);
 }
 
+/// Takes the ranges of a step that are many as bits.
+void use_bits(progress_record& progress, const std::vector<step_spec>& steps)
+{
+    constexpr std::size_t range_bytes = 10;
+    constexpr std::size_t bits_per_byte = 8;
+    std::map<std::pair<int, int>, std::vector<done_range>> by_step;
+    for (const auto& range : progress.m_done)
+        if (range.m_first_index != task_progress::whole_step)
+            by_step[{range.m_step, range.m_first_occurrence}].push_back(range);
+    for (const auto& [step, ranges] : by_step)
+    {
+        const std::size_t bytes = steps[step.first].m_count / bits_per_byte + 1;
+        if (ranges.size() * range_bytes <= bytes)
+            continue;
+        done_bits bits{
+            .m_step = step.first, .m_occurrence = step.second, .m_bits = std::string(bytes, '\0')};
+        for (const auto& range : ranges)
+            for (int i = range.m_first_index; i <= range.m_last_index; ++i)
+                bits.m_bits[i / bits_per_byte] |= static_cast<char>(1U << (i % bits_per_byte));
+        progress.m_done_bits.push_back(std::move(bits));
+        std::erase_if(progress.m_done,
+                      [&step = step](const done_range& range)
+                      {
+                          return range.m_first_index != task_progress::whole_step &&
+                                 std::pair(range.m_step, range.m_first_occurrence) == step;
+                      });
+    }
+}
+
 } // namespace
 
 job_state::job_state(job_id id, job_record record, std::shared_ptr<memory_budget> budget)
@@ -169,8 +198,13 @@
         task_state* task = find(key);
         if (task == nullptr)
             continue;
-        task->m_failed_runs = saved.m_failed_runs;
-        task->m_checkpoint = saved.m_checkpoint;
+        // Several rows may hold entries of a task, some from earlier.
+        for (const auto run : saved.m_failed_runs)
+            if (std::find(task->m_failed_runs.begin(), task->m_failed_runs.end(), run) ==
+                task->m_failed_runs.end())
+                task->m_failed_runs.push_back(run);
+        if (!saved.m_checkpoint.empty())
+            task->m_checkpoint = saved.m_checkpoint;
         if (saved.m_done)
             set_done(key);
     }
@@ -182,9 +216,21 @@
         else
             restore_tasks(range);
     }
+    for (const auto& bits : progress.m_done_bits)
+        restore_bits(bits);
     restore_steps(done_steps);
 }
 
+void job_state::restore_bits(const done_bits& bits)
+{
+    constexpr std::size_t bits_per_byte = 8;
+    m_started = true;
+    for (std::size_t i = 0; i < bits.m_bits.size() * bits_per_byte; ++i)
+        if (((static_cast<unsigned char>(bits.m_bits[i / bits_per_byte]) >> (i % bits_per_byte)) &
+             1U) != 0)
+            set_done({m_id, bits.m_occurrence, bits.m_step, static_cast<int>(i)});
+}
+
 void job_state::restore_tasks(const done_range& range)
 {
     for (int i = range.m_first_index; i <= range.m_last_index; ++i)
@@ -240,7 +286,10 @@
         for (int s = 0; s < steps(); ++s)
             add_progress(result, k, s);
     if (result.m_tasks.size() > max_plain_entries)
+    {
         compact(result);
+        use_bits(result, m_record.m_request.m_steps);
+    }
     return result;
 }
 
--- a/src/dragonflygap/cell/job_state.hpp
+++ b/src/dragonflygap/cell/job_state.hpp
@@ -124,8 +124,14 @@
 
     // The outcome once it is decided; callers see it after it is stored.
     std::optional<job_outcome> m_outcome;
-    bool m_stored = false; ///< The job's row is durable, so the job is accepted.
-    bool m_dirty = true;   ///< Some changes aren't durable yet.
+    bool m_stored = false;                    ///< The job's row is durable, so the job is accepted.
+    bool m_dirty = true;                      ///< Some changes aren't durable yet.
+    std::size_t m_progress_rows = 0;          ///< That the store may have.
+    instant m_checkpoints_stored_at{};        ///< When all of those rows were written last.
+    bool m_store_without_checkpoints = false; ///< The store refused them.
+    int m_store_refusals = 0; ///< In a row, of transactions with nothing else in them.
+    instant m_store_refused_at{};
+    instant m_store_not_before{}; ///< Backoff after such a refusal.
     /// From an earlier leader: its tasks may run on workers that haven't reported.
     bool m_restored = false;
     std::uint64_t m_next_run = 1;
@@ -135,6 +141,7 @@
     instant m_ended_at{};
 
 private:
+    void restore_bits(const done_bits& bits);
     void restore_tasks(const done_range& range);
     void restore_steps(const std::vector<number_ranges>& done_steps);
     std::int64_t tasks_per_occurrence() const;
--- a/src/dragonflygap/cell/records.hpp
+++ b/src/dragonflygap/cell/records.hpp
@@ -84,16 +84,32 @@
     MSGPACK_DEFINE(m_step, m_first_occurrence, m_last_occurrence, m_first_index, m_last_index)
 };
 
+/// Tasks of a step of one occurrence that are done.
+struct done_bits
+{
+    int m_step = 0;
+    int m_occurrence = 0;
+    std::string m_bits; ///< Bit i % 8 of byte i / 8: task i is done.
+
+    MSGPACK_DEFINE(m_step, m_occurrence, m_bits)
+};
+
+/// Progress of a job, in one row or several. Each entry holds by itself, so an entry that was
+/// stored earlier, or twice, does no harm.
 struct progress_record
 {
     std::vector<task_progress> m_tasks; ///< Only tasks with progress.
     /// Done tasks that aren't in m_tasks; used only for long schedules and wide steps, as earlier
     /// versions don't read it.
     std::vector<done_range> m_done;
+    /// Done tasks that would take many ranges.
+    std::vector<done_bits> m_done_bits;
 
-    MSGPACK_DEFINE(m_tasks, m_done)
+    MSGPACK_DEFINE(m_tasks, m_done, m_done_bits)
 };
 
+inline constexpr std::size_t max_row_bytes = 65536; ///< The store refuses a larger row.
+
 /// Workers that haven't reported to the leader that wrote the row.
 struct unheard_workers
 {
@@ -104,8 +120,8 @@
     MSGPACK_DEFINE(m_leases_until_ms, m_used, m_positions)
 };
 
-/// All workers that may run tasks of this cell: a new leader needs a report from each, or waits
-/// until the leases there have run out.
+/// Workers that may run tasks of this cell, in one row or several: a new leader needs a report from
+/// each, or waits until the leases there have run out.
 struct workers_record
 {
     std::vector<std::pair<worker_id, std::string>> m_workers; ///< With their addresses.
@@ -114,7 +130,7 @@
 
     MSGPACK_DEFINE(m_workers, m_epoch, m_unheard)
 };
-inline constexpr std::string_view workers_table = "workers"; ///< One row: workers_record.
+inline constexpr std::string_view workers_table = "workers"; ///< Each row: workers_record.
 inline constexpr std::string_view workers_key = "workers";
 
 enum class job_outcome
--- a/src/dragonflygap/node/takeover.cpp
+++ b/src/dragonflygap/node/takeover.cpp
@@ -2,6 +2,8 @@
 
 #include <utility>
 
+#include "dragonflygap/cell/row_split.hpp"
+
 namespace dragonflygap::node
 {
 
@@ -53,13 +55,14 @@
     scan(state, cell::workers_table,
          [state](const std::vector<cell::stored_row>& rows)
          {
+             cell::workers_record all;
              for (const auto& row : rows)
                  if (auto record = cell::unpack<cell::workers_record>(row.m_value))
-                 {
-                     state->m_recovered.m_workers = std::move(record->m_workers);
-                     state->m_recovered.m_workers_epoch = record->m_epoch;
-                     state->m_recovered.m_unheard = std::move(record->m_unheard);
-                 }
+                     cell::merge(all, std::move(*record));
+             state->m_recovered.m_workers = std::move(all.m_workers);
+             state->m_recovered.m_workers_epoch = all.m_epoch;
+             state->m_recovered.m_unheard = std::move(all.m_unheard);
+             state->m_recovered.m_worker_rows = rows.size();
          });
 }
 
--- a/tests/cell/commit_chain_test.cpp
+++ b/tests/cell/commit_chain_test.cpp
@@ -177,3 +177,18 @@
     chain.begin({}, now + 30ms);
     CHECK_TRUE(*chain.check_at() < now + 300ms);
 }
+
+// Otherwise it would be sent again for good, as if its answer had been lost.
+TEST(commit_chain, a_transaction_that_is_refused_for_good_is_dropped)
+{
+    auto chain = make_chain();
+    chain.begin({}, start);
+    const auto sent = chain.record();
+    CHECK(commit_chain::status::rejected ==
+          chain.apply_answer(fail(verdict::not_run, reason::never_fits, ""), start));
+    CHECK_TRUE(chain.idle(start + 1s));
+    CHECK_FALSE(chain.retry_at().has_value());
+    // If it took effect after all, that isn't taken for the next transaction.
+    chain.begin({}, start + 1s);
+    CHECK(commit_chain::status::deposed == chain.apply_answer(conflict(sent, 9), start + 1s));
+}
--- a/tests/cell/support/stub_cell.hpp
+++ b/tests/cell/support/stub_cell.hpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <functional>
+#include <limits>
 #include <map>
 #include <string>
 #include <utility>
@@ -9,6 +10,7 @@
 
 #include "cell/support/run_invariants.hpp"
 #include "cell/support/simulated_worker.hpp"
+#include "cell/support/store_limits.hpp"
 #include "dragonflygap/cell/coordinator.hpp"
 
 #include <CppUTest/TestHarness.h>
@@ -112,12 +114,12 @@
         return found == m_started.end() ? 0 : found->second;
     }
 
-    /// Ends all running tasks of a job.
-    void end(const std::string& id, end_kind kind)
+    /// Ends the running tasks of a job, or as many of them.
+    void end(const std::string& id, end_kind kind, int most = std::numeric_limits<int>::max())
     {
         for (auto& [worker, state] : m_workers)
             for (auto task = state.m_running.begin(); task != state.m_running.end();)
-                if (task->first.m_job == job_id(id))
+                if (task->first.m_job == job_id(id) && most-- > 0)
                 {
                     state.m_ended.push_back({.m_number = ++state.m_last_end,
                                              .m_task = task->first,
@@ -140,6 +142,7 @@
         int m_long_polls = 0; ///< Renewals that would wait for an end.
         int m_leases = 0;     ///< Renewals that extended the lease.
         std::uint64_t m_started_at = 1;
+        std::string m_checkpoint; ///< Of all its tasks.
     };
 
     instant m_now{10s};
@@ -149,8 +152,11 @@
     std::int64_t m_valid_ms = 2500; ///< Of the issued tickets.
     bool m_store_silent = false;    ///< The store's answers are kept back.
     std::vector<event> m_unsent_answers;
-    std::map<row_name, std::string> m_rows; ///< As written by the coordinator.
-    std::vector<answer_call> m_answered;    ///< Submissions and cancellations.
+    std::map<row_name, std::string> m_rows;            ///< As written by the coordinator.
+    std::vector<answer_call> m_answered;               ///< Submissions and cancellations.
+    std::function<bool(const transaction&)> m_refuses; ///< What else the store refuses.
+    int m_commits = 0;
+    int m_rejected_commits = 0;
     int m_calls = 0;
     int m_renewals = 0;
     std::size_t m_max_named = 0;
@@ -167,6 +173,15 @@
     void act(const step_down&) { FAIL("stepped down"); }
     void act(const send_commit& request)
     {
+        ++m_commits;
+        if (!accepts(request.m_change) || (m_refuses && m_refuses(request.m_change)))
+        {
+            ++m_rejected_commits;
+            m_answers.push_back(commit_answered{request.m_number, rejected()});
+            return;
+        }
+        for (const auto& name : request.m_change.m_deletes)
+            m_rows.erase(name);
         for (const auto& write : request.m_change.m_writes)
             m_rows[write.m_row] = write.m_value;
         (m_store_silent ? m_unsent_answers : m_answers)
@@ -187,7 +202,10 @@
         worker_report report{.m_clock_ms = to_ms(m_now.time_since_epoch()),
                              .m_started_at = worker.m_started_at};
         for (const auto& [task, run] : worker.m_running)
-            report.m_running.push_back({.m_task = task, .m_run = run, .m_progress_percent = 100});
+            report.m_running.push_back({.m_task = task,
+                                        .m_run = run,
+                                        .m_checkpoint = worker.m_checkpoint,
+                                        .m_progress_percent = 100});
         report.m_ended = first_ends(worker.m_ended);
         m_answers.push_back(renewal_answered{request.m_worker.m_id, request.m_sent, report});
     }
--- a/tests/cell/support/troubled_cell.hpp
+++ b/tests/cell/support/troubled_cell.hpp
@@ -7,6 +7,7 @@
 #include <utility>
 
 #include "cell/support/run_invariants.hpp"
+#include "cell/support/store_limits.hpp"
 #include "cell/support/worker_life.hpp"
 
 namespace simulated
@@ -207,7 +208,9 @@
               {
                   if (leader->m_cut_from_store)
                       return feed(leader, commit_answered{action.m_number, timed_out()});
-                  const auto result = commit(action.m_change);
+                  outcome<transaction_result> result = rejected();
+                  if (accepts(action.m_change))
+                      result = commit(action.m_change);
                   later(delay(),
                         [=, this] {
                             feed(leader, commit_answered{action.m_number, result});
--- a/tests/node/support/cell_world_callers.cpp
+++ b/tests/node/support/cell_world_callers.cpp
@@ -25,6 +25,8 @@
                    {"cpu", step.m_cpu},
                    {"requested_memory_mb", step.m_memory_mb},
                    {"estimated_duration_ms", to_ms(step.m_run_time)}};
+        if (step.m_checkpoints)
+            entry["checkpointing"] = true;
         if (step.m_gang)
             entry["gang"] = true;
         if (!step.m_depends_on.empty())
--- a/tests/node/support/stand_in_store.cpp
+++ b/tests/node/support/stand_in_store.cpp
@@ -91,7 +91,15 @@
 
 http_response store::transact(const std::string& body)
 {
+    constexpr std::size_t call_bytes = 1000000;
+    if (body.size() > call_bytes)
+        return json_response(413, "{}");
     const auto change = json::parse(body);
+    constexpr std::size_t max_entries = 100;
+    if (change.at("precondition").size() + change.at("writes").size() +
+            change.at("deletes").size() >
+        max_entries)
+        return json_response(400, "{}");
     json conflicts = json::array();
     bool failed = false;
     for (const auto& condition : change.at("precondition"))
--- a/tests/node/support/stand_in_worker.cpp
+++ b/tests/node/support/stand_in_worker.cpp
@@ -283,7 +283,10 @@
                 ? 0
                 : std::min<std::int64_t>(100,
                                          100 * (clock() - run.m_started_at_ms) / run.m_run_time_ms);
-        running.push_back({task, run.m_number, "", percent, 0});
+        const auto key = *wire::parse_task_name(task);
+        const auto* spec = m_checker.m_find_spec(key.m_job.m_value, key.m_step);
+        const bool saves = spec != nullptr && spec->m_checkpoints;
+        running.push_back({task, run.m_number, saves ? "00000bb87a21d94b" : "", percent, 0});
     }
     constexpr std::size_t ends_per_report = 500;
     json ended = json::array();
--- a/tests/node/support/stand_in_worker.hpp
+++ b/tests/node/support/stand_in_worker.hpp
@@ -25,6 +25,7 @@
     duration m_run_time = 300ms;
     duration m_member_run_time{}; ///< After it a gang's member waits for the others; 0: m_run_time.
     bool m_always_fails = false;
+    bool m_checkpoints = false;
     bool m_gang = false;
     int m_gang_size = 1;
     std::vector<int> m_depends_on;
--- a/tests/node/takeover_test.cpp
+++ b/tests/node/takeover_test.cpp
@@ -382,3 +382,34 @@
     STRCMP_EQUAL("completed", world.state("vm2", job_name(1)).c_str());
     check_no_violations(world);
 }
+
+// Review case 2, as callers see it: while a wide step of tasks that checkpoint ran, no other job
+// was accepted or cancelled.
+TEST(takeover, a_wide_step_of_checkpoints_leaves_the_store_to_other_jobs)
+{
+    constexpr int tasks = 2800;
+    cell_world world({.m_workers = 2, .m_approvals = false});
+    for (int i = 0; i < 2; ++i)
+        world.at(i).m_memory_mb = 1000000;
+    world.run(3s);
+    world.submit("vm0", job_name(1), {{.m_cpu = 1000, .m_run_time = 60s}});
+    world.submit("vm1", job_name(2),
+                 {{.m_cpu = 1,
+                   .m_memory_mb = 1,
+                   .m_run_time = 30s,
+                   .m_checkpoints = true,
+                   .m_gang_size = tasks},
+                  {.m_cpu = 1, .m_memory_mb = 1, .m_run_time = 4s}});
+    world.run(8s);
+    LONGS_EQUAL(200, world.m_submissions.at(job_name(2)).m_status);
+    world.submit("vm2", job_name(3), {{}});
+    world.cancel("vm1", job_name(1));
+    world.run(3s);
+    LONGS_EQUAL(200, world.m_submissions.at(job_name(3)).m_status);
+    STRCMP_EQUAL("cancelled", world.state("vm2", job_name(1)).c_str());
+    STRCMP_EQUAL("completed", world.state("vm0", job_name(3)).c_str());
+    world.kill(world.leader());
+    world.run(30s);
+    STRCMP_EQUAL("completed", world.state("vm1", job_name(2)).c_str());
+    check_no_violations(world);
+}
