Acknowledge ends only to the life of a worker that reported them

Callers saw: a task that had ended done started again (TWICE), after its worker had restarted under its id with nothing running. Cause: each renewal carried the number of the last stored end. A new life numbers its ends from 1, so the first renewal that reached it made it forget ends that nobody had read. Evidence: the troubled cell now draws schedules, lists three ends in a report, and checks that no task starts after its end was acknowledged. Change: the number is sent only until a renewal that carried it was answered, and only while the worker answers at the address at which it reported last. Reports list the same ends without it. Open: a worker that restarts between its report and the acknowledgement, and ends a task in that time.

--- a/src/dragonflygap/cell/coordinator_workers.cpp
+++ b/src/dragonflygap/cell/coordinator_workers.cpp
@@ -33,8 +33,20 @@
     const auto& options = m_options.m_workers;
     constexpr duration min_timeout = 1200ms;
     constexpr duration margin = 500ms; // The report is longer than the answer to an order.
-    renewal order{.m_acknowledged = worker.m_ends_stored,
-                  .m_timeout = std::max<duration>(min_timeout, m_order_time.timeout() + margin)};
+    renewal order{.m_timeout = std::max<duration>(min_timeout, m_order_time.timeout() + margin)};
+    // A worker that restarts under its id numbers its ends anew, and would forget those that nobody
+    // has read. So a number is sent only until it is answered, and not while the worker may be
+    // another life than the one that reported last.
+    const bool same_life =
+        worker.m_failing_since == instant{} && worker.m_last_report_at > worker.m_address_since;
+    if (!same_life)
+        worker.m_ends_ack_sent = worker.m_ends_acked;
+    else if (worker.m_ends_stored > worker.m_ends_acked)
+    {
+        order.m_acknowledged = worker.m_ends_stored;
+        if (std::exchange(worker.m_ends_ack_sent, worker.m_ends_stored) != worker.m_ends_stored)
+            worker.m_ack_sent_at = m_now;
+    }
     const bool answers = worker.m_failing_since == instant{} ||
                          m_now - worker.m_failing_since < options.m_silence_timeout;
     const bool orders_lost = worker.stops_failing() &&
@@ -90,6 +102,8 @@
         }
         return;
     }
+    if (event.m_sent >= worker.m_ack_sent_at)
+        worker.m_ends_acked = std::max(worker.m_ends_acked, worker.m_ends_ack_sent);
     apply_report(worker, *event.m_result, event.m_sent);
     record_report(worker);
 }
@@ -101,7 +115,8 @@
     {
         // The worker restarted under the same id and lost its state.
         handle_worker_loss(worker, "restarted");
-        worker.m_ends_seen = worker.m_ends_stored = worker.m_ends_acked = 0;
+        worker.m_ends_seen = worker.m_ends_stored = 0;
+        worker.m_ends_acked = worker.m_ends_ack_sent = 0;
         worker.m_clock_ms = 0;
     }
     // Reports on different connections may arrive out of order.
@@ -111,7 +126,6 @@
     worker.m_last_report_at = m_now;
     worker.m_failing_since = {};
     worker.m_clock_ms = report.m_clock_ms;
-    worker.m_ends_acked = std::max(worker.m_ends_acked, worker.m_ends_stored);
     worker.m_next_renewal =
         worker.stops_failing() ? m_now + m_options.m_workers.m_unpolled_renewal_interval : m_now;
     // An earlier leader's lease is no longer than this leader's.
@@ -132,7 +146,7 @@
     worker.m_reported = true;
     // A full report says nothing about the ends that follow it. Tasks that aren't listed as running
     // may be among them.
-    if (report.m_ended.size() < max_ends_per_report)
+    if (report.m_ended.size() < m_options.m_workers.m_max_ends_per_report)
         worker.m_synced = true;
     else if (!worker.m_synced)
         m_ends_outstanding = true;
@@ -197,7 +211,7 @@
 // Ends runs that the report doesn't list although they were confirmed before the renewal was sent.
 void coordinator::end_missing_runs(worker_state& worker, const worker_report& report, instant sent)
 {
-    if (report.m_ended.size() >= max_ends_per_report)
+    if (report.m_ended.size() >= m_options.m_workers.m_max_ends_per_report)
         return;
     std::set<task_key> running;
     for (const auto& entry : report.m_running)
--- a/src/dragonflygap/cell/worker.hpp
+++ b/src/dragonflygap/cell/worker.hpp
@@ -99,9 +99,6 @@
     std::vector<ended_task> m_ended;
 };
 
-/// Limit of ends in one report; the worker lists more after an acknowledgement.
-inline constexpr std::size_t max_ends_per_report = 500;
-
 enum class start_refusal
 {
     none,
--- a/src/dragonflygap/cell/worker_state.hpp
+++ b/src/dragonflygap/cell/worker_state.hpp
@@ -57,6 +57,8 @@
     duration m_stuck_timeout = 2500ms;
     /// Of the estimated run time; a longer timeout for tasks that run for minutes.
     double m_stuck_runtime_share = 0.05;
+    /// A worker lists more ends only after these were acknowledged.
+    std::size_t m_max_ends_per_report = 500;
     duration m_lease_duration = 6s;    ///< Requested at each renewal; the platform limits it.
     duration m_order_window = 1500ms;  ///< A start order takes effect within this time or never.
     duration m_clock_slack = 300ms;    ///< For clocks that run 2% slow and for network delay.
@@ -101,7 +103,9 @@
     std::uint64_t m_ends_seen = 0; ///< Highest end number that was handled.
     /// Highest end number whose effect is durable, so that it may be acknowledged.
     std::uint64_t m_ends_stored = 0;
-    std::uint64_t m_ends_acked = 0; ///< Highest end number that was acknowledged.
+    std::uint64_t m_ends_ack_sent = 0; ///< Highest end number in a renewal.
+    instant m_ack_sent_at{};           ///< Of the first renewal with that number.
+    std::uint64_t m_ends_acked = 0;    ///< Highest end number in a renewal that was answered.
 
     bool m_renewing = false;     ///< A renewal is in flight.
     instant m_renewal_sent_at{}; ///< Of the last renewal that may be long-polling.
--- a/tests/cell/support/simulated_worker.hpp
+++ b/tests/cell/support/simulated_worker.hpp
@@ -15,9 +15,9 @@
 using namespace dragonflygap::cell;
 
 /// The ends that a worker lists in one report.
-inline std::vector<ended_task> first_ends(std::vector<ended_task> ends)
+inline std::vector<ended_task> first_ends(std::vector<ended_task> ends,
+                                          std::size_t ends_per_report = 500)
 {
-    constexpr std::size_t ends_per_report = 500;
     if (ends.size() > ends_per_report)
         ends.resize(ends_per_report);
     return ends;
--- a/tests/cell/support/stub_cell.hpp
+++ b/tests/cell/support/stub_cell.hpp
@@ -77,6 +77,9 @@
     {
         for (const auto until = m_now + length; m_now < until; m_now += 10ms, m_unix_ms += 10)
         {
+            if (!m_holds_renewals)
+                for (const auto& held : std::exchange(m_held_renewals, {}))
+                    act(held);
             std::vector<event> answers;
             answers.swap(m_answers);
             if (!m_store_silent)
@@ -150,7 +153,9 @@
     std::map<worker_id, stub_worker> m_workers;
     std::vector<worker_info> m_listed;
     std::int64_t m_valid_ms = 2500; ///< Of the issued tickets.
-    bool m_store_silent = false;    ///< The store's answers are kept back.
+    bool m_holds_renewals = false;  ///< Renewals reach the workers later.
+    std::vector<send_renewal> m_held_renewals;
+    bool m_store_silent = false; ///< The store's answers are kept back.
     std::vector<event> m_unsent_answers;
     std::map<row_name, std::string> m_rows;            ///< As written by the coordinator.
     std::vector<answer_call> m_answered;               ///< Submissions and cancellations.
@@ -197,6 +202,11 @@
         worker.m_leases += request.m_renewal.m_deadline_ms ? 1 : 0;
         if (worker.m_silent)
             return;
+        if (m_holds_renewals)
+        {
+            m_held_renewals.push_back(request);
+            return;
+        }
         std::erase_if(worker.m_ended, [&](const ended_task& end)
                       { return end.m_number <= request.m_renewal.m_acknowledged; });
         worker_report report{.m_clock_ms = to_ms(m_now.time_since_epoch()),
--- a/tests/cell/support/troubled_cell.hpp
+++ b/tests/cell/support/troubled_cell.hpp
@@ -111,7 +111,9 @@
         }
         auto leader = std::make_shared<leader_process>();
         leader->m_epoch = m_epoch;
-        leader->m_coordinator = std::make_unique<coordinator>(coordinator_options{}, found, m_now);
+        coordinator_options options;
+        options.m_workers.m_max_ends_per_report = worker_life::ends_per_report;
+        leader->m_coordinator = std::make_unique<coordinator>(options, found, m_now);
         m_leaders.push_back(leader);
         feed(leader, members_changed{{vm_id("vm")}});
         list();
@@ -161,6 +163,17 @@
                                    .m_size = {.m_millicores = 500 * (1 + draw(6))},
                                    .m_expected_ms = 200 + draw(1500),
                                    .m_gang = chance(0.4)});
+        // Some run on a schedule, a few with all their occurrences at once.
+        if (chance(0.2))
+        {
+            auto& step = request.m_steps.front();
+            step.m_count = 1 + draw(2);
+            step.m_size = {.m_millicores = 500};
+            step.m_expected_ms = 200 + draw(500);
+            request.m_occurrences = 2 + draw(20);
+            request.m_first_due_ms = to_ms(m_now - instant{}) + draw(1000);
+            request.m_interval_ms = chance(0.2) ? 0 : 20 + draw(400);
+        }
         m_specs[id] = request.m_steps.front();
         m_calls[m_last_call] = id;
         feed(m_leaders.back(), job_submitted{m_last_call,
@@ -282,8 +295,13 @@
                     return start_result{.m_refusal = start_refusal::wrong_worker};
                 if (chance(0.02))
                     return start_result{.m_refusal = start_refusal::unhealthy};
-                return start_result{.m_refusal = life.start(order, leader->m_epoch,
-                                                            m_specs.at(order.m_task.m_job), m_now)};
+                const auto refusal =
+                    life.start(order, leader->m_epoch, m_specs.at(order.m_task.m_job), m_now);
+                for (const auto& [id, other] : m_lives)
+                    CHECK_TEXT(refusal != start_refusal::none ||
+                                   other.m_done.count(order.m_task) == 0,
+                               text_of(order.m_task).c_str());
+                return start_result{.m_refusal = refusal};
             },
             [=](const outcome<start_result>& result) -> event {
                 return start_answered{to.m_id, order.m_task, order.m_run, result};
--- a/tests/cell/support/worker_life.hpp
+++ b/tests/cell/support/worker_life.hpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <map>
+#include <set>
 #include <vector>
 
 #include "cell/support/simulated_worker.hpp"
@@ -43,8 +44,12 @@
     std::vector<ended_task> m_ended;
     std::uint64_t m_last_end = 0;
     std::map<task_key, std::uint64_t> m_highest_ended;
+    std::set<task_key> m_done; ///< The leader has taken note that these ended so.
     instant m_lease_until{};
 
+    /// Few, so that several reports are common.
+    static constexpr std::size_t ends_per_report = 3;
+
     std::int64_t clock(instant now) const { return 1 + to_ms(now - m_born); }
     instant at_clock(std::int64_t ms) const { return m_born + std::chrono::milliseconds(ms - 1); }
 
@@ -73,7 +78,7 @@
                      state.m_done_at == instant{}
                          ? 0
                          : 100 - static_cast<int>((state.m_done_at - now) * 100 / 20s)});
-        result.m_ended = first_ends(m_ended);
+        result.m_ended = first_ends(m_ended, ends_per_report);
         return result;
     }
 
@@ -127,8 +132,14 @@
         if (order.m_deadline_ms)
             m_lease_until = std::max(
                 m_lease_until, at_clock(std::min(*order.m_deadline_ms, clock(now) + max_hold_ms)));
-        std::erase_if(m_ended, [&order](const ended_task& end)
-                      { return end.m_number <= order.m_acknowledged; });
+        std::erase_if(m_ended,
+                      [&](const ended_task& end)
+                      {
+                          const bool noted = end.m_number <= order.m_acknowledged;
+                          if (noted && end.m_end_kind == end_kind::done)
+                              m_done.insert(end.m_task);
+                          return noted;
+                      });
         return report(now);
     }
 };
