--- a/tests/node/directory_test.cpp
+++ b/tests/node/directory_test.cpp
@@ -71,6 +71,35 @@
     CHECK_TRUE(world.find(alone)->config()->m_version == 2);
 }
 
+// Seen on scale-1 of two sites (CONFIG): an operator that writes twice within milliseconds.
+TEST(directory, the_last_of_two_configurations_in_one_answer_is_applied)
+{
+    cell_world world({.m_vms = 3});
+    world.run(5s);
+    world.set_config(2, world.queue_config(2));
+    world.set_config(3, world.queue_config(3));
+    world.run(config_bound);
+    CHECK_TRUE(all_apply(world, 3));
+}
+
+TEST(directory, a_worker_that_is_removed_and_back_in_one_answer_is_listed)
+{
+    cell_world world({.m_vms = 3});
+    world.run(5s);
+    const auto entry = world.rows().find("servers", "w0")->m_value;
+    world.rows().put("servers", "other", entry);
+    world.run(1s);
+    CHECK_TRUE(is_listed(world, "other"));
+    world.rows().drop("servers", "other");
+    world.rows().put("servers", "other", entry);
+    world.run(1s);
+    CHECK_TRUE(is_listed(world, "other"));
+    world.rows().put("servers", "other", entry);
+    world.rows().drop("servers", "other");
+    world.run(1s);
+    CHECK_FALSE(is_listed(world, "other"));
+}
+
 TEST(directory, a_quarter_of_lost_answers_delays_no_configuration_beyond_the_bound)
 {
     cell_world world({.m_vms = 5, .m_seed = 3});
--- a/tests/node/support/stand_in_store.cpp
+++ b/tests/node/support/stand_in_store.cpp
@@ -1,5 +1,6 @@
 #include "node/support/stand_in_store.hpp"
 
+#include <algorithm>
 #include <utility>
 
 #include <nlohmann/json.hpp>
@@ -124,8 +125,7 @@
         m_rows[name_of(write)] = {*wire::from_base64(write.at("value").get<std::string>()),
                                   m_version};
     for (const auto& deleted : change.at("deletes"))
-        if (m_rows.erase(name_of(deleted)) != 0)
-            m_deleted[name_of(deleted)] = m_version;
+        m_rows.erase(name_of(deleted));
     return json_response(200, json{{"schema_version", m_version}, {"now_ms", m_clock_ms()}}.dump());
 }
 
@@ -164,15 +164,15 @@
     if (after_version < m_compacted)
         return done(json_response(410, "{}"));
     json rows = json::array();
-    for (const auto& [name, row] : m_rows)
-        if (std::get<0>(name) == table && row.m_version > after_version)
-            rows.push_back(encode(name, &row));
-    for (const auto& [name, version] : m_deleted)
-        if (std::get<0>(name) == table && version > after_version && m_rows.count(name) == 0)
+    const auto first = std::upper_bound(m_changes.begin(), m_changes.end(), after_version,
+                                        [](std::uint64_t version, const change& other)
+                                        { return version < other.m_row.m_version; });
+    for (auto entry = first; entry != m_changes.end(); ++entry)
+        if (std::get<0>(entry->m_name) == table)
         {
-            auto row = encode(name, nullptr);
-            row["schema_version"] = version;
-            row["deleted"] = true;
+            auto row = encode(entry->m_name, &entry->m_row);
+            if (entry->m_deleted)
+                row["deleted"] = true;
             rows.push_back(std::move(row));
         }
     const auto wait = std::chrono::milliseconds(std::stoll(query_parameter(request, "wait_ms")));
@@ -189,13 +189,15 @@
 
 void store::put(const std::string& table, const std::string& key, std::string value)
 {
-    m_rows[{table, "", key}] = {std::move(value), ++m_version};
+    const row written{std::move(value), ++m_version};
+    m_rows[{table, "", key}] = written;
+    m_changes.push_back({{table, "", key}, written, false});
 }
 
 void store::drop(const std::string& table, const std::string& key)
 {
     if (m_rows.erase({table, "", key}) != 0)
-        m_deleted[{table, "", key}] = ++m_version;
+        m_changes.push_back({{table, "", key}, {"", ++m_version}, true});
 }
 
 std::size_t store::rows(const std::string& table) const
--- a/tests/node/support/stand_in_store.hpp
+++ b/tests/node/support/stand_in_store.hpp
@@ -61,6 +61,13 @@
     std::uint64_t m_reads = 0;
 
 private:
+    struct change
+    {
+        row_name m_name;
+        row m_row;
+        bool m_deleted = false;
+    };
+
     http_response transact(const std::string& body);
     http_response get(const http_request& request) const;
     void feed(const http_request& request, duration waited, reply done);
@@ -69,7 +76,8 @@
     std::function<void(duration, std::function<void()>)> m_schedule;
     std::function<std::int64_t()> m_clock_ms;
     std::map<row_name, row> m_rows;
-    std::map<row_name, std::uint64_t> m_deleted; ///< Versions at which rows were removed.
+    /// Of the operator's and the workers' tables, in order; only those are followed by the feed.
+    std::vector<change> m_changes;
     std::uint64_t m_version = 1;
     std::uint64_t m_compacted = 0; ///< The feed's history begins after this version.
 };
