Tell how far the list of workers is behind the store

The line worker_list, once a second, and four metrics now have what tells the hypotheses apart: the position in the feed against the newest version that the leader knows from its own transactions, the rows of the answers, and how many answers were as long as the store lets them be. No logic changes.

--- a/src/dragonflygap/cell/change_watch.cpp
+++ b/src/dragonflygap/cell/change_watch.cpp
@@ -35,8 +35,9 @@
             .m_new_connection = new_connection};
 }
 
-bool change_watch::answered(std::uint64_t read, std::uint64_t position, instant now)
+bool change_watch::answered(std::uint64_t read, const read_extent& extent, instant now)
 {
+    const auto position = extent.m_position;
     const auto found = m_reads.find(read);
     if (found == m_reads.end())
         return false;
@@ -49,6 +50,10 @@
     if (position == 0 && sent.m_position != m_position)
         return false;
     m_position = position;
+    ++m_counts.m_answers;
+    m_counts.m_rows += extent.m_rows;
+    m_counts.m_parts += extent.m_up_to_date ? 0 : 1;
+    m_counts.m_full_reads += sent.m_position == 0 ? 1 : 0;
     // An empty table, or history that the store no longer has.
     if (position == 0)
         m_not_before = now + m_options.m_retry_delay;
--- a/src/dragonflygap/cell/change_watch.hpp
+++ b/src/dragonflygap/cell/change_watch.hpp
@@ -20,6 +20,15 @@
     std::size_t m_max_reads = 3;     ///< In flight.
 };
 
+/// Answers that were applied, since the watch was made.
+struct change_watch_counts
+{
+    std::uint64_t m_answers = 0;
+    std::uint64_t m_rows = 0;
+    std::uint64_t m_parts = 0;      ///< Answers that may have left out later changes.
+    std::uint64_t m_full_reads = 0; ///< Answers with all rows of the table.
+};
+
 /// Follows the changes of one table of the store by reads that wait for a change. A read whose
 /// answer is overdue is repeated beside it on a new connection, without waiting, until one is
 /// answered: so a lost answer, or connections that went silent, delay a change by little more than
@@ -33,12 +42,15 @@
     std::optional<table_read> next(instant now);
 
     /// True if the answer's changes are to be applied; false if later changes are known already.
-    bool answered(std::uint64_t read, std::uint64_t position, instant now);
+    bool answered(std::uint64_t read, const read_extent& extent, instant now);
     void failed(std::uint64_t read, bool refused, instant now);
 
     /// All changes up to this time are known.
     instant confirmed_at() const { return m_confirmed_at; }
 
+    std::uint64_t position() const { return m_position; }
+    const change_watch_counts& counts() const { return m_counts; }
+
 private:
     struct sent_read
     {
@@ -56,6 +68,7 @@
     int m_overdue = 0;            ///< Reads in a row that weren't answered in time.
     instant m_not_before{};
     instant m_confirmed_at{};
+    change_watch_counts m_counts;
 };
 
 } // namespace dragonflygap::cell
--- a/src/dragonflygap/cell/ports.hpp
+++ b/src/dragonflygap/cell/ports.hpp
@@ -92,9 +92,17 @@
     std::vector<worker_id> m_unlisted;
 };
 
-/// Gets the result and the position for the next read; 0: all rows have to be read again.
+/// How much of a table the answer to a read covers.
+struct read_extent
+{
+    std::uint64_t m_position = 0; ///< For the next read; 0: all rows have to be read again.
+    std::size_t m_rows = 0;
+    /// False: the store may have left out later changes, as it limits the size of its answers.
+    bool m_up_to_date = true;
+};
+
 template <class T>
-using read_done = std::function<void(outcome<T>, std::uint64_t position)>;
+using read_done = std::function<void(outcome<T>, const read_extent&)>;
 
 /// Workers and configuration as the platform provides them.
 struct directory_port
--- a/src/dragonflygap/node/leader_report.cpp
+++ b/src/dragonflygap/node/leader_report.cpp
@@ -62,6 +62,33 @@
     m_max_tick_delay = {};
 }
 
+void leader_report::record_worker_list(const cell::change_watch& list,
+                                       std::uint64_t newest_version, instant now)
+{
+    constexpr duration interval = 1s;
+    if (now - m_last_list_at < interval || list.confirmed_at() == instant{})
+        return;
+    m_last_list_at = now;
+    const auto age = now - list.confirmed_at();
+    const auto behind = newest_version - std::min(newest_version, list.position());
+    const auto counts = list.counts();
+    const auto previous = std::exchange(m_last_list_counts, counts);
+    constexpr double us_per_s = 1e6;
+    m_metrics.set("dragonflygap_worker_list_age_seconds", {},
+                  static_cast<double>(age.count()) / us_per_s);
+    m_metrics.set("dragonflygap_worker_list_versions_behind", {}, static_cast<double>(behind));
+    m_metrics.count("dragonflygap_worker_list_rows_total", {},
+                    static_cast<double>(counts.m_rows - previous.m_rows));
+    m_metrics.count("dragonflygap_worker_list_parts_total", {},
+                    static_cast<double>(counts.m_parts - previous.m_parts));
+    log_periodic("worker_list", {{"age_ms", to_ms(age)},
+                                 {"versions_behind", behind},
+                                 {"answers", counts.m_answers - previous.m_answers},
+                                 {"rows", counts.m_rows - previous.m_rows},
+                                 {"parts", counts.m_parts - previous.m_parts},
+                                 {"full_reads", counts.m_full_reads - previous.m_full_reads}});
+}
+
 void leader_report::count_tickets(const cell::leader_counts& counts)
 {
     const auto previous = std::exchange(m_last_counted, counts);
--- a/src/dragonflygap/node/leader_report.hpp
+++ b/src/dragonflygap/node/leader_report.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "dragonflygap/cell/change_watch.hpp"
 #include "dragonflygap/cell/coordinator.hpp"
 #include "dragonflygap/core/time.hpp"
 
@@ -23,6 +24,11 @@
     /// Records a tick that has just been handled, and updates the metrics and the log when due.
     void record_tick(const cell::coordinator& state, instant started_at, instant ended_at);
 
+    /// Updates the metrics and the log about the list of workers when due. newest_version is the
+    /// store's newest version that the leader knows from elsewhere.
+    void record_worker_list(const cell::change_watch& list, std::uint64_t newest_version,
+                            instant now);
+
 private:
     void count_tickets(const cell::leader_counts& counts);
     void log_pass(const cell::coordinator& state, const cell::pass_summary& pass);
@@ -37,6 +43,9 @@
     int m_ticks = 0;
     duration m_max_tick_time{};
     duration m_max_tick_delay{};
+    // As in the last worker_list.
+    instant m_last_list_at{};
+    cell::change_watch_counts m_last_list_counts;
 };
 
 } // namespace node
--- a/src/dragonflygap/node/leader_task.cpp
+++ b/src/dragonflygap/node/leader_task.cpp
@@ -1,5 +1,6 @@
 #include "dragonflygap/node/leader_task.hpp"
 
+#include <algorithm>
 #include <tuple>
 #include <utility>
 
@@ -57,6 +58,7 @@
     const auto started_at = monotonic_clock::now();
     process_event(cell::tick{});
     m_report.record_tick(m_coordinator, started_at, monotonic_clock::now());
+    m_report.record_worker_list(m_worker_watch, m_newest_version, started_at);
 }
 
 void leader_task::execute(const cell::answer_call& action)
@@ -84,6 +86,8 @@
             m_metrics.observe("dragonflygap_store_wait_seconds",
                               {"outcome", result ? "answered" : to_string(result.error().m_reason)},
                               monotonic_clock::now() - sent_at);
+            if (result)
+                m_newest_version = std::max(m_newest_version, result->m_version);
             process_event(cell::commit_answered{number, std::move(result)});
         });
 }
@@ -296,7 +300,7 @@
         m_options.m_directory.m_read_workers(
             *read,
             [this, number = read->m_number, alive = m_alive](outcome<cell::worker_changes> changes,
-                                                             std::uint64_t position)
+                                                             const cell::read_extent& extent)
             {
                 if (!*alive)
                     return;
@@ -309,7 +313,7 @@
                     m_worker_watch.failed(number, changes.error().m_verdict == verdict::not_run,
                                           now);
                 }
-                else if (m_worker_watch.answered(number, position, now))
+                else if (m_worker_watch.answered(number, extent, now))
                     process_event(
                         cell::workers_listed{.m_workers = std::move(changes->m_listed),
                                              .m_unlisted = std::move(changes->m_unlisted),
--- a/src/dragonflygap/node/leader_task.hpp
+++ b/src/dragonflygap/node/leader_task.hpp
@@ -117,6 +117,7 @@
     cell::coordinator m_coordinator;
     leader_report m_report;
     cell::change_watch m_worker_watch;
+    std::uint64_t m_newest_version = 0; ///< Of the store, from this leader's transactions.
     std::uint64_t m_epoch;
     std::map<vm_id, member> m_members;
     std::vector<vm_id> m_responsive_members;
--- a/src/dragonflygap/node/node.cpp
+++ b/src/dragonflygap/node/node.cpp
@@ -67,7 +67,7 @@
         m_options.m_directory.m_read_config(
             *read,
             [this, number = read->m_number](outcome<std::optional<cell::cell_config>> config,
-                                            std::uint64_t position)
+                                            const cell::read_extent& extent)
             {
                 const auto now = monotonic_clock::now();
                 if (!config)
@@ -77,7 +77,7 @@
                     m_config_watch.failed(number, config.error().m_verdict == verdict::not_run,
                                           now);
                 }
-                else if (m_config_watch.answered(number, position, now) && *config)
+                else if (m_config_watch.answered(number, extent, now) && *config)
                     apply_config(std::move(**config), "store");
                 watch_config();
             });
--- a/tests/cell/change_watch_test.cpp
+++ b/tests/cell/change_watch_test.cpp
@@ -16,7 +16,7 @@
         const auto full = m_watch.next(m_now);
         LONGS_EQUAL(0, full->m_position);
         LONGS_EQUAL(0, to_ms(full->m_wait));
-        CHECK_TRUE(m_watch.answered(full->m_number, 7, m_now));
+        CHECK_TRUE(m_watch.answered(full->m_number, {7}, m_now));
         return *m_watch.next(m_now);
     }
 };
@@ -29,7 +29,7 @@
     CHECK_FALSE(waiting.m_new_connection);
     CHECK_FALSE(m_watch.next(m_now + waiting.m_wait).has_value());
     m_now += 500ms;
-    CHECK_TRUE(m_watch.answered(waiting.m_number, 9, m_now));
+    CHECK_TRUE(m_watch.answered(waiting.m_number, {9}, m_now));
     LONGS_EQUAL(9, m_watch.next(m_now)->m_position);
 }
 
@@ -43,7 +43,7 @@
     LONGS_EQUAL(0, to_ms(probe->m_wait));
     LONGS_EQUAL(7, probe->m_position);
     m_now += 5ms;
-    CHECK_TRUE(m_watch.answered(probe->m_number, 8, m_now));
+    CHECK_TRUE(m_watch.answered(probe->m_number, {8}, m_now));
     CHECK(m_watch.confirmed_at() == m_now - 5ms);
 }
 
@@ -62,15 +62,15 @@
     const auto waiting = first_waiting_read();
     m_now += waiting.m_wait + 300ms;
     const auto probe = m_watch.next(m_now);
-    CHECK_TRUE(m_watch.answered(probe->m_number, 12, m_now));
-    CHECK_FALSE(m_watch.answered(waiting.m_number, 10, m_now));
+    CHECK_TRUE(m_watch.answered(probe->m_number, {12}, m_now));
+    CHECK_FALSE(m_watch.answered(waiting.m_number, {10}, m_now));
     LONGS_EQUAL(12, m_watch.next(m_now)->m_position);
 }
 
 TEST(change_watch, all_rows_are_read_again_after_a_gap_in_the_history)
 {
     const auto waiting = first_waiting_read();
-    CHECK_TRUE(m_watch.answered(waiting.m_number, 0, m_now));
+    CHECK_TRUE(m_watch.answered(waiting.m_number, {0}, m_now));
     CHECK_FALSE(m_watch.next(m_now).has_value()); // Not in a loop, should the table be empty.
     m_now += 300ms;
     LONGS_EQUAL(0, m_watch.next(m_now)->m_position);
