--- a/src/dragonflygap/node/leader_report.cpp
+++ b/src/dragonflygap/node/leader_report.cpp
@@ -62,8 +62,8 @@
     m_max_tick_delay = {};
 }
 
-void leader_report::record_worker_list(const cell::change_watch& list,
-                                       std::uint64_t newest_version, instant now)
+void leader_report::record_worker_list(const cell::change_watch& list, std::uint64_t newest_version,
+                                       instant now)
 {
     constexpr duration interval = 1s;
     if (now - m_last_list_at < interval || list.confirmed_at() == instant{})
--- a/tests/cell/change_watch_test.cpp
+++ b/tests/cell/change_watch_test.cpp
@@ -10,13 +10,18 @@
     instant m_now{10s};
     change_watch m_watch{{}};
 
+    static read_extent part_up_to(std::uint64_t position)
+    {
+        return {.m_position = position, .m_rows = 500, .m_up_to_date = false};
+    }
+
     /// A watch that has read all rows; returns its first waiting read.
-    table_read first_waiting_read()
+    table_read first_waiting_read(std::size_t rows = 0)
     {
         const auto full = m_watch.next(m_now);
         LONGS_EQUAL(0, full->m_position);
         LONGS_EQUAL(0, to_ms(full->m_wait));
-        CHECK_TRUE(m_watch.answered(full->m_number, {7}, m_now));
+        CHECK_TRUE(m_watch.answered(full->m_number, {.m_position = 7, .m_rows = rows}, m_now));
         return *m_watch.next(m_now);
     }
 };
@@ -100,3 +105,49 @@
     }
     CHECK_COMPARE(reads, <=, 11);
 }
+
+// Incident DRAIN of serra-la-tear-grown: a full answer of the feed was taken for all changes.
+TEST(change_watch, an_answer_that_may_be_a_part_confirms_nothing)
+{
+    const auto first = first_waiting_read(1000);
+    const auto confirmed_at = m_now;
+    CHECK_TRUE(m_watch.answered(first.m_number, {.m_position = 8, .m_rows = 1}, m_now += 100ms));
+    const auto second = m_watch.next(m_now);
+    CHECK_TRUE(m_watch.answered(second->m_number, part_up_to(507), m_now += 400ms));
+    CHECK(m_watch.confirmed_at() == confirmed_at);
+    const auto rest = m_watch.next(m_now);
+    LONGS_EQUAL(507, rest->m_position);
+    LONGS_EQUAL(0, to_ms(rest->m_wait));
+    CHECK_TRUE(m_watch.answered(rest->m_number, {.m_position = 600, .m_rows = 93}, m_now + 5ms));
+    CHECK(m_watch.confirmed_at() == m_now);
+}
+
+// The history grows with the time since the last read, the table with the number of workers.
+TEST(change_watch, a_history_longer_than_the_table_is_not_read_to_its_end)
+{
+    auto read = first_waiting_read(1100);
+    for (const std::uint64_t position : {507, 1007})
+    {
+        CHECK_TRUE(m_watch.answered(read.m_number, part_up_to(position), m_now += 100ms));
+        read = *m_watch.next(m_now);
+        LONGS_EQUAL(position, read.m_position);
+    }
+    CHECK_TRUE(m_watch.answered(read.m_number, part_up_to(1507), m_now += 100ms));
+    read = *m_watch.next(m_now);
+    LONGS_EQUAL(0, read.m_position);
+    const auto sent_at = m_now;
+    CHECK_TRUE(m_watch.answered(read.m_number, {.m_position = 9000, .m_rows = 1100}, m_now += 1s));
+    CHECK(m_watch.confirmed_at() == sent_at);
+    LONGS_EQUAL(9000, m_watch.next(m_now)->m_position);
+}
+
+// Read again from the same position, the feed would list the same rows again.
+TEST(change_watch, a_part_that_was_read_already_changes_nothing)
+{
+    const auto waiting = first_waiting_read(5000);
+    m_now += waiting.m_wait + 300ms;
+    const auto probe = m_watch.next(m_now);
+    CHECK_TRUE(m_watch.answered(probe->m_number, part_up_to(507), m_now));
+    CHECK_FALSE(m_watch.answered(waiting.m_number, part_up_to(507), m_now));
+    LONGS_EQUAL(507, m_watch.next(m_now)->m_position);
+}
--- a/tests/cell/coordinator_test.cpp
+++ b/tests/cell/coordinator_test.cpp
@@ -42,7 +42,10 @@
         auto actions = m_coordinator.handle(incoming, m_now, m_unix_ms);
         for (const auto& action : actions)
             if (const auto* commit = std::get_if<send_commit>(&action))
+            {
                 m_commit = commit->m_number;
+                m_commit_due = m_now + m_store_time;
+            }
         return actions;
     }
 
@@ -58,6 +61,8 @@
             for (std::size_t i = sent_before; m_answers_starts && i < starts.size(); ++i)
                 feed(start_answered{starts[i].m_worker.m_id, starts[i].m_order.m_task,
                                     starts[i].m_order.m_run, start_result{}, starts[i].m_sent});
+            if (m_now < m_commit_due)
+                continue;
             if (const auto number = std::exchange(m_commit, 0))
                 collect(feed(commit_answered{number, transaction_result{.m_committed = true,
                                                                         .m_version = ++m_version}}),
@@ -101,6 +106,7 @@
     }
 
     bool m_answers_starts = false;
+    duration m_store_time{}; ///< Of a transaction.
     instant m_now = start;
     std::int64_t m_unix_ms = 1000000;
     coordinator m_coordinator;
@@ -114,6 +120,7 @@
     }
 
     std::uint64_t m_commit = 0; ///< Number of the transaction in flight; 0: none.
+    instant m_commit_due{};
     std::uint64_t m_version = 1;
     std::uint64_t m_last_call = 0;
 };
@@ -254,6 +261,47 @@
     LONGS_EQUAL(1, leader.run(200ms).size());
 }
 
+// Incident DRAIN of serra-la-tear-grown: a worker may say that it leaves as soon as the list was
+// read.
+TEST(coordinator, no_start_takes_effect_after_the_notice_of_a_worker_that_leaves_unseen)
+{
+    constexpr std::int64_t notice_ms = 2000;
+    int starts = 0;
+    for (const duration store_time : {0ms, 300ms, 600ms})
+        for (duration age{}; age < 4s; age += 100ms)
+        {
+            successor leader;
+            leader.m_store_time = store_time;
+            leader.feed(workers_listed{{listed_worker(worker_a)}});
+            leader.report({});
+            leader.run(5s);
+            leader.report({});
+            leader.feed(workers_listed{.m_complete = false, .m_confirmed_at = leader.m_now});
+            const auto confirmed_ms = leader.m_unix_ms;
+            leader.run(age);
+            leader.submit("job", {.m_size = {.m_millicores = 1000, .m_memory_mb = 100}});
+            for (const auto& sent : leader.run(2 * store_time + 100ms))
+            {
+                ++starts;
+                CHECK_COMPARE(sent.m_order.m_deadline_ms, <=, confirmed_ms + notice_ms);
+            }
+        }
+    CHECK_COMPARE(starts, >, 20);
+}
+
+// Suspected of the same incident: nothing is known of the list before it was read.
+TEST(coordinator, a_new_leader_starts_nothing_before_it_has_read_the_list)
+{
+    successor leader;
+    leader.report({});
+    leader.submit("job", {.m_size = {.m_millicores = 1000, .m_memory_mb = 100}});
+    LONGS_EQUAL(0, leader.run(3s).size());
+    leader.feed(
+        workers_listed{.m_workers = {listed_worker(worker_a)}, .m_confirmed_at = leader.m_now});
+    leader.report({});
+    LONGS_EQUAL(1, leader.run(500ms).size());
+}
+
 TEST(coordinator, a_change_of_the_list_leaves_the_other_workers_listed)
 {
     const worker_id worker_b("b");
--- a/tests/node/directory_test.cpp
+++ b/tests/node/directory_test.cpp
@@ -219,3 +219,37 @@
     world.run(300ms);
     CHECK_FALSE(is_listed(world, "extra"));
 }
+
+// Incident DRAIN of serra-la-tear-grown: a leader that falls behind the workers' heartbeats got
+// part of the changes in each answer of the feed and took them for all.
+TEST(directory, a_leader_that_reads_slowly_starts_nothing_after_a_workers_notice)
+{
+    constexpr int worker_count = 250;
+    cell_world world({.m_workers = worker_count, .m_approvals = false});
+    world.run(5s);
+    world.slow_down(world.leader(), 35ms);
+    int jobs = 0;
+    const auto run = [&](duration length)
+    {
+        for (duration passed{}; passed < length; passed += 100ms)
+        {
+            for (int i = 0; i < 8; ++i)
+            {
+                const auto text = std::to_string(++jobs);
+                world.submit("vm" + std::to_string(i % 3),
+                             std::string(16 - text.size(), '0') + text,
+                             {{.m_cpu = 16000, .m_run_time = 2s}});
+            }
+            world.run(100ms);
+        }
+    };
+    run(20s);
+    for (int i = 0; i < worker_count; i += 3)
+    {
+        world.at(i).m_draining = true;
+        run(100ms);
+    }
+    run(5s);
+    for (const auto& text : world.m_checker.m_violations)
+        FAIL(text.c_str());
+}
--- a/tests/node/support/cell_world.cpp
+++ b/tests/node/support/cell_world.cpp
@@ -92,7 +92,9 @@
 
 std::string cell_world::address_of(int number)
 {
-    return "10.1.0." + std::to_string(number + 1);
+    constexpr int per_subnet = 250;
+    return "10.1." + std::to_string(number / per_subnet) + "." +
+           std::to_string(number % per_subnet + 1);
 }
 
 void cell_world::schedule(duration delay, std::function<void()> work)
@@ -124,19 +126,18 @@
 {
     timer_queue* first = nullptr;
     instant due = until + duration(1);
-    auto check_queue = [&](timer_queue& queue)
+    auto check_queue = [&](timer_queue& queue, std::optional<instant> next)
     {
-        const auto next = queue.next();
         if (next && *next < due)
         {
             first = &queue;
             due = *next;
         }
     };
-    check_queue(m_network);
+    check_queue(m_network, m_network.next());
     for (auto& [vm, process] : m_processes)
         if (!process->m_frozen)
-            check_queue(process->m_timers);
+            check_queue(process->m_timers, process->next_due());
     if (first == nullptr || due > until)
         return false;
     g_now = std::max(g_now, due);
@@ -170,7 +171,11 @@
         if (m_workers[i]->m_faults.m_unreachable)
             m_store.drop("servers", m_workers[i]->id());
         else
+        {
             m_store.put("servers", m_workers[i]->id(), m_workers[i]->entry("looms", address));
+            if (m_workers[i]->m_draining)
+                m_workers[i]->notice_accepted();
+        }
     }
     schedule(interval, [this] { publish_workers(); });
 }
@@ -240,6 +245,28 @@
         found->second->m_loop.post([node = found->second->m_node.get()] { node->stop(); });
 }
 
+std::optional<instant> cell_world::vm_process::next_due() const
+{
+    const auto next = m_timers.next();
+    if (!next || m_round == duration{})
+        return next;
+    const auto since_round = next->time_since_epoch() % m_round;
+    return since_round == duration{} ? *next : *next + (m_round - since_round);
+}
+
+duration cell_world::vm_process::reading_time(const outcome<http_response>& response) const
+{
+    if (!response || m_round == duration{})
+        return {};
+    return m_round * static_cast<int>(response->m_body.size() / m_bytes_per_round);
+}
+
+void cell_world::slow_down(const std::string& vm, duration round, std::size_t bytes_per_round)
+{
+    m_processes.at(vm)->m_round = round;
+    m_processes.at(vm)->m_bytes_per_round = bytes_per_round;
+}
+
 void cell_world::freeze(const std::string& vm, bool frozen)
 {
     m_processes.at(vm)->m_frozen = frozen;
--- a/tests/node/support/cell_world.hpp
+++ b/tests/node/support/cell_world.hpp
@@ -64,6 +64,9 @@
     void cut_power(const std::string& vm);
     void stop(const std::string& vm);
     void freeze(const std::string& vm, bool frozen);
+    /// Lets a VM's process handle events only once in each round, and receive no more bytes of a
+    /// response in each, as a process short of processor time does. Zero: as fast as usual.
+    void slow_down(const std::string& vm, duration round, std::size_t bytes_per_round = 4096);
     /// Drops all traffic between two parties: a VM's name, "store", or a worker's address.
     void cut(const std::string& left, const std::string& right);
     void cut_off(const std::string& vm); ///< From the store, the workers and all other VMs.
@@ -119,6 +122,11 @@
         std::function<void(http_request, http_exchange_ptr)> m_handler;
         std::uint64_t m_incarnation = 0;
         bool m_frozen = false;
+        duration m_round{}; ///< Zero: events are handled when they are due.
+        std::size_t m_bytes_per_round = 0;
+
+        std::optional<instant> next_due() const;
+        duration reading_time(const outcome<http_response>& response) const;
     };
 
     bool step(instant until);
--- a/tests/node/support/cell_world_network.cpp
+++ b/tests/node/support/cell_world_network.cpp
@@ -31,12 +31,22 @@
         auto finish =
             [this, vm, open, incarnation = process.m_incarnation](outcome<http_response> result)
         {
-            post_to(vm, incarnation,
-                    [open, result = std::move(result)]
-                    {
-                        if (const auto done = std::exchange(*open, nullptr))
-                            done(result);
-                    });
+            const auto found = m_processes.find(vm);
+            const auto reading =
+                found == m_processes.end() ? duration{} : found->second->reading_time(result);
+            auto deliver = [this, vm, incarnation, open, result = std::move(result)]
+            {
+                post_to(vm, incarnation,
+                        [open, result]
+                        {
+                            if (const auto done = std::exchange(*open, nullptr))
+                                done(result);
+                        });
+            };
+            if (reading > duration{})
+                schedule(reading, deliver);
+            else
+                deliver();
         };
         process.m_loop.defer(timeout,
                              [open]
--- a/tests/node/support/stand_in_store.cpp
+++ b/tests/node/support/stand_in_store.cpp
@@ -163,17 +163,21 @@
     const auto after_version = std::stoull(query_parameter(request, "depends_on"));
     if (after_version < m_compacted)
         return done(json_response(410, "{}"));
+    constexpr std::size_t page = 500;
     json rows = json::array();
+    auto newest = m_version;
     const auto first = std::upper_bound(m_changes.begin(), m_changes.end(), after_version,
                                         [](std::uint64_t version, const change& other)
                                         { return version < other.m_row.m_version; });
-    for (auto entry = first; entry != m_changes.end(); ++entry)
+    for (auto entry = first; entry != m_changes.end() && rows.size() < page; ++entry)
         if (std::get<0>(entry->m_name) == table)
         {
             auto row = encode(entry->m_name, &entry->m_row);
             if (entry->m_deleted)
                 row["deleted"] = true;
             rows.push_back(std::move(row));
+            if (rows.size() == page)
+                newest = entry->m_row.m_version;
         }
     const auto wait = std::chrono::milliseconds(std::stoll(query_parameter(request, "wait_ms")));
     if (rows.empty() && waited < wait)
@@ -184,7 +188,7 @@
     else
         done(json_response(
             200,
-            json{{"rows", rows}, {"schema_version", m_version}, {"now_ms", m_clock_ms()}}.dump()));
+            json{{"rows", rows}, {"schema_version", newest}, {"now_ms", m_clock_ms()}}.dump()));
 }
 
 void store::put(const std::string& table, const std::string& key, std::string value)
--- a/tests/node/support/stand_in_worker.cpp
+++ b/tests/node/support/stand_in_worker.cpp
@@ -85,6 +85,12 @@
         .dump();
 }
 
+void worker::notice_accepted()
+{
+    if (m_notice_accepted_ms == 0)
+        m_notice_accepted_ms = m_checker.m_now_ms();
+}
+
 void worker::crash(std::string new_id)
 {
     const auto lost = std::exchange(m_running, {});
@@ -98,6 +104,7 @@
     m_last_end = 0;
     m_token = 0;
     m_lease_deadline_ms = 0;
+    m_notice_accepted_ms = 0;
     m_process_start_ms = m_checker.m_now_ms();
     ++m_incarnation;
     m_id = std::move(new_id);
@@ -164,6 +171,11 @@
         return refused(clock(), "old");
     if (deadline <= clock())
         return refused(clock(), "late");
+    constexpr std::int64_t notice_ms = 2000;
+    const auto since_notice = m_checker.m_now_ms() - m_notice_accepted_ms;
+    if (m_notice_accepted_ms != 0 && since_notice > notice_ms)
+        m_checker.violation("start of " + task + " on " + m_id + ", which said " +
+                            std::to_string(since_notice) + " ms before that it leaves");
     m_checker.started(m_id, task, run_number);
     m_lease_deadline_ms = std::max(m_lease_deadline_ms, std::min(deadline, clock() + max_lease_ms));
     const duration member_run_time =
--- a/tests/node/support/stand_in_worker.hpp
+++ b/tests/node/support/stand_in_worker.hpp
@@ -88,6 +88,9 @@
     /// Loses all running tasks and all state, and restarts under a new id.
     void crash(std::string new_id);
 
+    /// The store has accepted an entry that says that the worker leaves.
+    void notice_accepted();
+
     const std::string& id() const { return m_id; }
     std::size_t running() const { return m_running.size(); }
 
@@ -137,6 +140,7 @@
     std::uint64_t m_incarnation = 1;
     std::uint64_t m_token = 0;
     std::int64_t m_lease_deadline_ms = 0;
+    std::int64_t m_notice_accepted_ms = 0; ///< 0: it hasn't said that it leaves.
     std::uint64_t m_last_end = 0;
     std::map<std::string, run> m_running;
     std::map<std::string, std::uint64_t> m_closed_runs; ///< Highest run that ended or was stopped.
