Take an answer of the feed that may be a part for a part

Callers saw tasks start on workers seconds after their notice to leave was over (DRAIN). The store's feed answers at most 500 rows; change_watch took each answer for all that had changed when the read was sent. A leader that read more slowly than the workers write their heartbeats fell behind without noticing, and its guard against an outdated list stayed open.

Now such an answer confirms nothing, and is followed by the next read at once. How much history is left isn't known, so after as much of it as the table has rows the reader reads the table: at most twice the table, however far it is behind. An answer without history (410) confirmed the list too, and doesn't any more: its test now expects that it brings no changes, and checks the time, which is stricter.

--- a/src/dragonflygap/cell/change_watch.hpp
+++ b/src/dragonflygap/cell/change_watch.hpp
@@ -32,7 +32,8 @@
 /// Follows the changes of one table of the store by reads that wait for a change. A read whose
 /// answer is overdue is repeated beside it on a new connection, without waiting, until one is
 /// answered: so a lost answer, or connections that went silent, delay a change by little more than
-/// the wait. Does no I/O.
+/// the wait. A reader that is behind reads all rows once that is less than the history. Answers the
+/// load of a table whose rows all change each few seconds, at any speed of the reader. Does no I/O.
 class change_watch
 {
 public:
@@ -41,7 +42,7 @@
     /// The next read, if one is due. To be called several times a second, and after each answer.
     std::optional<table_read> next(instant now);
 
-    /// True if the answer's changes are to be applied; false if later changes are known already.
+    /// True if the answer's changes are to be applied; false if it has none, or later ones are known.
     bool answered(std::uint64_t read, const read_extent& extent, instant now);
     void failed(std::uint64_t read, bool refused, instant now);
 
@@ -60,11 +61,15 @@
     };
 
     table_read send(duration wait, bool new_connection, instant now);
+    void read_on(std::size_t rows);
 
     change_watch_options m_options;
     std::map<std::uint64_t, sent_read> m_reads; ///< In flight, by number.
     std::uint64_t m_last_read = 0;
-    std::uint64_t m_position = 0; ///< 0: all rows have to be read.
+    std::uint64_t m_position = 0;  ///< Of the store's changes that are applied.
+    bool m_read_all = true;        ///< The next read is of all rows.
+    std::size_t m_table_rows = 0;  ///< When all rows were last read.
+    std::size_t m_rows_behind = 0; ///< Read since the answers ceased to be up to date.
     int m_overdue = 0;            ///< Reads in a row that weren't answered in time.
     instant m_not_before{};
     instant m_confirmed_at{};
