Bound the age of the list and the time of a start order together

Callers saw tasks start on workers whose notice to leave was over. The age that the leader allowed its list (notice less 0.5 s, or more if the store was slow) and the time in which a start order takes effect (1.5 s) were set apart: together up to 1 s more than the notice. Now the deadline of an order comes from what is left of the notice since the list was read, whatever the reason for the list's age, and the list is outdated once that is less than orders usually take.

no_start_takes_effect_after_the_notice_of_a_worker_that_leaves_unseen failed before (an order sent 0.6 s after the list was read could take effect 2.1 s after it; 2 s are allowed), also with a store that answers in 0.3 and 0.6 s.

--- a/src/dragonflygap/cell/commit_chain.hpp
+++ b/src/dragonflygap/cell/commit_chain.hpp
@@ -80,7 +80,6 @@
     const leader_record& record() const { return m_record; }
     /// When the store last answered a transaction, with a commit or a conflict.
     instant last_success_at() const { return m_last_success_at; }
-    duration typical_latency() const { return m_typical_latency; }
     /// No other leader had written the row at this time. An answer may be read much later, so it
     /// counts from the beginning of its transaction.
     instant confirmed_at() const { return m_confirmed_at; }
--- a/src/dragonflygap/cell/coordinator.hpp
+++ b/src/dragonflygap/cell/coordinator.hpp
@@ -201,6 +201,7 @@
     void list_worker(const worker_info& info);
     void unlist_worker(worker_state& worker);
     void remove_expired_workers();
+    duration max_start_delay() const;
     bool list_outdated() const;
     void check_list_age();
     std::vector<worker_number> workers_to_check();
--- a/src/dragonflygap/cell/coordinator_orders.cpp
+++ b/src/dragonflygap/cell/coordinator_orders.cpp
@@ -12,7 +12,7 @@
 void coordinator::start(job_state& job, const task_key& key, worker_state& worker,
                         std::uint64_t run, const step_approval* approved)
 {
-    const auto& options = m_options.m_workers;
+    const auto max_delay = max_start_delay();
     const auto& spec = job.spec(key.m_step);
     const auto& task = *job.find(key);
     placement placed{
@@ -21,12 +21,12 @@
     m_index.update_room(worker);
     m_index.mark_changed(worker);
     worker.m_lease_expires_at =
-        std::max(worker.m_lease_expires_at, m_now + options.m_order_window + options.m_clock_slack);
+        std::max(worker.m_lease_expires_at, m_now + max_delay + m_options.m_workers.m_clock_slack);
     start_order order{.m_task = key,
                       .m_run = run,
                       .m_payload = job.record().m_request.m_payload,
                       .m_checkpoint = task.m_checkpoint,
-                      .m_deadline_ms = worker.clock_at(m_now) + to_ms(options.m_order_window)};
+                      .m_deadline_ms = worker.clock_at(m_now) + to_ms(max_delay)};
     if (approved != nullptr)
         if (const auto* ticket = approved->find_valid_ticket(worker.m_number, m_now))
             order.m_ticket = *ticket;
--- a/src/dragonflygap/cell/coordinator_worker_list.cpp
+++ b/src/dragonflygap/cell/coordinator_worker_list.cpp
@@ -176,15 +176,23 @@
     }
 }
 
-// The store answers, but a worker's notice that it leaves may have gone unseen until its end.
+// How long a start order that is sent now may take to have its effect. A worker may have said that
+// it leaves as soon as the list was confirmed, so the list's age and the order's time are one
+// bound.
+duration coordinator::max_start_delay() const
+{
+    const auto window = m_options.m_workers.m_order_window;
+    if (m_list_confirmed_at == instant{} || store_unavailable())
+        return window;
+    const auto notice_left = m_list_confirmed_at + m_options.m_min_notice - m_now;
+    return std::min<duration>(window, notice_left * 98 / 100); // by a clock that runs 2% slow
+}
+
+// Orders that take longer than the window would be lost.
 bool coordinator::list_outdated() const
 {
-    constexpr duration order_time = 500ms; // until a start takes effect
-    constexpr duration usual_age = 1300ms; // between two answers of a store without delay
-    const auto limit = std::max<duration>(m_options.m_min_notice - order_time,
-                                          usual_age + 2 * m_chain.typical_latency());
-    return m_list_confirmed_at != instant{} && !store_unavailable() &&
-           m_now - m_list_confirmed_at > limit;
+    return max_start_delay() <
+           std::min<duration>(m_order_time.timeout(), m_options.m_min_notice / 2);
 }
 
 // Without the list, tasks could start on workers that are about to end.
