Read the changes of the workers' list at intervals

With 350 workers some entry had always just changed, so a leader made 60 to 85 reads a second of the feed (worker_list answers=81 in a calm cell), each a priced call and an event of its own.

a_table_that_changes_all_the_time_is_read_at_intervals guards it.

--- a/src/dragonflygap/cell/change_watch.cpp
+++ b/src/dragonflygap/cell/change_watch.cpp
@@ -12,6 +12,8 @@
     if (m_reads.empty())
     {
         const bool waits = m_overdue == 0 && !m_read_all && m_rows_behind == 0;
+        if (waits && now < m_sent_at + m_options.m_min_interval)
+            return std::nullopt;
         return send(waits ? m_options.m_wait : duration{}, m_overdue > 0, now);
     }
     const auto& latest = m_reads.rbegin()->second;
@@ -28,6 +30,7 @@
 table_read change_watch::send(duration wait, bool new_connection, instant now)
 {
     const auto position = m_read_all ? 0 : m_position;
+    m_sent_at = now;
     m_reads[++m_last_read] = {now, wait, position};
     return {.m_number = m_last_read,
             .m_position = position,
@@ -55,8 +58,8 @@
         return false;
     }
     // Rows before the answer's position may have been removed since, if the read began elsewhere.
-    const bool known = extent.m_position < m_position ||
-                       (extent.m_position == m_position && !extent.m_up_to_date);
+    const bool known =
+        extent.m_position < m_position || (extent.m_position == m_position && !extent.m_up_to_date);
     if (known)
         return false;
     m_position = extent.m_position;
--- a/src/dragonflygap/cell/change_watch.hpp
+++ b/src/dragonflygap/cell/change_watch.hpp
@@ -18,6 +18,8 @@
     duration m_timeout = 1500ms;     ///< After the wait; a slow store still answers.
     duration m_retry_delay = 300ms;  ///< After a refusal.
     std::size_t m_max_reads = 3;     ///< In flight.
+    /// Between reads that are up to date, as a table that changes all the time answers at once.
+    duration m_min_interval{};
 };
 
 /// Answers that were applied, since the watch was made.
@@ -42,7 +44,8 @@
     /// The next read, if one is due. To be called several times a second, and after each answer.
     std::optional<table_read> next(instant now);
 
-    /// True if the answer's changes are to be applied; false if it has none, or later ones are known.
+    /// True if the answer's changes are to be applied; false if it has none, or later ones are
+    /// known.
     bool answered(std::uint64_t read, const read_extent& extent, instant now);
     void failed(std::uint64_t read, bool refused, instant now);
 
@@ -70,8 +73,9 @@
     bool m_read_all = true;        ///< The next read is of all rows.
     std::size_t m_table_rows = 0;  ///< When all rows were last read.
     std::size_t m_rows_behind = 0; ///< Read since the answers ceased to be up to date.
-    int m_overdue = 0;            ///< Reads in a row that weren't answered in time.
+    int m_overdue = 0;             ///< Reads in a row that weren't answered in time.
     instant m_not_before{};
+    instant m_sent_at{}; ///< Of the last read.
     instant m_confirmed_at{};
     change_watch_counts m_counts;
 };
--- a/tests/cell/change_watch_test.cpp
+++ b/tests/cell/change_watch_test.cpp
@@ -52,6 +52,23 @@
     CHECK(m_watch.confirmed_at() == m_now - 5ms);
 }
 
+// Of a cell of 350 workers: 80 reads a second, as some worker had always just written its
+// heartbeat.
+TEST(change_watch, a_table_that_changes_all_the_time_is_read_at_intervals)
+{
+    m_watch = change_watch({.m_min_interval = 150ms});
+    int reads = 0;
+    for (std::uint64_t position = 10; position < 1010; ++position, m_now += 1ms)
+        if (const auto read = m_watch.next(m_now))
+        {
+            ++reads;
+            CHECK_TRUE(
+                m_watch.answered(read->m_number, {.m_position = position, .m_rows = 1}, m_now));
+        }
+    CHECK_COMPARE(reads, <=, 8);
+    CHECK_COMPARE(reads, >=, 6);
+}
+
 // A store that answers slowly isn't flooded.
 TEST(change_watch, repeated_reads_are_limited_and_become_rarer)
 {
