Count the store as down only if no VM is answered

While the store is down tasks start on the known workers, as no worker can say that it leaves. But the leader took its own late or failing transactions for an outage (no commit for 0.7 s) and then ignored the age of its list, also when the other VMs were answered: a leader short of processor time, or cut off from the store alone. Members now tell the age of their last answer in their heartbeats.

--- a/src/dragonflygap/cell/coordinator.cpp
+++ b/src/dragonflygap/cell/coordinator.cpp
@@ -236,6 +236,11 @@
         m_memory->set_limit(memory_limit(std::min(m_options.m_memory_mb, event.m_least_memory_mb)));
 }
 
+void coordinator::on(const store_heard& event)
+{
+    m_store_heard_at = std::max(m_store_heard_at, event.m_at);
+}
+
 job_state* coordinator::find(const job_id& job)
 {
     const auto found = m_jobs.find(job);
--- a/src/dragonflygap/cell/coordinator.hpp
+++ b/src/dragonflygap/cell/coordinator.hpp
@@ -38,6 +38,9 @@
     /// Of a transaction as it is sent; the platform accepts 1 MB.
     std::size_t m_max_bytes = 900000;
     duration m_store_timeout = 700ms; ///< Without the store for longer, submissions are rejected.
+    /// If no VM was answered for longer, the store is down and accepts no notice of a worker. Each
+    /// VM's read of the configuration is answered within a second.
+    duration m_store_down_timeout = 1500ms;
     /// For jobs rejected without the store; outages last seconds.
     std::int64_t m_store_retry_after_ms = 1000;
     /// For jobs rejected by a full queue; the length of a load peak.
@@ -154,6 +157,7 @@
     void on(const stop_answered& event);
     void on(const approval_answered& event);
     void on(const members_changed& event);
+    void on(const store_heard& event);
     void on(const tick& event);
 
     // coordinator.cpp: jobs and calls
@@ -188,6 +192,7 @@
     bool in_flight(const job_id& job) const;
     void expire_calls();
     bool store_unavailable() const;
+    bool store_down() const;
     duration store_age() const; ///< Time since the store last answered, or since the takeover.
     bool leadership_confirmed() const;
 
@@ -313,6 +318,7 @@
     std::map<queue_id, double> m_approval_rates;
     std::map<worker_id, worker_state> m_workers;
     worker_index m_index;
+    instant m_store_heard_at{};    ///< When the store last answered any VM.
     instant m_list_confirmed_at{}; ///< All changes of the list of workers until then are known.
     bool m_list_outdated = false;
     worker_number m_next_checked = 0; ///< Where the next tick goes on looking at all workers.
--- a/src/dragonflygap/cell/coordinator_commits.cpp
+++ b/src/dragonflygap/cell/coordinator_commits.cpp
@@ -41,6 +41,12 @@
     return store_age() > m_options.m_store_timeout;
 }
 
+// For every VM, not only for a leader that is late or cut off.
+bool coordinator::store_down() const
+{
+    return store_unavailable() && m_now - m_store_heard_at > m_options.m_store_down_timeout;
+}
+
 duration coordinator::store_age() const
 {
     return m_now - std::max(m_chain.last_success_at(), m_taken_over_at);
--- a/src/dragonflygap/cell/coordinator_worker_list.cpp
+++ b/src/dragonflygap/cell/coordinator_worker_list.cpp
@@ -182,7 +182,7 @@
 duration coordinator::max_start_delay() const
 {
     const auto window = m_options.m_workers.m_order_window;
-    if (m_list_confirmed_at == instant{} || store_unavailable())
+    if (m_list_confirmed_at == instant{} || store_down())
         return window;
     const auto notice_left = m_list_confirmed_at + m_options.m_min_notice - m_now;
     return std::min<duration>(window, notice_left * 98 / 100); // by a clock that runs 2% slow
--- a/src/dragonflygap/cell/events.hpp
+++ b/src/dragonflygap/cell/events.hpp
@@ -79,12 +79,17 @@
     std::vector<vm_id> m_members;
     std::int64_t m_least_memory_mb = 0; ///< Of a VM that may lead; 0: unknown.
 };
+/// The store has answered a read of a VM of the cell, which may be another one.
+struct store_heard
+{
+    instant m_at{};
+};
 struct tick
 {
 };
 using event = std::variant<job_submitted, job_cancelled, workers_listed, commit_answered,
                            leader_row_read, renewal_answered, start_answered, stop_answered,
-                           approval_answered, members_changed, tick>;
+                           approval_answered, members_changed, store_heard, tick>;
 
 enum class call_status
 {
--- a/src/dragonflygap/cell/peer_messages.hpp
+++ b/src/dragonflygap/cell/peer_messages.hpp
@@ -38,8 +38,9 @@
     std::uint64_t m_incarnation = 0;
     std::uint64_t m_config_version = 0;
     bool m_stopping = false;
+    std::int64_t m_store_age_ms = -1; ///< Time since the store last answered it; -1: unknown.
 
-    MSGPACK_DEFINE(m_incarnation, m_config_version, m_stopping)
+    MSGPACK_DEFINE(m_incarnation, m_config_version, m_stopping, m_store_age_ms)
 };
 
 /// A configuration newer than the receiver's.
--- a/src/dragonflygap/node/leader_members.cpp
+++ b/src/dragonflygap/node/leader_members.cpp
@@ -96,6 +96,14 @@
     return 2 * static_cast<std::size_t>(responsive_count) < m_members.size();
 }
 
+void leader_task::report_store()
+{
+    if (m_stopped)
+        return;
+    m_store_heard_at = std::max(m_store_heard_at, m_options.m_store_answered_at());
+    process_event(cell::store_heard{m_store_heard_at});
+}
+
 // Any member may lead next, also one that is silent now.
 std::int64_t leader_task::least_memory_mb() const
 {
--- a/src/dragonflygap/node/leader_task.cpp
+++ b/src/dragonflygap/node/leader_task.cpp
@@ -27,6 +27,7 @@
                                     [this]
                                     {
                                         check_members();
+                                        report_store();
                                         send_heartbeats();
                                     }));
     m_timers.push_back(
@@ -216,6 +217,10 @@
     const bool was_responsive = is_responsive(found->second);
     found->second.m_last_heard_at = monotonic_clock::now();
     found->second.m_stopping = heartbeat.m_stopping;
+    if (heartbeat.m_store_age_ms >= 0)
+        m_store_heard_at =
+            std::max(m_store_heard_at,
+                     monotonic_clock::now() - std::chrono::milliseconds(heartbeat.m_store_age_ms));
     // After a take-over, approvals go through every VM as soon as it responds.
     if (!was_responsive)
         check_members();
--- a/src/dragonflygap/node/leader_task.hpp
+++ b/src/dragonflygap/node/leader_task.hpp
@@ -35,6 +35,7 @@
     std::function<void(const vm_id& peer)> m_remove_peer;
     std::function<void(const vm_id& peer)> m_redial;
     std::function<std::uint64_t()> m_config_version;
+    std::function<instant()> m_store_answered_at; ///< To this VM's other reads; zero: never.
     std::function<void(std::string cause)> m_on_deposed;
     duration m_tick_interval = 10ms;
     duration m_heartbeat_interval = 150ms;
@@ -107,6 +108,7 @@
     void update_members(const std::vector<cell::stored_row>& rows);
     void retire_member(const vm_id& vm, const cell::stored_row& row);
     void check_members();
+    void report_store();
     std::int64_t least_memory_mb() const;
     bool is_responsive(const member& candidate) const;
     bool hears(const member& sender) const;
@@ -120,6 +122,7 @@
     cell::change_watch m_worker_watch;
     std::uint64_t m_newest_version = 0; ///< Of the store, from this leader's transactions.
     std::uint64_t m_epoch;
+    instant m_store_heard_at{}; ///< When the store last answered any VM.
     std::map<vm_id, member> m_members;
     std::vector<vm_id> m_responsive_members;
     std::int64_t m_least_memory_mb = 0; ///< Of all members that told theirs.
--- a/src/dragonflygap/node/node.cpp
+++ b/src/dragonflygap/node/node.cpp
@@ -77,8 +77,12 @@
                     m_config_watch.failed(number, config.error().m_verdict == verdict::not_run,
                                           now);
                 }
-                else if (m_config_watch.answered(number, extent, now) && *config)
-                    apply_config(std::move(**config), "store");
+                else
+                {
+                    m_store_answered_at = now;
+                    if (m_config_watch.answered(number, extent, now) && *config)
+                        apply_config(std::move(**config), "store");
+                }
                 watch_config();
             });
 }
@@ -267,6 +271,7 @@
             .m_redial = [this](const vm_id& peer) { m_options.m_peers.m_redial(peer); },
             .m_config_version = [this]() -> std::uint64_t
             { return m_config ? m_config->m_version : 0; },
+            .m_store_answered_at = [this] { return m_store_answered_at; },
             .m_on_deposed = [this](const std::string& cause) { stop_leading(cause); }},
         std::move(state));
     m_callers.leader_changed();
--- a/src/dragonflygap/node/node.hpp
+++ b/src/dragonflygap/node/node.hpp
@@ -119,6 +119,7 @@
     std::unique_ptr<leader_task> m_leader;
     std::optional<cell::cell_config> m_config;
     cell::change_watch m_config_watch;
+    instant m_store_answered_at{}; ///< A read of the configuration; zero: never.
     struct sent_config
     {
         std::uint64_t m_version = 0;
--- a/src/dragonflygap/node/node_messages.cpp
+++ b/src/dragonflygap/node/node_messages.cpp
@@ -77,8 +77,12 @@
                   {{"leader", from.m_value}, {"epoch", message.m_epoch}});
         m_callers.leader_changed();
     }
-    send(from, cell::member_heartbeat{m_options.m_incarnation, m_config ? m_config->m_version : 0,
-                                      m_stopping});
+    const bool answered = m_store_answered_at != instant{};
+    send(from, cell::member_heartbeat{.m_incarnation = m_options.m_incarnation,
+                                      .m_config_version = m_config ? m_config->m_version : 0,
+                                      .m_stopping = m_stopping,
+                                      .m_store_age_ms =
+                                          answered ? to_ms(now - m_store_answered_at) : -1});
     send_config(from, message.m_config_version);
 }
 
