Read the store's answers before the loop's other events

libevent reads 4 KB of a connection in each round of the loop, and a busy leader handles hundreds of events in a round, so 110 KB of the workers' list took seconds to read. Connections to the store now have a higher priority, and the loop looks for urgent events after 16 others.

--- a/src/dragonflygap/daemon/connection_limits.hpp
+++ b/src/dragonflygap/daemon/connection_limits.hpp
@@ -15,6 +15,7 @@
 /// A response that is lost occupies a connection until the call's timeout.
 constexpr http_client_options store_client_options{
     .m_max_body_bytes = 4 << 20, // the store sends at most 1 MB of rows
-    .m_max_connections_per_endpoint = 16};
+    .m_max_connections_per_endpoint = 16,
+    .m_urgent = true}; // a leader that knows neither the store's workers nor its own row does harm
 
 } // namespace dragonflygap::daemon
--- a/src/dragonflygap/net/client_connection.cpp
+++ b/src/dragonflygap/net/client_connection.cpp
@@ -32,6 +32,13 @@
     reset_on_close(socket());
 }
 
+// A new socket has the default priority again.
+void client_connection::make_urgent()
+{
+    bufferevent_priority_set(evhttp_connection_get_bufferevent(m_http),
+                             event_loop::urgent_priority);
+}
+
 int client_connection::socket() const
 {
     return bufferevent_getfd(evhttp_connection_get_bufferevent(m_http));
--- a/src/dragonflygap/net/client_connection.hpp
+++ b/src/dragonflygap/net/client_connection.hpp
@@ -27,6 +27,9 @@
     /// server.
     void reset_when_closed();
 
+    /// Lets the loop handle the connection's events before others; to be called for each socket.
+    void make_urgent();
+
     /// -1 if the connection isn't established.
     int socket() const;
 
--- a/src/dragonflygap/net/event_loop.cpp
+++ b/src/dragonflygap/net/event_loop.cpp
@@ -107,9 +107,13 @@
     evthread_use_pthreads();
     event_config* config = event_config_new();
     event_config_set_flag(config, EVENT_BASE_FLAG_PRECISE_TIMER);
+    // Between others the loop looks for urgent events.
+    constexpr int max_callbacks = 16;
+    event_config_set_max_dispatch_interval(config, nullptr, max_callbacks, urgent_priority + 1);
     m_state->m_base = event_base_new_with_config(config);
     event_config_free(config);
-    if (m_state->m_base == nullptr)
+    constexpr int priorities = 2; // urgent, and the default
+    if (m_state->m_base == nullptr || event_base_priority_init(m_state->m_base, priorities) != 0)
         throw std::runtime_error("can't create an event base");
     m_state->m_wake = event_new(m_state->m_base, -1, EV_PERSIST, &state::on_wake, m_state.get());
 }
--- a/src/dragonflygap/net/event_loop.hpp
+++ b/src/dragonflygap/net/event_loop.hpp
@@ -57,6 +57,9 @@
 
     event_base* base() const;
 
+    /// Priority of events that are handled before all others.
+    static constexpr int urgent_priority = 0;
+
 private:
     struct state;
     std::unique_ptr<state> m_state;
--- a/src/dragonflygap/net/http_client.cpp
+++ b/src/dragonflygap/net/http_client.cpp
@@ -222,6 +222,8 @@
         if (!is_new)
             return;
         set_connection_options(used.socket());
+        if (m_options.m_urgent)
+            used.make_urgent();
         outgoing.m_connect_timer =
             m_loop.after(m_options.m_connect_timeout, [this, id] { on_connect_timeout(id); });
     }
--- a/src/dragonflygap/net/http_client.hpp
+++ b/src/dragonflygap/net/http_client.hpp
@@ -22,6 +22,9 @@
     /// While an endpoint refuses new connections, calls wait for an open one, if there is any; new
     /// ones are tried after an exponential delay.
     bool m_delay_refused = false;
+    /// Responses are read before the loop's other events are handled. Else a long one takes many
+    /// rounds of a busy loop, as each round reads 4 KB of a connection.
+    bool m_urgent = false;
     duration m_connect_timeout = 1500ms;
     duration m_idle_timeout = 10s; ///< Connections idle for longer are closed.
 };
