Wait for changes of the workers' list for a small part of their notice

A read now waits for a tenth of the notice.

tasks_start_while_no_entry_of_a_worker_changes fails with the wait of 1 s: the stand-in workers wrote heartbeats all the time, so no test had a quiet list.

--- a/src/dragonflygap/node/leader_task.cpp
+++ b/src/dragonflygap/node/leader_task.cpp
@@ -11,6 +11,22 @@
 namespace dragonflygap::node
 {
 
+namespace
+{
+
+// A read that waits in vain confirms the list as it was when the read was sent, so the wait is a
+// small part of the workers' notice. Workers' heartbeats may change the list hundreds of times a
+// second, so there is an interval between reads too.
+cell::change_watch_options watch_options(duration notice)
+{
+    constexpr int waits_per_notice = 10;
+    constexpr duration max_interval = 150ms;
+    const auto wait = notice / waits_per_notice;
+    return {.m_wait = wait, .m_min_interval = std::min<duration>(wait, max_interval)};
+}
+
+} // namespace
+
 leader_task::leader_task(event_loop& loop, metrics& registry, leader_task_options options,
                          cell::recovered_state state)
     : m_loop(loop),
@@ -18,7 +34,7 @@
       m_options(std::move(options)),
       m_coordinator(m_options.m_coordinator, std::move(state), monotonic_clock::now()),
       m_report(registry, m_options.m_tick_interval),
-      m_worker_watch(m_options.m_worker_watch),
+      m_worker_watch(watch_options(m_options.m_coordinator.m_min_notice)),
       m_epoch(m_coordinator.record().m_epoch)
 {
     m_members[m_options.m_vm].m_address = m_options.m_address;
--- a/src/dragonflygap/node/leader_task.hpp
+++ b/src/dragonflygap/node/leader_task.hpp
@@ -40,8 +40,6 @@
     duration m_tick_interval = 10ms;
     duration m_heartbeat_interval = 150ms;
     duration m_worker_watch_interval = 50ms; ///< Between looks whether a read is due.
-    /// Workers' heartbeats change the list hundreds of times a second.
-    cell::change_watch_options m_worker_watch{.m_min_interval = 150ms};
     duration m_member_read_interval = 1s;
     duration m_member_timeout = 1200ms; ///< A member silent for longer gets no approval calls.
     duration m_member_retention = 300s; ///< A member silent for longer is no longer a member.
--- a/tests/node/directory_test.cpp
+++ b/tests/node/directory_test.cpp
@@ -253,3 +253,15 @@
     for (const auto& text : world.m_checker.m_violations)
         FAIL(text.c_str());
 }
+
+// Seen with the review's stand-ins: while no entry changes, each read of the list waits in vain,
+// and the list of a leader without any answered order was always too old for a start.
+TEST(directory, tasks_start_while_no_entry_of_a_worker_changes)
+{
+    cell_world world({.m_approvals = false, .m_heartbeats = false});
+    world.run(5s);
+    world.submit("vm0", "0000000000000001", {{}});
+    world.run(1s);
+    LONGS_EQUAL(1, world.completed());
+    CHECK_TRUE(world.all_accepted_are_done());
+}
--- a/tests/node/support/cell_world.cpp
+++ b/tests/node/support/cell_world.cpp
@@ -172,7 +172,10 @@
             m_store.drop("servers", m_workers[i]->id());
         else
         {
-            m_store.put("servers", m_workers[i]->id(), m_workers[i]->entry("looms", address));
+            const auto entry = m_workers[i]->entry("looms", address);
+            const auto* stored = m_store.find("servers", m_workers[i]->id());
+            if (m_options.m_heartbeats || stored == nullptr || stored->m_value != entry)
+                m_store.put("servers", m_workers[i]->id(), entry);
             if (m_workers[i]->m_draining)
                 m_workers[i]->notice_accepted();
         }
--- a/tests/node/support/cell_world.hpp
+++ b/tests/node/support/cell_world.hpp
@@ -32,7 +32,8 @@
     int m_vms = 3;
     int m_workers = 4;
     unsigned m_seed = 1;
-    bool m_approvals = true;                          ///< The queue requires tickets.
+    bool m_approvals = true;  ///< The queue requires tickets.
+    bool m_heartbeats = true; ///< Else a worker's entry is written only when it changes.
     std::map<std::string, double> m_processor_shares; ///< Of a core, by VM; default 1.
     /// Without it, calls to workers need no connections.
     std::optional<connection_options> m_connections;
