Count a read of the workers' list as overdue after as long as before

With the shorter wait a read was repeated after 0.6 s instead of 1.3 s, on a new connection; a busy leader that reads slowly would then read the same rows twice.

--- a/src/dragonflygap/node/leader_task.cpp
+++ b/src/dragonflygap/node/leader_task.cpp
@@ -21,8 +21,11 @@
 {
     constexpr int waits_per_notice = 10;
     constexpr duration max_interval = 150ms;
+    constexpr duration overdue_after = 1300ms; // a busy leader reads slowly, and would read twice
     const auto wait = notice / waits_per_notice;
-    return {.m_wait = wait, .m_min_interval = std::min<duration>(wait, max_interval)};
+    return {.m_wait = wait,
+            .m_answer_delay = std::max<duration>(overdue_after - wait, max_interval),
+            .m_min_interval = std::min<duration>(wait, max_interval)};
 }
 
 } // namespace
