--- a/tests/node/node_property_test.cpp
+++ b/tests/node/node_property_test.cpp
@@ -34,7 +34,7 @@
 void inject_fault(cell_world& world, int& crash_count)
 {
     const auto vm = random_vm();
-    switch (*rc::gen::inRange(0, 11))
+    switch (*rc::gen::inRange(0, 12))
     {
     case 0:
         world.kill(vm);
@@ -78,6 +78,10 @@
     case 9:
         world.at(*rc::gen::inRange(0, 4)).m_faults.m_hangs = true;
         break;
+    case 10:
+        if (world.find(vm) != nullptr)
+            world.slow_down(vm, std::chrono::milliseconds(*rc::gen::inRange(1, 200)));
+        break;
     default:
         world.at(*rc::gen::inRange(0, 4)).m_faults.m_unanswered_order_rate = 0.1;
         break;
@@ -93,6 +97,8 @@
     for (const auto* vm : {"vm0", "vm1", "vm2"})
         if (world.find(vm) == nullptr)
             world.start(vm);
+        else
+            world.slow_down(vm, {});
     world.run(60s);
 }
 
