--- a/src/dragonflygap/cell/approvals.cpp
+++ b/src/dragonflygap/cell/approvals.cpp
@@ -32,17 +32,41 @@
     ++m_denied_count;
 }
 
-void step_approval::forget(worker_number worker)
+bool step_approval::forget(worker_number worker)
 {
-    m_tickets.erase(worker);
+    const bool dropped = drop_ticket(worker);
     if (!is_known(worker))
-        return;
+        return dropped;
     auto& known = decision_of(worker);
     if (known == decision::approved)
         std::erase(m_approved, worker);
     else
         --m_denied_count;
     known = decision::unknown;
+    return dropped;
+}
+
+bool step_approval::set_ticket(worker_number worker, valid_ticket ticket)
+{
+    const bool replaced = drop_ticket(worker);
+    m_tickets[worker] = std::move(ticket);
+    return replaced;
+}
+
+bool step_approval::drop_ticket(worker_number worker)
+{
+    const auto found = m_tickets.find(worker);
+    if (found == m_tickets.end())
+        return false;
+    const bool unused = !found->second.m_used;
+    m_tickets.erase(found);
+    return unused;
+}
+
+std::size_t step_approval::held_count() const
+{
+    return std::count_if(m_tickets.begin(), m_tickets.end(),
+                         [](const auto& entry) { return !entry.second.m_used; });
 }
 
 const std::string* step_approval::find_valid_ticket(worker_number worker, instant now) const
--- a/src/dragonflygap/cell/approvals.hpp
+++ b/src/dragonflygap/cell/approvals.hpp
@@ -32,8 +32,9 @@
     void approve(worker_number worker);
     /// Has no effect on a worker that was approved before.
     void deny(worker_number worker);
-    /// The worker was removed; its number may be given to another one.
-    void forget(worker_number worker);
+    /// The worker was removed; its number may be given to another one. True if an unused ticket was
+    /// dropped.
+    bool forget(worker_number worker);
 
     bool is_approved(worker_number worker) const { return decided(worker) == decision::approved; }
     bool is_known(worker_number worker) const { return decided(worker) != decision::unknown; }
@@ -47,6 +48,15 @@
     /// The worker's ticket if it will still be valid when an order arrives; nullptr otherwise.
     const std::string* find_valid_ticket(worker_number worker, instant now) const;
 
+    /// Replaces the worker's ticket; true if there was one that wasn't used.
+    bool set_ticket(worker_number worker, valid_ticket ticket);
+
+    /// True if there was a ticket that wasn't used.
+    bool drop_ticket(worker_number worker);
+
+    /// Tickets that weren't used.
+    std::size_t held_count() const;
+
     /// Marks a ticket as used; true if it wasn't used before.
     bool mark_used(worker_number worker);
 
--- a/src/dragonflygap/cell/coordinator.cpp
+++ b/src/dragonflygap/cell/coordinator.cpp
@@ -147,6 +147,7 @@
     }
     place_ready_steps();
     count_lapsed_tickets();
+    end_silent_calls();
     // Placing and losses changed more of them.
     const auto changed = m_index.take_changed();
     checked.insert(checked.end(), changed.begin(), changed.end());
@@ -292,7 +293,7 @@
             const step_key key{job.id(), k, s};
             m_ready.erase(rank_of(job, key));
             m_unsuited.erase(key);
-            m_counts.m_tickets_lapsed += steps[s].m_approval.drop_lapsed(instant::max());
+            m_counts.m_tickets.m_gone += steps[s].m_approval.drop_lapsed(instant::max());
             m_claims.drop(key);
             set_drained(steps[s], {});
         }
@@ -336,7 +337,7 @@
         }
         if (step.m_done == static_cast<int>(step.m_tasks.size()))
         {
-            m_counts.m_tickets_lapsed += step.m_approval.drop_lapsed(instant::max());
+            m_counts.m_tickets.m_gone += step.m_approval.drop_lapsed(instant::max());
             step.m_approval = {};
             m_unsuited.erase(key);
         }
--- a/src/dragonflygap/cell/coordinator.hpp
+++ b/src/dragonflygap/cell/coordinator.hpp
@@ -11,6 +11,7 @@
 #include <unordered_map>
 #include <vector>
 
+#include "dragonflygap/cell/approval_counts.hpp"
 #include "dragonflygap/cell/approvals.hpp"
 #include "dragonflygap/cell/commit_chain.hpp"
 #include "dragonflygap/cell/events.hpp"
@@ -108,6 +109,8 @@
     /// it about once a second.
     wait_report report_waits(std::size_t max_by_rank, std::size_t max_by_age) const;
     const leader_counts& counts() const { return m_counts; }
+    /// Approval calls whose end isn't counted yet.
+    std::size_t open_approvals() const { return m_open_approvals.size(); }
 
 private:
     using actions = std::vector<action>;
@@ -135,6 +138,16 @@
         bool m_workers = false;
         std::vector<worker_id> m_used; ///< May be used once the transaction is stored.
     };
+    /// An approval call whose end isn't counted yet.
+    struct open_approval
+    {
+        vm_id m_via;
+        step_key m_step;
+        instant m_sent_at{};
+        duration m_cost{};     ///< Processing time of the service.
+        duration m_expected{}; ///< Until the answer.
+        bool m_given_up = false;
+    };
     /// An approval call that is being assembled.
     struct approval_draft
     {
@@ -288,9 +301,16 @@
     // coordinator_waits.cpp: reports about waiting steps
     void
     for_each_due_step(const std::function<void(const job_state&, const step_key&)>& visit) const;
-    void count_answer(const approval_answered& event);
     void count_lapsed_tickets();
 
+    // coordinator_calls.cpp: what becomes of approval calls and tickets; changes no decision
+    void record_answer(const approval_answered& event);
+    std::string_view count_end(const approval_answered& event, const step_state* step);
+    void count_tickets(const approval_answered& event, const step_state* step);
+    bool is_gone(const approval_answered& event) const;
+    static bool is_awaited(const approval_answered& event, const step_state& step);
+    void end_silent_calls();
+
     coordinator_options m_options;
     commit_chain m_chain;
     approval_balancer m_approval_balancer;
@@ -331,6 +351,7 @@
     instant m_workers_not_before{};    ///< Backoff after the store refused these rows.
     room_claims m_claims{m_index};
     std::uint64_t m_last_approval_call = 0;
+    std::map<std::uint64_t, open_approval> m_open_approvals; ///< By number, thus by age.
     response_time m_order_time;
     order_window m_order_window;
     // State of one placement pass.
--- a/src/dragonflygap/cell/coordinator_approvals.cpp
+++ b/src/dragonflygap/cell/coordinator_approvals.cpp
@@ -83,6 +83,9 @@
     named.reserve(draft.m_workers.size());
     for (const auto number : draft.m_workers)
         named.push_back(m_index.at(number).m_info.m_id);
+    ++m_counts.m_calls.m_sent;
+    m_open_approvals[m_last_approval_call] = {
+        .m_via = *via, .m_step = key, .m_sent_at = m_now, .m_cost = time, .m_expected = expected};
     m_actions->push_back(
         request_approval{m_last_approval_call, *via, key, std::move(named), time, expected});
     return true;
@@ -247,23 +250,15 @@
         m_approval_balancer.set_backlog_time(event.m_via, *event.m_backlog_time, m_now);
     else if (!event.m_result)
         m_approval_balancer.set_unresponsive(event.m_via, m_now);
-    count_answer(event);
+    record_answer(event);
     job_state* job = find(event.m_step.m_job);
     step_state* found = find_step(event.m_step);
     if (found == nullptr)
         return;
     auto& step = *found;
     auto& approved = step.m_approval;
-    const bool awaited = approved.m_call_in_flight && approved.m_call == event.m_call;
-    log_event(log_level::info, "approval_answered",
-              {{"job", event.m_step.m_job.m_value},
-               {"step", event.m_step.m_step},
-               {"asked", event.m_workers.size()},
-               {"approved", event.m_result ? event.m_result->m_tickets.size() : 0},
-               {"age_ms", awaited ? to_ms(m_now - approved.m_requested_at) : -1},
-               {"outcome", !awaited         ? "given_up"
-                           : event.m_result ? "answered"
-                                            : "failed"}});
+    const bool awaited = is_awaited(event, step);
+    const bool gone = is_gone(event);
     constexpr duration retry_delay = 100ms;
     if (awaited)
     {
@@ -288,8 +283,9 @@
             continue;
         approved.approve(worker->second.m_number);
         // Approval is permanent, but the expiry of tickets from an abandoned call is unknown.
-        if (awaited)
-            approved.m_tickets[worker->second.m_number] = {ticket.m_text, expires_at};
+        if (awaited && !gone)
+            m_counts.m_tickets.m_replaced +=
+                approved.set_ticket(worker->second.m_number, {ticket.m_text, expires_at}) ? 1 : 0;
     }
     for (const auto& id : event.m_workers)
         if (const auto worker = m_workers.find(id); worker != m_workers.end())
--- a/src/dragonflygap/cell/coordinator_orders.cpp
+++ b/src/dragonflygap/cell/coordinator_orders.cpp
@@ -31,7 +31,7 @@
         if (const auto* ticket = approved->find_valid_ticket(worker.m_number, m_now))
             order.m_ticket = *ticket;
     job.set_placed(key, worker.m_info.m_id, run);
-    m_counts.m_tickets_used +=
+    m_counts.m_tickets.m_used +=
         job.step(key.m_occurrence, key.m_step).m_approval.mark_used(worker.m_number) ? 1 : 0;
     m_order_window.sent();
     m_actions->push_back(send_start{{worker.m_info.m_id, worker.m_info.m_address},
@@ -91,7 +91,7 @@
     {
         step_state* step = find_step(step_of(event.m_task));
         if (refusal == start_refusal::no_ticket && step != nullptr)
-            step->m_approval.m_tickets.erase(worker.m_number);
+            m_counts.m_tickets.m_refused += step->m_approval.drop_ticket(worker.m_number) ? 1 : 0;
         if (!event.m_result || refusal == start_refusal::unhealthy ||
             refusal == start_refusal::no_room)
             worker.m_avoid_until = std::max(worker.m_avoid_until, m_now + avoid_unhealthy);
--- a/src/dragonflygap/cell/coordinator_waits.cpp
+++ b/src/dragonflygap/cell/coordinator_waits.cpp
@@ -66,6 +66,11 @@
     };
     wait_report result;
     add_workers(m_workers, m_now, result.m_pass);
+    result.m_pass.m_approvals_open = m_open_approvals.size();
+    for (const auto& [id, job] : m_jobs)
+        for (const auto& [k, steps] : job->open_occurrences())
+            for (const auto& step : steps)
+                result.m_pass.m_tickets_held += step.m_approval.held_count();
     auto add = [&](const candidate& step)
     {
         result.m_steps.push_back(explain_wait(*step.m_job, step.m_step, m_workers,
@@ -112,28 +117,6 @@
     return result;
 }
 
-// To be called before the answer is applied.
-void coordinator::count_answer(const approval_answered& event)
-{
-    step_state* step = find_step(event.m_step);
-    if (step != nullptr)
-        m_counts.m_tickets_lapsed += step->m_approval.drop_lapsed(m_now);
-    if (!event.m_result)
-    {
-        ++m_counts.m_answers_failed;
-        return;
-    }
-    const auto ticket_count = event.m_result->m_tickets.size();
-    ++m_counts.m_answers;
-    m_counts.m_workers_named += event.m_workers.size();
-    m_counts.m_tickets_received += ticket_count;
-    if (step != nullptr && step->m_waiting > 0 && !find(event.m_step.m_job)->m_outcome)
-        return;
-    ++m_counts.m_answers_late;
-    if (step == nullptr)
-        m_counts.m_tickets_lapsed += ticket_count;
-}
-
 void coordinator::count_lapsed_tickets()
 {
     constexpr duration count_interval = 1s;
@@ -144,7 +127,7 @@
         for (auto& [k, steps] : job->open_occurrences())
             for (auto& step : steps)
                 if (!step.m_approval.m_tickets.empty())
-                    m_counts.m_tickets_lapsed += step.m_approval.drop_lapsed(m_now);
+                    m_counts.m_tickets.m_lapsed += step.m_approval.drop_lapsed(m_now);
 }
 
 } // namespace dragonflygap::cell
--- a/src/dragonflygap/cell/coordinator_worker_list.cpp
+++ b/src/dragonflygap/cell/coordinator_worker_list.cpp
@@ -54,7 +54,7 @@
         for (auto& [k, steps] : job->open_occurrences())
             for (auto& step : steps)
             {
-                step.m_approval.forget(number);
+                m_counts.m_tickets.m_forgotten += step.m_approval.forget(number) ? 1 : 0;
                 std::erase(step.m_drained, number);
             }
     std::erase(m_closed, number);
--- a/src/dragonflygap/cell/events.hpp
+++ b/src/dragonflygap/cell/events.hpp
@@ -72,6 +72,8 @@
     outcome<approval> m_result;
     duration m_response_time{}; ///< From the call's arrival at the VM to the service's answer.
     std::optional<duration> m_backlog_time; ///< As reported by the VM; nothing if it didn't answer.
+    /// At the VM until the call was sent to the service; nothing if it wasn't sent, or unknown.
+    std::optional<duration> m_waited;
 };
 /// VMs that answer heartbeats: approvals may be requested through them.
 struct members_changed
--- a/src/dragonflygap/cell/peer_messages.hpp
+++ b/src/dragonflygap/cell/peer_messages.hpp
@@ -106,9 +106,11 @@
     std::int64_t m_backlog_time_ms = 0;
     std::uint64_t m_call = 0;
     std::int64_t m_response_time_ms = 0; ///< From the call's arrival to the service's answer.
+    /// From the call's arrival until it was sent to the service; -1: it wasn't sent.
+    std::int64_t m_waited_ms = -1;
 
     MSGPACK_DEFINE(m_epoch, m_step, m_workers, m_succeeded, m_approval, m_backlog_time_ms, m_call,
-                   m_response_time_ms)
+                   m_response_time_ms, m_waited_ms)
 };
 
 using peer_message = std::variant<leader_heartbeat, member_heartbeat, config_update, caller_call,
--- a/src/dragonflygap/cell/wait_report.hpp
+++ b/src/dragonflygap/cell/wait_report.hpp
@@ -3,6 +3,7 @@
 #include <cstdint>
 #include <vector>
 
+#include "dragonflygap/cell/approval_counts.hpp"
 #include "dragonflygap/cell/waiting_cause.hpp"
 
 namespace dragonflygap::cell
@@ -11,14 +12,10 @@
 /// Counters of a leader since its takeover.
 struct leader_counts
 {
-    std::uint64_t m_answers = 0;        ///< Approval calls that were answered.
-    std::uint64_t m_answers_failed = 0; ///< Approval calls that failed or got no answer.
-    std::uint64_t m_answers_late = 0;   ///< Answers for steps without waiting tasks.
-    std::uint64_t m_workers_named = 0;  ///< Workers in the answered calls.
-    std::uint64_t m_tickets_received = 0;
-    std::uint64_t m_tickets_used = 0; ///< Used at least once.
-    /// Unused, including those of steps that no longer needed them.
-    std::uint64_t m_tickets_lapsed = 0;
+    approval_call_counts m_calls;
+    ticket_counts m_tickets;
+    answer_times m_answer_times;
+    std::uint64_t m_workers_named = 0; ///< Workers in the answered calls.
     std::uint64_t m_starts_refused = 0;
     std::uint64_t m_stops_failed = 0; ///< Stop calls without an answer, or refused as unhealthy.
 };
@@ -28,8 +25,10 @@
 {
     std::size_t m_steps_waiting = 0;
     std::size_t m_gangs_waiting = 0;
-    std::size_t m_not_queued = 0; ///< Waiting steps that placement passes don't visit.
-    std::size_t m_approvals_in_flight = 0;
+    std::size_t m_not_queued = 0;          ///< Waiting steps that placement passes don't visit.
+    std::size_t m_approvals_in_flight = 0; ///< Calls that steps wait for.
+    std::size_t m_approvals_open = 0;      ///< The same, and calls given up that may be answered.
+    std::size_t m_tickets_held = 0;        ///< Unused.
     std::size_t m_workers_listed = 0;
     std::size_t m_workers_open = 0;
     std::size_t m_workers_closed = 0;
--- a/src/dragonflygap/node/leader_report.cpp
+++ b/src/dragonflygap/node/leader_report.cpp
@@ -31,6 +31,24 @@
                                 {"waiting_ms", to_ms(wait.m_age)}});
 }
 
+double to_seconds(duration value)
+{
+    return std::chrono::duration<double>(value).count();
+}
+
+std::int64_t mean_ms(duration sum, std::uint64_t count)
+{
+    return count == 0 ? 0 : to_ms(sum / static_cast<std::int64_t>(count));
+}
+
+cell::answer_times since(const cell::answer_times& now, const cell::answer_times& before)
+{
+    return {.m_count = now.m_count - before.m_count,
+            .m_waited = now.m_waited - before.m_waited,
+            .m_service = now.m_service - before.m_service,
+            .m_rest = now.m_rest - before.m_rest};
+}
+
 } // namespace
 
 void leader_report::record_tick(const cell::coordinator& state, instant started_at,
@@ -46,7 +64,7 @@
         m_metrics.observe("dragonflygap_tick_late_seconds", {}, delay);
     }
     m_last_tick_at = started_at;
-    count_tickets(state.counts());
+    count_approvals(state.counts());
     constexpr duration log_interval = 1s;
     constexpr std::size_t first_step_count = 8;
     constexpr std::size_t longest_waiting_count = 4;
@@ -89,51 +107,93 @@
                                  {"full_reads", counts.m_full_reads - previous.m_full_reads}});
 }
 
-void leader_report::count_tickets(const cell::leader_counts& counts)
+void leader_report::count_approvals(const cell::leader_counts& counts)
 {
     const auto previous = std::exchange(m_last_counted, counts);
-    auto count = [this](std::string_view fate, std::uint64_t increase)
+    auto count = [this](const char* name, const metric_label& label, double increase)
     {
         if (increase > 0)
-            m_metrics.count("dragonflygap_tickets_total", {"fate", fate},
-                            static_cast<double>(increase));
+            m_metrics.count(name, label, increase);
+    };
+    auto count_ends = [&](const char* name, std::string_view label, const auto& ends,
+                          const auto& now, const auto& before)
+    {
+        for (const auto& end : ends)
+            count(name, {label, end.m_name},
+                  static_cast<double>(now.*end.m_count - before.*end.m_count));
     };
-    count("used", counts.m_tickets_used - previous.m_tickets_used);
-    count("lapsed", counts.m_tickets_lapsed - previous.m_tickets_lapsed);
+    const auto& calls = counts.m_calls;
+    const auto& tickets = counts.m_tickets;
+    count("dragonflygap_approvals_sent_total", {},
+          static_cast<double>(calls.m_sent - previous.m_calls.m_sent));
+    count("dragonflygap_approvals_timed_out_total", {},
+          static_cast<double>(calls.m_timed_out - previous.m_calls.m_timed_out));
+    count_ends("dragonflygap_approvals_total", "outcome", cell::call_ends, calls, previous.m_calls);
+    count("dragonflygap_tickets_received_total", {},
+          static_cast<double>(tickets.m_received - previous.m_tickets.m_received));
+    count_ends("dragonflygap_tickets_total", "fate", cell::ticket_ends, tickets,
+               previous.m_tickets);
+    const auto times = since(counts.m_answer_times, previous.m_answer_times);
+    count("dragonflygap_answers_timed_total", {}, static_cast<double>(times.m_count));
+    count("dragonflygap_answer_seconds_total", {"part", "waited"}, to_seconds(times.m_waited));
+    count("dragonflygap_answer_seconds_total", {"part", "service"}, to_seconds(times.m_service));
+    count("dragonflygap_answer_seconds_total", {"part", "rest"}, to_seconds(times.m_rest));
 }
 
 void leader_report::log_pass(const cell::coordinator& state, const cell::pass_summary& pass)
 {
     const auto counts = state.counts();
     const auto previous = std::exchange(m_last_logged, counts);
-    log_periodic("pass_summary",
-                 {{"steps_waiting", pass.m_steps_waiting},
-                  {"gangs_waiting", pass.m_gangs_waiting},
-                  {"not_queued", pass.m_not_queued},
-                  {"oldest_wait_ms", to_ms(pass.m_oldest_wait)},
-                  {"approvals_in_flight", pass.m_approvals_in_flight},
-                  {"answers", counts.m_answers - previous.m_answers},
-                  {"answers_failed", counts.m_answers_failed - previous.m_answers_failed},
-                  {"answers_late", counts.m_answers_late - previous.m_answers_late},
-                  {"workers_named", counts.m_workers_named - previous.m_workers_named},
-                  {"tickets_got", counts.m_tickets_received - previous.m_tickets_received},
-                  {"tickets_used", counts.m_tickets_used - previous.m_tickets_used},
-                  {"tickets_lapsed", counts.m_tickets_lapsed - previous.m_tickets_lapsed},
-                  {"starts_refused", counts.m_starts_refused - previous.m_starts_refused},
-                  {"stops_failed", counts.m_stops_failed - previous.m_stops_failed},
-                  {"workers_listed", pass.m_workers_listed},
-                  {"workers_open", pass.m_workers_open},
-                  {"workers_closed", pass.m_workers_closed},
-                  {"millicores_free", pass.m_millicores_free},
-                  {"millicores_reserved", pass.m_millicores_reserved},
-                  {"millicores_closed", pass.m_millicores_closed},
-                  {"runs_starting", pass.m_runs_starting},
-                  {"runs_unknown", pass.m_runs_unknown},
-                  {"runs_stopping", pass.m_runs_stopping},
-                  {"longest_stop_ms", to_ms(pass.m_longest_stop)},
-                  {"ticks", m_ticks},
-                  {"longest_tick_us", m_max_tick_time.count()},
-                  {"latest_tick_ms", to_ms(m_max_tick_delay)}});
+    const auto& calls = counts.m_calls;
+    const auto& tickets = counts.m_tickets;
+    const auto times = since(counts.m_answer_times, previous.m_answer_times);
+    log_periodic(
+        "pass_summary",
+        {{"steps_waiting", pass.m_steps_waiting},
+         {"gangs_waiting", pass.m_gangs_waiting},
+         {"not_queued", pass.m_not_queued},
+         {"oldest_wait_ms", to_ms(pass.m_oldest_wait)},
+         {"approvals_in_flight", pass.m_approvals_in_flight},
+         {"approvals_open", pass.m_approvals_open},
+         {"calls_sent", calls.m_sent - previous.m_calls.m_sent},
+         {"calls_timed_out", calls.m_timed_out - previous.m_calls.m_timed_out},
+         {"calls_answered", calls.m_answered - previous.m_calls.m_answered},
+         {"calls_needless", calls.m_needless - previous.m_calls.m_needless},
+         {"calls_given_up", calls.m_given_up - previous.m_calls.m_given_up},
+         {"calls_gone", calls.m_gone - previous.m_calls.m_gone},
+         {"calls_unsent", calls.m_unsent - previous.m_calls.m_unsent},
+         {"calls_failed", calls.m_failed - previous.m_calls.m_failed},
+         {"calls_silent", calls.m_silent - previous.m_calls.m_silent},
+         {"calls_unexpected", calls.m_unexpected - previous.m_calls.m_unexpected},
+         {"waited_mean_ms", mean_ms(times.m_waited, times.m_count)},
+         {"service_mean_ms", mean_ms(times.m_service, times.m_count)},
+         {"rest_mean_ms", mean_ms(times.m_rest, times.m_count)},
+         {"workers_named", counts.m_workers_named - previous.m_workers_named},
+         {"tickets_held", pass.m_tickets_held},
+         {"tickets_got", tickets.m_received - previous.m_tickets.m_received},
+         {"tickets_used", tickets.m_used - previous.m_tickets.m_used},
+         {"tickets_lapsed", tickets.m_lapsed - previous.m_tickets.m_lapsed},
+         {"tickets_given_up", tickets.m_given_up - previous.m_tickets.m_given_up},
+         {"tickets_gone", tickets.m_gone - previous.m_tickets.m_gone},
+         {"tickets_unknown_worker", tickets.m_unknown_worker - previous.m_tickets.m_unknown_worker},
+         {"tickets_refused", tickets.m_refused - previous.m_tickets.m_refused},
+         {"tickets_replaced", tickets.m_replaced - previous.m_tickets.m_replaced},
+         {"tickets_forgotten", tickets.m_forgotten - previous.m_tickets.m_forgotten},
+         {"starts_refused", counts.m_starts_refused - previous.m_starts_refused},
+         {"stops_failed", counts.m_stops_failed - previous.m_stops_failed},
+         {"workers_listed", pass.m_workers_listed},
+         {"workers_open", pass.m_workers_open},
+         {"workers_closed", pass.m_workers_closed},
+         {"millicores_free", pass.m_millicores_free},
+         {"millicores_reserved", pass.m_millicores_reserved},
+         {"millicores_closed", pass.m_millicores_closed},
+         {"runs_starting", pass.m_runs_starting},
+         {"runs_unknown", pass.m_runs_unknown},
+         {"runs_stopping", pass.m_runs_stopping},
+         {"longest_stop_ms", to_ms(pass.m_longest_stop)},
+         {"ticks", m_ticks},
+         {"longest_tick_us", m_max_tick_time.count()},
+         {"latest_tick_ms", to_ms(m_max_tick_delay)}});
 }
 
 } // namespace dragonflygap::node
--- a/src/dragonflygap/node/leader_task.cpp
+++ b/src/dragonflygap/node/leader_task.cpp
@@ -187,7 +187,6 @@
         {
             if (!*alive || m_pending_approvals.erase(call) == 0)
                 return;
-            m_metrics.count("dragonflygap_approvals_total", {"outcome", "silent"});
             process_event(cell::approval_answered{
                 .m_call = call,
                 .m_step = step,
@@ -250,12 +249,13 @@
     if (answer.m_epoch != m_epoch)
         return;
     m_pending_approvals.erase(answer.m_call);
-    m_metrics.count("dragonflygap_approvals_total",
-                    {"outcome", answer.m_succeeded ? "answered" : "failed"});
     outcome<cell::approval> result =
         fail(verdict::not_run, reason::target_failed, "the member couldn't obtain an approval");
     if (answer.m_succeeded)
         result = answer.m_approval;
+    std::optional<duration> waited;
+    if (answer.m_waited_ms >= 0)
+        waited = std::chrono::milliseconds(answer.m_waited_ms);
     process_event(cell::approval_answered{
         .m_call = answer.m_call,
         .m_step = answer.m_step,
@@ -263,7 +263,8 @@
         .m_workers = answer.m_workers,
         .m_result = std::move(result),
         .m_response_time = std::chrono::milliseconds(answer.m_response_time_ms),
-        .m_backlog_time = std::chrono::milliseconds(answer.m_backlog_time_ms)});
+        .m_backlog_time = std::chrono::milliseconds(answer.m_backlog_time_ms),
+        .m_waited = waited});
 }
 
 cell::leader_heartbeat leader_task::heartbeat() const
--- a/src/dragonflygap/node/node.hpp
+++ b/src/dragonflygap/node/node.hpp
@@ -99,7 +99,7 @@
     void send_config(const vm_id& to, std::uint64_t known_version);
     void request_approvals();
     void answer_approval(const cell::approval_backlog::entry& entry,
-                         const outcome<cell::approval>& result);
+                         const outcome<cell::approval>& result, std::optional<duration> waited);
     void dispatch(const vm_id& from, const cell::peer_message& message);
 
     void on(const vm_id& from, const cell::leader_heartbeat& message);
--- a/tests/cell/support/stub_cell.hpp
+++ b/tests/cell/support/stub_cell.hpp
@@ -8,6 +8,7 @@
 #include <utility>
 #include <vector>
 
+#include "cell/support/count_invariants.hpp"
 #include "cell/support/run_invariants.hpp"
 #include "cell/support/simulated_worker.hpp"
 #include "cell/support/store_limits.hpp"
@@ -95,6 +96,7 @@
                     m_later.emplace_back(when, answer);
             feed(tick{});
             check_runs(m_coordinator);
+            check_counts(m_coordinator);
         }
     }
 
--- a/tests/cell/troubled_cell_test.cpp
+++ b/tests/cell/troubled_cell_test.cpp
@@ -1,5 +1,8 @@
 #include "cell/support/troubled_cell.hpp"
 
+#include <map>
+#include <string_view>
+
 #include <CppUTest/TestHarness.h>
 
 using namespace simulated;
@@ -19,3 +22,31 @@
         LONGS_EQUAL_TEXT(0, cell.open_jobs().size(), std::to_string(seed).c_str());
     }
 }
+
+// check_counts() holds after every event; here each end has to have been seen.
+TEST(troubled_cell, each_end_of_an_approval_call_and_of_a_ticket_is_counted)
+{
+    constexpr unsigned seeds = 30;
+    std::map<std::string_view, std::uint64_t> calls;
+    std::map<std::string_view, std::uint64_t> tickets;
+    for (unsigned seed = 1; seed <= seeds; ++seed)
+    {
+        troubled_cell cell(seed, true);
+        cell.run(40s, true);
+        cell.heal();
+        cell.run(30s, false);
+        LONGS_EQUAL_TEXT(0, cell.open_jobs().size(), std::to_string(seed).c_str());
+        for (std::size_t leader = 0; leader < cell.leader_count(); ++leader)
+        {
+            const auto& counts = cell.counts(leader);
+            for (const auto& end : call_ends)
+                calls[end.m_name] += counts.m_calls.*end.m_count;
+            for (const auto& end : ticket_ends)
+                tickets[end.m_name] += counts.m_tickets.*end.m_count;
+        }
+    }
+    for (const auto& [name, count] : calls)
+        CHECK_TEXT(count > 0, std::string(name).c_str());
+    for (const auto& [name, count] : tickets)
+        CHECK_TEXT(count > 0, std::string(name).c_str());
+}
