Count a VM's unanswered approval calls, and limit all of them by their answers' delay

Callers saw accepted jobs that never ran (LOST) and late gangs (SHORT). Cause of a part of it: an answer overwrote what the leader had recorded about a VM by that VM's report, which lacks the calls on their way, and nothing bounded the calls in flight; a call was given up 1.2 s after its expected time, however late the leader read, its tickets were thrown away, and the step asked again.

Now a VM's queue is known from the calls that it hasn't answered, a VM with overdue ones gets no more, all calls in flight are limited by a window that shrinks when answers come late, the time to give up follows the measured delay, and tickets of a call that was given up are used if they are still valid.

--- a/src/dragonflygap/cell/order_window.hpp
+++ b/src/dragonflygap/cell/call_window.hpp
@@ -8,28 +8,31 @@
 namespace dragonflygap::cell
 {
 
-struct order_window_options
+struct call_window_options
 {
-    double m_min = 16; ///< Orders in flight.
+    double m_min = 16; ///< Calls in flight.
     double m_max = 4000;
     double m_initial = 64;
-    /// Answers that take longer show that orders wait on their way.
+    /// Answers that come later than expected by more show that calls wait on their way.
     duration m_slow_answer = 150ms;
 };
 
-/// Limits the start orders in flight: the window grows while answers are quick and shrinks when
-/// they are slow. Orders beyond it wait where they can still be given to another worker, instead of
-/// in a queue where they would be lost. Does no I/O.
-class order_window
+/// Limits the calls in flight, such as start orders: the window grows while answers are quick and
+/// shrinks when they are slow. Calls beyond it wait where they can still be replaced by others,
+/// instead of in a queue where they would be lost. Answers the load of a leader that asks for more
+/// than is answered in time, whether the path, the other side or its own processor is the limit.
+/// Does no I/O.
+class call_window
 {
 public:
-    explicit order_window(order_window_options options)
+    explicit call_window(call_window_options options)
         : m_options(options), m_size(options.m_initial)
     {
     }
 
     void sent() { ++m_in_flight; }
 
+    /// With the time that the answer took beyond what was expected of it.
     void answered(duration taken, instant now)
     {
         m_in_flight -= m_in_flight > 0 ? 1 : 0;
@@ -42,7 +45,7 @@
                 m_size = std::min(m_options.m_max, m_size + growth);
             return;
         }
-        // Once for all orders that were on the way at the same time.
+        // Once for all calls that were on the way at the same time.
         if (now - m_shrunk_at < taken)
             return;
         m_shrunk_at = now;
@@ -54,7 +57,7 @@
     std::size_t size() const { return static_cast<std::size_t>(m_size); }
 
 private:
-    order_window_options m_options;
+    call_window_options m_options;
     double m_size;
     std::size_t m_in_flight = 0;
     instant m_shrunk_at{};
--- a/src/dragonflygap/cell/coordinator.cpp
+++ b/src/dragonflygap/cell/coordinator.cpp
@@ -50,7 +50,9 @@
       m_approval_balancer(options.m_approvals),
       m_memory(std::make_shared<memory_budget>(memory_limit(options.m_memory_mb))),
       m_order_time(options.m_orders),
+      m_approval_delay(options.m_approval_delay),
       m_order_window(options.m_order_window),
+      m_approval_window(options.m_approval_window),
       m_now(now),
       m_taken_over_at(now),
       m_elected_at(found.m_elected_at == instant{} ? now : found.m_elected_at)
--- a/src/dragonflygap/cell/coordinator.hpp
+++ b/src/dragonflygap/cell/coordinator.hpp
@@ -11,13 +11,14 @@
 #include <unordered_map>
 #include <vector>
 
+#include "dragonflygap/cell/approval_balancer.hpp"
 #include "dragonflygap/cell/approval_counts.hpp"
 #include "dragonflygap/cell/approvals.hpp"
+#include "dragonflygap/cell/call_window.hpp"
 #include "dragonflygap/cell/commit_chain.hpp"
 #include "dragonflygap/cell/events.hpp"
 #include "dragonflygap/cell/job_state.hpp"
 #include "dragonflygap/cell/occurrence_timetable.hpp"
-#include "dragonflygap/cell/order_window.hpp"
 #include "dragonflygap/cell/ready_queue.hpp"
 #include "dragonflygap/cell/response_time.hpp"
 #include "dragonflygap/cell/task_plan.hpp"
@@ -34,7 +35,11 @@
     commit_chain_options m_commits;
     approval_balancer_options m_approvals;
     response_time_options m_orders;
-    order_window_options m_order_window;
+    /// Of the time that an approval takes beyond what its call costs.
+    response_time_options m_approval_delay{
+        .m_initial_timeout = 1200ms, .m_min_timeout = 1200ms, .m_max_timeout = 5s};
+    call_window_options m_order_window;
+    call_window_options m_approval_window{.m_slow_answer = 250ms};
     std::size_t m_max_entries = 96; ///< Per transaction; the platform accepts 100.
     /// Of a transaction as it is sent; the platform accepts 1 MB.
     std::size_t m_max_bytes = 900000;
@@ -293,6 +298,8 @@
     approval_draft choose_workers(const job_state& job, const step_key& key, duration until_answer);
     void choose_approved(const job_state& job, const step_key& key, duration until_answer,
                          approval_draft& draft);
+    void free_place(const approval_answered& event, const std::optional<open_approval>& call);
+    std::optional<open_approval> find_open_approval(std::uint64_t call) const;
     void choose_unknown(const job_state& job, const step_key& key, approval_draft& draft);
     int possible_tasks(const job_state& job, const step_key& key) const;
     static const step_approval* approval_of(const job_state& job, const step_key& key);
@@ -306,7 +313,7 @@
     // coordinator_calls.cpp: what becomes of approval calls and tickets; changes no decision
     void record_answer(const approval_answered& event);
     std::string_view count_end(const approval_answered& event, const step_state* step);
-    void count_tickets(const approval_answered& event, const step_state* step);
+    void count_tickets(const approval_answered& event);
     bool is_gone(const approval_answered& event) const;
     static bool is_awaited(const approval_answered& event, const step_state& step);
     void end_silent_calls();
@@ -353,7 +360,9 @@
     std::uint64_t m_last_approval_call = 0;
     std::map<std::uint64_t, open_approval> m_open_approvals; ///< By number, thus by age.
     response_time m_order_time;
-    order_window m_order_window;
+    response_time m_approval_delay;
+    call_window m_order_window;
+    call_window m_approval_window;
     // State of one placement pass.
     resources m_max_free;                ///< The maximum of any open worker, for each resource.
     std::vector<worker_number> m_closed; ///< Workers closed for gangs.
--- a/src/dragonflygap/cell/coordinator_approvals.cpp
+++ b/src/dragonflygap/cell/coordinator_approvals.cpp
@@ -30,6 +30,8 @@
 // False if the step has to wait until other calls are served.
 bool coordinator::vm_is_free(duration call_time)
 {
+    if (m_approval_window.full())
+        return false;
     const auto [known, added] = m_free_vms.try_emplace(m_approval_balancer.vm_count(call_time));
     if (added)
         known->second = m_approval_balancer.choose(call_time, max_wait, m_now).has_value();
@@ -65,10 +67,15 @@
         return true;
     }
     const auto expected = m_approval_balancer.queue_delay(*via, m_now) + time;
-    m_approval_balancer.record_call(*via, time, m_now);
+    const auto call = ++m_last_approval_call;
+    m_approval_balancer.record_call(call, *via, time, m_now);
+    m_approval_window.sent();
+    ++m_counts.m_calls.m_sent;
+    m_open_approvals[call] = {
+        .m_via = *via, .m_step = key, .m_sent_at = m_now, .m_cost = time, .m_expected = expected};
     m_free_vms.clear();
     step.m_approval.m_call_in_flight = true;
-    step.m_approval.m_call = ++m_last_approval_call;
+    step.m_approval.m_call = call;
     step.m_approval.m_requested_at = m_now;
     set_drained(step, {});
     log_event(log_level::info, "approval_asked",
@@ -83,11 +90,13 @@
     named.reserve(draft.m_workers.size());
     for (const auto number : draft.m_workers)
         named.push_back(m_index.at(number).m_info.m_id);
-    ++m_counts.m_calls.m_sent;
-    m_open_approvals[m_last_approval_call] = {
-        .m_via = *via, .m_step = key, .m_sent_at = m_now, .m_cost = time, .m_expected = expected};
-    m_actions->push_back(
-        request_approval{m_last_approval_call, *via, key, std::move(named), time, expected});
+    m_actions->push_back(request_approval{.m_call = call,
+                                          .m_via = *via,
+                                          .m_step = key,
+                                          .m_workers = std::move(named),
+                                          .m_cost = time,
+                                          .m_expected = expected,
+                                          .m_timeout = expected + m_approval_delay.timeout()});
     return true;
 }
 
@@ -244,12 +253,33 @@
     m_approval_rates[queue] = std::max(rate, min_rate);
 }
 
+std::optional<coordinator::open_approval>
+coordinator::find_open_approval(std::uint64_t call) const
+{
+    const auto found = m_open_approvals.find(call);
+    return found == m_open_approvals.end() ? std::nullopt : std::optional(found->second);
+}
+
+// Lets other calls be sent in place of one that was answered or given up.
+void coordinator::free_place(const approval_answered& event,
+                             const std::optional<open_approval>& call)
+{
+    if (event.m_backlog_time || event.m_result)
+        m_approval_balancer.answered(event.m_call, event.m_via,
+                                     event.m_backlog_time.value_or(duration{}), m_now);
+    else
+        m_approval_balancer.set_unresponsive(event.m_call, event.m_via, m_now);
+    if (!call || call->m_given_up)
+        return;
+    const auto delay = std::max(duration{}, m_now - call->m_sent_at - call->m_expected);
+    m_approval_window.answered(delay, m_now);
+    m_approval_delay.add(delay);
+}
+
 void coordinator::on(const approval_answered& event)
 {
-    if (event.m_backlog_time)
-        m_approval_balancer.set_backlog_time(event.m_via, *event.m_backlog_time, m_now);
-    else if (!event.m_result)
-        m_approval_balancer.set_unresponsive(event.m_via, m_now);
+    const auto call = find_open_approval(event.m_call);
+    free_place(event, call);
     record_answer(event);
     job_state* job = find(event.m_step.m_job);
     step_state* found = find_step(event.m_step);
@@ -268,24 +298,30 @@
     m_ready.wake(rank_of(*job, event.m_step));
     if (!event.m_result)
         return;
-    // A delayed leader may read the answer seconds late. The service issued the tickets no earlier
-    // than the request plus the response time, so their validity counts from there, less the time
-    // that an order needs to reach the worker.
+    // A delayed leader may read the answer seconds late, even after it gave up the call. The
+    // service issued the tickets no earlier than the request plus the response time, so their
+    // validity counts from there, less the time that an order needs to reach the worker.
     const duration valid = std::chrono::milliseconds(event.m_result->m_valid_ms);
     const auto delivery_time = std::min<duration>(250ms, valid / 4);
     const auto expires_at =
-        std::min(m_now, approved.m_requested_at + event.m_response_time) + valid - delivery_time;
+        std::min(m_now, (call ? call->m_sent_at : m_now) + event.m_response_time) + valid - delivery_time;
     update_approval_rate(job->record().m_queue.m_name, approved, event);
     for (const auto& ticket : event.m_result->m_tickets)
     {
         const auto worker = m_workers.find(ticket.m_worker);
         if (worker == m_workers.end())
             continue;
-        approved.approve(worker->second.m_number);
-        // Approval is permanent, but the expiry of tickets from an abandoned call is unknown.
-        if (awaited && !gone)
+        const auto number = worker->second.m_number;
+        approved.approve(number);
+        if (gone)
+            continue;
+        if (!call || expires_at <= m_now)
+            ++(awaited ? m_counts.m_tickets.m_lapsed : m_counts.m_tickets.m_given_up);
+        else if (approved.find_valid_ticket(number, expires_at) != nullptr)
+            ++m_counts.m_tickets.m_replaced;
+        else
             m_counts.m_tickets.m_replaced +=
-                approved.set_ticket(worker->second.m_number, {ticket.m_text, expires_at}) ? 1 : 0;
+                approved.set_ticket(number, {ticket.m_text, expires_at}) ? 1 : 0;
     }
     for (const auto& id : event.m_workers)
         if (const auto worker = m_workers.find(id); worker != m_workers.end())
--- a/src/dragonflygap/cell/coordinator_calls.cpp
+++ b/src/dragonflygap/cell/coordinator_calls.cpp
@@ -50,7 +50,7 @@
     const auto age = m_now - call.m_sent_at;
     const auto outcome = count_end(event, step);
     if (event.m_result)
-        count_tickets(event, step);
+        count_tickets(event);
     if (open && event.m_waited)
         add_times(event, age, m_counts.m_answer_times);
     constexpr std::int64_t unknown_ms = -1;
@@ -107,7 +107,7 @@
 }
 
 // Those that are held are counted when they are used or dropped.
-void coordinator::count_tickets(const approval_answered& event, const step_state* step)
+void coordinator::count_tickets(const approval_answered& event)
 {
     auto& counts = m_counts.m_tickets;
     const auto& tickets = event.m_result->m_tickets;
@@ -119,10 +119,7 @@
         return;
     }
     for (const auto& ticket : tickets)
-        if (m_workers.count(ticket.m_worker) == 0)
-            ++counts.m_unknown_worker;
-        else if (!is_awaited(event, *step))
-            ++counts.m_given_up;
+        counts.m_unknown_worker += m_workers.count(ticket.m_worker) == 0 ? 1 : 0;
 }
 
 // An answer may come long after the call timed out, or never.
--- a/src/dragonflygap/cell/events.hpp
+++ b/src/dragonflygap/cell/events.hpp
@@ -146,6 +146,7 @@
     std::vector<worker_id> m_workers;
     duration m_cost{};     ///< Processing time of the service.
     duration m_expected{}; ///< Including the calls that wait before it at the VM.
+    duration m_timeout{};  ///< Without an answer for longer, the call is given up.
 };
 /// Another leader has taken over.
 struct step_down
--- a/src/dragonflygap/node/leader_task.cpp
+++ b/src/dragonflygap/node/leader_task.cpp
@@ -182,7 +182,7 @@
                                          .m_call = action.m_call});
     // A member that doesn't answer in time counts as a failed call.
     m_loop.defer(
-        action.m_expected + 2 * margin,
+        action.m_timeout,
         [this, call = action.m_call, step = action.m_step, via = action.m_via, alive = m_alive]
         {
             if (!*alive || m_pending_approvals.erase(call) == 0)
--- a/tests/cell/congestion_test.cpp
+++ b/tests/cell/congestion_test.cpp
@@ -1,5 +1,5 @@
 #include "cell/support/simulated_cell.hpp"
-#include "dragonflygap/cell/order_window.hpp"
+#include "dragonflygap/cell/call_window.hpp"
 #include "dragonflygap/cell/response_time.hpp"
 
 #include <CppUTest/TestHarness.h>
@@ -106,7 +106,7 @@
 
 TEST(congestion, the_window_shrinks_with_slow_answers_and_grows_with_quick_ones)
 {
-    order_window window({});
+    call_window window({});
     instant now(10s);
     for (int i = 0; i < 100; ++i)
         window.sent();
