--- a/src/dragonflygap/net/http_client.cpp
+++ b/src/dragonflygap/net/http_client.cpp
@@ -1,15 +1,13 @@
 #include "dragonflygap/net/http_client.hpp"
 
 #include <algorithm>
-#include <deque>
 #include <map>
 #include <set>
 #include <unordered_map>
 #include <utility>
-#include <vector>
 
 #include "dragonflygap/net/client_connection.hpp"
-#include "dragonflygap/net/connect_backoff.hpp"
+#include "dragonflygap/net/connection_pool.hpp"
 #include "dragonflygap/net/event_loop.hpp"
 #include "dragonflygap/net/evhttp_message.hpp"
 #include "dragonflygap/net/socket_options.hpp"
@@ -40,22 +38,12 @@
         bool written() const { return m_connection && m_connection->m_request_written; }
     };
 
-    struct pool
-    {
-        std::vector<std::unique_ptr<client_connection>> m_idle; ///< Used last: at the end.
-        std::deque<call_id> m_waiting;
-        int m_open_count = 0;
-        connect_backoff m_backoff;
-        instant m_next_attempt_at{}; ///< When m_retry_timer starts waiting calls.
-        event_loop::timer_ptr m_retry_timer;
-    };
-
     event_loop& m_loop;
     http_client_options m_options;
     http_client_counts m_counts;
     std::shared_ptr<bool> m_alive = std::make_shared<bool>(true);
     call_id m_last_call = 0;
-    std::map<endpoint, pool> m_pools;
+    std::map<endpoint, connection_pool> m_pools;
     std::unordered_map<call_id, std::shared_ptr<call>> m_calls;
     /// Ended calls whose connections are still to be closed or reused.
     std::set<std::shared_ptr<call>> m_closing;
@@ -69,49 +57,9 @@
     {
     }
 
-    // Bytes still in the kernel must not reach the target after the call was abandoned.
-    void abort(std::unique_ptr<client_connection> aborted, pool& connections)
-    {
-        aborted->reset_when_closed();
-        close(std::move(aborted), connections);
-    }
-
-    // Without a reset, which would be lost if the path is interrupted.
-    void close(std::unique_ptr<client_connection> closed, pool& connections)
-    {
-        --connections.m_open_count;
-        m_counts.m_failed += closed->m_answered ? 0 : 1;
-    }
-
-    // Takes the newest, so that those not needed reach the idle timeout.
-    std::unique_ptr<client_connection> acquire_idle(pool& connections)
-    {
-        close_expired(connections);
-        if (connections.m_idle.empty())
-            return nullptr;
-        auto newest = std::move(connections.m_idle.back());
-        connections.m_idle.pop_back();
-        return newest;
-    }
-
-    void close_expired(pool& connections)
+    void close_expired(connection_pool& connections)
     {
-        close_unused_since(connections, monotonic_clock::now() - m_options.m_idle_timeout);
-    }
-
-    // Closes idle connections without an answer since then, and those that the server closed.
-    void close_unused_since(pool& connections, instant since)
-    {
-        const auto usable = [since](const std::unique_ptr<client_connection>& idle)
-        { return idle->m_idle_since > since && idle->socket() >= 0; };
-        auto& idle = connections.m_idle;
-        const auto unused = std::stable_partition(idle.begin(), idle.end(), usable);
-        for (auto closed = unused; closed != idle.end(); ++closed)
-        {
-            close(std::move(*closed), connections);
-            ++m_counts.m_closed_idle;
-        }
-        idle.erase(unused, idle.end());
+        connections.close_unused_since(monotonic_clock::now() - m_options.m_idle_timeout, m_counts);
     }
 
     void close_expired()
@@ -125,22 +73,17 @@
         }
     }
 
-    void close_oldest_idle(pool& connections)
-    {
-        if (connections.m_idle.empty())
-            return;
-        close(std::move(connections.m_idle.front()), connections);
-        connections.m_idle.erase(connections.m_idle.begin());
-    }
-
     // False if the call waits for a connection.
     bool start(call& outgoing)
     {
-        pool& connections = m_pools[outgoing.m_to];
+        connection_pool& connections = m_pools[outgoing.m_to];
         if (!outgoing.m_request.m_new_connection)
-            outgoing.m_connection = acquire_idle(connections);
+        {
+            close_expired(connections);
+            outgoing.m_connection = connections.take_idle();
+        }
         else if (connections.m_open_count >= m_options.m_max_connections_per_endpoint)
-            close_oldest_idle(connections);
+            connections.close_oldest_idle(m_counts);
         if (outgoing.m_connection == nullptr)
         {
             const bool delayed = connections.m_open_count > 0 &&
@@ -162,7 +105,7 @@
     }
 
     // A call that waited before keeps its place.
-    void wait(call& outgoing, pool& connections)
+    void wait(call& outgoing, connection_pool& connections)
     {
         if (std::exchange(outgoing.m_waited, true))
         {
@@ -184,7 +127,7 @@
             });
     }
 
-    void retry_after_backoff(const endpoint& to, pool& connections)
+    void retry_after_backoff(const endpoint& to, connection_pool& connections)
     {
         const instant due = connections.m_backoff.delayed_until();
         if (connections.m_next_attempt_at == due)
@@ -301,7 +244,7 @@
         // Connections may go silent without a reset, all at once: only those that answered since
         // are known to work.
         if (cause == reason::timeout && ended->written())
-            close_unused_since(m_pools[ended->m_to], ended->m_started_at);
+            m_pools[ended->m_to].close_unused_since(ended->m_started_at, m_counts);
         close_later(ended);
         ended->m_done(fail(result_verdict, cause,
                            "call to " + to_string(ended->m_to) +
@@ -320,27 +263,27 @@
             [this, ended]
             {
                 m_closing.erase(ended);
-                abort(std::move(ended->m_connection), m_pools[ended->m_to]);
+                m_pools[ended->m_to].abort(std::move(ended->m_connection), m_counts);
                 start_waiting(ended->m_to);
             });
     }
 
     void release_connection(call& ended)
     {
-        pool& connections = m_pools[ended.m_to];
+        connection_pool& connections = m_pools[ended.m_to];
         if (m_options.m_reuse)
         {
             ended.m_connection->m_idle_since = monotonic_clock::now();
             connections.m_idle.push_back(std::move(ended.m_connection));
         }
         else
-            close(std::move(ended.m_connection), connections);
+            connections.close(std::move(ended.m_connection), m_counts);
         start_waiting(ended.m_to);
     }
 
     void start_waiting(const endpoint& to)
     {
-        pool& connections = m_pools[to];
+        connection_pool& connections = m_pools[to];
         while (!connections.m_waiting.empty())
         {
             const call_id next = connections.m_waiting.front();
@@ -418,7 +361,7 @@
     if (found == m_state->m_pools.end())
         return;
     for (auto& idle : std::exchange(found->second.m_idle, {}))
-        m_state->close(std::move(idle), found->second);
+        found->second.close(std::move(idle), m_state->m_counts);
 }
 
 } // namespace dragonflygap
