Close an abandoned call's connection before its caller is told

A worker received a start order 2 ms after its call had failed with the verdict not_run, when the leader had ordered the task elsewhere: TWICE.

When a call timed out, or its connect did, or it was cancelled, the client only posted the closing of its connection. The loop polls after 16 callbacks, and a connection established meanwhile was handled before the posted work, an urgent one even before other events. libevent then wrote the request, although no byte had been written when the verdict was told.

Now the connection is closed at once, unless within libevent's callback for it, when libevent has already ended the request. The call's place among the endpoint's connections is still passed on by posted work, in the order of the waiting calls.

--- a/src/dragonflygap/net/client_connection.cpp
+++ b/src/dragonflygap/net/client_connection.cpp
@@ -1,5 +1,7 @@
 #include "dragonflygap/net/client_connection.hpp"
 
+#include <utility>
+
 #include "dragonflygap/net/event_loop.hpp"
 #include "dragonflygap/net/socket_options.hpp"
 #include <event2/bufferevent.h>
@@ -24,12 +26,16 @@
 
 client_connection::~client_connection()
 {
-    evhttp_connection_free(m_http);
+    if (m_http != nullptr)
+        evhttp_connection_free(m_http);
 }
 
-void client_connection::reset_when_closed()
+void client_connection::reset()
 {
+    if (m_http == nullptr)
+        return;
     reset_on_close(socket());
+    evhttp_connection_free(std::exchange(m_http, nullptr));
 }
 
 // A new socket has the default priority again.
@@ -41,7 +47,7 @@
 
 int client_connection::socket() const
 {
-    return bufferevent_getfd(evhttp_connection_get_bufferevent(m_http));
+    return m_http == nullptr ? -1 : bufferevent_getfd(evhttp_connection_get_bufferevent(m_http));
 }
 
 void client_connection::on_output_changed(evbuffer* /*buffer*/, const evbuffer_cb_info* info,
--- a/src/dragonflygap/net/client_connection.hpp
+++ b/src/dragonflygap/net/client_connection.hpp
@@ -23,9 +23,9 @@
     client_connection(const client_connection&) = delete;
     client_connection& operator=(const client_connection&) = delete;
 
-    /// Makes the destructor reset the connection, so that bytes still in the kernel don't reach the
-    /// server.
-    void reset_when_closed();
+    /// Closes the connection with a reset, so that bytes still in the kernel don't reach the
+    /// server; nothing is written any more. Not to be called within its own callbacks.
+    void reset();
 
     /// Lets the loop handle the connection's events before others; to be called for each socket.
     void make_urgent();
@@ -42,7 +42,7 @@
 private:
     static void on_output_changed(evbuffer* buffer, const evbuffer_cb_info* info, void* self);
 
-    evhttp_connection* m_http;
+    evhttp_connection* m_http; ///< Null after a reset.
 };
 
 } // namespace dragonflygap
--- a/src/dragonflygap/net/connection_pool.cpp
+++ b/src/dragonflygap/net/connection_pool.cpp
@@ -8,7 +8,7 @@
 
 void connection_pool::abort(std::unique_ptr<client_connection> aborted, http_client_counts& counts)
 {
-    aborted->reset_when_closed();
+    aborted->reset();
     close(std::move(aborted), counts);
 }
 
--- a/src/dragonflygap/net/http_client.cpp
+++ b/src/dragonflygap/net/http_client.cpp
@@ -31,8 +31,9 @@
         event_loop::timer_ptr m_connect_timer;
         std::unique_ptr<client_connection> m_connection;
         reason m_reason = reason::target_silent;
-        bool m_waited = false;  ///< For a connection.
-        instant m_started_at{}; ///< When it got its connection.
+        bool m_waited = false;      ///< For a connection.
+        bool m_in_callback = false; ///< Of libevent for this call's connection.
+        instant m_started_at{};     ///< When it got its connection.
         state* m_owner = nullptr;
 
         bool written() const { return m_connection && m_connection->m_request_written; }
@@ -188,7 +189,8 @@
 
     static void on_response(evhttp_request* request, void* argument)
     {
-        const auto* ended = static_cast<call*>(argument);
+        auto* ended = static_cast<call*>(argument);
+        ended->m_in_callback = true;
         state* owner = ended->m_owner;
         // libevent passes null for a broken connection, and a request without a status if the
         // connection could not be established.
@@ -245,19 +247,22 @@
         // are known to work.
         if (cause == reason::timeout && ended->written())
             m_pools[ended->m_to].close_unused_since(ended->m_started_at, m_counts);
-        close_later(ended);
+        close(ended);
         ended->m_done(fail(result_verdict, cause,
                            "call to " + to_string(ended->m_to) +
                                " failed: " + std::string(to_string(cause))));
     }
 
-    void close_later(const std::shared_ptr<call>& ended)
+    void close(const std::shared_ptr<call>& ended)
     {
         ended->m_timer.reset();
         ended->m_connect_timer.reset();
         if (ended->m_connection == nullptr)
             return;
-        // libevent may still call back with this call's address until the connection is freed.
+        // The loop handles other events before the posted work: the connection's own would still
+        // write the request, although the caller may know that it isn't run.
+        if (!ended->m_in_callback)
+            ended->m_connection->reset();
         m_closing.insert(ended);
         post(
             [this, ended]
@@ -338,7 +343,7 @@
 void http_client::cancel(call_id call)
 {
     if (const auto ended = m_state->extract_call(call); ended != nullptr)
-        m_state->close_later(ended);
+        m_state->close(ended);
 }
 
 http_client_counts http_client::counts() const
--- a/src/dragonflygap/net/http_client.hpp
+++ b/src/dragonflygap/net/http_client.hpp
@@ -44,7 +44,8 @@
 
 /// HTTP client with a connection pool per endpoint; runs in the event loop of a task.
 ///
-/// The verdict of a failure is not_run if no byte was written to a connection, else may_have_run.
+/// The verdict of a failure is not_run if no byte was written to a connection, and none will be;
+/// else may_have_run.
 /// A response that is truncated, too large or of unknown length is a failure.
 class http_client
 {
