Say in the log why a waiting step asks for no approval, and what it holds

The line step_waits said no_room for a gang with room on workers that it never asked about. No decision changes.

--- a/src/dragonflygap/cell/coordinator.hpp
+++ b/src/dragonflygap/cell/coordinator.hpp
@@ -160,6 +160,7 @@
     {
         std::vector<worker_number> m_workers;
         room_claim m_claim;
+        approval_pause m_pause = approval_pause::no_candidates; ///< If it names no worker.
     };
     enum class ticket_need
     {
--- a/src/dragonflygap/cell/coordinator_approvals.cpp
+++ b/src/dragonflygap/cell/coordinator_approvals.cpp
@@ -50,20 +50,24 @@
     if (!vm_is_free(min_cost))
     {
         ready.m_wanted_call = min_cost;
+        step.m_approval_pause = approval_pause::vms_busy;
         return true;
     }
     const auto first_free = m_approval_balancer.choose(min_cost, max_wait, m_now);
     auto draft = choose_workers(job, key,
                                 m_approval_balancer.queue_delay(*first_free, m_now) +
                                     service_time(cost, max_named));
+    step.m_approval_pause = draft.m_pause;
     if (draft.m_workers.empty())
         return false;
+    step.m_approval_pause = approval_pause::none;
     const auto time = service_time(cost, draft.m_workers.size());
     const auto via = m_approval_balancer.choose(time, max_wait, m_now);
     if (!via)
     {
         // Fewer VMs may serve a call for so many workers, and all of those are busy.
         ready.m_wanted_call = time;
+        step.m_approval_pause = approval_pause::vms_busy;
         return true;
     }
     const auto expected = m_approval_balancer.queue_delay(*via, m_now) + time;
@@ -202,7 +206,10 @@
     // The approved workers are enough: the gang only waits for free capacity.
     if (spec.m_gang && !first && expected < step.m_waiting &&
         possible_tasks(job, key) >= enough_factor * step.m_waiting)
+    {
+        draft.m_pause = approval_pause::enough_when_empty;
         return;
+    }
     draft.m_claim.m_approval_rate = rate;
     draft.m_claim.m_tentative = std::move(tentative);
     draft.m_workers.insert(draft.m_workers.end(), named.begin(), named.end());
--- a/src/dragonflygap/cell/job_state.hpp
+++ b/src/dragonflygap/cell/job_state.hpp
@@ -45,6 +45,15 @@
     very_late, ///< Beyond three times its objective: hardly of use to its caller.
 };
 
+/// Why a waiting step requested no approval when it was last looked at.
+enum class approval_pause
+{
+    none,              ///< It requested one, or needs none.
+    vms_busy,          ///< No VM can make its call soon, or enough calls are in flight.
+    enough_when_empty, ///< The approved workers would fit the gang if they were empty.
+    no_candidates,     ///< No other worker has room for one of its tasks.
+};
+
 /// One step of one occurrence.
 struct step_state
 {
@@ -56,6 +65,7 @@
     instant m_next_attempt_at{};          ///< When to search for free capacity again.
     step_approval m_approval;             ///< Unused if the queue needs no approval.
     std::vector<worker_number> m_drained; ///< Workers closed to other steps until the gang fits.
+    approval_pause m_approval_pause = approval_pause::none;
 };
 
 /// The steps of one occurrence.
--- a/src/dragonflygap/cell/waiting_cause.cpp
+++ b/src/dragonflygap/cell/waiting_cause.cpp
@@ -208,6 +208,13 @@
     return names[static_cast<int>(cause)];
 }
 
+std::string_view name_of(approval_pause pause)
+{
+    constexpr std::string_view names[] = {"none", "vms_busy", "enough_when_empty", "no_candidates"};
+    static_assert(std::size(names) == static_cast<int>(approval_pause::no_candidates) + 1);
+    return names[static_cast<int>(pause)];
+}
+
 bool is_waiting(const job_state& job, const step_key& key, const worker_map& workers,
                 std::int64_t unix_ms)
 {
@@ -252,7 +259,10 @@
             .m_room_ticketed = capacity.m_ticketed.m_now,
             .m_room_approved = capacity.m_approved.m_now,
             .m_room_anywhere = capacity.m_anywhere.m_now,
-            .m_age = circumstances.m_now - waiting_since(job, key)};
+            .m_age = circumstances.m_now - waiting_since(job, key),
+            .m_pause = step.m_approval_pause,
+            .m_drained = step.m_drained.size(),
+            .m_retry_in = std::max(duration{}, step.m_next_attempt_at - circumstances.m_now)};
 }
 
 } // namespace dragonflygap::cell
--- a/src/dragonflygap/cell/waiting_cause.hpp
+++ b/src/dragonflygap/cell/waiting_cause.hpp
@@ -34,6 +34,7 @@
 
 /// The cause's name in logs.
 std::string_view name_of(waiting_cause cause);
+std::string_view name_of(approval_pause pause);
 
 /// What a step's wait depends on besides its job and the workers.
 struct wait_circumstances
@@ -61,6 +62,9 @@
     int m_room_approved = 0; ///< On approved workers; on all if no approval is needed.
     int m_room_anywhere = 0; ///< On all open workers that suit the step.
     duration m_age{};        ///< Since this leader first found it due.
+    approval_pause m_pause = approval_pause::none;
+    std::size_t m_drained = 0; ///< Workers that are closed to other steps for it.
+    duration m_retry_in{};     ///< Until it may look for capacity again.
 };
 
 /// True if due tasks of the step wait, or if its first open task is placed but its run is missing
--- a/src/dragonflygap/node/leader_report.cpp
+++ b/src/dragonflygap/node/leader_report.cpp
@@ -28,6 +28,9 @@
                                 {"room_ticketed", wait.m_room_ticketed},
                                 {"room_approved", wait.m_room_approved},
                                 {"room_anywhere", wait.m_room_anywhere},
+                                {"not_asking", cell::name_of(wait.m_pause)},
+                                {"drained", wait.m_drained},
+                                {"retry_ms", to_ms(wait.m_retry_in)},
                                 {"waiting_ms", to_ms(wait.m_age)}});
 }
 
