Ask for all workers that a gang needs at the same time

Callers saw wide jobs of weave-plan that never ran. It now makes several calls at once, through different VMs, at most half of those that serve such calls and half of what the window leaves.

--- a/src/dragonflygap/cell/approvals.hpp
+++ b/src/dragonflygap/cell/approvals.hpp
@@ -25,9 +25,9 @@
         bool m_used = false; ///< Sent in a start order.
     };
     std::map<worker_number, valid_ticket> m_tickets;
-    bool m_call_in_flight = false;
-    std::uint64_t m_call = 0; ///< Number of the last call.
-    instant m_requested_at{};
+    std::vector<std::uint64_t> m_calls; ///< Numbers of the calls in flight; made at the same time.
+
+    bool call_in_flight() const { return !m_calls.empty(); }
 
     void approve(worker_number worker);
     /// Has no effect on a worker that was approved before.
--- a/src/dragonflygap/cell/coordinator.hpp
+++ b/src/dragonflygap/cell/coordinator.hpp
@@ -7,6 +7,7 @@
 #include <memory>
 #include <optional>
 #include <set>
+#include <span>
 #include <string>
 #include <unordered_map>
 #include <vector>
@@ -159,6 +160,7 @@
     struct approval_draft
     {
         std::vector<worker_number> m_workers;
+        std::size_t m_max_workers = 0;
         room_claim m_claim;
         approval_pause m_pause = approval_pause::no_candidates; ///< If it names no worker.
     };
@@ -297,8 +299,11 @@
     void update_approval_rate(const queue_id& queue, const step_approval& before,
                               const approval_answered& event);
     bool vm_is_free(duration call_time);
+    std::size_t max_calls(const step_spec& spec, duration call_time) const;
     bool request_step_approval(ready_step& ready);
-    approval_draft choose_workers(const job_state& job, const step_key& key, duration until_answer);
+    bool send_approval_call(ready_step& ready, std::span<const worker_number> workers);
+    approval_draft choose_workers(const job_state& job, const step_key& key, duration until_answer,
+                                  std::size_t max_workers);
     void choose_approved(const job_state& job, const step_key& key, duration until_answer,
                          approval_draft& draft);
     void free_place(const approval_answered& event, const std::optional<open_approval>& call);
--- a/src/dragonflygap/cell/coordinator_approvals.cpp
+++ b/src/dragonflygap/cell/coordinator_approvals.cpp
@@ -38,6 +38,17 @@
     return known->second;
 }
 
+// A part of a gang is of no use, and tickets lapse, so a gang names all workers that it needs at
+// the same time. It leaves half of the VMs and of the window to others.
+std::size_t coordinator::max_calls(const step_spec& spec, duration call_time) const
+{
+    if (!spec.m_gang)
+        return 1;
+    const auto unused = m_approval_window.size() - m_approval_window.in_flight();
+    const auto vms = m_approval_balancer.vm_count(call_time);
+    return std::max<std::size_t>(1, std::min(vms, unused) / 2);
+}
+
 // Requests tickets for places that were found, or approval of workers for which it is unknown.
 // False if there is no worker to name in a call.
 bool coordinator::request_step_approval(ready_step& ready)
@@ -53,23 +64,53 @@
         step.m_approval_pause = approval_pause::vms_busy;
         return true;
     }
+    const auto longest_call = service_time(cost, max_named);
     const auto first_free = m_approval_balancer.choose(min_cost, max_wait, m_now);
-    auto draft = choose_workers(job, key,
-                                m_approval_balancer.queue_delay(*first_free, m_now) +
-                                    service_time(cost, max_named));
+    auto draft =
+        choose_workers(job, key, m_approval_balancer.queue_delay(*first_free, m_now) + longest_call,
+                       max_named * max_calls(job.spec(key.m_step), longest_call));
     step.m_approval_pause = draft.m_pause;
     if (draft.m_workers.empty())
         return false;
     step.m_approval_pause = approval_pause::none;
-    const auto time = service_time(cost, draft.m_workers.size());
-    const auto via = m_approval_balancer.choose(time, max_wait, m_now);
-    if (!via)
+    const auto calls = (draft.m_workers.size() + max_named - 1) / max_named;
+    const auto per_call = (draft.m_workers.size() + calls - 1) / calls;
+    std::span<const worker_number> unnamed(draft.m_workers);
+    while (!unnamed.empty())
+    {
+        const auto named = unnamed.first(std::min(per_call, unnamed.size()));
+        if (!send_approval_call(ready, named))
+            break;
+        unnamed = unnamed.subspan(named.size());
+    }
+    if (unnamed.size() == draft.m_workers.size())
     {
         // Fewer VMs may serve a call for so many workers, and all of those are busy.
-        ready.m_wanted_call = time;
+        ready.m_wanted_call = service_time(cost, per_call);
         step.m_approval_pause = approval_pause::vms_busy;
         return true;
     }
+    std::erase_if(
+        draft.m_claim.m_tentative, [unnamed](const task_places& place)
+        { return std::find(unnamed.begin(), unnamed.end(), place.m_worker) != unnamed.end(); });
+    m_free_vms.clear();
+    set_drained(step, {});
+    m_claims.set(key, std::move(draft.m_claim));
+    return true;
+}
+
+// False if no VM can make the call soon.
+bool coordinator::send_approval_call(ready_step& ready, std::span<const worker_number> workers)
+{
+    const auto& key = ready.m_rank.m_step;
+    auto& calls = ready.m_state->m_approval.m_calls;
+    const auto time = service_time(ready.m_job->record().m_queue.m_approval, workers.size());
+    const auto via = m_approval_balancer.choose(time, max_wait, m_now);
+    // A VM drops an earlier call for the same step.
+    const auto made_there = [&](std::uint64_t call)
+    { return m_open_approvals.count(call) != 0 && m_open_approvals.at(call).m_via == *via; };
+    if (m_approval_window.full() || !via || std::any_of(calls.begin(), calls.end(), made_there))
+        return false;
     const auto expected = m_approval_balancer.queue_delay(*via, m_now) + time;
     const auto call = ++m_last_approval_call;
     m_approval_balancer.record_call(call, *via, time, m_now);
@@ -77,22 +118,17 @@
     ++m_counts.m_calls.m_sent;
     m_open_approvals[call] = {
         .m_via = *via, .m_step = key, .m_sent_at = m_now, .m_cost = time, .m_expected = expected};
-    m_free_vms.clear();
-    step.m_approval.m_call_in_flight = true;
-    step.m_approval.m_call = call;
-    step.m_approval.m_requested_at = m_now;
-    set_drained(step, {});
+    calls.push_back(call);
     log_event(log_level::info, "approval_asked",
               {{"job", key.m_job.m_value},
                {"step", key.m_step},
+               {"call", call},
                {"through", via->m_value},
-               {"workers", draft.m_workers.size()},
-               {"places_kept", task_count(draft.m_claim.m_firm)},
+               {"workers", workers.size()},
                {"expected_ms", to_ms(expected)}});
-    m_claims.set(key, std::move(draft.m_claim));
     std::vector<worker_id> named;
-    named.reserve(draft.m_workers.size());
-    for (const auto number : draft.m_workers)
+    named.reserve(workers.size());
+    for (const auto number : workers)
         named.push_back(m_index.at(number).m_info.m_id);
     m_actions->push_back(request_approval{.m_call = call,
                                           .m_via = *via,
@@ -107,14 +143,16 @@
 // A gang requests tickets once places for all its tasks are found; earlier calls only find out
 // which workers are approved. Other steps do both in one call.
 coordinator::approval_draft coordinator::choose_workers(const job_state& job, const step_key& key,
-                                                        duration until_answer)
+                                                        duration until_answer,
+                                                        std::size_t max_workers)
 {
     const auto& spec = job.spec(key.m_step);
     const auto& step = job.step(key.m_occurrence, key.m_step);
     approval_draft draft{
+        .m_max_workers = max_workers,
         .m_claim = {.m_priority = job.record().m_queue.m_priority, .m_size = size_of(spec)}};
     draft.m_claim.m_firm = find_places(job, key, ticket_need::known, plan_order::best_fit);
-    if (spec.m_gang && draft.m_claim.m_firm.size() + min_spare > max_named)
+    if (spec.m_gang && draft.m_claim.m_firm.size() + min_spare > max_workers)
         draft.m_claim.m_firm =
             find_places(job, key, ticket_need::known, plan_order::fewest_workers);
     choose_approved(job, key, until_answer, draft);
@@ -137,14 +175,14 @@
     {
         has_places.insert(place.m_worker);
         if (approval.find_valid_ticket(place.m_worker, m_now + until_answer) == nullptr &&
-            draft.m_workers.size() < max_named)
+            draft.m_workers.size() < draft.m_max_workers)
             draft.m_workers.push_back(place.m_worker);
     }
     int spare = min_spare + static_cast<int>(spare_share * firm_count);
     for (const worker_state* worker : eligible_workers(job, key, ticket_need::known))
     {
         const auto number = worker->m_number;
-        if (spare <= 0 || draft.m_workers.size() >= max_named)
+        if (spare <= 0 || draft.m_workers.size() >= draft.m_max_workers)
             break;
         const int fits = std::min(fit_count(size_of(spec), worker->free_for_others()),
                                   max_tasks_on(*worker, spec, key));
@@ -179,7 +217,7 @@
     std::vector<task_places> tentative;
     for (const auto& [room, number] : m_index.open_workers(job.record().m_queue.m_service))
     {
-        const bool call_full = draft.m_workers.size() + named.size() >= max_named;
+        const bool call_full = draft.m_workers.size() + named.size() >= draft.m_max_workers;
         if (expected >= wanted_tasks || (call_full && !spec.m_gang))
             break;
         const auto& worker = m_index.at(number);
@@ -298,8 +336,9 @@
     constexpr duration retry_delay = 100ms;
     if (awaited)
     {
-        approved.m_call_in_flight = false;
-        step.m_next_attempt_at = event.m_result ? m_now : m_now + retry_delay;
+        std::erase(approved.m_calls, event.m_call);
+        step.m_next_attempt_at =
+            std::max(step.m_next_attempt_at, event.m_result ? m_now : m_now + retry_delay);
     }
     m_ready.wake(rank_of(*job, event.m_step));
     if (!event.m_result)
--- a/src/dragonflygap/cell/coordinator_calls.cpp
+++ b/src/dragonflygap/cell/coordinator_calls.cpp
@@ -22,7 +22,8 @@
 
 bool coordinator::is_awaited(const approval_answered& event, const step_state& step)
 {
-    return step.m_approval.m_call_in_flight && step.m_approval.m_call == event.m_call;
+    const auto& calls = step.m_approval.m_calls;
+    return std::find(calls.begin(), calls.end(), event.m_call) != calls.end();
 }
 
 // The step needs no tickets any more.
--- a/src/dragonflygap/cell/coordinator_placing.cpp
+++ b/src/dragonflygap/cell/coordinator_placing.cpp
@@ -85,7 +85,7 @@
         return false;
     const auto& spec = job.spec(key.m_step);
     const bool first_approval = job.record().m_queue.m_approval.required() &&
-                                step.m_approval.no_answer() && !step.m_approval.m_call_in_flight;
+                                step.m_approval.no_answer() && !step.m_approval.call_in_flight();
     if (spec.m_gang || first_approval || m_claims.has(key) || size_of(spec).fits_in(m_max_free))
         return true;
     ready.m_without_room = true;
@@ -119,7 +119,7 @@
         m_ready.set_wake_at(position, m_now);
         return;
     }
-    const bool call_in_flight = approved != nullptr && approved->m_call_in_flight;
+    const bool call_in_flight = approved != nullptr && approved->call_in_flight();
     m_claims.resume();
     if (!call_in_flight && m_claims.has(key))
     {
@@ -142,7 +142,7 @@
         return m_now;
     if (m_now < step.m_not_before)
         return std::min(latest, step.m_not_before);
-    if (ready.m_without_room || step.m_approval.m_call_in_flight ||
+    if (ready.m_without_room || step.m_approval.call_in_flight() ||
         ready.m_wanted_call > duration{})
         return latest;
     return std::min(latest, step.m_next_attempt_at);
--- a/src/dragonflygap/cell/coordinator_waits.cpp
+++ b/src/dragonflygap/cell/coordinator_waits.cpp
@@ -90,7 +90,7 @@
     auto consider = [&](const job_state& job, const step_key& key)
     {
         const auto& step = job.step(key.m_occurrence, key.m_step);
-        result.m_pass.m_approvals_in_flight += step.m_approval.m_call_in_flight ? 1 : 0;
+        result.m_pass.m_approvals_in_flight += step.m_approval.m_calls.size();
         if (!is_waiting(job, key, m_workers, m_unix_ms))
             return;
         const auto since = waiting_since(job, key);
--- a/src/dragonflygap/cell/waiting_cause.cpp
+++ b/src/dragonflygap/cell/waiting_cause.cpp
@@ -150,7 +150,7 @@
         return waiting_cause::room_held;
     if (capacity.m_ticketed.m_when_empty >= needed)
         return waiting_cause::no_room;
-    if (approval.m_call_in_flight)
+    if (approval.call_in_flight())
         return waiting_cause::approval_asked;
     if (approval.no_answer())
         return waiting_cause::approval_not_asked;
@@ -255,7 +255,7 @@
             .m_approved = approval.approved().size(),
             .m_denied = approval.denied_count(),
             .m_tickets = static_cast<std::size_t>(valid),
-            .m_call_in_flight = approval.m_call_in_flight,
+            .m_calls = approval.m_calls.size(),
             .m_room_ticketed = capacity.m_ticketed.m_now,
             .m_room_approved = capacity.m_approved.m_now,
             .m_room_anywhere = capacity.m_anywhere.m_now,
--- a/src/dragonflygap/cell/waiting_cause.hpp
+++ b/src/dragonflygap/cell/waiting_cause.hpp
@@ -56,7 +56,7 @@
     std::size_t m_approved = 0;
     std::size_t m_denied = 0;
     std::size_t m_tickets = 0; ///< Valid tickets only.
-    bool m_call_in_flight = false;
+    std::size_t m_calls = 0;   ///< In flight.
     // Tasks that fit now, including into capacity held for other steps.
     int m_room_ticketed = 0; ///< On workers with a valid ticket; on all if none is needed.
     int m_room_approved = 0; ///< On approved workers; on all if no approval is needed.
--- a/src/dragonflygap/node/leader_report.cpp
+++ b/src/dragonflygap/node/leader_report.cpp
@@ -24,7 +24,7 @@
                                 {"approved", wait.m_approved},
                                 {"denied", wait.m_denied},
                                 {"valid_tickets", wait.m_tickets},
-                                {"asking", wait.m_call_in_flight ? 1 : 0},
+                                {"asking", wait.m_calls},
                                 {"room_ticketed", wait.m_room_ticketed},
                                 {"room_approved", wait.m_room_approved},
                                 {"room_anywhere", wait.m_room_anywhere},
--- a/tests/cell/support/count_invariants.hpp
+++ b/tests/cell/support/count_invariants.hpp
@@ -20,7 +20,7 @@
                 for (const auto& step : steps)
                 {
                     held += step.m_approval.held_count();
-                    awaited += step.m_approval.m_call_in_flight ? 1 : 0;
+                    awaited += step.m_approval.m_calls.size();
                 }
         });
     const auto& counts = leader.counts();
--- a/tests/cell/waiting_cause_test.cpp
+++ b/tests/cell/waiting_cause_test.cpp
@@ -93,9 +93,9 @@
 {
     waiting_gang gang;
     STRCMP_EQUAL("approval_not_asked", gang.cause().c_str());
-    gang.step().m_approval.m_call_in_flight = true;
+    gang.step().m_approval.m_calls = {1};
     STRCMP_EQUAL("approval_asked", gang.cause().c_str());
-    gang.step().m_approval.m_call_in_flight = false;
+    gang.step().m_approval.m_calls.clear();
     gang.deny("b");
     gang.deny("c");
     gang.approve("a", now + 1s);
@@ -129,7 +129,7 @@
     gang.approve("a", now + 1s);
     gang.approve("b", now);
     gang.deny("c");
-    gang.step().m_approval.m_call_in_flight = true;
+    gang.step().m_approval.m_calls = {1};
     gang.step().m_ready_since = now - 2s;
     const auto wait = gang.explain();
     LONGS_EQUAL(members, wait.m_count);
@@ -137,7 +137,7 @@
     LONGS_EQUAL(2, wait.m_approved);
     LONGS_EQUAL(1, wait.m_denied);
     LONGS_EQUAL(1, wait.m_tickets);
-    CHECK_TRUE(wait.m_call_in_flight);
+    LONGS_EQUAL(1, wait.m_calls);
     LONGS_EQUAL(2, wait.m_room_ticketed);
     LONGS_EQUAL(4, wait.m_room_approved);
     LONGS_EQUAL(6, wait.m_room_anywhere);
