Keep as many VMs free of long calls as shorter ones need

Long calls used half of the VMs, however few short calls there were. Test: long_calls_use_the_vms_that_shorter_ones_do_not_need.

--- a/src/dragonflygap/cell/approval_balancer.cpp
+++ b/src/dragonflygap/cell/approval_balancer.cpp
@@ -1,6 +1,8 @@
 #include "dragonflygap/cell/approval_balancer.hpp"
 
 #include <algorithm>
+#include <chrono>
+#include <cmath>
 #include <utility>
 
 namespace dragonflygap::cell
@@ -55,12 +57,28 @@
     return found == nullptr ? duration{} : found->delay(now);
 }
 
+void approval_balancer::load_estimate::advance(duration interval, instant now)
+{
+    const auto seconds = [](duration value)
+    { return std::chrono::duration<double>(value).count(); };
+    m_busy_vms *= std::exp(-seconds(now - m_as_of) / seconds(interval));
+    m_as_of = now;
+}
+
+std::size_t approval_balancer::kept_free(double busy_vms, std::size_t limit) const
+{
+    const auto wanted =
+        static_cast<std::size_t>(std::lround(m_options.m_kept_free_factor * busy_vms));
+    return std::min(m_options.m_min_kept_free + wanted, limit);
+}
+
 std::size_t approval_balancer::vm_count(duration cost) const
 {
     const std::size_t all = m_members.size();
     if (cost > m_options.m_long_call_limit)
-        return (all + 1) / 2;
-    return cost > m_options.m_short_call_limit ? (3 * all + 3) / 4 : all;
+        return all - kept_free(m_short_load.m_busy_vms + m_medium_load.m_busy_vms, all / 2);
+    return cost > m_options.m_short_call_limit ? all - kept_free(m_short_load.m_busy_vms, all / 4)
+                                               : all;
 }
 
 std::optional<vm_id> approval_balancer::choose(duration cost, duration max_wait, instant now) const
@@ -83,6 +101,11 @@
 void approval_balancer::record_call(std::uint64_t call, const vm_id& via, duration cost,
                                     instant now)
 {
+    m_short_load.advance(m_options.m_load_interval, now);
+    m_medium_load.advance(m_options.m_load_interval, now);
+    if (cost <= m_options.m_long_call_limit)
+        (cost > m_options.m_short_call_limit ? m_medium_load : m_short_load).m_busy_vms +=
+            std::chrono::duration<double>(cost) / m_options.m_load_interval;
     member* found = find(via);
     if (found == nullptr)
         return;
--- a/src/dragonflygap/cell/approval_balancer.hpp
+++ b/src/dragonflygap/cell/approval_balancer.hpp
@@ -20,11 +20,17 @@
     duration m_unresponsive_delay = 1s;
     /// A VM gets no more calls while its overdue ones cost more than this.
     duration m_max_overdue = 100ms;
+    /// For how long past calls count in the estimate of the VMs that a kind of calls keeps busy.
+    duration m_load_interval = 2s;
+    /// VMs kept free of longer calls: at least these, and so many times those that are kept busy.
+    std::size_t m_min_kept_free = 2;
+    double m_kept_free_factor = 2;
 };
 
 /// Distributes calls to the approval service over the VMs, as the service handles one call of each
-/// VM at a time. Long calls use half of the VMs and medium ones three quarters, so that short calls
-/// don't wait behind them. A VM's queue is known from the calls that it hasn't answered, including
+/// VM at a time. Some VMs are kept free of longer calls, so that shorter ones don't wait behind
+/// them: as many as the shorter ones need, at most half of all for long calls and a quarter for
+/// medium ones. A VM's queue is known from the calls that it hasn't answered, including
 /// those still on the way, so that a leader that reads answers late doesn't ask more of it than it
 /// can do. Does no I/O.
 class approval_balancer
@@ -71,12 +77,25 @@
         duration overdue_cost(instant now) const;
     };
 
+    /// Mean number of VMs that the calls of one kind keep busy.
+    struct load_estimate
+    {
+        double m_busy_vms = 0;
+        instant m_as_of{};
+
+        void advance(duration interval, instant now);
+    };
+
+    std::size_t kept_free(double busy_vms, std::size_t limit) const;
+
     /// nullptr if the VM isn't a member.
     member* find(const vm_id& vm);
     const member* find(const vm_id& vm) const;
 
     approval_balancer_options m_options;
     std::vector<member> m_members; ///< Sorted by VM.
+    load_estimate m_short_load;
+    load_estimate m_medium_load;
 };
 
 } // namespace dragonflygap::cell
--- a/tests/cell/approval_balancer_test.cpp
+++ b/tests/cell/approval_balancer_test.cpp
@@ -51,6 +51,30 @@
     LONGS_EQUAL(0, to_ms(balancer.queue_delay(*quick, start)));
 }
 
+TEST(approval_balancer, long_calls_use_the_vms_that_shorter_ones_do_not_need)
+{
+    approval_balancer balancer({});
+    std::vector<vm_id> members;
+    for (int i = 0; i < 40; ++i)
+        members.push_back(vm_id("vm-" + std::to_string(i)));
+    balancer.set_members(members);
+    LONGS_EQUAL(38, balancer.vm_count(500ms));
+    LONGS_EQUAL(40, balancer.vm_count(10ms));
+    // Short calls that keep four VMs busy.
+    auto now = start;
+    for (; now < start + 20s; now += 5ms)
+        balancer.record_call(++last_call, vm_id("vm-0"), 19ms, now);
+    LONGS_EQUAL(40 - 2 - 8, balancer.vm_count(500ms));
+    LONGS_EQUAL(40 - 2 - 8, balancer.vm_count(100ms));
+    // At most half of the VMs are kept free, of medium calls a quarter.
+    for (; now < start + 40s; now += 1ms)
+        balancer.record_call(++last_call, vm_id("vm-0"), 20ms, now);
+    LONGS_EQUAL(20, balancer.vm_count(500ms));
+    LONGS_EQUAL(30, balancer.vm_count(100ms));
+    balancer.record_call(++last_call, vm_id("vm-0"), 500ms, now + 60s);
+    LONGS_EQUAL(38, balancer.vm_count(500ms));
+}
+
 TEST(approval_balancer, no_vm_is_chosen_if_the_wait_is_too_long)
 {
     auto balancer = make_balancer();
