Let a gang ask on unless workers are drained for it

Callers saw wide jobs that never ran. What a gang holds decides now: it waits for tasks to end only while workers for all of its tasks are closed to others; else it gets to know more workers, full ones too, until enough tasks will fit, each worker counted alike. It keeps drained workers while it only asks who is approved, and workers that can never hold a task don't count.

--- a/src/dragonflygap/cell/coordinator.hpp
+++ b/src/dragonflygap/cell/coordinator.hpp
@@ -164,6 +164,13 @@
         room_claim m_claim;
         approval_pause m_pause = approval_pause::no_candidates; ///< If it names no worker.
     };
+    /// Workers that a step hasn't asked about.
+    struct unknown_workers
+    {
+        std::vector<worker_number> m_named;
+        std::vector<task_places> m_tentative; ///< Expected places on those with room.
+        double m_expected_tasks = 0;          ///< That fit on approved and named workers.
+    };
     enum class ticket_need
     {
         valid, ///< Workers with a valid ticket.
@@ -309,7 +316,8 @@
     void free_place(const approval_answered& event, const std::optional<open_approval>& call);
     std::optional<open_approval> find_open_approval(std::uint64_t call) const;
     void choose_unknown(const job_state& job, const step_key& key, approval_draft& draft);
-    int possible_tasks(const job_state& job, const step_key& key) const;
+    unknown_workers name_unknown(const job_state& job, const step_key& key,
+                                 const approval_draft& draft, bool count_full) const;
     static const step_approval* approval_of(const job_state& job, const step_key& key);
     static int max_tasks_on(const worker_state& worker, const step_spec& spec, const step_key& key);
 
--- a/src/dragonflygap/cell/coordinator_approvals.cpp
+++ b/src/dragonflygap/cell/coordinator_approvals.cpp
@@ -94,7 +94,8 @@
         draft.m_claim.m_tentative, [unnamed](const task_places& place)
         { return std::find(unnamed.begin(), unnamed.end(), place.m_worker) != unnamed.end(); });
     m_free_vms.clear();
-    set_drained(step, {});
+    if (!draft.m_claim.m_firm.empty())
+        set_drained(step, {});
     m_claims.set(key, std::move(draft.m_claim));
     return true;
 }
@@ -197,72 +198,84 @@
 // Many steps request approvals at the same time. Tentative claims make each one choose workers that
 // the others haven't chosen; otherwise all would get tickets for the same workers.
 void coordinator::choose_unknown(const job_state& job, const step_key& key, approval_draft& draft)
+{
+    const auto& step = job.step(key.m_occurrence, key.m_step);
+    const bool first = step.m_approval.no_answer();
+    const bool gang = job.spec(key.m_step).m_gang;
+    auto chosen = name_unknown(job, key, draft, first);
+    if (gang && !first && chosen.m_expected_tasks < step.m_waiting)
+    {
+        // No answer can bring the places now. The gang waits for tasks to end on the workers that
+        // it holds, or gets to know more workers on which some will end.
+        if (!step.m_drained.empty())
+        {
+            draft.m_pause = approval_pause::drains_workers;
+            return;
+        }
+        chosen = name_unknown(job, key, draft, true);
+    }
+    draft.m_claim.m_approval_rate = approval_rate(job.record().m_queue.m_name);
+    draft.m_claim.m_tentative = std::move(chosen.m_tentative);
+    draft.m_workers.insert(draft.m_workers.end(), chosen.m_named.begin(), chosen.m_named.end());
+}
+
+// Names workers until enough tasks of the step are expected to fit on approved ones. On a worker
+// without room some will have ended by the time of the answer, if these are to be counted.
+coordinator::unknown_workers coordinator::name_unknown(const job_state& job, const step_key& key,
+                                                       const approval_draft& draft,
+                                                       bool count_full) const
 {
     constexpr double wanted_factor = 1.5;
     constexpr double wanted_extra = 2;
-    // Expected tasks on a full worker, as some may have ended by then.
     constexpr double full_worker_tasks = 0.5;
-    // A gang has enough approved workers if these, when empty, fit this multiple of its tasks.
-    constexpr double enough_factor = 1.5;
     const auto& spec = job.spec(key.m_step);
     const auto& step = job.step(key.m_occurrence, key.m_step);
+    const auto size = size_of(spec);
     const double rate = approval_rate(job.record().m_queue.m_name);
     const double wanted_tasks = wanted_factor * step.m_waiting + wanted_extra;
-    const bool first = step.m_approval.no_answer();
-    double expected = 0;
-    for (const worker_state* worker : eligible_workers(job, key, ticket_need::known))
-        expected += std::min(fit_count(size_of(spec), worker->free_for_others()),
-                             max_tasks_on(*worker, spec, key));
-    std::vector<worker_number> named;
-    std::vector<task_places> tentative;
-    for (const auto& [room, number] : m_index.open_workers(job.record().m_queue.m_service))
+    const auto could_hold = [&](const worker_state& worker)
+    { return suits(worker, job, spec) && size.fits_in(worker.m_info.m_capacity); };
+    const double least = count_full ? full_worker_tasks : 0;
+    unknown_workers result;
+    for (const auto number : step.m_approval.approved())
+    {
+        const auto& worker = m_index.at(number);
+        if (!worker.m_pass.m_open || !could_hold(worker) || holds_earlier_run(worker, job, key))
+            continue;
+        const int fits = worker.m_pass.m_closed && !m_claims.has_firm_claim(key, number)
+                             ? 0
+                             : std::min(fit_count(size, worker.free_for_others()),
+                                        max_tasks_on(worker, spec, key));
+        result.m_expected_tasks += std::max<double>(fits, least);
+    }
+    for (const auto& [negated_room, number] : m_index.open_workers(job.record().m_queue.m_service))
     {
-        const bool call_full = draft.m_workers.size() + named.size() >= draft.m_max_workers;
-        if (expected >= wanted_tasks || (call_full && !spec.m_gang))
+        const bool call_full =
+            draft.m_workers.size() + result.m_named.size() >= draft.m_max_workers;
+        if (result.m_expected_tasks >= wanted_tasks || (call_full && !spec.m_gang))
+            break;
+        // The others have even fewer millicores.
+        if (!count_full && -negated_room < size.m_millicores)
             break;
         const auto& worker = m_index.at(number);
-        if (step.m_approval.is_known(number) || !suits(worker, job, spec))
+        if (step.m_approval.is_known(number) || !could_hold(worker))
             continue;
         auto free = worker.free_for_others();
         free.m_millicores = worker.expected_free_millicores();
-        const int fits = worker.m_pass.m_closed ? 0
-                                                : std::min(fit_count(size_of(spec), free),
-                                                           max_tasks_on(worker, spec, key));
-        // The others have even fewer millicores.
-        if (fits == 0 && !first && free.m_millicores < size_of(spec).m_millicores)
-            break;
-        if (fits == 0 && !first)
+        const int fits = worker.m_pass.m_closed
+                             ? 0
+                             : std::min(fit_count(size, free), max_tasks_on(worker, spec, key));
+        if (fits == 0 && !count_full)
             continue;
-        expected += rate * std::max<double>(fits, full_worker_tasks);
-        // Later calls can name the others, so that a wide gang has reason to go on asking.
+        result.m_expected_tasks += rate * std::max<double>(fits, least);
+        // Later calls can name the others.
         if (call_full)
             continue;
-        named.push_back(number);
+        result.m_named.push_back(number);
         if (fits > 0)
-            tentative.push_back({number, fits});
-    }
-    // The approved workers are enough: the gang only waits for free capacity.
-    if (spec.m_gang && !first && expected < step.m_waiting &&
-        possible_tasks(job, key) >= enough_factor * step.m_waiting)
-    {
-        draft.m_pause = approval_pause::enough_when_empty;
-        return;
+            result.m_tentative.push_back({number, fits});
     }
-    draft.m_claim.m_approval_rate = rate;
-    draft.m_claim.m_tentative = std::move(tentative);
-    draft.m_workers.insert(draft.m_workers.end(), named.begin(), named.end());
-}
-
-// Number of the step's tasks that fit on its approved workers if these were empty.
-int coordinator::possible_tasks(const job_state& job, const step_key& key) const
-{
-    const auto& spec = job.spec(key.m_step);
-    int tasks = 0;
-    for (const auto number : job.step(key.m_occurrence, key.m_step).m_approval.approved())
-        if (const auto& worker = m_index.at(number); worker.m_listed)
-            tasks += std::min(fit_count(size_of(spec), worker.m_info.m_capacity),
-                              spec.m_max_per_worker > 0 ? spec.m_max_per_worker : spec.m_count);
-    return tasks;
+    return result;
 }
 
 const step_approval* coordinator::approval_of(const job_state& job, const step_key& key)
--- a/src/dragonflygap/cell/job_state.hpp
+++ b/src/dragonflygap/cell/job_state.hpp
@@ -48,10 +48,10 @@
 /// Why a waiting step requested no approval when it was last looked at.
 enum class approval_pause
 {
-    none,              ///< It requested one, or needs none.
-    vms_busy,          ///< No VM can make its call soon, or enough calls are in flight.
-    enough_when_empty, ///< The approved workers would fit the gang if they were empty.
-    no_candidates,     ///< No other worker has room for one of its tasks.
+    none,           ///< It requested one, or needs none.
+    vms_busy,       ///< No VM can make its call soon, or enough calls are in flight.
+    drains_workers, ///< Workers for all tasks of the gang are closed to other steps.
+    no_candidates,  ///< No other worker has room for one of its tasks.
 };
 
 /// One step of one occurrence.
--- a/src/dragonflygap/cell/waiting_cause.cpp
+++ b/src/dragonflygap/cell/waiting_cause.cpp
@@ -210,7 +210,7 @@
 
 std::string_view name_of(approval_pause pause)
 {
-    constexpr std::string_view names[] = {"none", "vms_busy", "enough_when_empty", "no_candidates"};
+    constexpr std::string_view names[] = {"none", "vms_busy", "drains_workers", "no_candidates"};
     static_assert(std::size(names) == static_cast<int>(approval_pause::no_candidates) + 1);
     return names[static_cast<int>(pause)];
 }
--- a/tests/cell/support/leader_processor.hpp
+++ b/tests/cell/support/leader_processor.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <algorithm>
 #include <deque>
 #include <functional>
 #include <optional>
@@ -25,20 +26,26 @@
     bool any() const { return m_event + m_action + m_tick + m_step_per_tick > duration{}; }
 };
 
+struct arrived_event
+{
+    instant m_at{};
+    event m_event;
+};
+
 /// The order in which a busy leader handles what has arrived: events in order of arrival, and a
 /// tick between them when one is due. Ticks that it misses are left out.
 class leader_queue
 {
 public:
-    void add(event incoming) { m_events.push_back(std::move(incoming)); }
-    void tick_due() { m_tick_due = true; }
+    void add(event incoming, instant now) { m_events.push_back({now, std::move(incoming)}); }
+    void tick_due(instant now) { m_tick_due_since = m_tick_due_since.value_or(now); }
 
-    std::optional<event> next()
+    std::optional<event> next(instant now)
     {
         constexpr int max_events = 16; // As event_loop handles before it looks for timers.
-        if (m_tick_due && (m_events.empty() || m_since_tick >= max_events))
+        if (m_tick_due_since && (m_events.empty() || m_since_tick >= max_events))
         {
-            m_tick_due = false;
+            record_age(*std::exchange(m_tick_due_since, std::nullopt), now);
             m_since_tick = 0;
             return tick{};
         }
@@ -47,14 +54,32 @@
         ++m_since_tick;
         auto result = std::move(m_events.front());
         m_events.pop_front();
-        return result;
+        record_age(result.m_at, now);
+        return std::move(result.m_event);
     }
 
     std::size_t size() const { return m_events.size(); }
 
+    /// The longest time that an event or a tick waited here, of those taken out since the last call
+    /// and those that still wait.
+    duration take_longest_age(instant now)
+    {
+        if (!m_events.empty())
+            record_age(m_events.front().m_at, now);
+        if (m_tick_due_since)
+            record_age(*m_tick_due_since, now);
+        return std::exchange(m_longest_age, duration{});
+    }
+
 private:
-    std::deque<event> m_events;
-    bool m_tick_due = false;
+    void record_age(instant arrived, instant now)
+    {
+        m_longest_age = std::max<duration>(m_longest_age, now - arrived);
+    }
+
+    std::deque<arrived_event> m_events;
+    std::optional<instant> m_tick_due_since;
+    duration m_longest_age{};
     int m_since_tick = 0;
 };
 
--- a/tests/cell/support/simulated_cell.cpp
+++ b/tests/cell/support/simulated_cell.cpp
@@ -112,7 +112,8 @@
         m_kinds[id] = kind;
         m_specs[id] = request.m_steps.front();
         m_waits_since[id] = m_now;
-        feed(job_submitted{++m_last_call, id, kind.m_queue, std::move(request)});
+        m_submitted[++m_last_call] = id;
+        feed(job_submitted{m_last_call, id, kind.m_queue, std::move(request)});
     }
 }
 
@@ -137,7 +138,7 @@
                 feed(held);
             if (m_options.m_costs.any())
             {
-                m_leader_queue.tick_due();
+                m_leader_queue.tick_due(m_now);
                 work_on_queue();
             }
             else
@@ -189,7 +190,7 @@
     }
     if (m_options.m_costs.any())
     {
-        m_leader_queue.add(incoming);
+        m_leader_queue.add(incoming, m_now);
         work_on_queue();
     }
     else
@@ -200,7 +201,7 @@
 {
     if (m_now < m_busy_until)
         return;
-    if (const auto next = m_leader_queue.next())
+    if (const auto next = m_leader_queue.next(m_now))
         handle(*next);
 }
 
@@ -252,7 +253,22 @@
     return false;
 }
 
-void simulated_cell::act(const answer_call&) {}
+// A rejected job doesn't wait.
+void simulated_cell::act(const answer_call& action)
+{
+    const auto submitted = m_submitted.extract(action.m_call);
+    if (!submitted || action.m_status != call_status::rejected)
+        return;
+    ++m_rejected;
+    stop_waiting(submitted.mapped());
+}
+
+void simulated_cell::stop_waiting(const job_id& job)
+{
+    m_waits_since.erase(job);
+    m_beside_room.erase(job);
+    m_approved_workers.erase(job);
+}
 
 void simulated_cell::act(const send_commit& action)
 {
@@ -355,7 +371,7 @@
                                       .m_working_since = spec.m_gang ? instant{} : m_now};
     if (!worker.used().fits_in(m_options.m_capacity))
         ++m_overcommitted;
-    m_waits_since.erase(order.m_task.m_job);
+    stop_waiting(order.m_task.m_job);
     if (!spec.m_gang)
     {
         schedule(m_now + length, [this, id, task = order.m_task, run = order.m_run]
@@ -552,15 +568,61 @@
     check_runs(*m_coordinator);
     check_counts(*m_coordinator);
     std::int64_t used = 0;
+    std::vector<resources> free;
+    free.reserve(m_workers.size());
     for (const auto& [id, worker] : m_workers)
-        used += worker.used().m_millicores;
+    {
+        const auto here = worker.used();
+        used += here.m_millicores;
+        free.push_back(m_options.m_capacity - here);
+    }
     const auto all = m_options.m_capacity.m_millicores * m_options.m_workers;
+    const auto lateness = m_leader_queue.take_longest_age(m_now);
+    m_max_lateness = std::max(m_max_lateness, lateness);
     for (auto& [job, since] : m_waits_since)
     {
         if (2 * used > all || m_now < m_measured_from)
             since = m_now;
         m_max_avoidable_wait = std::max<duration>(m_max_avoidable_wait, m_now - since);
+        measure_room(job, free, lateness);
+    }
+}
+
+void simulated_cell::measure_room(const job_id& job, const std::vector<resources>& free,
+                                  duration lateness)
+{
+    const auto& spec = m_specs.at(job);
+    const int needed = 2 * (spec.m_gang ? spec.m_count : 1);
+    int places = 0;
+    for (const auto position : approved_workers(job))
+        if (places < needed)
+            places += fit_count(size_of(spec), free[position]);
+    auto& wait = m_beside_room.emplace(job, wait_beside_room{m_now}).first->second;
+    if (places < needed || m_now < m_measured_from)
+        wait = {m_now};
+    wait.m_lateness = std::max(wait.m_lateness, lateness);
+    const duration length = m_now - wait.m_since;
+    m_max_wait_beyond_lateness = std::max(m_max_wait_beyond_lateness, length - wait.m_lateness);
+    if (length <= m_max_wait_beside_room)
+        return;
+    m_max_wait_beside_room = length;
+    m_longest_wait_beside_room = job.m_value + " of " + std::to_string(spec.m_count) + " tasks";
+}
+
+const std::vector<std::size_t>& simulated_cell::approved_workers(const job_id& job)
+{
+    const auto [known, added] = m_approved_workers.try_emplace(job);
+    if (!added)
+        return known->second;
+    const bool needed = m_kinds.at(job).m_queue.m_approval.required();
+    std::size_t position = 0;
+    for (const auto& [id, worker] : m_workers)
+    {
+        if (!needed || approved({job, 0, 0}, id))
+            known->second.push_back(position);
+        ++position;
     }
+    return known->second;
 }
 
 } // namespace simulated
--- a/tests/cell/support/simulated_cell.hpp
+++ b/tests/cell/support/simulated_cell.hpp
@@ -103,10 +103,19 @@
     /// The longest time that a step waited without a run while at least half of the capacity was
     /// free; counted from the time given to measure_waits_after().
     duration max_avoidable_wait() const { return m_max_avoidable_wait; }
+    /// The longest time that a step waited without a run while its approved workers had room for it
+    /// twice over, whoever the room was kept for.
+    duration max_wait_beside_room() const { return m_max_wait_beside_room; }
+    const std::string& longest_wait_beside_room() const { return m_longest_wait_beside_room; }
+    /// The same, less the longest time for which an event waited in the leader's queue meanwhile.
+    duration max_wait_beyond_lateness() const { return m_max_wait_beyond_lateness; }
+    /// The longest time for which an event or a tick waited in the leader's queue.
+    duration max_lateness() const { return m_max_lateness; }
     void measure_waits_after(duration since_start) { m_measured_from = m_start + since_start; }
 
     /// Starts without a valid ticket.
     int refused_starts() const { return m_refused_starts; }
+    int rejected() const { return m_rejected; }   ///< Jobs that the leader didn't accept.
     int stopped() const { return m_stopped; }     ///< Runs that the leader stopped.
     int timed_out() const { return m_timed_out; } ///< Start orders without an answer in time.
     int overcommitted() const { return m_overcommitted; }
@@ -135,6 +144,11 @@
         instant m_expires_at{};
         std::uint64_t m_call = 0;
     };
+    struct wait_beside_room
+    {
+        instant m_since{};
+        duration m_lateness{}; ///< Of the leader, the longest since then.
+    };
     /// Members of one run of a gang.
     struct gang_run
     {
@@ -171,6 +185,9 @@
     void break_gang(const step_key& step, std::uint64_t run, end_kind kind);
     void answer_renewal(const worker_id& id);
     void measure();
+    void measure_room(const job_id& job, const std::vector<resources>& free, duration lateness);
+    void stop_waiting(const job_id& job);
+    const std::vector<std::size_t>& approved_workers(const job_id& job);
 
     cell_options m_options;
     const instant m_start{10s};
@@ -193,6 +210,13 @@
     int m_started = 0;
     std::map<std::pair<step_key, std::uint64_t>, gang_run> m_gangs;
     std::map<job_id, instant> m_waits_since;
+    std::map<job_id, wait_beside_room> m_beside_room;              ///< Of waiting jobs.
+    std::map<job_id, std::vector<std::size_t>> m_approved_workers; ///< As positions in m_workers.
+    std::map<std::uint64_t, job_id> m_submitted;                   ///< Unanswered, by call.
+    duration m_max_wait_beyond_lateness{};
+    duration m_max_lateness{};
+    duration m_max_wait_beside_room{};
+    std::string m_longest_wait_beside_room; ///< The job that waited so long.
     std::set<vm_id> m_called_vms;
     std::uint64_t m_version = 1;
     std::uint64_t m_random;
@@ -202,6 +226,7 @@
     duration m_max_avoidable_wait{};
     instant m_link_free = m_start;
     std::vector<event> m_held_events; ///< Arrived while the leader stalled.
+    int m_rejected = 0;
     int m_stopped = 0;
     int m_timed_out = 0;
     int m_refused_starts = 0;
--- a/tests/cell/support/stub_cell.hpp
+++ b/tests/cell/support/stub_cell.hpp
@@ -4,6 +4,7 @@
 #include <functional>
 #include <limits>
 #include <map>
+#include <optional>
 #include <string>
 #include <utility>
 #include <vector>
@@ -94,6 +95,8 @@
                     feed(answer);
                 else
                     m_later.emplace_back(when, answer);
+            if (m_leases_lapse)
+                end_lapsed_leases();
             feed(tick{});
             check_runs(m_coordinator);
             check_counts(m_coordinator);
@@ -147,7 +150,8 @@
         int m_long_polls = 0; ///< Renewals that would wait for an end.
         int m_leases = 0;     ///< Renewals that extended the lease.
         std::uint64_t m_started_at = 1;
-        std::string m_checkpoint; ///< Of all its tasks.
+        std::string m_checkpoint;          ///< Of all its tasks.
+        std::int64_t m_lease_until_ms = 0; ///< By its clock, which is m_now.
     };
 
     instant m_now{10s};
@@ -168,13 +172,32 @@
     int m_renewals = 0;
     std::size_t m_max_named = 0;
     std::function<bool(const worker_id&)> m_approves = [](const worker_id&) { return true; };
+    /// Answers a start in the worker's place, which then does nothing by itself.
+    std::function<std::optional<outcome<start_result>>(const send_start&)> m_intercepts_start;
+    bool m_leases_lapse = false; ///< Otherwise tasks run on without one.
     coordinator m_coordinator;
 
-private:
     static tl::unexpected<failure> no_answer()
     {
         return fail(verdict::may_have_run, reason::target_failed, "connection reset");
     }
+
+private:
+    static std::int64_t clock_of(instant now) { return to_ms(now.time_since_epoch()); }
+    static void extend_lease(stub_worker& worker, std::int64_t deadline_ms)
+    {
+        worker.m_lease_until_ms = std::max(worker.m_lease_until_ms, deadline_ms);
+    }
+    void end_lapsed_leases()
+    {
+        for (auto& [id, worker] : m_workers)
+            if (worker.m_lease_until_ms <= clock_of(m_now))
+                for (const auto& [task, run] : std::exchange(worker.m_running, {}))
+                    worker.m_ended.push_back({.m_number = ++worker.m_last_end,
+                                              .m_task = task,
+                                              .m_run = run,
+                                              .m_end_kind = end_kind::lapsed});
+    }
     void act(const answer_call& answer) { m_answered.push_back(answer); }
     void act(const read_leader_row&) {}
     void act(const step_down&) { FAIL("stepped down"); }
@@ -204,6 +227,9 @@
         worker.m_leases += request.m_renewal.m_deadline_ms ? 1 : 0;
         if (worker.m_silent)
             return;
+        constexpr std::int64_t max_hold_ms = 6000;
+        if (const auto deadline_ms = request.m_renewal.m_deadline_ms)
+            extend_lease(worker, std::min(*deadline_ms, clock_of(m_now) + max_hold_ms));
         if (m_holds_renewals)
         {
             m_held_renewals.push_back(request);
@@ -223,12 +249,20 @@
     }
     void act(const send_start& request)
     {
+        if (m_intercepts_start)
+            if (const auto result = m_intercepts_start(request))
+            {
+                m_answers.push_back(start_answered{request.m_worker.m_id, request.m_order.m_task,
+                                                   request.m_order.m_run, *result, request.m_sent});
+                return;
+            }
         if (m_workers[request.m_worker.m_id].m_orders_fail)
         {
             m_answers.push_back(start_answered{request.m_worker.m_id, request.m_order.m_task,
                                                request.m_order.m_run, no_answer(), request.m_sent});
             return;
         }
+        extend_lease(m_workers[request.m_worker.m_id], request.m_order.m_deadline_ms);
         m_workers[request.m_worker.m_id].m_running[request.m_order.m_task] = request.m_order.m_run;
         ++m_started[request.m_order.m_task.m_job];
         m_answers.push_back(start_answered{request.m_worker.m_id, request.m_order.m_task,
--- a/tests/cell/waiting_cause_test.cpp
+++ b/tests/cell/waiting_cause_test.cpp
@@ -147,11 +147,11 @@
 TEST(waiting_cause, reports_what_a_step_holds_and_why_it_does_not_ask)
 {
     waiting_gang gang;
-    gang.step().m_approval_pause = approval_pause::enough_when_empty;
+    gang.step().m_approval_pause = approval_pause::drains_workers;
     gang.step().m_drained = {gang.number("a"), gang.number("c")};
     gang.step().m_next_attempt_at = now + 70ms;
     const auto wait = gang.explain();
-    STRCMP_EQUAL("enough_when_empty", std::string(name_of(wait.m_pause)).c_str());
+    STRCMP_EQUAL("drains_workers", std::string(name_of(wait.m_pause)).c_str());
     LONGS_EQUAL(2, wait.m_drained);
     LONGS_EQUAL(70, to_ms(wait.m_retry_in));
     gang.step().m_next_attempt_at = now - 1ms;
