--- a/src/dragonflygap/cell/objective.cpp
+++ b/src/dragonflygap/cell/objective.cpp
@@ -44,16 +44,24 @@
                                      static_cast<std::int64_t>(approval_ms));
 }
 
+duration chain_of(const job_record& record)
+{
+    return longest_chain(record.m_request, [&](int step) { return time_of_step(record, step); });
+}
+
 } // namespace
 
 duration objective_of(const job_record& record)
 {
-    const auto chain =
-        longest_chain(record.m_request, [&](int step) { return time_of_step(record, step); });
-    return std::chrono::duration_cast<duration>(record.m_queue.m_stretch * chain) +
+    return std::chrono::duration_cast<duration>(record.m_queue.m_stretch * chain_of(record)) +
            std::chrono::milliseconds(record.m_queue.m_slack_ms);
 }
 
+duration slack_of(const job_record& record)
+{
+    return objective_of(record) - chain_of(record);
+}
+
 duration remaining_work(const job_state& job)
 {
     return longest_chain(job.record().m_request,
--- a/src/dragonflygap/cell/objective.hpp
+++ b/src/dragonflygap/cell/objective.hpp
@@ -8,6 +8,9 @@
 /// The objective of a job, from its acceptance.
 duration objective_of(const job_record& record);
 
+/// How much later than it could be done a job may be done by its objective.
+duration slack_of(const job_record& record);
+
 /// Time that the unfinished steps still take by their estimates, one after another as they depend
 /// on each other, with an approval call each.
 duration remaining_work(const job_state& job);
