--- a/tests/cell/slow_leader_gangs_test.cpp
+++ b/tests/cell/slow_leader_gangs_test.cpp
@@ -1,4 +1,4 @@
-#include "cell/support/simulated_cell.hpp"
+#include "cell/support/large_site.hpp"
 
 #include <CppUTest/TestHarness.h>
 
@@ -7,19 +7,6 @@
 namespace
 {
 
-// The load of the large site, as in wide_gangs_test.cpp.
-const job_kind plans = kind_of("plans", 1, {507, 7.28, 2500}, 0.35,
-                               {.m_count = 40,
-                                .m_size = {.m_millicores = 4500, .m_memory_mb = 6300},
-                                .m_expected_ms = 3400,
-                                .m_gang = true});
-const job_kind matches = kind_of(
-    "matches", 2, {182, 2.6, 2500}, 0.45,
-    {.m_count = 40, .m_size = {.m_millicores = 2700, .m_memory_mb = 3200}, .m_expected_ms = 2300});
-const job_kind lookups = kind_of(
-    "lookups", 0, {18.2, 0.26, 2500}, 0.7,
-    {.m_count = 4, .m_size = {.m_millicores = 3900, .m_memory_mb = 3600}, .m_expected_ms = 850});
-
 constexpr duration peak_length = 8s;
 constexpr duration calm_length = 8s;
 
@@ -27,13 +14,6 @@
 // which the leader is late.
 constexpr duration wait_limit = 3s;
 
-struct jobs_per_s
-{
-    int m_plans = 0;
-    int m_matches = 0;
-    int m_lookups = 0;
-};
-
 /// The large site, with a leader that gets this share of the processor time that it needs to keep
 /// up with the load peak of overload_test.cpp, and answers of approvals that are late on their way.
 cell_options large_site(double processor_share, duration approval_lag)
@@ -50,22 +30,6 @@
             .m_gives_up_calls = true};
 }
 
-/// Submits jobs at even intervals.
-void submit_load(simulated_cell& cell, duration length, const jobs_per_s& load)
-{
-    constexpr duration slice = 10ms;
-    constexpr int slices_per_s = 100;
-    for (int slices = 0; slices * slice < length; ++slices)
-    {
-        const auto due = [slices](int per_s)
-        { return (slices + 1) * per_s / slices_per_s - slices * per_s / slices_per_s; };
-        cell.submit(plans, due(load.m_plans));
-        cell.submit(matches, due(load.m_matches));
-        cell.submit(lookups, due(load.m_lookups));
-        cell.run(slice);
-    }
-}
-
 /// Of the fleet's millicores, needed by all jobs that were submitted in this time.
 double load_share(const simulated_cell& cell, const cell_options& options, duration length)
 {
--- a/tests/cell/wide_backlog_test.cpp
+++ b/tests/cell/wide_backlog_test.cpp
@@ -1,4 +1,4 @@
-#include "cell/support/simulated_cell.hpp"
+#include "cell/support/large_site.hpp"
 
 #include <algorithm>
 #include <string>
@@ -10,19 +10,6 @@
 namespace
 {
 
-// The load of a cell of 1,100 workers and 147 VMs. Gangs are up to 120 tasks wide.
-const job_kind plans = kind_of("plans", 1, {507, 7.28, 2500}, 0.35,
-                               {.m_count = 40,
-                                .m_size = {.m_millicores = 4500, .m_memory_mb = 6300},
-                                .m_expected_ms = 3400,
-                                .m_gang = true});
-const job_kind matches = kind_of(
-    "matches", 2, {182, 2.6, 2500}, 0.45,
-    {.m_count = 40, .m_size = {.m_millicores = 2700, .m_memory_mb = 3200}, .m_expected_ms = 2300});
-const job_kind lookups = kind_of(
-    "lookups", 0, {18.2, 0.26, 2500}, 0.7,
-    {.m_count = 4, .m_size = {.m_millicores = 3900, .m_memory_mb = 3600}, .m_expected_ms = 850});
-
 job_kind narrow(job_kind kind, int count)
 {
     kind.m_step.m_count = count;
@@ -35,14 +22,6 @@
     return kind;
 }
 
-/// Jobs a second, or jobs.
-struct job_mix
-{
-    int m_plans = 0;
-    int m_matches = 0;
-    int m_lookups = 0;
-};
-
 // From this time after the last submission no step may wait for 3 s beside capacity for it twice
 // over (rule LOST).
 constexpr duration finish_limit = 14s;
@@ -60,22 +39,6 @@
     cell.add_backlog(lookups, jobs.m_lookups);
 }
 
-/// Submits jobs at even intervals.
-void submit_load(simulated_cell& cell, duration length, const job_mix& per_second)
-{
-    constexpr duration slice = 10ms;
-    constexpr int slices_per_s = 100;
-    for (int slices = 0; slices * slice < length; ++slices)
-    {
-        const auto due = [slices](int per_s)
-        { return (slices + 1) * per_s / slices_per_s - slices * per_s / slices_per_s; };
-        cell.submit(plans, due(per_second.m_plans));
-        cell.submit(matches, due(per_second.m_matches));
-        cell.submit(lookups, due(per_second.m_lookups));
-        cell.run(slice);
-    }
-}
-
 // Without waits, the workers and the approval service need at most half of the finish limit for
 // what is left after the last submission; otherwise the limit would ask too much.
 void check_feasible(const simulated_cell& cell, const cell_options& options, duration load_length)
--- a/tests/cell/wide_gangs_test.cpp
+++ b/tests/cell/wide_gangs_test.cpp
@@ -1,4 +1,4 @@
-#include "cell/support/simulated_cell.hpp"
+#include "cell/support/large_site.hpp"
 #include "cell/support/stub_cell.hpp"
 
 #include <CppUTest/TestHarness.h>
@@ -8,39 +8,9 @@
 namespace
 {
 
-// The load of the large site.
-const job_kind plans = kind_of("plans", 1, {507, 7.28, 2500}, 0.35,
-                               {.m_count = 40,
-                                .m_size = {.m_millicores = 4500, .m_memory_mb = 6300},
-                                .m_expected_ms = 3400,
-                                .m_gang = true});
-const job_kind matches = kind_of(
-    "matches", 2, {182, 2.6, 2500}, 0.45,
-    {.m_count = 40, .m_size = {.m_millicores = 2700, .m_memory_mb = 3200}, .m_expected_ms = 2300});
-const job_kind lookups = kind_of(
-    "lookups", 0, {18.2, 0.26, 2500}, 0.7,
-    {.m_count = 4, .m_size = {.m_millicores = 3900, .m_memory_mb = 3600}, .m_expected_ms = 850});
-
 // Capacity for a step twice over is free for no longer than this while the step waits.
 constexpr duration wait_limit = 3s;
 
-/// Submits a load of plans, matches and lookups at even intervals; jobs a second of each.
-void submit_load(simulated_cell& cell, duration length, int plans_per_s, int matches_per_s,
-                 int lookups_per_s)
-{
-    constexpr duration slice = 10ms;
-    constexpr int slices_per_s = 100;
-    for (int slices = 0; slices * slice < length; ++slices)
-    {
-        const auto due = [slices](int per_s)
-        { return (slices + 1) * per_s / slices_per_s - slices * per_s / slices_per_s; };
-        cell.submit(plans, due(plans_per_s));
-        cell.submit(matches, due(matches_per_s));
-        cell.submit(lookups, due(lookups_per_s));
-        cell.run(slice);
-    }
-}
-
 void check_waits(simulated_cell& cell)
 {
     const auto& job = cell.longest_wait_beside_room();
@@ -63,7 +33,7 @@
     simulated_cell cell({.m_vms = 147, .m_workers = 1100});
     cell.take_over();
     cell.run(1s);
-    submit_load(cell, 20s, 6, 10, 80);
+    submit_load(cell, 20s, {.m_plans = 6, .m_matches = 10, .m_lookups = 80});
     cell.run(10s);
     check_waits(cell);
 }
