--- a/src/dragonflygap/cell/approval_balancer.hpp
+++ b/src/dragonflygap/cell/approval_balancer.hpp
@@ -15,7 +15,7 @@
 struct approval_balancer_options
 {
     duration m_short_call_limit = 40ms; ///< Calls up to this cost may use any VM.
-    duration m_long_call_limit = 150ms; ///< Calls above this cost use half of the VMs.
+    duration m_long_call_limit = 150ms; ///< Calls above this cost are long ones.
     /// How long a VM that left a call unanswered counts as busy.
     duration m_unresponsive_delay = 1s;
     /// A VM gets no more calls while its overdue ones cost more than this.
