Review: case 8 also with a client that waits for its deadline

Added: every other client waits for its whole deadline of 3 s; a second step, which starts later than cancel_ms after the acknowledgement.

--- a/review/rig-2/rig.cpp
+++ b/review/rig-2/rig.cpp
@@ -421,7 +421,9 @@
         const auto begin = notes.now();
         nap(100);
         const auto job = job_name(round + 1);
-        played.send(frozen, "POST", job, job_body("2500", 2, 1000), 300);
+        // Every other client waits for its whole deadline.
+        const int leaves_after = round % 2 == 0 ? 300 : 3000;
+        played.send(frozen, "POST", job, job_body("2800,1000", 2, 1000, 2), leaves_after);
         nap(50);
         const auto answer = played.send(other, "DELETE", job, "", 3000);
         if (answer.m_status / 100 == 2 || answer.m_status == 410)
@@ -429,7 +431,7 @@
         nap(static_cast<double>(std::max(0L, begin + 4000 - notes.now())));
         if (trouble)
             played.m_vms[frozen]->signal(SIGCONT, "wakes");
-        nap(4500);
+        nap(5500);
         played.send(other, "GET", job, "", 2000);
     }
     int late = 0;
