Review: the stand-ins take ports below the ephemeral range

Cause: two of seven groups of rigs started at the same moment, each choosing ports that the kernel also gave to outgoing connections; those runs ended with 2 (not run).

Added: ports between 10000 and 30000 at random.

--- a/review/rig-2/wire.hpp
+++ b/review/rig-2/wire.hpp
@@ -18,6 +18,7 @@
 #include <functional>
 #include <map>
 #include <mutex>
+#include <random>
 #include <set>
 #include <stdexcept>
 #include <string>
@@ -75,20 +76,21 @@
     return socket;
 }
 
-/// A port of this moment that nobody uses.
+/// A port of this moment that nobody uses, below those that outgoing connections take.
 inline int free_port()
 {
+    static std::mt19937 random{std::random_device{}()};
     static std::set<int> given;
     for (;;)
     {
-        const int socket = listen_on(0);
-        sockaddr_in address{};
-        socklen_t size = sizeof address;
-        getsockname(socket, reinterpret_cast<sockaddr*>(&address), &size);
+        constexpr int lowest = 10000;
+        constexpr int count = 20000;
+        const int port = lowest + static_cast<int>(random() % count);
+        const int socket = given.insert(port).second ? listen_on(port) : -1;
+        if (socket < 0)
+            continue;
         close(socket);
-        const int port = ntohs(address.sin_port);
-        if (given.insert(port).second)
-            return port;
+        return port;
     }
 }
 
