Review: rigs that start at once take different ports

Single rigs weren't affected.

Added: each process begins at another port; a rig waits up to 5 s until the VMs agree on their leader.

--- a/review/rig-2/rig.cpp
+++ b/review/rig-2/rig.cpp
@@ -188,8 +188,20 @@
         return false;
     }
 
-    /// The VM that leads, as the operators' page of all VMs tells; -1: not agreed.
+    /// The VM that leads, as the operators' page of all VMs tells; -1: not agreed for 5 s.
     int leader()
+    {
+        constexpr int tries = 50;
+        for (int i = 0; i < tries; ++i)
+        {
+            if (const int found = agreed_leader(); found >= 0)
+                return found;
+            nap(100);
+        }
+        return -1;
+    }
+
+    int agreed_leader()
     {
         std::set<std::string> names;
         for (const auto& vm : m_vms)
--- a/review/rig-2/wire.hpp
+++ b/review/rig-2/wire.hpp
@@ -18,7 +18,6 @@
 #include <functional>
 #include <map>
 #include <mutex>
-#include <random>
 #include <set>
 #include <stdexcept>
 #include <string>
@@ -76,17 +75,19 @@
     return socket;
 }
 
-/// A port of this moment that nobody uses, below those that outgoing connections take.
+/// A port of this moment that nobody uses, below those that outgoing connections take. Each process
+/// begins elsewhere, so that several rigs that start at once don't take the same.
 inline int free_port()
 {
-    static std::mt19937 random{std::random_device{}()};
-    static std::set<int> given;
+    constexpr int lowest = 10000;
+    constexpr int count = 20000;
+    constexpr int ports_per_rig = 32;
+    static int next = static_cast<int>(getpid()) * ports_per_rig % count;
     for (;;)
     {
-        constexpr int lowest = 10000;
-        constexpr int count = 20000;
-        const int port = lowest + static_cast<int>(random() % count);
-        const int socket = given.insert(port).second ? listen_on(port) : -1;
+        const int port = lowest + next;
+        next = (next + 1) % count;
+        const int socket = listen_on(port);
         if (socket < 0)
             continue;
         close(socket);
