--- a/review/rig-2/platform.hpp
+++ b/review/rig-2/platform.hpp
@@ -102,10 +102,12 @@
         m_changed.notify_all();
     }
 
-    bool has_row(const std::string& table, const std::string& key)
+    void drop(const std::string& table, const std::string& key)
     {
         const std::scoped_lock lock(m_mutex);
-        return m_rows.count({table, "cell", key}) != 0;
+        m_rows.erase({table, "", key});
+        m_changes.push_back({{table, "", key}, "", ++m_version, true});
+        m_changed.notify_all();
     }
 
 private:
@@ -329,6 +331,7 @@
         std::string m_service;
         std::string m_rack;
         int m_port = 0;
+        std::string m_kind = "a";
     };
 
     executor(place where, store& platform, record& notes, witness& seen)
@@ -377,6 +380,30 @@
         m_notes.say("fault " + id() + " is up again under its identifier");
     }
 
+    /// It says that it drains, and leaves 2.5 s later: what runs there ends.
+    void leave()
+    {
+        m_notes.say("fault " + id() + " drains");
+        {
+            const std::scoped_lock lock(m_mutex);
+            m_draining = true;
+            m_next_beat = 0;
+        }
+        m_event.notify_all();
+        nap(leave_after_ms + 500);
+        {
+            const std::scoped_lock lock(m_mutex);
+            m_up = false;
+            for (const auto& [task, running] : m_running)
+                m_witness.end(running.m_witness, "left");
+            m_running.clear();
+        }
+        m_event.notify_all();
+        m_server.down();
+        m_store.drop("servers", id());
+        m_notes.say("fault " + id() + " has left");
+    }
+
     std::size_t running()
     {
         const std::scoped_lock lock(m_mutex);
@@ -413,6 +440,7 @@
         std::size_t m_witness = 0;
     };
 
+    static constexpr int leave_after_ms = 2000; // drain_ms
     static constexpr std::int64_t max_hold_ms = 10000;
     static constexpr std::int64_t stop_ms = 100; // at most 400 by the page
     static constexpr double one_way_ms = 1.4;
@@ -447,14 +475,17 @@
                          {"zone", "zone-a"},
                          {"version", "v1"},
                          {"slots", 8},
-                         {"state", "ready"},
+                         {"state", m_draining ? "draining" : "ready"},
                          {"cold_remaining_ms", 0},
                          {"capacity", {{"cpu", 16000}, {"requested_memory_mb", 32768}, {"gpu", 0}}},
-                         {"labels", {"a", m_place.m_rack}},
+                         {"labels", {m_place.m_kind, m_place.m_rack}},
                          {"clock_ms", now()},
                          {"born", m_born},
                          {"sequence", ++m_sequence}};
-        m_store.put("servers", m_place.m_id, entry.dump());
+        auto told = entry;
+        if (m_draining)
+            told["remaining_ms"] = leave_after_ms;
+        m_store.put("servers", m_place.m_id, told.dump());
     }
 
     void finish(const std::string& task, const std::string& how)
@@ -625,6 +656,7 @@
     std::mutex m_mutex;
     std::condition_variable m_event;
     bool m_up = false;
+    bool m_draining = false;
     bool m_ending = false;
     clock::time_point m_start;
     std::int64_t m_born = 0;
--- a/review/rig-2/rig.cpp
+++ b/review/rig-2/rig.cpp
@@ -130,7 +130,8 @@
 class cell
 {
 public:
-    cell(int vms, int executors, record& notes)
+    /// The first executors may be of a kind of their own, "s".
+    cell(int vms, int executors, record& notes, int special = 0)
         : m_notes(notes), m_seen(notes), m_store(free_port())
     {
         std::string folder = std::filesystem::temp_directory_path() / "review-XXXXXX";
@@ -142,15 +143,20 @@
                          {"timeout_ms", 3000},   {"target_latency_ms", 250},
                          {"priority", 0},        {"service", "looms"},
                          {"max_attempts", 4},    {"stretch", 1.5}};
+        auto later = route;
+        later["name"] = "later";
+        later["path_prefix"] = "/later/";
+        later["priority"] = 1;
         const json service{{"name", "looms"},       {"health_check_path", "/health"},
                            {"max_connections", 64}, {"protocol", "h1"},
                            {"tls", false},          {"rejects_overload", false}};
-        m_store.put("op", "config",
-                    json{{"version", 7}, {"routes", {route}}, {"services", {service}}}.dump());
+        m_store.put(
+            "op", "config",
+            json{{"version", 7}, {"routes", {route, later}}, {"services", {service}}}.dump());
         for (int i = 0; i < executors; ++i)
             m_executors.push_back(std::make_unique<executor>(
                 executor::place{"i-" + std::to_string(i), "looms", "r1-" + std::to_string(i / 8),
-                                free_port()},
+                                free_port(), i < special ? "s" : "a"},
                 m_store, notes, m_seen));
         for (int i = 0; i < vms; ++i)
             m_vms.push_back(std::make_unique<entry_vm>("frontend-" + std::to_string(i + 1),
@@ -217,10 +223,10 @@
     }
 
     response send(std::size_t vm, const std::string& method, const std::string& job,
-                  const std::string& body, int leave_after_ms)
+                  const std::string& body, int leave_after_ms, const std::string& prefix = "/q/")
     {
         m_notes.say("client " + method + " " + job + " at " + m_vms[vm]->name());
-        auto answer = call(m_vms[vm]->callers(), method, "/q/" + job, host, body, leave_after_ms);
+        auto answer = call(m_vms[vm]->callers(), method, prefix + job, host, body, leave_after_ms);
         m_notes.say("client " + method + " " + job + " gets " +
                     (answer.m_status == 0 ? answer.m_fault : std::to_string(answer.m_status)) +
                     " " + answer.m_body);
@@ -466,6 +472,66 @@
     return late > 0 ? broken : held;
 }
 
+// A gang waits for executors of a kind. One of these leaves.
+int play_drained(bool trouble, record& notes)
+{
+    constexpr int executors = 12;
+    constexpr int special = 4;
+    constexpr int cores = 16;
+    constexpr long finish_ms = 14000;
+    constexpr long window_ms = 3000;
+    cell played(3, executors, notes, special);
+    if (!played.start())
+        return not_run;
+    const auto body = [](const char* works, int count, int cpu)
+    {
+        auto result = json::parse(job_body(works, count, cpu));
+        result["steps"][0]["required_label"] = "s";
+        return result;
+    };
+    // One task of 6 cores on each of the four for 80 s, then a gang of three of 14 cores.
+    auto base = body("80000", special, 6000);
+    base["steps"][0]["anti_affinity"] = 1;
+    base["steps"][0]["estimated_duration_ms"] = 80000;
+    auto gang = body("1000", special - 1, 14000);
+    gang["steps"][0]["gang"] = true;
+    if (played.send(0, "POST", job_name(1), base.dump(), 3000).m_status != 200)
+        return not_run;
+    nap(1000);
+    if (played.send(1, "POST", job_name(2), gang.dump(), 3000).m_status != 200)
+        return not_run;
+    nap(1500);
+    if (trouble)
+        played.m_executors[special - 1]->leave();
+    else
+        nap(2500);
+    const auto job = job_name(3);
+    if (played.send(2, "POST", job, body("1000", 1, 2000).dump(), 3000, "/later/").m_status != 200)
+        return not_run;
+    const auto end_of_traffic = notes.now();
+    nap(finish_ms + window_ms + 1000);
+    played.send(0, "GET", job, "", 2000, "/later/");
+    // LOST: in the 3 s from finish_s on the job has nothing running, beside room.
+    long begin = -1;
+    double in_use = 0;
+    for (const auto& run : played.m_seen.runs())
+        if (run.m_task.substr(0, run.m_task.find('.')) == job)
+            begin = begin < 0 ? run.m_begin : begin;
+        else if (run.m_end < 0)
+            in_use += 6;
+    const int sound = executors - (trouble ? 1 : 0);
+    notes.say("the job's first start " + std::to_string(begin) + ", end of the traffic " +
+              std::to_string(end_of_traffic) + "; cores in use " + std::to_string(in_use) + " of " +
+              std::to_string(sound * cores) + "; each executor of the kind has 10 cores free");
+    const bool waits = begin < 0 || begin > end_of_traffic + finish_ms + window_ms;
+    if (waits && 2 * in_use < sound * cores)
+    {
+        notes.say("broken LOST " + job);
+        return broken;
+    }
+    return held;
+}
+
 } // namespace
 
 int main(int count, char** words)
@@ -481,6 +547,8 @@
     {
         if (name == "reborn")
             result = play_reborn(trouble, notes);
+        if (name == "drained")
+            result = play_drained(trouble, notes);
         if (name == "left")
             result = play_left(trouble, notes);
         if (name == "thawed")
