--- a/review/rig-2/rig.cpp
+++ b/review/rig-2/rig.cpp
@@ -388,20 +388,26 @@
         nap(500);
         for (auto& one : played.m_executors)
             one->take_starts();
+        constexpr long freeze_ms = 3980;
+        const auto begin = notes.now();
         if (trouble)
             frozen.signal(SIGSTOP, "freezes");
-        nap(2800);
+        // The executor that ran the job, once it is idle.
+        const auto used = [&played]
+        {
+            return std::find_if(played.m_executors.begin(), played.m_executors.end(),
+                                [](const auto& one)
+                                { return one->starts() > 0 && one->running() == 0; });
+        };
+        while (used() == played.m_executors.end() && notes.now() < begin + 3200)
+            nap(20);
+        nap(250);
         played.send(other, "GET", job, "", 2000);
         if (trouble)
         {
-            const auto idle = std::find_if(played.m_executors.begin(), played.m_executors.end(),
-                                           [](const auto& one)
-                                           { return one->starts() > 0 && one->running() == 0; });
-            if (idle != played.m_executors.end())
-                (*idle)->restart(300);
-            else
-                nap(300);
-            nap(880);
+            if (used() != played.m_executors.end())
+                (*used())->restart(300);
+            nap(static_cast<double>(std::max(0L, begin + freeze_ms - notes.now())));
             frozen.signal(SIGCONT, "wakes");
         }
         nap(9000);
