--- a/review/rig-2/platform.hpp
+++ b/review/rig-2/platform.hpp
@@ -279,7 +279,8 @@
         long m_begin = 0;
         long m_end = -1; ///< -1: it runs.
         std::string m_how;
-        long m_noted = -1; ///< When last_seen reached its end.
+        long m_noted = -1;    ///< When last_seen reached its end.
+        long m_stopping = -1; ///< When it was told to stop.
     };
 
     explicit witness(record& notes) : m_notes(notes) {}
@@ -287,7 +288,7 @@
     std::size_t begin(const std::string& executor, const std::string& task, std::uint64_t number)
     {
         const std::scoped_lock lock(m_mutex);
-        m_runs.push_back({executor, task, number, m_notes.now(), -1, "", -1});
+        m_runs.push_back({executor, task, number, m_notes.now(), -1, "", -1, -1});
         m_notes.say("run " + executor + " starts " + task + " run " + std::to_string(number));
         return m_runs.size() - 1;
     }
@@ -308,6 +309,27 @@
         m_runs.at(run).m_noted = m_notes.now();
     }
 
+    /// The lease of an executor is over.
+    void lapsed(const std::string& executor)
+    {
+        const std::scoped_lock lock(m_mutex);
+        m_lapses.emplace(executor, m_notes.now());
+    }
+
+    bool lapsed_between(const std::string& executor, long first, long last)
+    {
+        const std::scoped_lock lock(m_mutex);
+        const auto found = m_lapses.lower_bound({executor, first});
+        return found != m_lapses.end() && found->first == executor && found->second <= last;
+    }
+
+    /// The executor was told to stop the run.
+    void stopping(std::size_t run)
+    {
+        const std::scoped_lock lock(m_mutex);
+        m_runs.at(run).m_stopping = m_notes.now();
+    }
+
     std::vector<run> runs()
     {
         const std::scoped_lock lock(m_mutex);
@@ -318,6 +340,7 @@
     std::mutex m_mutex;
     record& m_notes;
     std::vector<run> m_runs;
+    std::set<std::pair<std::string, long>> m_lapses;
 };
 
 /// One executor: 16 cores, 32 GB, rejects no overload. The specification gives the milliseconds of
@@ -456,6 +479,7 @@
                     .count();
             m_token = 0;
             m_deadline = 0;
+            m_held = false;
             m_last_end = 0;
             m_sequence = 0;
             m_next_beat = 0;
@@ -514,6 +538,8 @@
                 beat();
             }
             const bool lapsed = now() >= m_deadline;
+            if (lapsed && std::exchange(m_held, false))
+                m_witness.lapsed(id());
             std::vector<std::pair<std::string, std::string>> ended;
             for (const auto& [task, one] : m_running)
                 if (one.m_stopped_at >= 0 && now() >= one.m_stopped_at)
@@ -610,6 +636,7 @@
                                                      found->second.m_stopped_at < 0)
         {
             found->second.m_stopped_at = now() + stop_ms;
+            m_witness.stopping(found->second.m_witness);
             m_notes.say("stop " + id() + " stops " + task + " run " + std::to_string(run));
         }
         return {200, json{{"clock_ms", now()}}.dump(), ""};
@@ -662,6 +689,7 @@
     std::int64_t m_born = 0;
     std::uint64_t m_token = 0;
     std::int64_t m_deadline = 0;
+    bool m_held = false; ///< The lease has begun and isn't over.
     std::uint64_t m_last_end = 0;
     std::uint64_t m_sequence = 0;
     std::int64_t m_next_beat = 0;
--- a/review/rig-2/wire.hpp
+++ b/review/rig-2/wire.hpp
@@ -75,23 +75,30 @@
     return socket;
 }
 
-/// A port of this moment that nobody uses, below those that outgoing connections take. Each process
-/// begins elsewhere, so that several rigs that start at once don't take the same.
+/// A port that nobody uses, below those that outgoing connections take. Each process has a range of
+/// its own: it listens on the first port of it until it ends.
 inline int free_port()
 {
     constexpr int lowest = 10000;
-    constexpr int count = 20000;
     constexpr int ports_per_rig = 32;
-    static int next = static_cast<int>(getpid()) * ports_per_rig % count;
+    constexpr int rigs = 600;
+    static int next = 0;
+    static int left = 0;
+    if (left == 0)
+        for (int range = static_cast<int>(getpid()) % rigs; left == 0; range = (range + 1) % rigs)
+        {
+            next = lowest + range * ports_per_rig;
+            left = listen_on(next) < 0 ? 0 : ports_per_rig - 1;
+        }
     for (;;)
     {
-        const int port = lowest + next;
-        next = (next + 1) % count;
-        const int socket = listen_on(port);
+        if (left-- == 0)
+            throw std::runtime_error("no port left");
+        const int socket = listen_on(++next);
         if (socket < 0)
             continue;
         close(socket);
-        return port;
+        return next;
     }
 }
 
