--- a/review/rig-2/platform.hpp
+++ b/review/rig-2/platform.hpp
@@ -1,11 +1,14 @@
 // Stand-ins for the platform's store and for executors, as PROTOCOL.md describes them.
 #pragma once
 
+#include <cmath>
 #include <condition_variable>
 #include <cstdio>
 #include <fstream>
+#include <limits>
 #include <memory>
 #include <optional>
+#include <random>
 #include <tuple>
 
 #include <nlohmann/json.hpp>
@@ -341,8 +344,21 @@
     std::set<std::pair<std::string, long>> m_lapses;
 };
 
+/// How long a run of a task that lasts works until it fails: exponential, the same in each play.
+inline std::int64_t life_of(const std::string& task, std::uint64_t run, double mean_ms)
+{
+    std::uint64_t seed = 14695981039346656037ULL; // FNV-1a
+    for (const char c : task + "/" + std::to_string(run))
+        seed = (seed ^ static_cast<unsigned char>(c)) * 1099511628211ULL;
+    std::mt19937_64 random(seed);
+    constexpr double shortest_ms = 500;
+    const double uniform = std::generate_canonical<double, 53>(random);
+    return static_cast<std::int64_t>(shortest_ms - (mean_ms - shortest_ms) * std::log1p(-uniform));
+}
+
 /// One executor: 16 cores, 32 GB, rejects no overload. The specification gives the milliseconds of
-/// work of a task in each step, with commas between.
+/// work of a task in each step, with commas between. "lasts" has a task run on until it is stopped,
+/// "fails MS" until it fails by its own fault, after that time on average.
 class executor
 {
 public:
@@ -449,6 +465,7 @@
         std::uint64_t m_run = 0;
         std::int64_t m_begin = 0;
         std::int64_t m_length = 0;
+        bool m_lasts = false;
         std::int64_t m_stopped_at = -1; ///< When the stop is through; -1: not being stopped.
         std::size_t m_witness = 0;
     };
@@ -543,7 +560,7 @@
                 if (one.m_stopped_at >= 0 && now() >= one.m_stopped_at)
                     ended.emplace_back(task, "stopped");
                 else if (one.m_stopped_at < 0 && now() >= one.m_begin + one.m_length)
-                    ended.emplace_back(task, "done");
+                    ended.emplace_back(task, one.m_lasts ? "failed" : "done");
                 else if (lapsed)
                     ended.emplace_back(task, "lapsed");
             for (const auto& [task, how] : ended)
@@ -608,8 +625,22 @@
         extend(body);
         if (found != m_running.end() || (m_closed.count(task) != 0 && run <= m_closed[task]))
             return refused("old");
+        const auto works = body.at("specification").get<std::string>();
+        const bool fails = works.rfind("fails ", 0) == 0;
+        const bool lasts = fails || works == "lasts";
+        std::int64_t length = std::numeric_limits<std::int64_t>::max() / 2;
+        if (fails)
+            length = life_of(task, run, std::stod(works.substr(6)));
+        else if (!lasts)
+            length = work_of(task, works);
+        m_running[task] = {run, now(), length, lasts, -1, m_witness.begin(id(), task, run)};
+        ++m_starts;
+        return {200, json{{"clock_ms", now()}}.dump(), ""};
+    }
+
+    static std::int64_t work_of(const std::string& task, std::string works)
+    {
         std::int64_t length = 0;
-        auto works = body.at("specification").get<std::string>();
         const auto last = task.rfind('.');
         const auto before = task.rfind('.', last - 1);
         for (int step = std::stoi(task.substr(before + 1)); step >= 0; --step)
@@ -620,9 +651,7 @@
             if (works.empty())
                 break;
         }
-        m_running[task] = {run, now(), length, -1, m_witness.begin(id(), task, run)};
-        ++m_starts;
-        return {200, json{{"clock_ms", now()}}.dump(), ""};
+        return length;
     }
 
     response stop(const json& body)
@@ -658,11 +687,12 @@
         }
         json running = json::array();
         for (const auto& [task, one] : m_running)
-            running.push_back(
-                {task, one.m_run, "",
-                 std::min<std::int64_t>(100, 100 * (now() - one.m_begin) /
-                                                 std::max<std::int64_t>(1, one.m_length)),
-                 1000});
+            running.push_back({task, one.m_run, "",
+                               one.m_lasts ? 100
+                                           : std::min<std::int64_t>(
+                                                 100, 100 * (now() - one.m_begin) /
+                                                          std::max<std::int64_t>(1, one.m_length)),
+                               1000});
         json finished = json::array();
         for (const auto& one : m_ends)
             if (finished.size() < 500)
--- a/review/rig-2/rig.cpp
+++ b/review/rig-2/rig.cpp
@@ -503,6 +503,60 @@
     return broken;
 }
 
+// A job of tasks that last and now and then fail by their own fault. Nothing else is disturbed.
+int play_failing(bool trouble, record& notes)
+{
+    constexpr int executors = 8;
+    constexpr int cores = 16;
+    constexpr int memory_mb = 32768;
+    constexpr int tasks = 240;
+    constexpr int cpu = 200;
+    constexpr int task_mb = 256;
+    constexpr long finish_ms = 14000;
+    constexpr long observed_ms = 70000;
+    constexpr long restart_ms = 6000;
+    constexpr long window_ms = 3000;
+    // Under half of the capacity is in use, with room for two tasks more, whatever runs.
+    static_assert(2 * tasks * cpu < executors * cores * 1000);
+    static_assert((tasks + 2) * task_mb < executors * memory_mb);
+    cell played(3, executors, notes);
+    if (!played.start())
+        return not_run;
+    auto body = json::parse(job_body(trouble ? "fails 30000" : "lasts", tasks, cpu));
+    body["steps"][0]["long_running"] = true;
+    if (played.send(0, "POST", job_name(1), body.dump(), 3000).m_status != 200)
+        return not_run;
+    const long from = notes.now() + finish_ms;
+    nap(finish_ms + observed_ms);
+    const long until = notes.now();
+    // LOST, for each task that lasts: for 3 s, from 6 s after its last run on, it doesn't run.
+    std::map<std::string, std::vector<witness::run>> by_task;
+    for (const auto& run : played.m_seen.runs())
+        by_task[run.m_task].push_back(run);
+    int lost = 0;
+    long longest = 0;
+    for (const auto& [task, all] : by_task)
+        for (std::size_t i = 0; i < all.size(); ++i)
+        {
+            if (all[i].m_end < 0)
+                continue;
+            const long next = i + 1 < all.size() ? all[i + 1].m_begin : until;
+            longest = std::max(longest, next - all[i].m_end);
+            const long begin = std::max(from, all[i].m_end + restart_ms);
+            if (next - begin < window_ms)
+                continue;
+            ++lost;
+            notes.say("broken LOST " + task + ": " + all[i].m_how + " on " + all[i].m_executor +
+                      " at " + std::to_string(all[i].m_end) + ", next run at " +
+                      (i + 1 < all.size() ? std::to_string(next) : "no time"));
+        }
+    notes.say("tasks " + std::to_string(by_task.size()) + ", waits that break the rule " +
+              std::to_string(lost) + ", longest wait " + std::to_string(longest) + " ms");
+    if (by_task.size() != tasks)
+        return not_run;
+    return lost > 0 ? broken : held;
+}
+
 } // namespace
 
 int main(int count, char** words)
@@ -520,6 +574,8 @@
             result = play_reborn(trouble, notes);
         if (name == "drained")
             result = play_drained(trouble, notes);
+        if (name == "failing")
+            result = play_failing(trouble, notes);
         if (name == "thawed")
             result = play_thawed(trouble, notes);
     }
