Review: a leader's end halts all jobs after an executor has left (case 10)

A worker that has left stays in the stored list for 30 s, marked as used. If the leader's process ends in that time, the next leader starts nothing of earlier jobs until the leases of that worker are certainly over, 13 s, though all that are left answer. Added: a play of the rig. The stand-in of an executor no longer answers a call that was waiting when its process ended; before, it could answer with empty lists.

--- a/review/rig-2/platform.hpp
+++ b/review/rig-2/platform.hpp
@@ -576,7 +576,10 @@
             if (!m_up)
                 return false;
             const auto body = json::parse(asked.m_body.empty() ? "{}" : asked.m_body);
+            const auto born = m_born;
             answer = execute(asked, body, lock);
+            if (!m_up || m_born != born)
+                return false;
         }
         nap(one_way_ms);
         return true;
--- a/review/rig-2/rig.cpp
+++ b/review/rig-2/rig.cpp
@@ -503,6 +503,42 @@
     return broken;
 }
 
+struct waits
+{
+    std::size_t m_tasks = 0;
+    int m_lost = 0;
+};
+
+/// LOST, for each task that lasts: for 3 s, from 6 s after its last run on, it doesn't run.
+waits count_waits(cell& played, record& notes, long from, long until)
+{
+    constexpr long restart_ms = 6000;
+    constexpr long window_ms = 3000;
+    std::map<std::string, std::vector<witness::run>> by_task;
+    for (const auto& run : played.m_seen.runs())
+        by_task[run.m_task].push_back(run);
+    waits result{by_task.size(), 0};
+    long longest = 0;
+    for (const auto& [task, all] : by_task)
+        for (std::size_t i = 0; i < all.size(); ++i)
+        {
+            if (all[i].m_end < 0)
+                continue;
+            const long next = i + 1 < all.size() ? all[i + 1].m_begin : until;
+            longest = std::max(longest, next - all[i].m_end);
+            const long begin = std::max(from, all[i].m_end + restart_ms);
+            if (next - begin < window_ms)
+                continue;
+            ++result.m_lost;
+            notes.say("broken LOST " + task + ": " + all[i].m_how + " on " + all[i].m_executor +
+                      " at " + std::to_string(all[i].m_end) + ", next run " +
+                      (i + 1 < all.size() ? "at " + std::to_string(next) : "not seen"));
+        }
+    notes.say("tasks " + std::to_string(result.m_tasks) + ", waits that break the rule " +
+              std::to_string(result.m_lost) + ", longest wait " + std::to_string(longest) + " ms");
+    return result;
+}
+
 // A job of tasks that last and now and then fail by their own fault. Nothing else is disturbed.
 int play_failing(bool trouble, record& notes)
 {
@@ -514,8 +550,6 @@
     constexpr int task_mb = 256;
     constexpr long finish_ms = 14000;
     constexpr long observed_ms = 70000;
-    constexpr long restart_ms = 6000;
-    constexpr long window_ms = 3000;
     // Under half of the capacity is in use, with room for two tasks more, whatever runs.
     static_assert(2 * tasks * cpu < executors * cores * 1000);
     static_assert((tasks + 2) * task_mb < executors * memory_mb);
@@ -529,30 +563,80 @@
     const long from = notes.now() + finish_ms;
     nap(finish_ms + observed_ms);
     const long until = notes.now();
-    // LOST, for each task that lasts: for 3 s, from 6 s after its last run on, it doesn't run.
-    std::map<std::string, std::vector<witness::run>> by_task;
-    for (const auto& run : played.m_seen.runs())
-        by_task[run.m_task].push_back(run);
+    const auto found = count_waits(played, notes, from, until);
+    if (found.m_tasks != tasks)
+        return not_run;
+    return found.m_lost > 0 ? broken : held;
+}
+
+// An executor leaves as planned. Ten seconds later the leader's process is killed; it starts again.
+int play_departed(bool trouble, record& notes)
+{
+    constexpr int vms = 3;
+    constexpr int executors = 16;
+    constexpr long finish_ms = 14000;
+    constexpr long window_ms = 3000;
+    constexpr long interval_ms = 1000;
+    constexpr long observed_ms = 18000;
+    cell played(vms, executors, notes);
+    if (!played.start())
+        return not_run;
+    // One task of 0.3 s on half a core, each second.
+    auto body = json::parse(job_body("300", 1, 500));
+    body["repetitions"] = 60;
+    body["interval_ms"] = interval_ms;
+    const long first_due = notes.now() + 1000;
+    body["start_at_ms"] =
+        std::chrono::duration_cast<ms>(std::chrono::system_clock::now().time_since_epoch())
+            .count() +
+        1000;
+    if (played.send(0, "POST", job_name(1), body.dump(), 3000).m_status != 200)
+        return not_run;
+    const long from = notes.now() + finish_ms;
+    played.m_executors.back()->leave();
+    nap(static_cast<double>(from + 500 - notes.now()));
+    const int leader = played.leader();
+    if (leader < 0)
+        return not_run;
+    auto& killed = *played.m_vms[static_cast<std::size_t>(leader)];
+    notes.say("leader " + killed.name());
+    if (trouble)
+    {
+        notes.say("fault " + killed.name() + " is killed");
+        killed.end();
+        nap(1000);
+        if (!killed.start())
+            return not_run;
+        notes.say("fault " + killed.name() + " starts again");
+    }
+    nap(observed_ms);
+    const long until = notes.now();
+    // LOST: for 3 s the job has nothing running while an occurrence is due. One task at most runs
+    // at a time, on 240 idle cores.
+    const auto runs = played.m_seen.runs();
+    std::map<std::string, long> started;
     int lost = 0;
     long longest = 0;
-    for (const auto& [task, all] : by_task)
-        for (std::size_t i = 0; i < all.size(); ++i)
-        {
-            if (all[i].m_end < 0)
-                continue;
-            const long next = i + 1 < all.size() ? all[i + 1].m_begin : until;
-            longest = std::max(longest, next - all[i].m_end);
-            const long begin = std::max(from, all[i].m_end + restart_ms);
-            if (next - begin < window_ms)
-                continue;
-            ++lost;
-            notes.say("broken LOST " + task + ": " + all[i].m_how + " on " + all[i].m_executor +
-                      " at " + std::to_string(all[i].m_end) + ", next run at " +
-                      (i + 1 < all.size() ? std::to_string(next) : "no time"));
-        }
-    notes.say("tasks " + std::to_string(by_task.size()) + ", waits that break the rule " +
-              std::to_string(lost) + ", longest wait " + std::to_string(longest) + " ms");
-    if (by_task.size() != tasks)
+    for (std::size_t i = 0; i <= runs.size(); ++i)
+    {
+        const long begin = i < runs.size() ? runs[i].m_begin : until;
+        const long ended = i == 0 ? 0 : (runs[i - 1].m_end < 0 ? begin : runs[i - 1].m_end);
+        const long due = first_due + static_cast<long>(started.size()) * interval_ms;
+        const long waited = begin - std::max({from, ended, due});
+        if (i < runs.size())
+            started.emplace(runs[i].m_task, begin);
+        longest = std::max(longest, waited);
+        if (waited < window_ms)
+            continue;
+        ++lost;
+        notes.say("broken LOST " + job_name(1) + ": nothing runs from " + std::to_string(ended) +
+                  " to " + std::to_string(begin) + ", an occurrence is due since " +
+                  std::to_string(due));
+    }
+    notes.say("occurrences started " + std::to_string(started.size()) +
+              ", waits that break the rule " + std::to_string(lost) + ", longest wait " +
+              std::to_string(longest) + " ms");
+    if (started.empty())
         return not_run;
     return lost > 0 ? broken : held;
 }
@@ -576,6 +660,8 @@
             result = play_drained(trouble, notes);
         if (name == "failing")
             result = play_failing(trouble, notes);
+        if (name == "departed")
+            result = play_departed(trouble, notes);
         if (name == "thawed")
             result = play_thawed(trouble, notes);
     }
