--- a/review/rig-2/rig.cpp
+++ b/review/rig-2/rig.cpp
@@ -545,9 +545,9 @@
     constexpr int executors = 8;
     constexpr int cores = 16;
     constexpr int memory_mb = 32768;
-    constexpr int tasks = 240;
-    constexpr int cpu = 200;
-    constexpr int task_mb = 256;
+    constexpr int tasks = 400;
+    constexpr int cpu = 120;
+    constexpr int task_mb = 256; // of job_body()
     constexpr long finish_ms = 14000;
     constexpr long observed_ms = 70000;
     // Under half of the capacity is in use, with room for two tasks more, whatever runs.
