--- a/review/rig-2/platform.hpp
+++ b/review/rig-2/platform.hpp
@@ -695,7 +695,7 @@
                                            : std::min<std::int64_t>(
                                                  100, 100 * (now() - one.m_begin) /
                                                           std::max<std::int64_t>(1, one.m_length)),
-                               1000});
+                               100});
         json finished = json::array();
         for (const auto& one : m_ends)
             if (finished.size() < 500)
