Give the leader the customers of the configuration

Cause: a configuration's customers have to reach the leader, and a job's customer its record, before keys, limits and shares can be built on them. Change: customer_rules, the customer of a call and of a job's record, and the event config_changed, sent when a leader starts and with each version.

--- a/src/dragonflygap/cell/coordinator.cpp
+++ b/src/dragonflygap/cell/coordinator.cpp
@@ -209,7 +209,12 @@
         m_actions->push_back(answer_call{event.m_call, call_status::rejected, wait});
         return;
     }
-    job_record record{event.m_queue, event.m_request, m_unix_ms};
+    job_record record{.m_queue = event.m_queue,
+                      .m_request = event.m_request,
+                      .m_accepted_ms = m_unix_ms,
+                      .m_customer = event.m_customer};
+    if (const auto customer = m_customers.find(event.m_customer); customer != m_customers.end())
+        record.m_customer_limit = customer->second.m_limit;
     // The jobs have to fit into each successor too, so their memory is limited, not the process's.
     if (const auto memory = job_state::min_memory(record); !m_memory->fits(memory))
     {
@@ -261,6 +266,13 @@
     m_store_heard_at = std::max(m_store_heard_at, event.m_at);
 }
 
+void coordinator::on(const config_changed& event)
+{
+    m_customers.clear();
+    for (const auto& customer : event.m_customers)
+        m_customers[customer.m_name] = customer;
+}
+
 job_state* coordinator::find(const job_id& job)
 {
     const auto found = m_jobs.find(job);
--- a/src/dragonflygap/cell/coordinator.hpp
+++ b/src/dragonflygap/cell/coordinator.hpp
@@ -194,6 +194,7 @@
     void on(const approval_answered& event);
     void on(const members_changed& event);
     void on(const store_heard& event);
+    void on(const config_changed& event);
     void on(const tick& event);
     void check_leases(std::span<const worker_number> workers);
 
@@ -389,7 +390,8 @@
     std::map<queue_id, double> m_approval_rates;
     std::map<worker_id, worker_state> m_workers;
     worker_index m_index;
-    instant m_store_heard_at{};    ///< When the store last answered any VM.
+    std::map<customer_id, customer_rules> m_customers; ///< In force; empty: none, or unknown yet.
+    instant m_store_heard_at{};                        ///< When the store last answered any VM.
     instant m_list_confirmed_at{}; ///< All changes of the list of workers until then are known.
     bool m_list_outdated = false;
     worker_number m_next_checked = 0; ///< Where the next tick goes on looking at all workers.
--- a/src/dragonflygap/cell/events.hpp
+++ b/src/dragonflygap/cell/events.hpp
@@ -19,6 +19,7 @@
     job_id m_job;
     queue_rules m_queue;
     job_request m_request;
+    customer_id m_customer; ///< Empty: none.
 };
 struct job_cancelled
 {
@@ -87,12 +88,19 @@
 {
     instant m_at{};
 };
+/// The customers of the configuration in force: at the start of a leader that knows one, and with
+/// each later version.
+struct config_changed
+{
+    std::uint64_t m_version = 0;
+    std::vector<customer_rules> m_customers;
+};
 struct tick
 {
 };
 using event = std::variant<job_submitted, job_cancelled, workers_listed, commit_answered,
                            leader_row_read, renewal_answered, start_answered, stop_answered,
-                           approval_answered, members_changed, store_heard, tick>;
+                           approval_answered, members_changed, store_heard, config_changed, tick>;
 
 enum class call_status
 {
--- a/src/dragonflygap/cell/peer_messages.hpp
+++ b/src/dragonflygap/cell/peer_messages.hpp
@@ -67,8 +67,9 @@
     job_id m_job;
     queue_rules m_queue;
     job_request m_request;
+    customer_id m_customer; ///< Empty: the call needs no key and has none.
 
-    MSGPACK_DEFINE(m_call, m_kind, m_job, m_queue, m_request)
+    MSGPACK_DEFINE(m_call, m_kind, m_job, m_queue, m_request, m_customer)
 };
 
 /// The leader's answer to a caller_call.
--- a/src/dragonflygap/cell/queue_rules.hpp
+++ b/src/dragonflygap/cell/queue_rules.hpp
@@ -7,12 +7,14 @@
 
 #include "dragonflygap/cell/packing.hpp"
 #include "dragonflygap/core/identifier.hpp"
+#include "dragonflygap/core/resources.hpp"
 
 namespace dragonflygap::cell
 {
 
 using queue_id = identifier<struct queue_tag>;
 using service_id = identifier<struct service_tag>; ///< A pool of workers.
+using customer_id = identifier<struct customer_tag>;
 
 /// Cost of the policy's approval that a step needs before its tasks may start.
 struct approval_cost
@@ -39,11 +41,25 @@
     double m_stretch = 2; ///< Objective: m_stretch times the longest chain of work, plus the slack.
     std::int64_t m_slack_ms = 1000;
     approval_cost m_approval;
+    bool m_anonymous_allowed = false; ///< Calls need no key, even if the configuration has keys.
 
     bool operator==(const queue_rules&) const = default;
 
     MSGPACK_DEFINE(m_name, m_host, m_path_prefix, m_service, m_priority, m_max_attempts, m_stretch,
-                   m_slack_ms, m_approval)
+                   m_slack_ms, m_approval, m_anonymous_allowed)
+};
+
+/// A customer as configured by the operator.
+struct customer_rules
+{
+    customer_id m_name;
+    std::vector<std::string> m_keys; ///< Any of them identifies the customer's calls.
+    double m_weight = 1;             ///< Its share when capacity is short.
+    resources m_limit;               ///< On all workers together; 0: no limit of this resource.
+
+    bool operator==(const customer_rules&) const = default;
+
+    MSGPACK_DEFINE(m_name, m_keys, m_weight, m_limit)
 };
 
 /// The operator's whole configuration of the cell.
@@ -51,8 +67,10 @@
 {
     std::uint64_t m_version = 0;
     std::vector<queue_rules> m_queues;
+    bool m_keys_required = false; ///< The configuration lists customers.
+    std::vector<customer_rules> m_customers;
 
-    MSGPACK_DEFINE(m_version, m_queues)
+    MSGPACK_DEFINE(m_version, m_queues, m_keys_required, m_customers)
 
     /// The queue with the longest matching path prefix; nullptr if none matches.
     const queue_rules* find(std::string_view host, std::string_view path) const
--- a/src/dragonflygap/cell/records.hpp
+++ b/src/dragonflygap/cell/records.hpp
@@ -52,8 +52,11 @@
     queue_rules m_queue;
     job_request m_request;
     std::int64_t m_accepted_ms = 0; ///< Unix time by the clock of the leader that accepted it.
+    customer_id m_customer;         ///< Empty: the job was submitted without a key.
+    /// At acceptance; applies once the configuration no longer lists the customer.
+    resources m_customer_limit;
 
-    MSGPACK_DEFINE(m_queue, m_request, m_accepted_ms)
+    MSGPACK_DEFINE(m_queue, m_request, m_accepted_ms, m_customer, m_customer_limit)
 };
 
 /// Progress of a task, preserved across leaders.
--- a/src/dragonflygap/node/leader_task.cpp
+++ b/src/dragonflygap/node/leader_task.cpp
@@ -52,6 +52,7 @@
     m_timers.push_back(
         m_loop.every(m_options.m_worker_watch_interval, [this] { watch_workers(); }));
     m_timers.push_back(m_loop.every(m_options.m_member_read_interval, [this] { read_members(); }));
+    config_changed();
     watch_workers();
     read_members();
     check_members();
@@ -71,6 +72,12 @@
         std::visit([this](const auto& alternative) { execute(alternative); }, action);
 }
 
+void leader_task::config_changed()
+{
+    if (const auto* config = m_options.m_config(); config != nullptr)
+        process_event(cell::config_changed{config->m_version, config->m_customers});
+}
+
 void leader_task::tick()
 {
     if (m_stopped)
@@ -211,7 +218,8 @@
         const auto id = ++m_last_call;
         m_origins[id] = {from, call.m_call};
         if (kind == cell::call_kind::submit)
-            process_event(cell::job_submitted{id, call.m_job, call.m_queue, call.m_request});
+            process_event(
+                cell::job_submitted{id, call.m_job, call.m_queue, call.m_request, call.m_customer});
         else
             process_event(cell::job_cancelled{id, call.m_job});
         return;
@@ -270,10 +278,11 @@
 cell::leader_heartbeat leader_task::heartbeat() const
 {
     const auto store_age = monotonic_clock::now() - m_coordinator.last_commit_at();
+    const auto* config = m_options.m_config();
     return {.m_epoch = m_epoch,
             .m_commit = m_coordinator.record().m_commit,
             .m_store_age_ms = m_coordinator.last_commit_at() == instant{} ? 0 : to_ms(store_age),
-            .m_config_version = m_options.m_config_version(),
+            .m_config_version = config == nullptr ? 0 : config->m_version,
             .m_address = m_options.m_address,
             .m_cut_off = cut_off()};
 }
--- a/src/dragonflygap/node/leader_task.hpp
+++ b/src/dragonflygap/node/leader_task.hpp
@@ -34,8 +34,8 @@
     std::function<void(const vm_id& peer, const std::string& address)> m_add_peer;
     std::function<void(const vm_id& peer)> m_remove_peer;
     std::function<void(const vm_id& peer)> m_redial;
-    std::function<std::uint64_t()> m_config_version;
-    std::function<instant()> m_store_answered_at; ///< To this VM's other reads; zero: never.
+    std::function<const cell::cell_config*()> m_config; ///< nullptr: unknown yet.
+    std::function<instant()> m_store_answered_at;       ///< To this VM's other reads; zero: never.
     std::function<void(std::string cause)> m_on_deposed;
     duration m_tick_interval = 10ms;
     duration m_heartbeat_interval = 150ms;
@@ -62,6 +62,9 @@
     void handle(const vm_id& from, const cell::member_heartbeat& heartbeat);
     void handle(const vm_id& from, const cell::approval_answer& answer);
 
+    /// To be called with each new version of the configuration.
+    void config_changed();
+
     /// Asks the responsive member with the largest processor share to take over, or else the one
     /// heard last. This task does nothing afterwards.
     void resign();
--- a/src/dragonflygap/node/node.cpp
+++ b/src/dragonflygap/node/node.cpp
@@ -97,6 +97,8 @@
     m_config = std::move(config);
     m_metrics.set("dragonflygap_config_version", {"source", source},
                   static_cast<double>(m_config->m_version));
+    if (m_leader != nullptr)
+        m_leader->config_changed();
 }
 
 bool node::ready() const
@@ -269,8 +271,7 @@
             },
             .m_remove_peer = [this](const vm_id& peer) { m_options.m_peers.m_remove(peer); },
             .m_redial = [this](const vm_id& peer) { m_options.m_peers.m_redial(peer); },
-            .m_config_version = [this]() -> std::uint64_t
-            { return m_config ? m_config->m_version : 0; },
+            .m_config = [this] { return config(); },
             .m_store_answered_at = [this] { return m_store_answered_at; },
             .m_on_deposed = [this](const std::string& cause) { stop_leading(cause); }},
         std::move(state));
