Answer calls about a job to its customer only

Cause: callers choose the IDs of jobs, so a customer could see, cancel or block the job of another one by its ID. The stub's store refuses transactions whose rows exist.

--- a/src/dragonflygap/cell/coordinator.cpp
+++ b/src/dragonflygap/cell/coordinator.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <utility>
 
+#include "dragonflygap/cell/customer_keys.hpp"
 #include "dragonflygap/cell/row_split.hpp"
 #include "dragonflygap/observe/log.hpp"
 
@@ -182,14 +183,16 @@
 
 void coordinator::on(const job_submitted& event)
 {
-    const auto ended = m_ended.find(event.m_job);
-    if (ended != m_ended.end())
+    if (const auto ended = m_ended.find(event.m_job))
     {
-        m_actions->push_back(answer_call{event.m_call, call_status::accepted});
+        if (!reject_foreign(event, ended->m_customer))
+            m_actions->push_back(answer_call{event.m_call, call_status::accepted});
         return;
     }
     if (const job_state* known = find(event.m_job); known != nullptr)
     {
+        if (reject_foreign(event, known->record().m_customer))
+            return;
         if (known->m_stored)
             m_actions->push_back(answer_call{event.m_call, call_status::accepted});
         else
@@ -239,12 +242,26 @@
     update_ready_steps(*job);
 }
 
+// Callers choose the IDs. The ID of another customer's job tells nothing about that job, and the
+// submission must not change it.
+bool coordinator::reject_foreign(const job_submitted& event, const customer_id& owner)
+{
+    if (may_access(event.m_customer, owner))
+        return false;
+    log_event(log_level::info, "job_rejected",
+              {{"job", event.m_job.m_value}, {"cause", "id_in_use"}});
+    m_actions->push_back(
+        answer_call{event.m_call, call_status::rejected, m_options.m_full_retry_after_ms});
+    return true;
+}
+
 void coordinator::on(const job_cancelled& event)
 {
     job_state* job = find(event.m_job);
-    if (job == nullptr)
+    if (job == nullptr || !may_access(event.m_customer, job->record().m_customer))
     {
-        const bool known = m_ended.count(event.m_job) != 0;
+        const auto ended = m_ended.find(event.m_job);
+        const bool known = ended && may_access(event.m_customer, ended->m_customer);
         m_actions->push_back(
             answer_call{event.m_call, known ? call_status::accepted : call_status::not_here});
         return;
@@ -428,12 +445,13 @@
             m_ready.size() < m_options.m_max_ready_steps / 2);
 }
 
-std::string_view coordinator::state_of(const job_id& id) const
+std::string_view coordinator::state_of(const job_id& id, const customer_id& caller) const
 {
-    const auto ended = m_ended.find(id);
-    if (ended != m_ended.end())
+    if (const auto ended = m_ended.find(id))
     {
-        switch (ended->second.first)
+        if (!may_access(caller, ended->m_customer))
+            return {};
+        switch (ended->m_outcome)
         {
         case job_outcome::completed:
             return "completed";
@@ -444,7 +462,7 @@
         }
     }
     const job_state* job = find_job(id);
-    if (job == nullptr || !job->m_stored)
+    if (job == nullptr || !job->m_stored || !may_access(caller, job->record().m_customer))
         return {};
     return job->started() ? "running" : "queued";
 }
--- a/src/dragonflygap/cell/coordinator.hpp
+++ b/src/dragonflygap/cell/coordinator.hpp
@@ -18,6 +18,7 @@
 #include "dragonflygap/cell/call_window.hpp"
 #include "dragonflygap/cell/commit_chain.hpp"
 #include "dragonflygap/cell/election.hpp"
+#include "dragonflygap/cell/ended_jobs.hpp"
 #include "dragonflygap/cell/events.hpp"
 #include "dragonflygap/cell/job_state.hpp"
 #include "dragonflygap/cell/occurrence_timetable.hpp"
@@ -99,8 +100,9 @@
     /// Handles an event; unix_ms is the wall clock, used for scheduled occurrences.
     std::vector<action> handle(const event& incoming, instant now, std::int64_t unix_ms);
 
-    /// queued, running, completed, failed or cancelled; empty if the job is unknown.
-    std::string_view state_of(const job_id& job) const;
+    /// queued, running, completed, failed or cancelled; empty if the job is unknown or another
+    /// customer's.
+    std::string_view state_of(const job_id& job, const customer_id& caller = {}) const;
 
     /// Number of accepted jobs of a queue that haven't started any task.
     std::int64_t waiting(const queue_id& queue) const;
@@ -202,6 +204,7 @@
     void restore_jobs(recovered_state& found);
     void restore_progress(recovered_state& found);
     void answer_calls(job_state& job, call_status status);
+    bool reject_foreign(const job_submitted& event, const customer_id& owner);
     void end_job(job_state& job, job_outcome outcome);
     void update_ready_steps(job_state& job);
     void update_ready_steps(job_state& job, int occurrence);
@@ -380,7 +383,7 @@
     bool m_deposed = false;
 
     std::unordered_map<job_id, job_ptr> m_jobs; ///< Not ended, or ended but not stored yet.
-    std::unordered_map<job_id, std::pair<job_outcome, instant>> m_ended;
+    ended_jobs m_ended;
     std::map<job_id, std::vector<open_call>> m_calls;
     std::set<job_id> m_dirty;
     occurrence_timetable m_timetable;
--- a/src/dragonflygap/cell/coordinator_commits.cpp
+++ b/src/dragonflygap/cell/coordinator_commits.cpp
@@ -3,6 +3,7 @@
 #include <utility>
 
 #include "dragonflygap/cell/coordinator.hpp"
+#include "dragonflygap/cell/customer_keys.hpp"
 #include "dragonflygap/cell/row_split.hpp"
 #include "dragonflygap/observe/log.hpp"
 
@@ -63,7 +64,8 @@
     if (job.m_outcome)
     {
         change.m_writes.push_back(
-            {row_of(ended_table, job.id()), pack(ended_record{static_cast<int>(*job.m_outcome)})});
+            {row_of(ended_table, job.id()),
+             pack(ended_record{static_cast<int>(*job.m_outcome), job.record().m_customer})});
         if (job.m_stored)
         {
             change.m_deletes.push_back(row_of(job_table, job.id()));
@@ -236,7 +238,7 @@
         job->m_stored = true;
         if (job->m_outcome && m_dirty.count(id) == 0)
         {
-            m_ended[id] = {*job->m_outcome, m_now};
+            m_ended.add(id, *job->m_outcome, job->record().m_customer, m_now);
             answer_calls(*job, call_status::accepted);
             m_jobs.erase(id);
             continue;
@@ -358,23 +360,28 @@
 void coordinator::drop_duplicates(const transaction_result& result)
 {
     const batch contents = std::exchange(m_batch, std::nullopt).value_or(batch{});
-    std::set<std::string> known;
+    std::map<std::string, customer_id> owners;
     for (const auto& row : result.m_conflicts)
         if (row.m_name.m_table == ended_table && row.m_version != 0)
-            known.insert(row.m_name.m_key);
+            owners[row.m_name.m_key] =
+                unpack<ended_record>(row.m_value).value_or(ended_record{}).m_customer;
     for (const auto& id : contents.m_jobs)
     {
         job_state* job = find(id);
         if (job == nullptr)
             continue;
-        if (known.count(id.m_value) == 0)
+        const auto owner = owners.find(id.m_value);
+        if (owner == owners.end())
         {
             m_dirty.insert(id);
             continue;
         }
-        // The job ended under an earlier leader; this is a late duplicate of its submission.
-        log_event(log_level::info, "submission_repeated", {{"job", id.m_value}});
-        answer_calls(*job, call_status::accepted);
+        // The job ended under an earlier leader; this is a late duplicate of its submission, or
+        // another customer's job with its ID.
+        const bool repeated = may_access(job->record().m_customer, owner->second);
+        log_event(log_level::info, repeated ? "submission_repeated" : "job_rejected",
+                  {{"job", id.m_value}, {"cause", repeated ? "ended" : "id_in_use"}});
+        answer_calls(*job, repeated ? call_status::accepted : call_status::rejected);
         end_job(*job, job_outcome::cancelled);
         m_dirty.erase(id);
         m_jobs.erase(id);
@@ -388,8 +395,7 @@
     if (m_now - m_last_trim > trim_interval)
     {
         m_last_trim = m_now;
-        std::erase_if(m_ended, [this](const auto& entry)
-                      { return m_now - entry.second.second > m_options.m_ended_retention; });
+        m_ended.forget_before(m_now - m_options.m_ended_retention);
     }
     for (auto entry = m_calls.begin(); entry != m_calls.end();)
     {
--- a/src/dragonflygap/cell/events.hpp
+++ b/src/dragonflygap/cell/events.hpp
@@ -25,6 +25,7 @@
 {
     std::uint64_t m_call = 0;
     job_id m_job;
+    customer_id m_customer; ///< Of the caller; empty: none.
 };
 struct workers_listed
 {
--- a/src/dragonflygap/cell/records.hpp
+++ b/src/dragonflygap/cell/records.hpp
@@ -157,9 +157,10 @@
 
 struct ended_record
 {
-    int m_outcome = 0; ///< A job_outcome.
+    int m_outcome = 0;      ///< A job_outcome.
+    customer_id m_customer; ///< Of the job; empty: none, or the row of an earlier build.
 
-    MSGPACK_DEFINE(m_outcome)
+    MSGPACK_DEFINE(m_outcome, m_customer)
 };
 
 } // namespace dragonflygap::cell
--- a/src/dragonflygap/node/caller_task.cpp
+++ b/src/dragonflygap/node/caller_task.cpp
@@ -1,8 +1,10 @@
 #include "dragonflygap/node/caller_task.hpp"
 
+#include <optional>
 #include <utility>
 #include <vector>
 
+#include "dragonflygap/cell/customer_keys.hpp"
 #include "dragonflygap/cell/records.hpp"
 #include "dragonflygap/observe/log.hpp"
 #include "dragonflygap/observe/metrics.hpp"
@@ -33,6 +35,18 @@
     return names[static_cast<int>(outcome)];
 }
 
+/// Whether a call may concern the job of a row; nothing if the row is unreadable.
+template <class Record>
+std::optional<bool> may_access_row(const cell::caller_call& call, const cell::stored_row& row)
+{
+    if (call.m_customer.empty())
+        return true;
+    const auto record = cell::unpack<Record>(row.m_value);
+    if (!record)
+        return std::nullopt;
+    return cell::may_access(call.m_customer, record->m_customer);
+}
+
 constexpr int calls_per_incarnation_bits = 20; // incarnations are a millisecond apart at least
 
 } // namespace
@@ -198,9 +212,12 @@
                 return finish(call, answer_with(call_status::unknown));
             if (found->m_version == 0)
                 return read_ended_job(call);
+            const auto allowed = may_access_row<cell::job_record>(open->m_call, *found);
+            if (allowed == false)
+                return finish(call, answer_with(call_status::not_here));
             // The job is active, so only the leader can cancel it.
             const bool state_query =
-                static_cast<call_kind>(open->m_call.m_kind) == call_kind::state;
+                allowed && static_cast<call_kind>(open->m_call.m_kind) == call_kind::state;
             auto answer = answer_with(state_query ? call_status::accepted : call_status::unknown);
             answer.m_state = "running";
             finish(call, answer);
@@ -214,7 +231,8 @@
     m_options.m_store.m_read(row, m_options.m_store_timeout,
                              [this, call](const outcome<cell::stored_row>& found)
                              {
-                                 if (find(call) == nullptr)
+                                 const auto* open = find(call);
+                                 if (open == nullptr)
                                      return;
                                  if (!found)
                                      return finish(call, answer_with(call_status::unknown));
@@ -224,6 +242,8 @@
                                      cell::unpack<cell::ended_record>(found->m_value);
                                  if (!record)
                                      return finish(call, answer_with(call_status::unknown));
+                                 if (!cell::may_access(open->m_call.m_customer, record->m_customer))
+                                     return finish(call, answer_with(call_status::not_here));
                                  auto answer = answer_with(call_status::accepted);
                                  answer.m_state =
                                      name_of(static_cast<cell::job_outcome>(record->m_outcome));
--- a/src/dragonflygap/node/leader_task.cpp
+++ b/src/dragonflygap/node/leader_task.cpp
@@ -74,8 +74,13 @@
 
 void leader_task::config_changed()
 {
-    if (const auto* config = m_options.m_config(); config != nullptr)
-        process_event(cell::config_changed{config->m_version, config->m_customers});
+    const auto* config = m_options.m_config();
+    if (config == nullptr)
+        return;
+    cell::config_changed changed{config->m_version, config->m_customers};
+    for (auto& customer : changed.m_customers)
+        customer.m_keys.clear(); // no decision of the leader depends on them
+    process_event(changed);
 }
 
 void leader_task::tick()
@@ -221,14 +226,14 @@
             process_event(
                 cell::job_submitted{id, call.m_job, call.m_queue, call.m_request, call.m_customer});
         else
-            process_event(cell::job_cancelled{id, call.m_job});
+            process_event(cell::job_cancelled{id, call.m_job, call.m_customer});
         return;
     }
     cell::caller_answer answer{.m_call = call.m_call};
     if (kind == cell::call_kind::waiting)
         answer.m_number = m_coordinator.waiting(call.m_queue.m_name);
     else
-        answer.m_state = m_coordinator.state_of(call.m_job);
+        answer.m_state = m_coordinator.state_of(call.m_job, call.m_customer);
     const bool unknown_job = kind == cell::call_kind::state && answer.m_state.empty();
     answer.m_status =
         static_cast<int>(unknown_job ? cell::call_status::not_here : cell::call_status::accepted);
--- a/tests/cell/support/stub_cell.hpp
+++ b/tests/cell/support/stub_cell.hpp
@@ -237,6 +237,12 @@
             m_answers.push_back(commit_answered{request.m_number, rejected()});
             return;
         }
+        if (auto conflicts = unexpected_rows(request.m_change); !conflicts.empty())
+        {
+            m_answers.push_back(commit_answered{
+                request.m_number, transaction_result{.m_conflicts = std::move(conflicts)}});
+            return;
+        }
         for (const auto& name : request.m_change.m_deletes)
             m_rows.erase(name);
         for (const auto& write : request.m_change.m_writes)
@@ -246,6 +252,16 @@
                 commit_answered{request.m_number,
                                 transaction_result{.m_committed = true, .m_version = ++m_version}});
     }
+    /// Rows that exist although the transaction requires that they don't.
+    std::vector<stored_row> unexpected_rows(const transaction& change) const
+    {
+        std::vector<stored_row> result;
+        for (const auto& condition : change.m_conditions)
+            if (const auto row = m_rows.find(condition.m_row);
+                condition.m_version == 0 && row != m_rows.end())
+                result.push_back({row->first, 1, row->second});
+        return result;
+    }
     void act(const send_renewal& request)
     {
         ++m_renewals;
