Spread versions past the leader and confirm what peers send

Cause: between VMs, versions went over the leader alone: a VM without the store and without the leader missed them beside VMs that knew them. A VM that had restarted took an older version from a peer than it had served, and one that woke after a pause accepted keys that were removed meanwhile. Change: node/config_task takes the configuration out of node. A VM whose read of the store is overdue asks peers, few at a time (cell/config_inquiries); the answer tells since when the peer's version is known to be the newest. After a start a peer's version waits for such a confirmation, after a pause the keys do (cell/config_adoption). A configuration of a build that doesn't know customers is ignored. Members are read each 10 s, as their addresses have to be known.

--- a/src/dragonflygap/cell/change_watch.hpp
+++ b/src/dragonflygap/cell/change_watch.hpp
@@ -52,6 +52,9 @@
     /// All changes up to this time are known.
     instant confirmed_at() const { return m_confirmed_at; }
 
+    /// The last reads weren't answered in time.
+    bool overdue() const { return m_overdue > 0; }
+
     std::uint64_t position() const { return m_position; }
     const change_watch_counts& counts() const { return m_counts; }
 
--- a/src/dragonflygap/cell/peer_messages.hpp
+++ b/src/dragonflygap/cell/peer_messages.hpp
@@ -47,8 +47,10 @@
 struct config_update
 {
     cell_config m_config;
+    /// False: from an earlier build, which leaves out the customers of a configuration.
+    bool m_has_customers = false;
 
-    MSGPACK_DEFINE(m_config)
+    MSGPACK_DEFINE(m_config, m_has_customers)
 };
 
 enum class call_kind
@@ -114,8 +116,31 @@
                    m_response_time_ms, m_waited_ms)
 };
 
-using peer_message = std::variant<leader_heartbeat, member_heartbeat, config_update, caller_call,
-                                  caller_answer, approval_call, approval_answer>;
+/// From a VM that the store doesn't answer: asks which configuration the receiver has.
+struct config_inquiry
+{
+    std::uint64_t m_number = 0;
+    std::uint64_t m_config_version = 0; ///< That the sender has; 0: none.
+    std::string m_address;              ///< The sender's, for the answer.
+
+    MSGPACK_DEFINE(m_number, m_config_version, m_address)
+};
+
+/// Answers a config_inquiry, after a config_update if the receiver's configuration is newer.
+struct config_status
+{
+    std::uint64_t m_number = 0;         ///< As in the inquiry.
+    std::uint64_t m_config_version = 0; ///< In force at the sender; 0: none.
+    /// Since an instant at which the store had acknowledged no newer version; -1: unknown.
+    std::int64_t m_confirmed_age_ms = -1;
+
+    MSGPACK_DEFINE(m_number, m_config_version, m_confirmed_age_ms)
+};
+
+// Messages are told apart by their position, so new ones go to the end.
+using peer_message =
+    std::variant<leader_heartbeat, member_heartbeat, config_update, caller_call, caller_answer,
+                 approval_call, approval_answer, config_inquiry, config_status>;
 
 struct peer_envelope
 {
--- a/src/dragonflygap/node/node.cpp
+++ b/src/dragonflygap/node/node.cpp
@@ -34,10 +34,9 @@
                     callers.m_takeover_expected = [this] { return takeover_expected(); };
                     return callers;
                 }()),
-      m_config_watch(m_options.m_config_watch)
+      m_config(registry, make_config_options())
 {
     register_member();
-    watch_config();
     m_timers.push_back(m_loop.every(m_options.m_tick_interval, [this] { tick(); }));
 }
 
@@ -61,49 +60,41 @@
                                });
 }
 
-void node::watch_config()
+config_task_options node::make_config_options()
 {
-    while (const auto read = m_config_watch.next(monotonic_clock::now()))
-        m_options.m_directory.m_read_config(
-            *read,
-            [this, number = read->m_number](outcome<std::optional<cell::cell_config>> config,
-                                            const cell::read_extent& extent)
+    // Reads that wait longer would confirm the configuration too late.
+    constexpr int waits_per_expiry = 5;
+    auto watch = m_options.m_config_watch;
+    if (m_options.m_keys_expire > duration{})
+        watch.m_wait = std::min(watch.m_wait, m_options.m_keys_expire / waits_per_expiry);
+    return {.m_vm = m_options.m_vm,
+            .m_data_centre = m_options.m_data_centre,
+            .m_incarnation = m_options.m_incarnation,
+            .m_address = to_string(m_options.m_peer_address),
+            .m_directory = m_options.m_directory,
+            .m_watch = watch,
+            .m_adoption = {.m_keys_expire = m_options.m_keys_expire},
+            .m_send = [this](const vm_id& to, const cell::peer_message& message)
+            { send(to, message); },
+            .m_add_peer = [this](const vm_id& peer, const std::string& address)
+            { add_peer(peer, address); },
+            .m_on_changed =
+                [this]
             {
-                const auto now = monotonic_clock::now();
-                if (!config)
-                {
-                    log_event(log_level::warning, "config_not_read",
-                              {{"detail", config.error().m_detail}});
-                    m_config_watch.failed(number, config.error().m_verdict == verdict::not_run,
-                                          now);
-                }
-                else
-                {
-                    m_store_answered_at = now;
-                    if (m_config_watch.answered(number, extent, now) && *config)
-                        apply_config(std::move(**config), "store");
-                }
-                watch_config();
-            });
+                if (m_leader != nullptr)
+                    m_leader->config_changed();
+            }};
 }
 
-void node::apply_config(cell::cell_config config, std::string_view source)
+void node::add_peer(const vm_id& peer, const std::string& address)
 {
-    if (m_config && config.m_version <= m_config->m_version)
-        return;
-    log_event(
-        log_level::info, "config_in_force",
-        {{"version", config.m_version}, {"queues", config.m_queues.size()}, {"source", source}});
-    m_config = std::move(config);
-    m_metrics.set("dragonflygap_config_version", {"source", source},
-                  static_cast<double>(m_config->m_version));
-    if (m_leader != nullptr)
-        m_leader->config_changed();
+    if (const auto parsed = parse_endpoint(address))
+        m_options.m_peers.m_add(peer, *parsed);
 }
 
 bool node::ready() const
 {
-    if (!m_config || m_stopping)
+    if (config() == nullptr || m_stopping)
         return false;
     if (m_leader != nullptr)
         return !m_leader->cut_off();
@@ -129,10 +120,12 @@
 
 void node::tick()
 {
-    watch_config();
+    m_config.tick();
     request_approvals();
     if (m_stopping)
         return tick_stopping();
+    if (monotonic_clock::now() - m_members_read_at >= m_options.m_member_read_interval)
+        read_members();
     if (m_leader != nullptr)
         return;
     switch (m_election.next(monotonic_clock::now()))
@@ -170,14 +163,20 @@
         m_options.m_on_closing();
 }
 
-void node::read_row()
+void node::read_members()
 {
+    m_members_read_at = monotonic_clock::now();
     m_options.m_store.m_scan(std::string(cell::member_table), store_timeout,
                              [this](const outcome<std::vector<cell::stored_row>>& rows)
                              {
                                  if (rows)
                                      update_members(*rows);
                              });
+}
+
+void node::read_row()
+{
+    read_members();
     m_options.m_store.m_read(
         {std::string(cell::leader_table), std::string(cell::leader_key)}, store_timeout,
         [this](const outcome<cell::stored_row>& row)
@@ -192,10 +191,15 @@
 
 void node::update_members(const std::vector<cell::stored_row>& rows)
 {
-    m_members.clear();
+    const auto former = std::exchange(m_members, {});
     for (const auto& row : rows)
         if (const auto member = cell::unpack<cell::member_record>(row.m_value))
             m_members[member->m_vm] = *member;
+    // A leader decides by itself whom it talks to.
+    for (const auto& [vm, member] : former)
+        if (m_leader == nullptr && vm != m_known_leader && m_members.count(vm) == 0)
+            m_options.m_peers.m_remove(vm);
+    m_config.set_members(m_members);
     // A leader has removed the row of this VM, which was silent for long.
     if (m_members.count(m_options.m_vm) == 0 && !m_registering)
         register_member();
@@ -263,16 +267,12 @@
             .m_workers = m_options.m_workers,
             .m_send = [this](const vm_id& to, const cell::peer_message& message)
             { send(to, message); },
-            .m_add_peer =
-                [this](const vm_id& peer, const std::string& address)
-            {
-                if (const auto parsed = parse_endpoint(address))
-                    m_options.m_peers.m_add(peer, *parsed);
-            },
+            .m_add_peer = [this](const vm_id& peer, const std::string& address)
+            { add_peer(peer, address); },
             .m_remove_peer = [this](const vm_id& peer) { m_options.m_peers.m_remove(peer); },
             .m_redial = [this](const vm_id& peer) { m_options.m_peers.m_redial(peer); },
             .m_config = [this] { return config(); },
-            .m_store_answered_at = [this] { return m_store_answered_at; },
+            .m_store_answered_at = [this] { return m_config.store_answered_at(); },
             .m_on_deposed = [this](const std::string& cause) { stop_leading(cause); }},
         std::move(state));
     m_callers.leader_changed();
--- a/src/dragonflygap/node/node.hpp
+++ b/src/dragonflygap/node/node.hpp
@@ -9,13 +9,13 @@
 #include <string_view>
 
 #include "dragonflygap/cell/approval_backlog.hpp"
-#include "dragonflygap/cell/change_watch.hpp"
 #include "dragonflygap/cell/election.hpp"
 #include "dragonflygap/cell/peer_messages.hpp"
 #include "dragonflygap/cell/ports.hpp"
 #include "dragonflygap/cell/records.hpp"
 #include "dragonflygap/net/event_loop.hpp"
 #include "dragonflygap/node/caller_task.hpp"
+#include "dragonflygap/node/config_task.hpp"
 #include "dragonflygap/node/leader_task.hpp"
 
 namespace dragonflygap::node
@@ -49,8 +49,10 @@
     std::function<void()> m_on_stopped;
     duration m_tick_interval = 50ms;
     cell::change_watch_options m_config_watch;
-    duration m_config_resend_interval = 1s; ///< To one peer, which may receive it slowly.
-    duration m_leader_timeout = 600ms;      ///< No calls are sent to a leader silent for longer.
+    /// Keys of a configuration that wasn't confirmed for longer aren't accepted; zero: they are.
+    duration m_keys_expire{};
+    duration m_member_read_interval = 10s; ///< Peers that the configuration can be asked of.
+    duration m_leader_timeout = 600ms;     ///< No calls are sent to a leader silent for longer.
     duration m_redial_interval = 1500ms; ///< Between redials of a leader that doesn't hear this VM.
     duration m_ready_timeout = 1s;       ///< Without a leader for longer, the VM isn't ready.
     duration m_takeover_timeout = 1500ms; ///< After it no successor is expected.
@@ -69,7 +71,13 @@
     node& operator=(const node&) = delete;
 
     /// The configuration that this VM applies; nullptr before the first one.
-    const cell::cell_config* config() const { return m_config ? &*m_config : nullptr; }
+    const cell::cell_config* config() const { return m_config.config(); }
+    /// Checks the key of a call to a queue of that configuration; nothing: it has none.
+    cell::key_check check_key(const cell::queue_rules& queue,
+                              std::optional<std::string_view> key) const
+    {
+        return m_config.check_key(queue, key);
+    }
     const vm_id& vm() const { return m_options.m_vm; }
     bool ready() const;
     bool stopping() const { return m_stopping; }
@@ -84,10 +92,11 @@
     bool takeover_expected() const;
     void register_member();
     void update_members(const std::vector<cell::stored_row>& rows);
-    void watch_config();
-    void apply_config(cell::cell_config config, std::string_view source);
+    config_task_options make_config_options();
+    void add_peer(const vm_id& peer, const std::string& address);
     void tick();
     void tick_stopping();
+    void read_members();
     void read_row();
     void campaign();
     int rank() const;
@@ -96,7 +105,6 @@
     void stop_leading(std::string_view cause);
     bool send_to_leader(const cell::caller_call& call);
     void send(const vm_id& to, const cell::peer_message& message);
-    void send_config(const vm_id& to, std::uint64_t known_version);
     void request_approvals();
     void answer_approval(const cell::approval_backlog::entry& entry,
                          const outcome<cell::approval>& result, std::optional<duration> waited);
@@ -105,6 +113,8 @@
     void on(const vm_id& from, const cell::leader_heartbeat& message);
     void on(const vm_id& from, const cell::member_heartbeat& message);
     void on(const vm_id& from, const cell::config_update& message);
+    void on(const vm_id& from, const cell::config_inquiry& message);
+    void on(const vm_id& from, const cell::config_status& message);
     void on(const vm_id& from, const cell::caller_call& message);
     void on(const vm_id& from, const cell::caller_answer& message);
     void on(const vm_id& from, const cell::approval_call& message);
@@ -117,15 +127,7 @@
     cell::approval_backlog m_approvals{{}};
     caller_task m_callers;
     std::unique_ptr<leader_task> m_leader;
-    std::optional<cell::cell_config> m_config;
-    cell::change_watch m_config_watch;
-    instant m_store_answered_at{}; ///< A read of the configuration; zero: never.
-    struct sent_config
-    {
-        std::uint64_t m_version = 0;
-        instant m_at{};
-    };
-    std::map<vm_id, sent_config> m_configs_sent; ///< The last one to each peer.
+    config_task m_config;
     vm_id m_known_leader;
     std::string m_leader_address;
     std::uint64_t m_leader_epoch = 0;
@@ -134,6 +136,7 @@
     instant m_last_leader_at{};    ///< When a leader was last known, this VM included.
     bool m_leader_cut_off = false; ///< As in the leader's last heartbeat.
     std::map<vm_id, cell::member_record> m_members; ///< As last read from the store.
+    instant m_members_read_at{};                    ///< When the last read was sent.
     bool m_registering = false;
     bool m_stopping = false;
     instant m_stop_started_at{};
--- a/src/dragonflygap/node/node_messages.cpp
+++ b/src/dragonflygap/node/node_messages.cpp
@@ -62,8 +62,7 @@
     m_last_leader_at = now;
     m_leader_cut_off = message.m_cut_off;
     if (message.m_address != m_leader_address)
-        if (const auto address = parse_endpoint(message.m_address))
-            m_options.m_peers.m_add(from, *address);
+        add_peer(from, message.m_address);
     m_leader_address = message.m_address;
     if (!message.m_hears_receiver && now - m_leader_redialled_at > m_options.m_redial_interval)
     {
@@ -77,28 +76,13 @@
                   {{"leader", from.m_value}, {"epoch", message.m_epoch}});
         m_callers.leader_changed();
     }
-    const bool answered = m_store_answered_at != instant{};
-    send(from, cell::member_heartbeat{.m_incarnation = m_options.m_incarnation,
-                                      .m_config_version = m_config ? m_config->m_version : 0,
-                                      .m_stopping = m_stopping,
-                                      .m_store_age_ms =
-                                          answered ? to_ms(now - m_store_answered_at) : -1});
-    send_config(from, message.m_config_version);
-}
-
-// A large configuration takes longer to arrive than the interval of heartbeats, and repeating it
-// would delay it and the messages behind it further.
-void node::send_config(const vm_id& to, std::uint64_t known_version)
-{
-    if (!m_config || m_config->m_version <= known_version)
-        return;
-    const auto now = monotonic_clock::now();
-    auto& last = m_configs_sent[to];
-    if (last.m_version == m_config->m_version &&
-        now - last.m_at < m_options.m_config_resend_interval)
-        return;
-    last = {m_config->m_version, now};
-    send(to, cell::config_update{*m_config});
+    const auto answered_at = m_config.store_answered_at();
+    send(from, cell::member_heartbeat{
+                   .m_incarnation = m_options.m_incarnation,
+                   .m_config_version = m_config.newest_version(),
+                   .m_stopping = m_stopping,
+                   .m_store_age_ms = answered_at != instant{} ? to_ms(now - answered_at) : -1});
+    m_config.send_to(from, message.m_config_version);
 }
 
 void node::on(const vm_id& from, const cell::member_heartbeat& message)
@@ -106,12 +90,22 @@
     if (m_leader == nullptr)
         return;
     m_leader->handle(from, message);
-    send_config(from, message.m_config_version);
+    m_config.send_to(from, message.m_config_version);
+}
+
+void node::on(const vm_id& from, const cell::config_update& message)
+{
+    m_config.handle(from, message);
+}
+
+void node::on(const vm_id& from, const cell::config_inquiry& message)
+{
+    m_config.handle(from, message);
 }
 
-void node::on(const vm_id&, const cell::config_update& message)
+void node::on(const vm_id& from, const cell::config_status& message)
 {
-    apply_config(message.m_config, "peer");
+    m_config.handle(from, message);
 }
 
 void node::on(const vm_id& from, const cell::caller_call& message)
--- a/tests/bad_input/cell_input_test.cpp
+++ b/tests/bad_input/cell_input_test.cpp
@@ -160,10 +160,13 @@
     const std::string seeds[] = {
         R"({"service":"s","address":"10.0.0.1:80","state":"ready","capacity":{"cpu":4000}})",
         R"({"version":3,"routes":[{"name":"q","host":"h","path_prefix":"/q/","advice":{"decision_ms":1}}]})",
+        R"({"version":3,"routes":[],"tenants":[{"name":"c","api_keys":["k"],"weight":2,"max_count":{"cpu":4}}]})",
         R"({"specification":"s","steps":[{"count":2},{"depends_on":[0]}]})",
         cell::pack(cell::leader_record{.m_epoch = 3, .m_vm = vm_id("a")}),
         cell::encode(vm_id("a"), cell::approval_call{.m_workers = {worker_id("w")}}),
         cell::encode(vm_id("a"), cell::leader_heartbeat{.m_epoch = 3}),
+        cell::encode(vm_id("a"), cell::config_inquiry{.m_number = 3, .m_address = "10.0.0.1:80"}),
+        cell::pack(cell::ended_record{.m_customer = cell::customer_id("c")}),
     };
     const bool passed =
         rc::check("decoders end",
