Refuse calls without a valid key

Cause: where the configuration lists customers, a call needs the key of one. Change: the callers' server answers 503 without a configuration, 404 without a queue, then 401 without a known key, before it looks at the ID, the method or the body; the customer goes to the leader with the call. In the tests' world a VM sends only to peers that it has dialled, and a cut from the store drops answers on their way too.

--- a/src/dragonflygap/config/settings.cpp
+++ b/src/dragonflygap/config/settings.cpp
@@ -59,6 +59,8 @@
         std::chrono::milliseconds(object.value("longest_lease_ms", to_ms(cell.m_max_lease)));
     cell.m_worker_notice =
         std::chrono::milliseconds(object.value("worker_notice_ms", to_ms(cell.m_worker_notice)));
+    cell.m_keys_expire =
+        std::chrono::milliseconds(object.value("keys_expire_ms", to_ms(cell.m_keys_expire)));
     cell.m_stop_timeout =
         std::chrono::milliseconds(object.value("stop_ms", to_ms(cell.m_stop_timeout)));
     return cell;
--- a/src/dragonflygap/config/settings.hpp
+++ b/src/dragonflygap/config/settings.hpp
@@ -35,6 +35,8 @@
     duration m_max_lease = 10s;     ///< Workers shorten longer leases to this.
     /// A worker that leaves runs its tasks for as long at least after it said so.
     duration m_worker_notice = 2s;
+    /// Keys of a configuration that wasn't confirmed for longer aren't accepted; zero: they are.
+    duration m_keys_expire{};
     duration m_stop_timeout = 6s; ///< Time from SIGTERM until the platform kills the process.
 };
 
--- a/src/dragonflygap/daemon/cell_daemon.cpp
+++ b/src/dragonflygap/daemon/cell_daemon.cpp
@@ -60,6 +60,7 @@
     leases.m_lease_duration = std::min(leases.m_lease_duration, cell.m_max_lease);
     options.m_coordinator.m_memory_mb = cell.m_memory_mb;
     options.m_coordinator.m_min_notice = cell.m_worker_notice;
+    options.m_keys_expire = cell.m_keys_expire;
     constexpr duration exit_margin = 800ms;
     options.m_max_stop_time = std::max<duration>(cell.m_stop_timeout - exit_margin, 500ms);
     options.m_min_stop_time = std::min(options.m_min_stop_time, options.m_max_stop_time);
@@ -107,6 +108,9 @@
             .m_max_body_bytes = settings.m_max_body_bytes,
             .m_handler = wire::make_caller_handler(
                 {.m_config = [&entry_node] { return entry_node->config(); },
+                 .m_check_key = [&entry_node](const cell::queue_rules& queue,
+                                              std::optional<std::string_view> key)
+                 { return entry_node->check_key(queue, key); },
                  .m_call = [&entry_node](cell::caller_call call,
                                          std::function<void(const cell::caller_answer&)> done)
                  { entry_node->callers().call(std::move(call), std::move(done)); },
--- a/tests/config/settings_test.cpp
+++ b/tests/config/settings_test.cpp
@@ -1,5 +1,7 @@
 #include "dragonflygap/config/settings.hpp"
 
+#include <string>
+
 #include <CppUTest/TestHarness.h>
 
 using namespace dragonflygap;
@@ -49,3 +51,15 @@
     CHECK(!parsed.has_value());
     CHECK(parsed.error().front().m_path == "line 2");
 }
+
+TEST(settings, keys_never_expire_unless_a_time_is_given)
+{
+    const std::string cell = R"({"vm": "a", "data_centre": "d", "cell": {"store": "127.0.0.1:9",
+        "ready_listen": "127.0.0.1:8")";
+    const auto lasting = parse_settings(cell + "}}");
+    CHECK(lasting->m_cell->m_keys_expire == duration{});
+    const auto expiring = parse_settings(cell + R"(, "keys_expire_ms": 5000}})");
+    CHECK(expiring->m_cell->m_keys_expire == duration(5s));
+    for (const auto* odd : {"-1", "1e12", "\"5\"", "true"})
+        CHECK_FALSE(parse_settings(cell + R"(, "keys_expire_ms": )" + odd + "}}").has_value());
+}
--- a/tests/node/support/cell_world.cpp
+++ b/tests/node/support/cell_world.cpp
@@ -73,7 +73,13 @@
             std::make_unique<worker>("w" + std::to_string(i), m_random, m_checker,
                                      [this](duration delay, std::function<void()> work)
                                      { schedule(delay, std::move(work)); }));
-    set_config(1, queue_config(1));
+    for (int i = 0; i < options.m_customers; ++i)
+    {
+        const auto customer = "c" + std::to_string(i);
+        m_keys[customer] = {"key-of-" + customer};
+        m_caller_keys[customer] = m_keys[customer].front();
+    }
+    change_config();
     publish_workers();
     for (int i = 0; i < options.m_vms; ++i)
         start("vm" + std::to_string(i));
@@ -116,6 +122,8 @@
     const auto decoded = cell::decode_peer(message);
     if (decoded && std::holds_alternative<cell::caller_answer>(decoded->m_message))
         return network_delay + m_answer_delay;
+    if (decoded && std::holds_alternative<cell::config_inquiry>(decoded->m_message))
+        ++m_inquiries_sent;
     if (!decoded || !std::holds_alternative<cell::config_update>(decoded->m_message))
         return network_delay;
     ++m_configs_sent;
@@ -153,14 +161,32 @@
                {"stretch", 2.0},       {"target_latency_ms", 1000}};
     if (m_options.m_approvals)
         route["advice"] = {{"decision_ms", 10.0}, {"period_ms", 0.1}, {"validity_ms", 2000}};
-    return json{{"version", version}, {"routes", {route}}, {"services", json::array()}}.dump();
+    json document{{"version", version}, {"routes", {route}}, {"services", json::array()}};
+    if (m_options.m_customers == 0)
+        return document.dump();
+    auto open = route;
+    open["name"] = "open";
+    open["path_prefix"] = "/open/";
+    open["allow_anonymous"] = true;
+    document["routes"].push_back(open);
+    document["tenants"] = json::array();
+    for (const auto& [customer, keys] : m_keys)
+        document["tenants"].push_back({{"name", customer}, {"api_keys", keys}, {"weight", 1.0}});
+    return document.dump();
 }
 
-void cell_world::set_config(int, const std::string& body)
+void cell_world::set_config(int version, const std::string& body)
 {
+    m_config_version = std::max(m_config_version, version);
     m_store.put("op", "config", body);
 }
 
+void cell_world::change_config()
+{
+    const int version = m_config_version + 1;
+    set_config(version, queue_config(version));
+}
+
 // Simulates the workers' heartbeats: the store lists reachable workers only.
 void cell_world::publish_workers()
 {
@@ -208,12 +234,12 @@
         share != m_options.m_processor_shares.end())
         options.m_processor_share = share->second;
     options.m_peers = {
-        .m_add = [](const vm_id&, const endpoint&) {},
-        .m_remove = [](const vm_id&) {},
+        .m_add = [&started](const vm_id& peer, const endpoint&) { started.m_dialled.insert(peer); },
+        .m_remove = [&started](const vm_id& peer) { started.m_dialled.erase(peer); },
         .m_send =
-            [this, vm](const vm_id& peer, std::string_view bytes)
+            [this, vm, &started](const vm_id& peer, std::string_view bytes)
         {
-            if (m_processes.count(peer.m_value) == 0)
+            if (started.m_dialled.count(peer) == 0 || m_processes.count(peer.m_value) == 0)
                 return false;
             if (!is_cut(vm, peer.m_value) && m_silenced.count({vm, peer.m_value}) == 0)
                 schedule(delay_of(bytes),
@@ -231,11 +257,15 @@
             [this, vm](const vm_id& peer) {
                 m_silenced.erase({vm, peer.m_value});
             }};
+    options.m_keys_expire = m_options.m_keys_expire;
     options.m_on_stopped = [this, vm] { schedule({}, [this, vm] { kill(vm); }); };
     started.m_node =
         std::make_unique<node::node>(started.m_loop, started.m_metrics, std::move(options));
     started.m_handler = wire::make_caller_handler(
         {.m_config = [&started] { return started.m_node->config(); },
+         .m_check_key =
+             [&started](const cell::queue_rules& queue, std::optional<std::string_view> key)
+         { return started.m_node->check_key(queue, key); },
          .m_call = [&started](cell::caller_call call,
                               std::function<void(const cell::caller_answer&)> done)
          { started.m_node->callers().call(std::move(call), std::move(done)); },
@@ -287,6 +317,11 @@
     return found == m_processes.end() ? nullptr : found->second->m_node.get();
 }
 
+std::string cell_world::metrics_of(const std::string& vm) const
+{
+    return m_processes.at(vm)->m_metrics.text();
+}
+
 std::string cell_world::leader() const
 {
     std::string found;
--- a/tests/node/support/cell_world.hpp
+++ b/tests/node/support/cell_world.hpp
@@ -37,6 +37,9 @@
     std::map<std::string, double> m_processor_shares; ///< Of a core, by VM; default 1.
     /// Without it, calls to workers need no connections.
     std::optional<connection_options> m_connections;
+    /// Customers in the configuration, named c0, c1 and so on; 0: calls need no keys.
+    int m_customers = 0;
+    duration m_keys_expire{}; ///< Setting of each VM.
 };
 
 /// A job's submission, as its caller saw it.
@@ -73,25 +76,36 @@
     void cut_off(const std::string& vm); ///< From the store, the workers and all other VMs.
     void heal() { m_cuts.clear(); }
     void heal(const std::string& party);
+    void heal(const std::string& left, const std::string& right);
     /// Drops one VM's messages to another until it redials it.
     void silence(const std::string& from, const std::string& to) { m_silenced.insert({from, to}); }
     bool is_cut(const std::string& party) const;
+    bool is_cut(const std::string& left, const std::string& right) const;
     bool is_frozen(const std::string& vm) const;
     /// Restarts a worker under a new id, or under the same; its connections and running tasks are
     /// lost.
     void crash_worker(int number, const std::string& new_id);
     std::string leader() const; ///< Empty if there is none or more than one.
 
-    /// Submits a job through a VM, and retries while the outcome is unknown.
-    void submit(const std::string& vm, const std::string& job, std::vector<task_spec> steps);
+    /// Submits a job through a VM, and retries while the outcome is unknown. Calls of a customer
+    /// carry its key.
+    void submit(const std::string& vm, const std::string& job, std::vector<task_spec> steps,
+                const std::string& customer = "");
     /// Sends one request; done gets the response.
     void send(const std::string& vm, http_request request,
               std::function<void(const http_response&)> done);
-    std::string state(const std::string& vm, const std::string& job);
-    void cancel(const std::string& vm, const std::string& job);
+    std::string state(const std::string& vm, const std::string& job,
+                      const std::string& customer = "");
+    void cancel(const std::string& vm, const std::string& job, const std::string& customer = "");
+    /// Status of a call with a key; 0: no answer within 2 s. 200 shows that the key was accepted,
+    /// 503 doesn't, as the VM may know no leader.
+    int try_key(const std::string& vm, const std::string& key);
 
     void set_config(int version, const std::string& body);
     std::string queue_config(int version) const;
+    /// Writes the next version, with the keys as they are in m_keys.
+    void change_config();
+    int config_version() const { return m_config_version; }
 
     int completed() const; ///< Jobs whose tasks are all done, as reported by the workers.
     bool all_accepted_are_done() const { return accepted_not_done().empty(); }
@@ -103,13 +117,18 @@
 
     node::node* find(const std::string& vm);
     store& rows() { return m_store; }
+    /// The metrics of a VM's process as text.
+    std::string metrics_of(const std::string& vm) const;
     std::int64_t now_ms() const;
 
     invariant_checker m_checker;
     std::map<std::string, submission> m_submissions;
+    std::map<std::string, std::vector<std::string>> m_keys; ///< By customer, as configured next.
+    std::map<std::string, std::string> m_caller_keys;       ///< By customer, as its callers use.
     duration m_answer_delay{}; ///< Delays answers to other VMs, as an overloaded leader does.
     duration m_config_delay{}; ///< Delays configurations to other VMs, as a slow link does.
     int m_configs_sent = 0;    ///< To other VMs.
+    int m_inquiries_sent = 0;  ///< Of other VMs' configurations.
 
 private:
     struct vm_process
@@ -123,6 +142,7 @@
         std::unique_ptr<node::node> m_node;
         std::function<void(http_request, http_exchange_ptr)> m_handler;
         std::uint64_t m_incarnation = 0;
+        std::set<vm_id> m_dialled; ///< Other VMs that it can send to.
         bool m_frozen = false;
         duration m_round{}; ///< Zero: events are handled when they are due.
         std::size_t m_bytes_per_round = 0;
@@ -143,9 +163,10 @@
     void route(const std::string& vm, const endpoint& to, const http_request& request,
                const worker::reply& done);
     void approve(const http_request& request, const worker::reply& done);
-    bool is_cut(const std::string& left, const std::string& right) const;
     void publish_workers();
-    void retry(const std::string& vm, const std::string& job, const std::string& body);
+    void retry(const std::string& vm, const std::string& job, const std::string& body,
+               const std::string& customer);
+    std::vector<http_header> authorization(const std::string& key) const;
 
     world_options m_options;
     std::mt19937_64 m_random;
@@ -159,6 +180,7 @@
     std::set<std::pair<std::string, std::string>> m_silenced; ///< Sender and receiver.
     std::uint64_t m_last_incarnation = 0;
     std::uint64_t m_last_call = 0;
+    int m_config_version = 0;
 };
 
 } // namespace stand_in
--- a/tests/node/support/cell_world_callers.cpp
+++ b/tests/node/support/cell_world_callers.cpp
@@ -16,7 +16,15 @@
 
 } // namespace
 
-void cell_world::submit(const std::string& vm, const std::string& job, std::vector<task_spec> steps)
+std::vector<http_header> cell_world::authorization(const std::string& key) const
+{
+    if (key.empty())
+        return {};
+    return {{"Authorization", "Bearer " + key}};
+}
+
+void cell_world::submit(const std::string& vm, const std::string& job, std::vector<task_spec> steps,
+                        const std::string& customer)
 {
     json body{{"specification", "payload of " + job}, {"steps", json::array()}};
     for (const auto& step : steps)
@@ -35,17 +43,23 @@
     }
     m_jobs[job] = std::move(steps);
     m_submissions[job];
-    retry(vm, job, body.dump());
+    retry(vm, job, body.dump(), customer);
 }
 
-void cell_world::retry(const std::string& vm, const std::string& job, const std::string& body)
+void cell_world::retry(const std::string& vm, const std::string& job, const std::string& body,
+                       const std::string& customer)
 {
     constexpr int accepted = 200;
+    constexpr int unauthorized = 401;
     constexpr int unavailable = 503;
     constexpr duration caller_timeout = 3s;
     auto answered = std::make_shared<bool>(false);
-    send(vm, {.m_method = "POST", .m_path = "/q/" + job, .m_body = body},
-         [this, vm, job, body, answered](const http_response& response)
+    send(vm,
+         {.m_method = "POST",
+          .m_path = "/q/" + job,
+          .m_headers = authorization(m_caller_keys[customer]),
+          .m_body = body},
+         [this, vm, job, body, customer, answered](const http_response& response)
          {
              if (std::exchange(*answered, true))
                  return;
@@ -53,31 +67,34 @@
              recorded.m_status = response.m_status;
              recorded.m_retry_after = std::string(response.header("Retry-After"));
              recorded.m_accepted = recorded.m_accepted || response.m_status == accepted;
-             recorded.m_all_rejected = recorded.m_all_rejected && response.m_status == unavailable;
+             const bool rejected =
+                 response.m_status == unavailable || response.m_status == unauthorized;
+             recorded.m_all_rejected = recorded.m_all_rejected && rejected;
              if (recorded.m_all_rejected)
                  m_checker.m_rejected.insert(job);
              else
                  m_checker.m_rejected.erase(job);
-             if (response.m_status != accepted && response.m_status != unavailable)
-                 retry(vm, job, body);
+             if (response.m_status != accepted && !rejected)
+                 retry(vm, job, body, customer);
          });
     // Without an answer the caller retries through another VM.
     schedule(caller_timeout,
-             [this, job, body, answered]
+             [this, job, body, customer, answered]
              {
                  if (std::exchange(*answered, true) || m_processes.empty())
                      return;
                  m_submissions[job].m_all_rejected = false;
                  auto next = m_processes.begin();
                  std::advance(next, static_cast<std::ptrdiff_t>(m_random() % m_processes.size()));
-                 retry(next->first, job, body);
+                 retry(next->first, job, body, customer);
              });
 }
 
-std::string cell_world::state(const std::string& vm, const std::string& job)
+std::string cell_world::state(const std::string& vm, const std::string& job,
+                              const std::string& customer)
 {
     std::string text;
-    send(vm, {.m_path = "/q/" + job},
+    send(vm, {.m_path = "/q/" + job, .m_headers = authorization(m_caller_keys[customer])},
          [&text](const http_response& response)
          {
              text = response.m_status == 200 ? json::parse(response.m_body).value("state", "")
@@ -87,10 +104,24 @@
     return text;
 }
 
-void cell_world::cancel(const std::string& vm, const std::string& job)
+int cell_world::try_key(const std::string& vm, const std::string& key)
+{
+    auto status = std::make_shared<int>(0);
+    send(vm, {.m_path = "/q/", .m_headers = authorization(key)},
+         [status](const http_response& response) { *status = response.m_status; });
+    constexpr duration step = 10ms;
+    for (duration waited{}; *status == 0 && waited < 2s; waited += step)
+        run(step);
+    return *status;
+}
+
+void cell_world::cancel(const std::string& vm, const std::string& job, const std::string& customer)
 {
     constexpr duration cancel_timeout = 5s; // for the cancellation and for stopping the tasks
-    send(vm, {.m_method = "DELETE", .m_path = "/q/" + job},
+    send(vm,
+         {.m_method = "DELETE",
+          .m_path = "/q/" + job,
+          .m_headers = authorization(m_caller_keys[customer])},
          [this, job](const http_response& response)
          {
              constexpr int ok = 200;
--- a/tests/node/support/cell_world_network.cpp
+++ b/tests/node/support/cell_world_network.cpp
@@ -149,8 +149,14 @@
 {
     if (to == store_address)
     {
+        // A cut drops the answers to calls from before as well.
         if (!is_cut(vm, "store"))
-            m_store.handle(request, done);
+            m_store.handle(request,
+                           [this, vm, done](const http_response& response)
+                           {
+                               if (!is_cut(vm, "store"))
+                                   done(response);
+                           });
         return;
     }
     if (to == approval_address)
@@ -199,6 +205,12 @@
                   [&](const auto& pair) { return pair.first == party || pair.second == party; });
 }
 
+void cell_world::heal(const std::string& left, const std::string& right)
+{
+    m_cuts.erase({left, right});
+    m_cuts.erase({right, left});
+}
+
 bool cell_world::is_cut(const std::string& party) const
 {
     return std::any_of(m_cuts.begin(), m_cuts.end(),
