Let the soak and the property test change keys

Cause: keys that change beside failing leaders, stores and links were only tried in single cases. Change: the cells of both have customers; a checker adds and removes keys, tries them at all VMs, and allows 3 s where the store or a VM that reaches it can be reached. A member without the store and the leader is a further fault.

--- a/tests/node/long_life_test.cpp
+++ b/tests/node/long_life_test.cpp
@@ -40,6 +40,7 @@
                   << " leader_faults=" << result.m_leader_faults << " seconds=" << result.m_seconds
                   << " resets=" << result.m_resets
                   << " most_connections=" << result.m_most_connections
+                  << " key_changes=" << result.m_key_changes << " key_tries=" << result.m_key_tries
                   << " violations=" << result.m_violations.size()
                   << " unfinished=" << result.m_unfinished.size() << std::endl;
         for (const auto& text : result.m_violations)
@@ -53,7 +54,7 @@
 } // namespace
 
 // Under leaders that fail one after the other and faults of workers and of the store, invariants
-// hold, accepted steps start, and accepted jobs complete.
+// hold, accepted steps start, accepted jobs complete, and keys are in force in time.
 TEST_GROUP(long_life){};
 
 TEST(long_life, accepted_jobs_complete_under_a_series_of_leaders)
--- a/tests/node/node_property_test.cpp
+++ b/tests/node/node_property_test.cpp
@@ -3,6 +3,7 @@
 #include <rapidcheck.h>
 
 #include "node/support/cell_world.hpp"
+#include "node/support/key_checker.hpp"
 
 #include <CppUTest/TestHarness.h>
 
@@ -31,21 +32,33 @@
     return spec;
 }
 
-void inject_fault(cell_world& world, int& crash_count)
+/// Lets the world run, and tries keys meanwhile.
+void run_and_try(cell_world& world, key_checker& keys, duration length)
+{
+    constexpr duration step = 100ms;
+    for (; length > step; length -= step)
+    {
+        world.run(step);
+        keys.sample();
+    }
+    world.run(length);
+}
+
+void inject_fault(cell_world& world, key_checker& keys, int& crash_count)
 {
     const auto vm = random_vm();
-    switch (*rc::gen::inRange(0, 12))
+    switch (*rc::gen::inRange(0, 13))
     {
     case 0:
         world.kill(vm);
-        world.run(std::chrono::milliseconds(*rc::gen::inRange(1, 3000)));
+        run_and_try(world, keys, std::chrono::milliseconds(*rc::gen::inRange(1, 3000)));
         world.start(vm);
         break;
     case 1:
         if (world.find(vm) != nullptr)
         {
             world.freeze(vm, true);
-            world.run(std::chrono::milliseconds(*rc::gen::inRange(100, 5000)));
+            run_and_try(world, keys, std::chrono::milliseconds(*rc::gen::inRange(100, 5000)));
             world.freeze(vm, false);
         }
         break;
@@ -82,13 +95,20 @@
         if (world.find(vm) != nullptr)
             world.slow_down(vm, std::chrono::milliseconds(*rc::gen::inRange(1, 200)));
         break;
+    case 11:
+        // A new version may then reach the VM only over another one that it still hears.
+        world.cut(vm, "store");
+        world.cut(vm, random_vm());
+        keys.change();
+        run_and_try(world, keys, 5s);
+        break;
     default:
         world.at(*rc::gen::inRange(0, 4)).m_faults.m_unanswered_order_rate = 0.1;
         break;
     }
 }
 
-void settle(cell_world& world)
+void settle(cell_world& world, key_checker& keys)
 {
     world.heal();
     world.rows().m_faults = {};
@@ -99,7 +119,8 @@
             world.start(vm);
         else
             world.slow_down(vm, {});
-    world.run(60s);
+    keys.change();
+    run_and_try(world, keys, 60s);
 }
 
 } // namespace
@@ -107,14 +128,18 @@
 TEST_GROUP(node_property){};
 
 // Under random faults, no task runs twice at a time or again after its end was stored, no worker is
-// overcommitted, steps run in order, rejected jobs don't run, and accepted jobs complete.
+// overcommitted, steps run in order, rejected jobs don't run, and accepted jobs complete. Keys that
+// are added and removed meanwhile are in force in time.
 TEST(node_property, invariants_hold_under_random_faults)
 {
     const bool passed = rc::check(
         "invariants_hold_under_random_faults",
         []
         {
-            cell_world world({.m_seed = *rc::gen::arbitrary<unsigned>()});
+            constexpr int customers = 2;
+            const auto seed = *rc::gen::arbitrary<unsigned>();
+            cell_world world({.m_seed = seed, .m_customers = customers});
+            key_checker keys(world, seed);
             world.run(3s);
             int crash_count = 0;
             const int round_count = *rc::gen::inRange(1, 12);
@@ -130,19 +155,27 @@
                         steps.push_back(random_task_spec());
                         steps.back().m_depends_on = {0};
                     }
-                    world.submit(random_vm(), job_name(++jobs), steps);
+                    ++jobs;
+                    world.submit(random_vm(), job_name(jobs), steps,
+                                 "c" + std::to_string(jobs % customers));
                 }
-                world.run(std::chrono::milliseconds(*rc::gen::inRange(1, 2000)));
-                inject_fault(world, crash_count);
+                run_and_try(world, keys, std::chrono::milliseconds(*rc::gen::inRange(1, 2000)));
+                inject_fault(world, keys, crash_count);
+                if (*rc::gen::inRange(0, 3) == 0)
+                    keys.change();
                 if (*rc::gen::inRange(0, 3) == 0)
                     world.heal();
             }
-            settle(world);
+            settle(world, keys);
             for (const auto& text : world.m_checker.m_violations)
                 RC_FAIL(text);
+            for (const auto& text : keys.m_violations)
+                RC_FAIL(text);
             for (const auto& task : world.accepted_not_done())
-                RC_FAIL("task " + task + " of an accepted job isn't done; the job's state is " +
-                        world.state("vm0", task.substr(0, 16)));
+                RC_FAIL(
+                    "task " + task + " of an accepted job isn't done; the job's state is " +
+                    world.state("vm0", task.substr(0, 16),
+                                "c" + std::to_string(std::stoi(task.substr(0, 16)) % customers)));
         });
     CHECK_TRUE(passed);
 }
--- a/tests/node/support/long_life.cpp
+++ b/tests/node/support/long_life.cpp
@@ -17,6 +17,7 @@
 
 constexpr int vm_count = 8;
 constexpr int worker_count = 8;
+constexpr int customer_count = 3;
 constexpr int max_faulty_workers = 3;
 constexpr duration start_time = 3s;
 constexpr duration tick = 100ms;
@@ -42,11 +43,14 @@
 long_life::long_life(life_options options)
     : m_options(options),
       m_random(options.m_seed),
+      m_member_random(options.m_seed),
       m_world({.m_vms = vm_count,
                .m_workers = worker_count,
                .m_seed = options.m_seed,
-               .m_connections = options.m_connections}),
-      m_liveness(m_world, finish_time)
+               .m_connections = options.m_connections,
+               .m_customers = customer_count}),
+      m_liveness(m_world, finish_time),
+      m_keys(m_world, options.m_seed)
 {
     start_logging(m_options.m_log ? log_level::info : log_level::error, "cell");
 }
@@ -81,6 +85,7 @@
             submit_jobs();
         m_world.run(tick);
         m_liveness.sample();
+        m_keys.sample();
     }
 }
 
@@ -94,8 +99,9 @@
         at(when,
            [this]
            {
-               m_world.set_config(m_config_version + 1, m_world.queue_config(m_config_version + 1));
-               log("config_changed version=" + std::to_string(++m_config_version));
+               cut_off_member();
+               m_keys.change();
+               log("config_changed version=" + std::to_string(m_world.config_version()));
            });
 }
 
@@ -191,6 +197,25 @@
     }
 }
 
+// From the store and from the leader, so that it hears of the next version only from other members.
+void long_life::cut_off_member()
+{
+    const auto leader = m_world.leader();
+    const auto vm = vm_name(static_cast<int>(m_member_random() % vm_count));
+    if (vm == leader || leader.empty() || m_world.is_cut(vm) || m_world.is_cut(leader))
+        return;
+    const duration length = std::chrono::milliseconds(4000 + m_member_random() % 4000);
+    log("member_fault vm=" + vm + " length_ms=" + std::to_string(to_ms(length)));
+    m_world.cut(vm, "store");
+    m_world.cut(vm, leader);
+    at(length,
+       [this, vm, leader]
+       {
+           m_world.heal(vm, "store");
+           m_world.heal(vm, leader);
+       });
+}
+
 void long_life::fail_worker()
 {
     if (m_healed || m_faulty_workers.size() >= max_faulty_workers)
@@ -343,7 +368,9 @@
     int vm = random(0, vm_count - 1);
     for (int tries = 0; tries < vm_count && m_world.find(vm_name(vm)) == nullptr; ++tries)
         vm = (vm + 1) % vm_count;
-    m_world.submit(vm_name(vm), job_name(++m_jobs), std::move(steps));
+    ++m_jobs;
+    m_world.submit(vm_name(vm), job_name(m_jobs), std::move(steps),
+                   "c" + std::to_string(m_jobs % customer_count));
 }
 
 life_result long_life::play()
@@ -363,8 +390,10 @@
         result.m_unfinished.push_back(
             job + (std::find(lost.begin(), lost.end(), job) == lost.end() ? " late" : " lost"));
     result.m_violations = m_world.m_checker.m_violations;
-    result.m_violations.insert(result.m_violations.end(), m_liveness.m_violations.begin(),
-                               m_liveness.m_violations.end());
+    for (const auto* more : {&m_liveness.m_violations, &m_keys.m_violations})
+        result.m_violations.insert(result.m_violations.end(), more->begin(), more->end());
+    result.m_key_changes = m_keys.changes();
+    result.m_key_tries = m_keys.tries();
     result.m_jobs = m_jobs;
     result.m_leader_faults = m_leader_faults;
     result.m_seconds = healed_ms / 1000;
--- a/tests/node/support/long_life.hpp
+++ b/tests/node/support/long_life.hpp
@@ -9,6 +9,7 @@
 #include <vector>
 
 #include "node/support/cell_world.hpp"
+#include "node/support/key_checker.hpp"
 #include "node/support/liveness_checker.hpp"
 
 namespace stand_in
@@ -26,7 +27,7 @@
 /// What a life showed.
 struct life_result
 {
-    std::vector<std::string> m_violations; ///< Of invariants and of liveness.
+    std::vector<std::string> m_violations; ///< Of invariants, of liveness and of keys.
     /// Accepted jobs that weren't done in time after the last fault, and if ever.
     std::vector<std::string> m_unfinished;
     int m_jobs = 0;
@@ -34,10 +35,12 @@
     std::int64_t m_seconds = 0;         ///< From the start to the last fault.
     std::size_t m_resets = 0;           ///< Connections that workers reset, being at their limit.
     std::size_t m_most_connections = 0; ///< That one worker had open at a time.
+    int m_key_changes = 0;
+    int m_key_tries = 0;
 };
 
-/// Plays minutes of a cell's life: callers submit all the time, leaders fail in quick series, and
-/// workers, the store and VMs have faults that overlap.
+/// Plays minutes of a cell's life: callers of some customers submit all the time while their keys
+/// change, leaders fail in quick series, and workers, the store and VMs have faults that overlap.
 class long_life
 {
 public:
@@ -57,6 +60,7 @@
     void plan_worker_faults();
     void plan_store_faults();
     void fail_leader();
+    void cut_off_member();
     void fail_worker();
     void restart_and_cut_off(int number);
     void fail_store();
@@ -66,14 +70,15 @@
 
     life_options m_options;
     std::mt19937_64 m_random;
+    std::mt19937_64 m_member_random; ///< Of cut_off_member(), so that all else stays as it is.
     cell_world m_world;
     liveness_checker m_liveness;
+    key_checker m_keys;
     std::multimap<instant, std::function<void()>> m_plan;
     instant m_end{};
     int m_jobs = 0;
     int m_leader_faults = 0;
     int m_crashes = 0;
-    int m_config_version = 1;
     int m_store_fault = 0;          ///< Number of the current one.
     std::set<int> m_faulty_workers; ///< Those with a fault that lasts for a time.
     int m_resetting_worker = -1;    ///< Resets orders for the whole life; -1: none.
