--- a/tests/cell/support/stub_cell.hpp
+++ b/tests/cell/support/stub_cell.hpp
@@ -116,7 +116,7 @@
     {
         queue.m_name = queue_id("queue-" + std::to_string(queue.m_priority));
         queue.m_service = service_id("pool");
-        feed(job_submitted{++m_last_call, job_id(id), queue, std::move(request)});
+        feed(job_submitted{++m_last_call, job_id(id), queue, std::move(request), m_customer});
     }
 
     int started(const std::string& id) const
@@ -181,6 +181,7 @@
     std::int64_t m_unix_ms = 1000000;
     std::map<worker_id, stub_worker> m_workers;
     std::vector<worker_info> m_listed;
+    customer_id m_customer;             ///< Of the jobs that are submitted next.
     std::int64_t m_valid_ms = 2500;     ///< Of the issued tickets.
     std::int64_t m_max_hold_ms = 10000; ///< Workers shorten longer leases to this.
     bool m_holds_renewals = false;      ///< Renewals reach the workers later.
@@ -237,6 +238,12 @@
             m_answers.push_back(commit_answered{request.m_number, rejected()});
             return;
         }
+        if (auto conflicts = unexpected_rows(request.m_change); !conflicts.empty())
+        {
+            m_answers.push_back(commit_answered{
+                request.m_number, transaction_result{.m_conflicts = std::move(conflicts)}});
+            return;
+        }
         for (const auto& name : request.m_change.m_deletes)
             m_rows.erase(name);
         for (const auto& write : request.m_change.m_writes)
@@ -246,6 +253,16 @@
                 commit_answered{request.m_number,
                                 transaction_result{.m_committed = true, .m_version = ++m_version}});
     }
+    /// Rows that exist although the transaction requires that they don't.
+    std::vector<stored_row> unexpected_rows(const transaction& change) const
+    {
+        std::vector<stored_row> result;
+        for (const auto& condition : change.m_conditions)
+            if (const auto row = m_rows.find(condition.m_row);
+                condition.m_version == 0 && row != m_rows.end())
+                result.push_back({row->first, 1, row->second});
+        return result;
+    }
     void act(const send_renewal& request)
     {
         ++m_renewals;
