Test that a connection reset during its request costs no processor time

While a request waits for its response, the server watches its connection for a close only. A reset is reported as an error that this event doesn't take, so it stays ready and the loop turns without a pause until the response is sent. Measured on the unchanged server: the test fails, the loop's thread uses more than 250 ms of processor time in 500 ms in which nothing else happens.

--- a/tests/net/http_server_test.cpp
+++ b/tests/net/http_server_test.cpp
@@ -11,6 +11,7 @@
 
 #include "dragonflygap/net/event_loop.hpp"
 #include "dragonflygap/net/http_client.hpp"
+#include "dragonflygap/observe/usage.hpp"
 
 #include <CppUTest/TestHarness.h>
 
@@ -117,6 +118,29 @@
     waiting->reply({.m_status = 499});
 }
 
+// The event of such a connection stayed active, and the loop used all processor time.
+TEST(http_server, a_connection_that_was_reset_while_its_request_is_pending_costs_no_time)
+{
+    http_exchange_ptr waiting;
+    bool hung_up = false;
+    const int caller = connect_to(m_server.port());
+    m_handler = [&](const http_request& /*request*/, const http_exchange_ptr& exchange)
+    {
+        waiting = exchange;
+        waiting->on_hangup([&] { hung_up = true; });
+        const linger no_linger{.l_onoff = 1, .l_linger = 0};
+        setsockopt(caller, SOL_SOCKET, SO_LINGER, &no_linger, sizeof no_linger);
+        close(caller);
+    };
+    send_text(caller, "GET / HTTP/1.1\r\nHost: x\r\n\r\n");
+    const auto used_before = thread_cpu_time();
+    const auto at_end = m_loop.after(500ms, [&] { m_loop.stop(); });
+    m_loop.run();
+    CHECK(thread_cpu_time() - used_before < duration(250ms));
+    CHECK(hung_up);
+    waiting->reply({.m_status = 499});
+}
+
 TEST(http_server, survives_a_caller_that_sends_more_while_its_request_is_pending)
 {
     http_exchange_ptr waiting;
