--- a/tests/node/config_spread_test.cpp
+++ b/tests/node/config_spread_test.cpp
@@ -145,7 +145,7 @@
 // It had served version 2 alone, when nobody else could read it.
 TEST(config_spread, a_restarted_vm_takes_no_older_version_from_a_peer)
 {
-    cell_world world({.m_vms = 3});
+    cell_world world({.m_vms = 3, .m_customers = 1});
     world.run(5s);
     const auto vm = followers(world).front();
     for (int i = 0; i < 3; ++i)
