--- a/bench/cell/pass_cost_main.cpp
+++ b/bench/cell/pass_cost_main.cpp
@@ -306,8 +306,11 @@
 // The leader's time for each task from its submission to its end, in us.
 double time_per_start(int customers)
 {
-    const load tasks{
-        "tasks", 0, 0, {}, {.m_size = {.m_millicores = 1000, .m_memory_mb = 1}, .m_expected_ms = 50}};
+    const load tasks{"tasks",
+                     0,
+                     0,
+                     {},
+                     {.m_size = {.m_millicores = 1000, .m_memory_mb = 1}, .m_expected_ms = 50}};
     constexpr int rounds = 50;
     constexpr int jobs_per_round = 100;
     constexpr std::int64_t large_limit = 1000000;
@@ -343,9 +346,10 @@
     }
     std::sort(without.begin(), without.end());
     std::sort(with.begin(), with.end());
-    std::printf("us per task with 1,100 workers, least and median of %d runs: %.2f and %.2f without "
-                "customers, %.2f and %.2f with %d\n",
-                runs, without.front(), without[runs / 2], with.front(), with[runs / 2], customers);
+    std::printf(
+        "us per task with 1,100 workers, least and median of %d runs: %.2f and %.2f without "
+        "customers, %.2f and %.2f with %d\n",
+        runs, without.front(), without[runs / 2], with.front(), with[runs / 2], customers);
 }
 
 // The decision alone: whether the limit lets a task start.
@@ -384,11 +388,8 @@
     constexpr int customers = 200;
     busy_cell cell(36, 1100);
     cell.set_customers(customers, lookups.m_step.m_size.m_millicores);
-    const load endless{"endless",
-                       0,
-                       0,
-                       {},
-                       {.m_size = lookups.m_step.m_size, .m_expected_ms = 1000000}};
+    const load endless{
+        "endless", 0, 0, {}, {.m_size = lookups.m_step.m_size, .m_expected_ms = 1000000}};
     for (int i = 0; i < customers; ++i)
         cell.submit(endless);
     cell.run(1s);
--- a/src/dragonflygap/cell/coordinator_waits.cpp
+++ b/src/dragonflygap/cell/coordinator_waits.cpp
@@ -73,13 +73,13 @@
                 result.m_pass.m_tickets_held += step.m_approval.held_count();
     auto add = [&](const candidate& step)
     {
-        result.m_steps.push_back(explain_wait(*step.m_job, step.m_step, m_workers,
-                                              {.m_now = m_now,
-                                               .m_unix_ms = m_unix_ms,
-                                               .m_workers_unsynced = m_workers_unsynced,
-                                               .m_queued = step.m_ready != nullptr,
-                                               .m_held_back = step.m_ready != nullptr &&
-                                                              step.m_ready->m_held_back}));
+        result.m_steps.push_back(
+            explain_wait(*step.m_job, step.m_step, m_workers,
+                         {.m_now = m_now,
+                          .m_unix_ms = m_unix_ms,
+                          .m_workers_unsynced = m_workers_unsynced,
+                          .m_queued = step.m_ready != nullptr,
+                          .m_held_back = step.m_ready != nullptr && step.m_ready->m_held_back}));
     };
     std::set<step_key> reported;
     for (std::size_t i = 0; i < std::min(max_by_rank, m_ready.size()); ++i)
--- a/src/dragonflygap/cell/customer_usage.cpp
+++ b/src/dragonflygap/cell/customer_usage.cpp
@@ -12,8 +12,8 @@
 {
 
 using dimension = std::int64_t resources::*;
-constexpr std::array<dimension, 3> dimensions{
-    &resources::m_millicores, &resources::m_memory_mb, &resources::m_accelerators};
+constexpr std::array<dimension, 3> dimensions{&resources::m_millicores, &resources::m_memory_mb,
+                                              &resources::m_accelerators};
 
 constexpr std::int64_t unlimited = std::numeric_limits<int>::max();
 
@@ -42,8 +42,8 @@
 {
     resources result;
     for (const auto d : dimensions)
-        result.*d = left.*d > 0 && right.*d > 0 ? std::min(left.*d, right.*d)
-                                                : std::max(left.*d, right.*d);
+        result.*d =
+            left.*d > 0 && right.*d > 0 ? std::min(left.*d, right.*d) : std::max(left.*d, right.*d);
     return result;
 }
 
@@ -142,8 +142,9 @@
     if (customer == no_customer)
         return;
     auto& claims = m_entries[customer].m_claims;
-    const auto found = std::find_if(claims.begin(), claims.end(), [priority](const claim& one)
-                                    { return one.m_priority == priority; });
+    const auto found =
+        std::find_if(claims.begin(), claims.end(),
+                     [priority](const claim& one) { return one.m_priority == priority; });
     if (found == claims.end())
         return;
     found->m_size -= size;
@@ -208,8 +209,8 @@
     std::int64_t result = wanted;
     for (const auto d : dimensions)
         if (limit.*d > 0)
-            result = std::min(
-                result, starts_in(used.*d, start.m_size.*d, limit.*d, start.m_may_exceed));
+            result =
+                std::min(result, starts_in(used.*d, start.m_size.*d, limit.*d, start.m_may_exceed));
     return static_cast<int>(result);
 }
 
@@ -222,10 +223,10 @@
     const auto limit = limit_of(gang);
     const auto used = counted(gang.m_customer) + claimed(gang);
     return std::all_of(dimensions.begin(), dimensions.end(),
-                       [&](dimension d) {
-                           return limit.*d <= 0 ||
-                                  gang_fits_in(used.*d, gang.m_size.*d, limit.*d, count,
-                                               gang.m_may_exceed);
+                       [&](dimension d)
+                       {
+                           return limit.*d <= 0 || gang_fits_in(used.*d, gang.m_size.*d, limit.*d,
+                                                                count, gang.m_may_exceed);
                        });
 }
 
@@ -247,8 +248,8 @@
         return false;
     const auto limit = limit_of(start);
     const auto used = counted(start.m_customer);
-    return std::all_of(dimensions.begin(), dimensions.end(), [&](dimension d)
-                       { return limit.*d <= 0 || 2 * (used.*d) <= limit.*d; });
+    return std::all_of(dimensions.begin(), dimensions.end(),
+                       [&](dimension d) { return limit.*d <= 0 || 2 * (used.*d) <= limit.*d; });
 }
 
 std::vector<customer_figures> customer_usage::figures() const
--- a/src/dragonflygap/cell/waiting_cause.hpp
+++ b/src/dragonflygap/cell/waiting_cause.hpp
@@ -43,7 +43,7 @@
     instant m_now{};
     std::int64_t m_unix_ms = 0;
     bool m_workers_unsynced = false;
-    bool m_queued = true; ///< Placement passes visit the step.
+    bool m_queued = true;     ///< Placement passes visit the step.
     bool m_held_back = false; ///< By the limit of its customer.
 };
 
--- a/tests/cell/customer_limits_test.cpp
+++ b/tests/cell/customer_limits_test.cpp
@@ -176,8 +176,7 @@
     cell.set_limits({{"acme", 10000}});
     cell.submit_tasks("acme", 10, 1000);
     cell.run(500ms);
-    cell.submit("acme", "gang",
-                {.m_count = 5, .m_size = {.m_millicores = 1000}, .m_gang = true});
+    cell.submit("acme", "gang", {.m_count = 5, .m_size = {.m_millicores = 1000}, .m_gang = true});
     int late = 0;
     for (int i = 0; i < 40 && cell.running("gang") == 0; ++i)
     {
--- a/tests/cell/customer_takeover_test.cpp
+++ b/tests/cell/customer_takeover_test.cpp
@@ -23,10 +23,7 @@
         LONGS_EQUAL(8, running("first"));
         change_leader();
     }
-    void submit_more()
-    {
-        submit("acme", "more", {.m_count = 8, .m_size = {.m_millicores = 1000}});
-    }
+    void submit_more() { submit("acme", "more", {.m_count = 8, .m_size = {.m_millicores = 1000}}); }
     void set_silent(int first, int last, bool silent)
     {
         for (int i = first; i <= last; ++i)
--- a/tests/cell/support/customer_cell.hpp
+++ b/tests/cell/support/customer_cell.hpp
@@ -27,7 +27,10 @@
     }
 
     stub_cell& leader() { return *m_leader; }
-    stub_cell::stub_worker& worker(int number) { return m_leader->m_workers[stub_cell::name(number)]; }
+    stub_cell::stub_worker& worker(int number)
+    {
+        return m_leader->m_workers[stub_cell::name(number)];
+    }
 
     /// Applies a version of the configuration, with the limits of all customers in millicores.
     void set_limits(const std::map<std::string, std::int64_t>& limits)
@@ -121,8 +124,7 @@
     int jobs_running(const std::string& customer) const
     {
         return static_cast<int>(std::count_if(m_jobs.begin(), m_jobs.end(),
-                                              [&](const auto& job)
-                                              {
+                                              [&](const auto& job) {
                                                   return job.second.m_customer == customer &&
                                                          running(job.first.m_value) > 0;
                                               }));
@@ -188,7 +190,7 @@
     config_changed m_config;
     std::map<std::string, std::int64_t> m_limits; ///< As last listed.
     std::map<job_id, submitted_job> m_jobs;
-    std::map<std::string, std::int64_t> m_used;   ///< At the last look.
+    std::map<std::string, std::int64_t> m_used; ///< At the last look.
 };
 
 } // namespace simulated
--- a/tests/cell/support/troubled_cell.hpp
+++ b/tests/cell/support/troubled_cell.hpp
@@ -241,15 +241,15 @@
         }
         m_specs[id] = request.m_steps.front();
         m_calls[m_last_call] = id;
-        feed(m_leaders.back(), job_submitted{m_last_call,
-                                             id,
-                                             {.m_name = queue_id("queue"),
-                                              .m_service = service_id("pool"),
-                                              .m_max_attempts = 1000000,
-                                              .m_approval = approval_rules()},
-                                             std::move(request),
-                                             m_customers ? limit_history::customer_of(id)
-                                                         : customer_id()});
+        feed(m_leaders.back(),
+             job_submitted{m_last_call,
+                           id,
+                           {.m_name = queue_id("queue"),
+                            .m_service = service_id("pool"),
+                            .m_max_attempts = 1000000,
+                            .m_approval = approval_rules()},
+                           std::move(request),
+                           m_customers ? limit_history::customer_of(id) : customer_id()});
     }
 
     approval_cost approval_rules() const
@@ -439,20 +439,13 @@
                 const auto runs = life.m_running.size();
                 const auto refusal =
                     life.start(order, leader->m_epoch, m_specs.at(order.m_task.m_job), m_now);
-                if (m_customers && life.m_running.size() > runs)
-                {
-                std::string& h = m_history;
-                h += std::to_string(to_ms(m_now.time_since_epoch())) + " leader " + std::to_string(leader->m_epoch) + " started " + text_of(order.m_task) + " run " + std::to_string(order.m_run) + " on " + to.m_id.m_value + " cfg " + std::to_string(leader->m_config_version) + "\n";
-                if (h.size() > 4000) h = h.substr(h.size() - 4000);
-                g_history = h; g_leader = leader->m_coordinator.get();
-                }
                 if (m_customers && life.m_running.size() > runs)
                     m_limits.check_start(m_lives, {order.m_task, order.m_run}, m_now);
-                CHECK_TEXT(refusal != start_refusal::none || true || !runs_elsewhere(order.m_task, to.m_id),
+                CHECK_TEXT(refusal != start_refusal::none || !runs_elsewhere(order.m_task, to.m_id),
                            text_of(order.m_task).c_str());
                 for (const auto& [id, other] : m_lives)
                     CHECK_TEXT(refusal != start_refusal::none ||
-                                   true,
+                                   other.m_done.count(order.m_task) == 0,
                                text_of(order.m_task).c_str());
                 return start_result{.m_refusal = refusal, .m_clock_ms = life.clock(m_now)};
             },
@@ -549,7 +542,7 @@
     std::mt19937_64 m_random;
     bool m_approvals; ///< Jobs need approvals.
     bool m_customers; ///< Most jobs belong to a customer.
-    limit_history m_limits; std::string m_history;
+    limit_history m_limits;
     worker_id m_unlisted;
     double m_loss = 0;
     instant m_now{10s};
