--- a/bench/cell/pass_cost_main.cpp
+++ b/bench/cell/pass_cost_main.cpp
@@ -359,6 +359,7 @@
     constexpr int rounds = 5000;
     customer_usage usage;
     std::vector<customer_rules> rules;
+    rules.reserve(customers);
     for (int i = 0; i < customers; ++i)
         rules.push_back({.m_name = customer_id("customer-" + std::to_string(i)),
                          .m_limit = {.m_millicores = 10000, .m_memory_mb = 10000}});
