--- a/src/dragonflygap/cell/coordinator.cpp
+++ b/src/dragonflygap/cell/coordinator.cpp
@@ -1,6 +1,7 @@
 #include "dragonflygap/cell/coordinator.hpp"
 
 #include <algorithm>
+#include <cstdlib>
 #include <utility>
 
 #include "dragonflygap/cell/row_split.hpp"
@@ -50,6 +51,8 @@
       m_chain(options.m_commits, found.m_self, found.m_version),
       m_approval_balancer(options.m_approvals),
       m_memory(std::make_shared<memory_budget>(memory_limit(options.m_memory_mb))),
+      m_shares(options.m_shares),
+      m_backlogs(options.m_admission),
       m_order_time(options.m_orders),
       m_approval_delay(options.m_approval_delay),
       m_order_window(options.m_order_window),
@@ -92,6 +95,7 @@
             continue;
         }
         m_timetable.add(id, job->record().m_request, job->next_undone(0));
+        add_backlog(*job);
         update_ready_steps(*job);
     }
 }
@@ -136,6 +140,7 @@
     reject_unstored();
     expire_calls();
     m_memory->measure(m_now);
+    update_capacity();
     // A leader that was replaced while it was paused must not act on the time alone.
     const bool acts = !awaits_confirmation();
     if (acts)
@@ -196,7 +201,8 @@
             m_calls[event.m_job].push_back({event.m_call, m_now});
         return;
     }
-    if (store_unavailable() || m_ready.size() >= m_options.m_max_ready_steps)
+    const bool beyond_share = is_beyond_share(event);
+    if (store_unavailable() || m_ready.size() >= max_ready_steps(beyond_share))
     {
         const bool unavailable = store_unavailable();
         const auto wait =
@@ -206,15 +212,21 @@
                    {"cause", unavailable ? "store_unavailable" : "queue_full"},
                    {"steps_waiting", m_ready.size()},
                    {"store_age_ms", to_ms(store_age())}});
+        m_customer_counts.add_rejected(event.m_customer, unavailable
+                                                             ? rejection_cause::store_unavailable
+                                                             : rejection_cause::queue_full);
         m_actions->push_back(answer_call{event.m_call, call_status::rejected, wait});
         return;
     }
     job_record record{.m_queue = event.m_queue,
                       .m_request = event.m_request,
                       .m_accepted_ms = m_unix_ms,
-                      .m_customer = event.m_customer};
+                      .m_customer = event.m_customer,
+                      .m_beyond_share = beyond_share};
     if (const auto customer = m_customers.find(event.m_customer); customer != m_customers.end())
         record.m_customer_limit = customer->second.m_limit;
+    if (reject_for_backlog(event, record))
+        return;
     // The jobs have to fit into each successor too, so their memory is limited, not the process's.
     if (const auto memory = job_state::min_memory(record); !m_memory->fits(memory))
     {
@@ -224,6 +236,7 @@
                    {"job_bytes", memory},
                    {"used_bytes", m_memory->used()},
                    {"limit_bytes", m_memory->limit()}});
+        m_customer_counts.add_rejected(event.m_customer, rejection_cause::memory_full);
         m_actions->push_back(
             answer_call{event.m_call, call_status::rejected, m_memory->retry_after_ms(memory)});
         return;
@@ -236,6 +249,7 @@
     m_dirty.insert(event.m_job);
     m_calls[event.m_job].push_back({event.m_call, m_now});
     m_jobs[event.m_job] = job;
+    customer_job_accepted(*job);
     update_ready_steps(*job);
 }
 
@@ -271,6 +285,7 @@
     m_customers.clear();
     for (const auto& customer : event.m_customers)
         m_customers[customer.m_name] = customer;
+    update_customers();
 }
 
 job_state* coordinator::find(const job_id& job)
@@ -318,6 +333,7 @@
     job.m_dirty = true;
     m_dirty.insert(job.id());
     m_timetable.remove(job.id());
+    m_backlogs.remove(job.id());
     for (auto& [k, steps] : job.open_occurrences())
         for (int s = 0; s < job.steps(); ++s)
         {
@@ -333,7 +349,8 @@
 
 step_rank coordinator::rank_of(const job_state& job, const step_key& step)
 {
-    return {job.record().m_queue.m_priority, job.m_lateness, job.m_rank_time, step};
+    static const bool fault = std::getenv("FAULT") != nullptr; return {job.record().m_queue.m_priority, !fault && job.record().m_beyond_share, job.m_lateness,
+            job.m_rank_time, step};
 }
 
 void coordinator::update_ready_steps(job_state& job)
@@ -350,6 +367,7 @@
 {
     if (job.m_outcome || job.next_undone(occurrence) != occurrence)
         return;
+    update_backlog(job);
     for (int s = 0; s < job.steps(); ++s)
     {
         auto& step = job.step(occurrence, s);
@@ -413,6 +431,7 @@
                                   return std::nullopt;
                               job.mark_due(due.m_occurrence);
                               job.open(due.m_occurrence);
+                              charge_share(job.record());
                               update_ready_steps(job, due.m_occurrence);
                               return job.next_undone(due.m_occurrence + 1);
                           });
--- a/src/dragonflygap/cell/coordinator.hpp
+++ b/src/dragonflygap/cell/coordinator.hpp
@@ -17,6 +17,9 @@
 #include "dragonflygap/cell/approvals.hpp"
 #include "dragonflygap/cell/call_window.hpp"
 #include "dragonflygap/cell/commit_chain.hpp"
+#include "dragonflygap/cell/customer_admission.hpp"
+#include "dragonflygap/cell/customer_counts.hpp"
+#include "dragonflygap/cell/customer_share.hpp"
 #include "dragonflygap/cell/election.hpp"
 #include "dragonflygap/cell/events.hpp"
 #include "dragonflygap/cell/job_state.hpp"
@@ -40,6 +43,8 @@
     /// Of the time that an approval takes beyond what its call costs.
     response_time_options m_approval_delay{
         .m_initial_timeout = 1200ms, .m_min_timeout = 1200ms, .m_max_timeout = 5s};
+    customer_share_options m_shares;
+    customer_admission_options m_admission;
     call_window_options m_order_window;
     call_window_options m_approval_window{.m_slow_answer = 250ms, .m_max_path_delay = 1250ms};
     std::size_t m_max_entries = 96; ///< Per transaction; the platform accepts 100.
@@ -121,6 +126,11 @@
     /// it about once a second.
     wait_report report_waits(std::size_t max_by_rank, std::size_t max_by_age) const;
     const leader_counts& counts() const { return m_counts; }
+    /// Of jobs by customer, since the last call.
+    std::map<customer_id, customer_count> take_customer_counts()
+    {
+        return m_customer_counts.take();
+    }
     /// Approval calls whose end isn't counted yet.
     std::size_t open_approvals() const { return m_open_approvals.size(); }
     /// True if the window counts each open call that wasn't given up, and no other.
@@ -213,6 +223,22 @@
     step_state* find_step(const step_key& step);
     static step_rank rank_of(const job_state& job, const step_key& step);
 
+    // coordinator_customers.cpp: shares and backlogs of customers
+    static std::int64_t expected_ms(const job_record& record, int step);
+    static std::vector<step_load> load_of(const job_record& record);
+    void update_customers();
+    void update_capacity();
+    bool is_beyond_share(const job_submitted& event) const;
+    std::size_t max_ready_steps(bool beyond_share) const;
+    bool reject_for_backlog(const job_submitted& event, const job_record& record);
+    void charge_share(const job_record& record);
+    void add_backlog(const job_state& job);
+    void customer_job_accepted(const job_state& job);
+    void update_backlog(const job_state& job);
+    bool is_held_back(const ready_step& ready) const;
+    void hold_back(std::size_t position);
+    void hold_back_others(const ready_step& ready);
+
     // coordinator_commits.cpp: transactions and their results
     void build_commit();
     void add_jobs(transaction& change, batch& contents);
@@ -391,7 +417,11 @@
     std::map<worker_id, worker_state> m_workers;
     worker_index m_index;
     std::map<customer_id, customer_rules> m_customers; ///< In force; empty: none, or unknown yet.
-    instant m_store_heard_at{};                        ///< When the store last answered any VM.
+    customer_shares m_shares;
+    customer_backlogs m_backlogs;
+    customer_counts m_customer_counts;
+    instant m_last_capacity_update{};
+    instant m_store_heard_at{}; ///< When the store last answered any VM.
     instant m_list_confirmed_at{}; ///< All changes of the list of workers until then are known.
     bool m_list_outdated = false;
     worker_number m_next_checked = 0; ///< Where the next tick goes on looking at all workers.
@@ -412,6 +442,8 @@
     // State of one placement pass.
     resources m_max_free;                ///< The maximum of any open worker, for each resource.
     std::vector<worker_number> m_closed; ///< Workers closed for gangs.
+    /// Workers, by service and label, on which steps beyond shares start nothing in this pass.
+    std::vector<std::pair<service_id, std::string>> m_held_back;
     bool m_workers_usable = false;       ///< As of the last tick, this leader may start tasks.
     /// Whether one of a number of VMs can serve an approval call; as far as looked up.
     std::map<std::size_t, bool> m_free_vms;
--- a/src/dragonflygap/cell/coordinator_commits.cpp
+++ b/src/dragonflygap/cell/coordinator_commits.cpp
@@ -307,6 +307,7 @@
                {"progress_rows", job->m_progress_rows}});
     if (!job->m_stored)
     {
+        m_customer_counts.add_rejected(job->record().m_customer, rejection_cause::not_stored);
         answer_calls(*job, call_status::rejected);
         end_job(*job, job_outcome::cancelled);
         m_dirty.erase(id);
@@ -342,6 +343,8 @@
                   {{"job", id.m_value},
                    {"cause", "store_unavailable"},
                    {"store_age_ms", to_ms(store_age())}});
+        m_customer_counts.add_rejected(job->record().m_customer,
+                                       rejection_cause::store_unavailable);
         answer_calls(*job, call_status::rejected);
         end_job(*job, job_outcome::cancelled);
         m_dirty.erase(id);
--- a/src/dragonflygap/cell/coordinator_placing.cpp
+++ b/src/dragonflygap/cell/coordinator_placing.cpp
@@ -20,13 +20,16 @@
     for (std::size_t position = 0; position < m_ready.size();)
     {
         const auto ready_before = m_ready.size();
-        if (may_continue(m_ready.at(position), m_ready.wake_at(position)))
+        if (is_held_back(m_ready.at(position)))
+            hold_back(position);
+        else if (may_continue(m_ready.at(position), m_ready.wake_at(position)))
             place_step(position);
         // A step without waiting tasks is no longer ready.
         if (m_ready.size() < ready_before)
             continue;
         if (const auto& step = *m_ready.at(position).m_state; !step.m_drained.empty())
             close_drained(step);
+        hold_back_others(m_ready.at(position));
         ++position;
     }
 }
@@ -35,6 +38,7 @@
 {
     m_workers_unsynced = workers_unsynced();
     m_free_vms.clear();
+    m_held_back.clear();
     m_index.take_grown();
     for (const auto number : std::exchange(m_closed, {}))
         if (auto* worker = m_index.find(number); worker != nullptr)
--- a/src/dragonflygap/cell/events.hpp
+++ b/src/dragonflygap/cell/events.hpp
@@ -108,8 +108,16 @@
     rejected, ///< Not stored and will never run; retry later.
     unknown,  ///< May have been stored.
     not_here, ///< The leader doesn't know the job; it may have ended long ago.
+    /// As rejected, since the customer's backlog at its limit would delay the job too long.
+    over_limit,
 };
 
+/// True if the submission wasn't stored and the job will never run.
+inline bool is_rejection(call_status status)
+{
+    return status == call_status::rejected || status == call_status::over_limit;
+}
+
 /// Answers a submission or a cancellation.
 struct answer_call
 {
--- a/src/dragonflygap/cell/objective.cpp
+++ b/src/dragonflygap/cell/objective.cpp
@@ -12,14 +12,6 @@
 {
 
 constexpr int workers_per_approval = 30; // that the users count for one call
-constexpr int late_limit = 3;            // times the objective
-
-bool has_objective(const job_request& request)
-{
-    return request.m_occurrences == 0 &&
-           std::none_of(request.m_steps.begin(), request.m_steps.end(),
-                        [](const step_spec& step) { return step.m_long_running; });
-}
 
 // The longest chain of steps, each counted by its time.
 duration longest_chain(const job_request& request, const std::function<duration(int)>& time_of)
@@ -51,6 +43,13 @@
 
 } // namespace
 
+bool has_objective(const job_request& request)
+{
+    return request.m_occurrences == 0 &&
+           std::none_of(request.m_steps.begin(), request.m_steps.end(),
+                        [](const step_spec& step) { return step.m_long_running; });
+}
+
 duration objective_of(const job_record& record)
 {
     return std::chrono::duration_cast<duration>(record.m_queue.m_stretch * chain_of(record)) +
--- a/src/dragonflygap/cell/ready_queue.hpp
+++ b/src/dragonflygap/cell/ready_queue.hpp
@@ -10,11 +10,12 @@
 namespace dragonflygap::cell
 {
 
-/// The order in which steps are placed: by priority, then those that can meet their objective,
-/// then by rank time.
+/// The order in which steps are placed: by priority, then those of jobs within their customer's
+/// share, then those that can meet their objective, then by rank time.
 struct step_rank
 {
     int m_priority = 0;
+    bool m_beyond_share = false;
     lateness m_lateness = lateness::on_time;
     instant m_rank_time{};
     step_key m_step;
--- a/src/dragonflygap/cell/records.hpp
+++ b/src/dragonflygap/cell/records.hpp
@@ -55,8 +55,9 @@
     customer_id m_customer;         ///< Empty: the job was submitted without a key.
     /// At acceptance; applies once the configuration no longer lists the customer.
     resources m_customer_limit;
+    bool m_beyond_share = false; ///< At acceptance; for good.
 
-    MSGPACK_DEFINE(m_queue, m_request, m_accepted_ms, m_customer, m_customer_limit)
+    MSGPACK_DEFINE(m_queue, m_request, m_accepted_ms, m_customer, m_customer_limit, m_beyond_share)
 };
 
 /// Progress of a task, preserved across leaders.
--- a/src/dragonflygap/cell/waiting_cause.cpp
+++ b/src/dragonflygap/cell/waiting_cause.cpp
@@ -250,6 +250,7 @@
     return {.m_step = key,
             .m_cause = cause_of(job, key, workers, circumstances, capacity),
             .m_gang = job.spec(key.m_step).m_gang,
+            .m_beyond_share = job.record().m_beyond_share,
             .m_count = job.spec(key.m_step).m_count,
             .m_waiting = step.m_waiting,
             .m_approved = approval.approved().size(),
--- a/src/dragonflygap/cell/waiting_cause.hpp
+++ b/src/dragonflygap/cell/waiting_cause.hpp
@@ -51,6 +51,7 @@
     step_key m_step;
     waiting_cause m_cause = waiting_cause::none;
     bool m_gang = false;
+    bool m_beyond_share = false; ///< Its job is beyond its customer's share.
     int m_count = 0;
     int m_waiting = 0;
     std::size_t m_approved = 0;
--- a/src/dragonflygap/node/caller_task.cpp
+++ b/src/dragonflygap/node/caller_task.cpp
@@ -23,7 +23,8 @@
 
 std::string_view name_of(call_status status)
 {
-    constexpr std::string_view names[] = {"accepted", "rejected", "unknown", "not_here"};
+    constexpr std::string_view names[] = {"accepted", "rejected", "unknown", "not_here",
+                                          "over_limit"};
     return names[static_cast<int>(status)];
 }
 
@@ -151,7 +152,7 @@
     const auto kind = static_cast<call_kind>(open->m_call.m_kind);
     // Another leader may have stored the job: it is certain not to run only if all leaders that
     // received it reject it.
-    if (static_cast<call_status>(answer.m_status) == call_status::rejected &&
+    if (cell::is_rejection(static_cast<call_status>(answer.m_status)) &&
         ++open->m_rejection_count < open->m_forward_count)
         return;
     const bool may_have_ended = static_cast<call_status>(answer.m_status) == call_status::not_here;
--- a/src/dragonflygap/node/leader_report.cpp
+++ b/src/dragonflygap/node/leader_report.cpp
@@ -18,6 +18,7 @@
                                 {"occurrence", wait.m_step.m_occurrence},
                                 {"step", wait.m_step.m_step},
                                 {"gang", wait.m_gang ? 1 : 0},
+                                {"beyond_share", wait.m_beyond_share ? 1 : 0},
                                 {"count", wait.m_count},
                                 {"waiting", wait.m_waiting},
                                 {"cause", cell::name_of(wait.m_cause)},
--- a/src/dragonflygap/node/leader_task.cpp
+++ b/src/dragonflygap/node/leader_task.cpp
@@ -37,6 +37,7 @@
       m_options(std::move(options)),
       m_coordinator(m_options.m_coordinator, std::move(state), monotonic_clock::now()),
       m_report(registry, m_options.m_tick_interval),
+      m_customer_report(registry),
       m_worker_watch(watch_options(m_options.m_coordinator.m_min_notice)),
       m_epoch(m_coordinator.record().m_epoch)
 {
@@ -85,6 +86,7 @@
     const auto started_at = monotonic_clock::now();
     process_event(cell::tick{});
     m_report.record_tick(m_coordinator, started_at, monotonic_clock::now());
+    m_customer_report.record(m_coordinator, started_at);
     m_report.record_worker_list(m_worker_watch, m_newest_version, started_at);
 }
 
--- a/src/dragonflygap/node/leader_task.hpp
+++ b/src/dragonflygap/node/leader_task.hpp
@@ -12,6 +12,7 @@
 #include "dragonflygap/cell/coordinator.hpp"
 #include "dragonflygap/cell/peer_messages.hpp"
 #include "dragonflygap/net/event_loop.hpp"
+#include "dragonflygap/node/customer_report.hpp"
 #include "dragonflygap/node/leader_report.hpp"
 
 namespace dragonflygap
@@ -120,6 +121,7 @@
     leader_task_options m_options;
     cell::coordinator m_coordinator;
     leader_report m_report;
+    customer_report m_customer_report;
     cell::change_watch m_worker_watch;
     std::uint64_t m_newest_version = 0; ///< Of the store, from this leader's transactions.
     std::uint64_t m_epoch;
--- a/src/dragonflygap/observe/metrics.hpp
+++ b/src/dragonflygap/observe/metrics.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstddef>
 #include <memory>
 #include <string>
 #include <string_view>
@@ -27,6 +28,13 @@
 
     /// Increments a counter, which is created on first use.
     void count(const std::string& name, metric_label label, double amount = 1);
+    /// The same for a counter with two labels.
+    void count(const std::string& name, metric_label first, metric_label second, double amount);
+
+    /// A value to use for a label in place of the given one: the same for the first max_values
+    /// different ones of this process, then "other". Bounds the number of time series.
+    std::string limit_values(const std::string& label, const std::string& value,
+                             std::size_t max_values);
 
     /// Sets a gauge, which is created on first use.
     void set(const std::string& name, metric_label label, double value);
--- a/tests/cell/ready_queue_test.cpp
+++ b/tests/cell/ready_queue_test.cpp
@@ -22,9 +22,9 @@
 }
 
 step_rank rank(const job_state& job, int priority, duration time = {},
-               lateness late = lateness::on_time)
+               lateness late = lateness::on_time, bool beyond_share = false)
 {
-    return {priority, late, now + time, {job.id(), 0, 0}};
+    return {priority, beyond_share, late, now + time, {job.id(), 0, 0}};
 }
 
 } // namespace
@@ -53,6 +53,25 @@
     LONGS_EQUAL(3, queue.size());
 }
 
+// A customer that sends too much makes its own jobs late, so lateness alone would let its excess
+// precede the jobs of others.
+TEST(ready_queue, places_jobs_beyond_a_share_after_late_ones_and_before_less_urgent_ones)
+{
+    ready_queue queue;
+    const auto within = make_job("within");
+    const auto beyond = make_job("beyond");
+    const auto later = make_job("later");
+    const auto less_urgent = make_job("less_urgent");
+    queue.insert(rank(*within, 1, 9s, lateness::very_late), within);
+    queue.insert(rank(*beyond, 1, 1s, lateness::on_time, true), beyond);
+    queue.insert(rank(*later, 1, 0s, lateness::late, true), later);
+    queue.insert(rank(*less_urgent, 2, 0s), less_urgent);
+    STRCMP_EQUAL("within", queue.at(0).m_job->id().m_value.c_str());
+    STRCMP_EQUAL("beyond", queue.at(1).m_job->id().m_value.c_str());
+    STRCMP_EQUAL("later", queue.at(2).m_job->id().m_value.c_str());
+    STRCMP_EQUAL("less_urgent", queue.at(3).m_job->id().m_value.c_str());
+}
+
 TEST(ready_queue, a_step_is_looked_at_when_it_is_new_woken_or_its_time_comes)
 {
     ready_queue queue;
--- a/tests/cell/support/simulated_cell.cpp
+++ b/tests/cell/support/simulated_cell.cpp
@@ -1,6 +1,8 @@
 #include "cell/support/simulated_cell.hpp"
 
 #include <algorithm>
+#include <cstdio>
+#include <cstdlib>
 #include <memory>
 #include <utility>
 
@@ -95,12 +97,67 @@
 }
 
 void simulated_cell::take_over()
+{
+    for (const auto& row : m_backlog.m_jobs)
+        m_rows[row.m_name] = row.m_value;
+    lead();
+}
+
+void simulated_cell::lead()
 {
     m_coordinator = std::make_unique<coordinator>(m_options.m_leader, m_backlog, m_now);
     std::vector<vm_id> members;
     for (const auto& [vm, member] : m_members)
         members.push_back(vm);
     feed(members_changed{members});
+    if (!m_customers.empty())
+        feed(config_changed{1, m_customers});
+    for (const auto& held : std::exchange(m_held_submissions, {}))
+        feed(held);
+}
+
+void simulated_cell::set_customers(std::vector<customer_rules> customers)
+{
+    m_customers = std::move(customers);
+    feed(config_changed{1, m_customers});
+}
+
+void simulated_cell::replace_leader(duration gap)
+{
+    m_coordinator.reset();
+    ++m_backlog.m_self.m_epoch;
+    run(gap);
+    for (auto& [id, worker] : m_workers)
+        worker.m_pending_renewal.reset();
+    m_pending_calls.clear();
+    m_backlog.m_version = m_version;
+    m_backlog.m_unix_ms = to_ms(m_now - m_start);
+    m_backlog.m_jobs.clear();
+    m_backlog.m_progress.clear();
+    for (const auto& [name, value] : m_rows)
+        (name.m_table == job_table ? m_backlog.m_jobs : m_backlog.m_progress)
+            .push_back({name, m_version, value});
+    lead();
+}
+
+// Keeps the rows of jobs alone.
+void simulated_cell::store(const transaction& change)
+{
+    for (const auto& name : change.m_deletes)
+        m_rows.erase(name);
+    for (const auto& write : change.m_writes)
+    {
+        const auto& table = write.m_row.m_table;
+        if (table == job_table || table == progress_table)
+            m_rows[write.m_row] = write.m_value;
+        const auto result = m_results.find(job_id(write.m_row.m_key));
+        if (result == m_results.end())
+            continue;
+        if (table == ended_table)
+            result->second.m_ended_at = m_now;
+        if (table == job_table)
+            result->second.m_beyond_share = unpack<job_record>(write.m_value)->m_beyond_share;
+    }
 }
 
 void simulated_cell::submit(const job_kind& kind, int jobs)
@@ -117,6 +174,22 @@
     }
 }
 
+void simulated_cell::submit(const job_id& id, const job_kind& kind, const customer_id& customer)
+{
+    job_request request;
+    request.m_steps.push_back(kind.m_step);
+    m_kinds[id] = kind;
+    m_specs[id] = kind.m_step;
+    m_waits_since[id] = m_now;
+    m_submitted[++m_last_call] = id;
+    m_results[id] = {.m_submitted_at = m_now};
+    job_submitted submission{m_last_call, id, kind.m_queue, std::move(request), customer};
+    if (m_coordinator == nullptr)
+        m_held_submissions.push_back(std::move(submission));
+    else
+        feed(submission);
+}
+
 void simulated_cell::run(duration length)
 {
     for (const auto until = m_now + length; m_now < until; m_now += tick_interval)
@@ -181,8 +254,16 @@
     return (m_now - m_start) % 1s < m_options.m_stall;
 }
 
+void simulated_cell::feed(std::uint64_t epoch, const event& incoming)
+{
+    if (epoch == m_backlog.m_self.m_epoch)
+        feed(incoming);
+}
+
 void simulated_cell::feed(const event& incoming)
 {
+    if (m_coordinator == nullptr)
+        return;
     if (stalled())
     {
         m_held_events.push_back(incoming);
@@ -257,10 +338,12 @@
 void simulated_cell::act(const answer_call& action)
 {
     const auto submitted = m_submitted.extract(action.m_call);
-    if (!submitted || action.m_status != call_status::rejected)
+    if (!submitted || !is_rejection(action.m_status))
         return;
     ++m_rejected;
     stop_waiting(submitted.mapped());
+    if (const auto result = m_results.find(submitted.mapped()); result != m_results.end())
+        result->second.m_rejected = true;
 }
 
 void simulated_cell::stop_waiting(const job_id& job)
@@ -273,10 +356,12 @@
 void simulated_cell::act(const send_commit& action)
 {
     schedule(m_now + m_options.m_store_wait,
-             [this, number = action.m_number]
+             [this, number = action.m_number, change = action.m_change,
+              epoch = m_backlog.m_self.m_epoch]
              {
-                 feed(commit_answered{
-                     number, transaction_result{.m_committed = true, .m_version = ++m_version}});
+                 store(change);
+                 feed(epoch, commit_answered{number, transaction_result{.m_committed = true,
+                                                                        .m_version = ++m_version}});
              });
 }
 
@@ -311,8 +396,9 @@
     if (!pending)
         return;
     schedule(m_now + m_options.m_network_delay,
-             [this, id, sent = pending->m_sent, report = worker.report(m_now)] {
-                 feed(renewal_answered{id, sent, report});
+             [this, id, sent = pending->m_sent, report = worker.report(m_now),
+              epoch = m_backlog.m_self.m_epoch] {
+                 feed(epoch, renewal_answered{id, sent, report});
              });
 }
 
@@ -320,13 +406,13 @@
 {
     const auto& order = action.m_order;
     const auto answer = [this, open = std::make_shared<bool>(true), id = action.m_worker.m_id,
-                         task = order.m_task, run = order.m_run,
-                         sent = action.m_sent](const outcome<start_result>& result)
+                         task = order.m_task, run = order.m_run, sent = action.m_sent,
+                         epoch = m_backlog.m_self.m_epoch](const outcome<start_result>& result)
     {
         if (!std::exchange(*open, false))
             return;
         m_timed_out += result ? 0 : 1;
-        feed(start_answered{id, task, run, result, sent});
+        feed(epoch, start_answered{id, task, run, result, sent});
     };
     schedule(leave_link(start_bytes) + m_options.m_network_delay,
              [this, id = action.m_worker.m_id, order, answer]
@@ -424,14 +510,14 @@
 {
     schedule(leave_link(stop_bytes) + m_options.m_network_delay,
              [this, id = action.m_worker.m_id, task = action.m_task, run = action.m_run,
-              sent = action.m_sent]
+              sent = action.m_sent, epoch = m_backlog.m_self.m_epoch]
              {
                  m_stopped += m_workers.at(id).m_running.count(task) != 0 ? 1 : 0;
                  end(id, task, run, end_kind::stopped);
                  break_gang(step_of(task), run, end_kind::broken);
                  schedule(m_now + m_options.m_network_delay,
-                          [this, id, task, run, sent] {
-                              feed(stop_answered{id, task, run, start_result{}, sent});
+                          [this, id, task, run, sent, epoch] {
+                              feed(epoch, stop_answered{id, task, run, start_result{}, sent});
                           });
              });
 }
@@ -447,15 +533,16 @@
     constexpr duration margin = 600ms; // As added by leader_task.
     if (m_options.m_gives_up_calls)
         schedule(m_now + action.m_timeout,
-                 [this, call = action.m_call, step = action.m_step, vm = action.m_via]
+                 [this, call = action.m_call, step = action.m_step, vm = action.m_via,
+                  epoch = m_backlog.m_self.m_epoch]
                  {
-                     feed(approval_answered{.m_call = call,
-                                            .m_step = step,
-                                            .m_via = vm,
-                                            .m_result =
-                                                fail(verdict::may_have_run, reason::timeout, "")});
+                     feed(epoch, approval_answered{.m_call = call,
+                                                   .m_step = step,
+                                                   .m_via = vm,
+                                                   .m_result = fail(verdict::may_have_run,
+                                                                    reason::timeout, "")});
                  });
-    approval_call call{.m_epoch = 2,
+    approval_call call{.m_epoch = m_backlog.m_self.m_epoch,
                        .m_step = action.m_step,
                        .m_workers = action.m_workers,
                        .m_timeout_ms = to_ms(action.m_expected + margin),
@@ -551,14 +638,14 @@
              [this, vm, call = entry.m_call, backlog_time, response_time, waited,
               result = std::move(result)]
              {
-                 feed(approval_answered{.m_call = call.m_call,
-                                        .m_step = call.m_step,
-                                        .m_via = vm,
-                                        .m_workers = call.m_workers,
-                                        .m_result = result,
-                                        .m_response_time = response_time,
-                                        .m_backlog_time = backlog_time,
-                                        .m_waited = waited});
+                 feed(call.m_epoch, approval_answered{.m_call = call.m_call,
+                                                      .m_step = call.m_step,
+                                                      .m_via = vm,
+                                                      .m_workers = call.m_workers,
+                                                      .m_result = result,
+                                                      .m_response_time = response_time,
+                                                      .m_backlog_time = backlog_time,
+                                                      .m_waited = waited});
              });
 }
 
@@ -566,6 +653,8 @@
 
 void simulated_cell::measure()
 {
+    if (m_coordinator == nullptr)
+        return;
     check_runs(*m_coordinator);
     check_counts(*m_coordinator);
     std::int64_t used = 0;
@@ -578,6 +667,7 @@
         free.push_back(m_options.m_capacity - here);
     }
     const auto all = m_options.m_capacity.m_millicores * m_options.m_workers;
+    if (std::getenv("SHOW_USE") && (m_now - m_start) % 1s < measure_interval) std::printf("use at %lld: %.2f ready %zu\n", static_cast<long long>(to_ms(m_now-m_start)), double(used)/all, m_coordinator->ready_steps());
     const auto lateness = m_leader_queue.take_longest_age(m_now);
     m_max_lateness = std::max(m_max_lateness, lateness);
     for (auto& [job, since] : m_waits_since)
--- a/tests/cell/support/simulated_cell.hpp
+++ b/tests/cell/support/simulated_cell.hpp
@@ -71,6 +71,15 @@
     duration m_useful_time{}; ///< Of the time of service.
 };
 
+/// What became of a job that was submitted under an identifier of the test's.
+struct job_result
+{
+    instant m_submitted_at{};
+    instant m_ended_at{};   ///< When its end was stored; zero: not yet.
+    bool m_rejected = false;
+    bool m_beyond_share = false; ///< As stored.
+};
+
 /// The work of the jobs that were submitted.
 struct submitted_work
 {
@@ -96,6 +105,18 @@
     /// Submits jobs of a kind to the leader.
     void submit(const job_kind& kind, int jobs);
 
+    /// Submits a job of exactly the kind's widths and sizes. Without a leader it waits for the next.
+    void submit(const job_id& id, const job_kind& kind, const customer_id& customer);
+
+    /// Puts the customers into force.
+    void set_customers(std::vector<customer_rules> customers);
+
+    /// The leader ends. After this time the next one takes over what is stored.
+    void replace_leader(duration gap);
+
+    /// Of jobs that were submitted under an identifier of the test's.
+    const std::map<job_id, job_result>& results() const { return m_results; }
+
     void run(duration length);
 
     std::size_t live_jobs() const { return m_coordinator->live_jobs(); }
@@ -162,6 +183,10 @@
     instant leave_link(std::int64_t bytes);
     bool stalled() const;
     void feed(const event& incoming);
+    /// The same for an answer to the leader of an epoch; later leaders don't get it.
+    void feed(std::uint64_t epoch, const event& incoming);
+    void store(const transaction& change);
+    void lead();
     void work_on_queue();
     void handle(const event& incoming);
     bool is_given_up(const event& incoming);
@@ -195,6 +220,10 @@
     std::multimap<instant, std::function<void()>> m_due;
     std::unique_ptr<coordinator> m_coordinator;
     recovered_state m_backlog;
+    std::vector<customer_rules> m_customers;
+    std::map<row_name, std::string> m_rows; ///< Of jobs, as stored by the leaders.
+    std::map<job_id, job_result> m_results;
+    std::vector<event> m_held_submissions; ///< Arrived without a leader.
     std::map<job_id, job_kind> m_kinds;
     std::map<job_id, step_spec> m_specs;
     std::map<vm_id, member> m_members;
--- a/tests/node/caller_task_test.cpp
+++ b/tests/node/caller_task_test.cpp
@@ -95,3 +95,29 @@
     callers.on_answer({.m_call = number});
     LONGS_EQUAL(1, answers);
 }
+
+// The second leader may have stored the job that the first one rejected, so the rejection isn't
+// certain until both have rejected it.
+TEST(caller_task, a_rejection_for_a_limit_is_certain_only_once_all_leaders_have_rejected_the_job)
+{
+    std::uint64_t number = 0;
+    node::caller_task callers(m_loop, m_metrics,
+                              {.m_send_to_leader =
+                                   [&](const cell::caller_call& call)
+                               {
+                                   number = call.m_call;
+                                   return true;
+                               },
+                               .m_takeover_expected = [] { return false; }});
+    std::optional<cell::caller_answer> answer;
+    callers.call({.m_kind = static_cast<int>(cell::call_kind::submit), .m_job = job_id("1")},
+                 [&](const cell::caller_answer& received) { answer = received; });
+    callers.leader_changed();
+    const auto over_limit = static_cast<int>(cell::call_status::over_limit);
+    callers.on_answer({.m_call = number, .m_status = over_limit, .m_number = 5000});
+    CHECK_FALSE(answer.has_value());
+    callers.on_answer({.m_call = number, .m_status = over_limit, .m_number = 7000});
+    CHECK_TRUE(answer.has_value());
+    LONGS_EQUAL(over_limit, answer->m_status);
+    LONGS_EQUAL(7000, answer->m_number);
+}
