--- a/bench/cell/pass_cost_main.cpp
+++ b/bench/cell/pass_cost_main.cpp
@@ -1,5 +1,6 @@
 // bench-cell measures what a leader's decisions cost on a virtual clock: a pass over waiting steps
-// of a full cell, by worker count and backlog, and a second of a large cell's load at its crest.
+// of a full cell, by worker count and backlog, and a second of a large cell's load at its crest. Both
+// with workers of one speed, and with a third of them 2.4 times as fast as the others.
 #include <chrono>
 #include <cstdint>
 #include <cstdio>
@@ -37,7 +38,7 @@
 class busy_cell
 {
 public:
-    busy_cell(int vms, int workers) : m_coordinator({}, leader_state(), m_now)
+    busy_cell(int vms, int workers, bool unlike) : m_coordinator({}, leader_state(), m_now)
     {
         std::vector<vm_id> members;
         members.reserve(static_cast<std::size_t>(vms));
@@ -47,10 +48,16 @@
         std::vector<worker_info> listed;
         listed.reserve(static_cast<std::size_t>(workers));
         for (int i = 0; i < workers; ++i)
+        {
+            constexpr int fast_divisor = 3;
+            if (unlike)
+                m_workers[worker_id("worker-" + std::to_string(i))].m_speed =
+                    i % fast_divisor == 0 ? 1.7 : 0.7;
             listed.push_back({.m_id = worker_id("worker-" + std::to_string(i)),
                               .m_service = service_id("pool"),
                               .m_address = endpoint{"10.0.0.1", 80},
                               .m_capacity = {.m_millicores = 16000, .m_memory_mb = 65536}});
+        }
         deliver(workers_listed{listed});
         run(100ms);
     }
@@ -145,7 +152,9 @@
         const auto id = action.m_worker.m_id;
         m_workers[id].m_running[order.m_task] = order.m_run;
         after(network_delay, start_answered{id, order.m_task, order.m_run, start_result{}});
-        m_due.emplace(m_now + std::chrono::milliseconds(m_expected_ms[order.m_task.m_job]),
+        const auto work = static_cast<double>(m_expected_ms[order.m_task.m_job]);
+        m_due.emplace(m_now + std::chrono::milliseconds(
+                                  static_cast<std::int64_t>(work / m_workers[id].m_speed)),
                       [this, id, task = order.m_task, run = order.m_run] { end(id, task, run); });
     }
     void act(const request_approval& action)
@@ -194,6 +203,7 @@
         std::uint64_t m_last_end = 0;
         instant m_sent{};
         bool m_waiting = false; ///< A renewal waits for an end.
+        double m_speed = 1;
     };
 
     instant m_now{10s};
@@ -230,10 +240,27 @@
     {18.2, 0.26, task_valid_ms},
     {.m_count = 4, .m_size = {.m_millicores = 3900, .m_memory_mb = 8000}, .m_expected_ms = 850}};
 
-void measure_passes(int workers, int waiting)
+/// Lets the leader learn the speeds of all workers.
+void run_everywhere(busy_cell& cell, int workers)
+{
+    constexpr int rounds = 6;
+    const load learning{"learning",
+                        0,
+                        0,
+                        {},
+                        {.m_count = workers, .m_size = {.m_millicores = 15500}, .m_expected_ms = 300}};
+    for (int i = 0; i < rounds; ++i)
+    {
+        cell.submit(learning);
+        cell.run(1s);
+    }
+}
+
+void measure_passes(int workers, int waiting, bool unlike)
 {
     constexpr std::int64_t never_ms = 1000000;
-    busy_cell cell(36, workers);
+    busy_cell cell(36, workers, unlike);
+    run_everywhere(cell, workers);
     const load filler{
         "filler",
         0,
@@ -252,9 +279,9 @@
                 (cell.spent() - before).count() / static_cast<double>(measured / tick_interval));
 }
 
-void measure_crest()
+void measure_crest(bool unlike)
 {
-    busy_cell cell(147, 1100);
+    busy_cell cell(147, 1100, unlike);
     constexpr duration slice = 100ms;
     constexpr int seconds = 10;
     constexpr int slices_per_10s = 100;
@@ -288,11 +315,15 @@
 int main()
 {
     start_logging(log_level::error, "bench");
-    std::printf("workers  waiting steps  us per pass\n");
-    for (const int workers : {48, 350, 1100})
-        for (const int waiting : {100, 500, 1600})
-            measure_passes(workers, waiting);
-    std::printf("a cell of 1,100 workers at its crest, in the coordinator: ");
-    std::fflush(stdout);
-    measure_crest();
+    for (const bool unlike : {false, true})
+    {
+        std::printf("workers of %s speed\n", unlike ? "unlike" : "one");
+        std::printf("workers  waiting steps  us per pass\n");
+        for (const int workers : {48, 350, 1100})
+            for (const int waiting : {100, 500, 1600})
+                measure_passes(workers, waiting, unlike);
+        std::printf("a cell of 1,100 workers at its crest, in the coordinator: ");
+        std::fflush(stdout);
+        measure_crest(unlike);
+    }
 }
--- a/src/dragonflygap/cell/coordinator.cpp
+++ b/src/dragonflygap/cell/coordinator.cpp
@@ -16,15 +16,15 @@
 // priority. A job's rank time is delayed by the work it needs, so that small jobs, of which many
 // finish in the time of a large one, overtake it. The delay leaves half of the slack of the job's
 // objective: a job that is late because of its delay would be placed after all that are on time.
-instant rank_time_of(const job_record& record, instant since)
+instant rank_time_of(const job_state& job)
 {
     constexpr std::int64_t core_ms_per_ms = 150; // 1 ms of delay per 150 core-ms of work
     constexpr duration max_delay = 12s;          // three times the usual objective of a large job
     std::int64_t core_ms = 0;
-    for (const auto& step : record.m_request.m_steps)
-        core_ms += step.m_size.m_millicores * step.m_count * step.m_expected_ms / 1000;
-    return since + std::min<duration>({max_delay, slack_of(record) / 2,
-                                       std::chrono::milliseconds(core_ms / core_ms_per_ms)});
+    for (int s = 0; s < job.steps(); ++s)
+        core_ms += job.spec(s).m_size.m_millicores * job.spec(s).m_count * job.expected_ms(s) / 1000;
+    return job.m_since + std::min<duration>({max_delay, slack_of(job) / 2,
+                                             std::chrono::milliseconds(core_ms / core_ms_per_ms)});
 }
 
 // Time since a job was accepted. The clocks of the two VMs involved may differ, so it is clamped.
@@ -78,7 +78,7 @@
             std::make_shared<job_state>(job_id(row.m_name.m_key), std::move(*record), m_memory);
         job->restore({});
         job->m_since = m_now - age_of(job->record(), found.m_unix_ms);
-        job->m_rank_time = rank_time_of(job->record(), job->m_since);
+        job->m_rank_time = rank_time_of(*job);
         // Higher than the run numbers of all earlier epochs.
         job->m_next_run = (m_chain.record().m_epoch - 1) * m_options.m_runs_per_epoch + 1;
         m_jobs[job->id()] = std::move(job);
@@ -230,7 +230,8 @@
     }
     auto job = std::make_shared<job_state>(event.m_job, std::move(record), m_memory);
     job->m_since = m_now;
-    job->m_rank_time = rank_time_of(job->record(), m_now);
+    expect_run_times(*job);
+    job->m_rank_time = rank_time_of(*job);
     job->m_next_run = (m_chain.record().m_epoch - 1) * m_options.m_runs_per_epoch + 1;
     m_timetable.add(event.m_job, event.m_request);
     m_dirty.insert(event.m_job);
--- a/src/dragonflygap/cell/coordinator.hpp
+++ b/src/dragonflygap/cell/coordinator.hpp
@@ -23,6 +23,8 @@
 #include "dragonflygap/cell/occurrence_timetable.hpp"
 #include "dragonflygap/cell/ready_queue.hpp"
 #include "dragonflygap/cell/response_time.hpp"
+#include "dragonflygap/cell/run_times.hpp"
+#include "dragonflygap/cell/speed_order.hpp"
 #include "dragonflygap/cell/task_plan.hpp"
 #include "dragonflygap/cell/wait_report.hpp"
 #include "dragonflygap/cell/worker_index.hpp"
@@ -61,6 +63,8 @@
     duration m_ended_retention = 150s; ///< How long the outcome of an ended job is kept.
     /// A leaving worker runs its tasks for as long at least after it said so.
     duration m_min_notice = 2s;
+    /// False: the callers' estimates count, and all workers as alike.
+    bool m_learns_run_times = true;
     duration m_unlisted_retention = 30s;      ///< A worker that is unlisted for longer is removed.
     std::size_t m_max_ready_steps = 3000;     ///< With more, new jobs are rejected.
     std::int64_t m_memory_mb = 256;           ///< Of this process; a part of it is for jobs.
@@ -121,6 +125,7 @@
     /// it about once a second.
     wait_report report_waits(std::size_t max_by_rank, std::size_t max_by_age) const;
     const leader_counts& counts() const { return m_counts; }
+    const run_times& learned_times() const { return m_run_times; }
     /// Approval calls whose end isn't counted yet.
     std::size_t open_approvals() const { return m_open_approvals.size(); }
     /// True if the window counts each open call that wasn't given up, and no other.
@@ -316,6 +321,8 @@
     std::vector<task_places> places_on(const std::vector<worker_state*>& eligible,
                                        const job_state& job, const step_key& key, plan_order order,
                                        bool avoid_claims) const;
+    std::vector<task_places> plan_gang(std::span<const candidate> candidates, const step_spec& spec,
+                                       int count, plan_order order) const;
     void begin_pass();
     bool accepts_tasks(const worker_state& worker) const;
     static bool suits(const worker_state& worker, const job_state& job, const step_spec& spec);
@@ -347,6 +354,20 @@
     static const step_approval* approval_of(const job_state& job, const step_key& key);
     static int max_tasks_on(const worker_state& worker, const step_spec& spec, const step_key& key);
 
+    // coordinator_run_times.cpp: learned run times and the speeds of workers
+    void expect_run_times(job_state& job) const;
+    void record_run_time(const worker_state& worker, const ended_task& end);
+    void record_gang_time(const job_state& job, step_state& step, const step_spec& spec,
+                          const ended_task& end);
+    void check_overdue(worker_state& worker, const task_key& key, placement& placed,
+                       const job_state& job);
+    void forget_speed(worker_state& worker);
+    void set_speed(worker_state& worker, speed_class speed);
+    void update_speeds();
+    speed_order speed_order_for(const job_state& job, const step_key& key);
+    void record_started(const job_state& job, const step_key& key,
+                        std::span<const task_places> places);
+
     // coordinator_waits.cpp: reports about waiting steps
     void
     for_each_due_step(const std::function<void(const job_state&, const step_key&)>& visit) const;
@@ -403,6 +424,8 @@
     std::size_t m_worker_rows = 0;     ///< That the store may have.
     instant m_workers_not_before{};    ///< Backoff after the store refused these rows.
     room_claims m_claims{m_index};
+    run_times m_run_times;
+    std::map<service_id, speed_demand> m_speed_demand;
     std::uint64_t m_last_approval_call = 0;
     std::map<std::uint64_t, open_approval> m_open_approvals; ///< By number, thus by age.
     response_time m_order_time;
@@ -412,6 +435,7 @@
     // State of one placement pass.
     resources m_max_free;                ///< The maximum of any open worker, for each resource.
     std::vector<worker_number> m_closed; ///< Workers closed for gangs.
+    speed_order m_speed_order;           ///< Of the step that is being placed.
     bool m_workers_usable = false;       ///< As of the last tick, this leader may start tasks.
     /// Whether one of a number of VMs can serve an approval call; as far as looked up.
     std::map<std::size_t, bool> m_free_vms;
--- a/src/dragonflygap/cell/coordinator_approvals.cpp
+++ b/src/dragonflygap/cell/coordinator_approvals.cpp
@@ -180,7 +180,14 @@
             draft.m_workers.push_back(place.m_worker);
     }
     int spare = min_spare + static_cast<int>(spare_share * firm_count);
-    for (const worker_state* worker : eligible_workers(job, key, ticket_need::known))
+    auto others = eligible_workers(job, key, ticket_need::known);
+    std::stable_sort(others.begin(), others.end(),
+                     [this](const worker_state* left, const worker_state* right)
+                     {
+                         return m_speed_order.position(left->m_speed) <
+                                m_speed_order.position(right->m_speed);
+                     });
+    for (const worker_state* worker : others)
     {
         const auto number = worker->m_number;
         if (spare <= 0 || draft.m_workers.size() >= draft.m_max_workers)
@@ -219,65 +226,6 @@
     draft.m_workers.insert(draft.m_workers.end(), chosen.m_named.begin(), chosen.m_named.end());
 }
 
-// Names workers until enough tasks of the step are expected to fit on approved ones. On a worker
-// without room some will have ended by the time of the answer, if these are to be counted.
-coordinator::unknown_workers coordinator::name_unknown(const job_state& job, const step_key& key,
-                                                       const approval_draft& draft,
-                                                       bool count_full) const
-{
-    constexpr double wanted_factor = 1.5;
-    constexpr double wanted_extra = 2;
-    constexpr double full_worker_tasks = 0.5;
-    const auto& spec = job.spec(key.m_step);
-    const auto& step = job.step(key.m_occurrence, key.m_step);
-    const auto size = size_of(spec);
-    const double rate = approval_rate(job.record().m_queue.m_name);
-    const double wanted_tasks = wanted_factor * step.m_waiting + wanted_extra;
-    const auto could_hold = [&](const worker_state& worker)
-    { return suits(worker, job, spec) && size.fits_in(worker.m_info.m_capacity); };
-    const double least = count_full ? full_worker_tasks : 0;
-    unknown_workers result;
-    for (const auto number : step.m_approval.approved())
-    {
-        const auto& worker = m_index.at(number);
-        if (!worker.m_pass.m_open || !could_hold(worker) || holds_earlier_run(worker, job, key))
-            continue;
-        const int fits = worker.m_pass.m_closed && !m_claims.has_firm_claim(key, number)
-                             ? 0
-                             : std::min(fit_count(size, worker.free_for_others()),
-                                        max_tasks_on(worker, spec, key));
-        result.m_expected_tasks += std::max<double>(fits, least);
-    }
-    for (const auto& [negated_room, number] : m_index.open_workers(job.record().m_queue.m_service))
-    {
-        const bool call_full =
-            draft.m_workers.size() + result.m_named.size() >= draft.m_max_workers;
-        if (result.m_expected_tasks >= wanted_tasks || (call_full && !spec.m_gang))
-            break;
-        // The others have even fewer millicores.
-        if (!count_full && -negated_room < size.m_millicores)
-            break;
-        const auto& worker = m_index.at(number);
-        if (step.m_approval.is_known(number) || !could_hold(worker))
-            continue;
-        auto free = worker.free_for_others();
-        free.m_millicores = worker.expected_free_millicores();
-        const int fits = worker.m_pass.m_closed
-                             ? 0
-                             : std::min(fit_count(size, free), max_tasks_on(worker, spec, key));
-        if (fits == 0 && !count_full)
-            continue;
-        result.m_expected_tasks += rate * std::max<double>(fits, least);
-        // Later calls can name the others.
-        if (call_full)
-            continue;
-        result.m_named.push_back(number);
-        if (fits > 0)
-            result.m_tentative.push_back({number, fits});
-    }
-    return result;
-}
-
 const step_approval* coordinator::approval_of(const job_state& job, const step_key& key)
 {
     return job.record().m_queue.m_approval.required()
--- a/src/dragonflygap/cell/coordinator_ends.cpp
+++ b/src/dragonflygap/cell/coordinator_ends.cpp
@@ -10,6 +10,8 @@
 
 void coordinator::apply_end(worker_state& worker, const ended_task& end)
 {
+    if (end.m_end_kind == end_kind::done)
+        record_run_time(worker, end);
     const bool was_current = release(worker, end.m_task, end.m_run);
     if (end.m_end_kind == end_kind::done)
         worker.m_consecutive_failures = 0;
@@ -219,10 +221,12 @@
                 placed.m_phase != placement_phase::running)
                 continue;
             const auto& spec = job->spec(key.m_step);
+            check_overdue(worker, key, placed, *job);
             const auto stuck_timeout = std::max<duration>(
                 options.m_stuck_timeout,
                 std::chrono::milliseconds(static_cast<std::int64_t>(
-                    options.m_stuck_runtime_share * static_cast<double>(spec.m_expected_ms))));
+                    options.m_stuck_runtime_share *
+                    static_cast<double>(job->expected_ms(key.m_step)))));
             // A gang member that has done its part waits for the others.
             constexpr int all_percent = 100;
             if (spec.m_long_running || spec.m_best_effort ||
@@ -238,6 +242,7 @@
             worker.m_avoid_until = std::max(worker.m_avoid_until, m_now + avoid_duration);
             m_index.mark_changed(worker);
         }
+    update_speeds();
 }
 
 void coordinator::stop_gang(job_state& job, const step_key& key, std::uint64_t run)
--- a/src/dragonflygap/cell/coordinator_gangs.cpp
+++ b/src/dragonflygap/cell/coordinator_gangs.cpp
@@ -1,5 +1,7 @@
 #include <algorithm>
 #include <functional>
+#include <iterator>
+#include <set>
 #include <utility>
 
 #include "dragonflygap/cell/coordinator.hpp"
@@ -24,6 +26,46 @@
 
 } // namespace
 
+// Places for all tasks of a gang, or none. It ends with its slowest member, so workers of one speed
+// class come first, and then those of as few classes as it takes.
+std::vector<task_places> coordinator::plan_gang(std::span<const candidate> candidates,
+                                                const step_spec& spec, int count,
+                                                plan_order order) const
+{
+    const auto plan = [&](const auto& accepts)
+    {
+        std::vector<candidate> accepted;
+        std::copy_if(candidates.begin(), candidates.end(), std::back_inserter(accepted), accepts);
+        auto places = plan_tasks(accepted, size_of(spec), count, order);
+        return task_count(places) == count ? places : std::vector<task_places>{};
+    };
+    const auto plan_by_speed = [&](const auto& accepts)
+    {
+        constexpr int last = static_cast<int>(speed_class_count) - 1;
+        std::vector<task_places> places;
+        // Workers of one class, then those of the first two, and so on.
+        for (int position = 0; m_speed_order.matters() && position <= last && places.empty();
+             ++position)
+            places = plan([&](const candidate& one)
+                          { return one.m_speed_position == position && accepts(one); });
+        for (int position = m_speed_order.matters() ? 1 : last; position <= last && places.empty();
+             ++position)
+            places = plan([&](const candidate& one)
+                          { return one.m_speed_position <= position && accepts(one); });
+        return places;
+    };
+    std::set<rack_id> racks;
+    if (spec.m_same_rack)
+        for (const auto& one : candidates)
+            racks.insert(one.m_worker->m_info.m_rack);
+    for (const auto& rack : racks)
+        if (auto places = plan_by_speed([&rack](const candidate& one)
+                                        { return one.m_worker->m_info.m_rack == rack; });
+            !places.empty())
+            return places;
+    return plan_by_speed([](const candidate&) { return true; });
+}
+
 // Drains workers until the gang fits on them. They are closed to steps of lower rank until then.
 void coordinator::drain_for_gang(job_state& job, const step_key& key)
 {
--- a/src/dragonflygap/cell/coordinator_orders.cpp
+++ b/src/dragonflygap/cell/coordinator_orders.cpp
@@ -15,8 +15,12 @@
     const auto max_delay = max_start_delay();
     const auto& spec = job.spec(key.m_step);
     const auto& task = *job.find(key);
-    placement placed{
-        .m_run = run, .m_size = size_of(spec), .m_started = m_now, .m_progress_at = m_now};
+    placement placed{.m_run = run,
+                     .m_size = size_of(spec),
+                     .m_started = m_now,
+                     .m_progress_at = m_now,
+                     .m_timed = task.m_checkpoint.empty()};
+    ++m_counts.m_starts[static_cast<std::size_t>(worker.m_speed)];
     worker.add(key, placed);
     m_index.update_room(worker);
     m_index.mark_changed(worker);
--- a/src/dragonflygap/cell/coordinator_placing.cpp
+++ b/src/dragonflygap/cell/coordinator_placing.cpp
@@ -40,6 +40,8 @@
         if (auto* worker = m_index.find(number); worker != nullptr)
             worker->m_pass.m_closed = false;
     m_max_free = m_index.max_free();
+    for (auto& [service, demand] : m_speed_demand)
+        demand.begin_pass(m_now);
 }
 
 // True if something that the step waits for may have happened since the last visit.
@@ -104,6 +106,7 @@
         return m_ready.set_wake_at(position, next_visit(ready));
     auto& step = *ready.m_state;
     const step_approval* approved = approval_of(*job, key);
+    m_speed_order = speed_order_for(*job, key);
     m_claims.suspend(key);
     if (job->m_stored)
         place_tasks(*job, key, approved);
@@ -244,8 +247,10 @@
             result.push_back(&worker);
     };
     if (approved == nullptr)
-        for (const auto& [room, number] : m_index.open_workers(job.record().m_queue.m_service))
-            consider(m_index.at(number));
+        for (const auto speed : m_speed_order.classes())
+            for (const auto& [room, number] :
+                 m_index.open_workers(job.record().m_queue.m_service, speed))
+                consider(m_index.at(number));
     else if (need == ticket_need::valid)
     {
         for (const auto& [number, ticket] : approved->m_tickets)
@@ -266,7 +271,6 @@
     const int count = job.step(key.m_occurrence, key.m_step).m_waiting;
     const int priority = job.record().m_queue.m_priority;
     std::vector<candidate> candidates;
-    std::set<rack_id> racks;
     candidates.reserve(eligible.size());
     for (const worker_state* worker : eligible)
     {
@@ -275,25 +279,11 @@
              .m_free = avoid_claims ? worker->free_for_others() : worker->free_for(priority),
              .m_max_tasks = max_tasks_on(*worker, spec, key),
              .m_data_remote =
-                 !spec.m_data_rack.empty() && worker->m_info.m_rack != spec.m_data_rack});
-        if (spec.m_gang && spec.m_same_rack)
-            racks.insert(worker->m_info.m_rack);
+                 !spec.m_data_rack.empty() && worker->m_info.m_rack != spec.m_data_rack,
+             .m_speed_position = m_speed_order.position(worker->m_speed)});
     }
-    if (!spec.m_gang)
-        return plan_tasks(candidates, size_of(spec), count, order);
-    if (spec.m_same_rack)
-        for (const auto& rack : racks)
-        {
-            std::vector<candidate> here;
-            std::copy_if(candidates.begin(), candidates.end(), std::back_inserter(here),
-                         [&rack](const candidate& one)
-                         { return one.m_worker->m_info.m_rack == rack; });
-            if (auto places = plan_tasks(here, size_of(spec), count, order);
-                task_count(places) == count)
-                return places;
-        }
-    auto places = plan_tasks(candidates, size_of(spec), count, order);
-    return task_count(places) == count ? places : std::vector<task_places>{};
+    return spec.m_gang ? plan_gang(candidates, spec, count, order)
+                       : plan_tasks(candidates, size_of(spec), count, order);
 }
 
 // Places for a step's waiting tasks; for a gang, all or none. Avoids capacity claimed by steps of
@@ -354,6 +344,7 @@
         }
     }
     log_started(job, key, started);
+    record_started(job, key, places);
     update_ready_steps(job, key.m_occurrence);
 }
 
--- a/src/dragonflygap/cell/coordinator_worker_list.cpp
+++ b/src/dragonflygap/cell/coordinator_worker_list.cpp
@@ -58,6 +58,7 @@
                 std::erase(step.m_drained, number);
             }
     std::erase(m_closed, number);
+    forget_speed(worker->second);
     m_index.remove(worker->second);
     return m_workers.erase(worker);
 }
--- a/src/dragonflygap/cell/coordinator_workers.cpp
+++ b/src/dragonflygap/cell/coordinator_workers.cpp
@@ -101,6 +101,7 @@
         {
             // A different process answers at this address, so the worker's tasks no longer run.
             handle_worker_loss(worker, "replaced");
+            forget_speed(worker);
             worker.m_replaced = true;
         }
         return;
@@ -130,6 +131,7 @@
         worker.m_started_at = report.m_started_at;
         m_workers_dirty = true;
     }
+    worker.m_unwatched = std::max<duration>(duration{}, sent - worker.m_last_report_at);
     worker.m_last_report_at = m_now;
     worker.m_failing_since = {};
     worker.m_clock_ms = report.m_clock_ms;
--- a/src/dragonflygap/cell/job_state.cpp
+++ b/src/dragonflygap/cell/job_state.cpp
@@ -25,7 +25,7 @@
     std::size_t bytes = sizeof(job_state) + map_entries + record.m_request.m_payload.size() +
                         queue.m_host.size() + queue.m_path_prefix.size();
     for (const auto& step : record.m_request.m_steps)
-        bytes += sizeof(step_spec) + step.m_depends_on.size() * sizeof(int) + step.m_label.size() +
+        bytes += sizeof(step_spec) + sizeof(std::int64_t) + step.m_depends_on.size() * sizeof(int) + step.m_label.size() +
                  step.m_data_rack.m_value.size() + step.m_image.size();
     return bytes;
 }
--- a/src/dragonflygap/cell/job_state.hpp
+++ b/src/dragonflygap/cell/job_state.hpp
@@ -6,12 +6,14 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "dragonflygap/cell/approvals.hpp"
 #include "dragonflygap/cell/memory_budget.hpp"
 #include "dragonflygap/cell/number_ranges.hpp"
 #include "dragonflygap/cell/records.hpp"
+#include "dragonflygap/cell/step_times.hpp"
 #include "dragonflygap/cell/worker.hpp"
 #include "dragonflygap/core/time.hpp"
 
@@ -66,6 +68,7 @@
     step_approval m_approval;             ///< Unused if the queue needs no approval.
     std::vector<worker_number> m_drained; ///< Workers closed to other steps until the gang fits.
     approval_pause m_approval_pause = approval_pause::none;
+    step_times m_times; ///< Of the finished runs.
 };
 
 /// The steps of one occurrence.
@@ -90,6 +93,18 @@
     const job_record& record() const { return m_record; }
     const step_spec& spec(int step) const { return m_record.m_request.m_steps[step]; }
 
+    /// Time that a task of the step is expected to take on an average worker: the caller's estimate
+    /// unless run times were learned when this leader accepted the job.
+    std::int64_t expected_ms(int step) const
+    {
+        return m_expected_ms.empty() ? spec(step).m_expected_ms : m_expected_ms[step];
+    }
+    /// Of each step; to be called before the job is ranked.
+    void set_expected_ms(std::vector<std::int64_t> expected)
+    {
+        m_expected_ms = std::move(expected);
+    }
+
     /// Applies stored progress; ignores entries that don't fit the job.
     void restore(const progress_record& progress);
     progress_record progress() const;
@@ -161,6 +176,7 @@
 
     job_id m_id;
     job_record m_record;
+    std::vector<std::int64_t> m_expected_ms; ///< By step; empty: as estimated.
     std::map<int, occurrence_state> m_open;
     number_ranges m_done;               ///< Occurrences that were closed.
     std::int64_t m_remaining_tasks = 0; ///< Tasks that aren't done yet.
--- a/src/dragonflygap/cell/objective.cpp
+++ b/src/dragonflygap/cell/objective.cpp
@@ -12,14 +12,6 @@
 {
 
 constexpr int workers_per_approval = 30; // that the users count for one call
-constexpr int late_limit = 3;            // times the objective
-
-bool has_objective(const job_request& request)
-{
-    return request.m_occurrences == 0 &&
-           std::none_of(request.m_steps.begin(), request.m_steps.end(),
-                        [](const step_spec& step) { return step.m_long_running; });
-}
 
 // The longest chain of steps, each counted by its time.
 duration longest_chain(const job_request& request, const std::function<duration(int)>& time_of)
@@ -35,31 +27,39 @@
     return ends.empty() ? duration{} : *std::max_element(ends.begin(), ends.end());
 }
 
-duration time_of_step(const job_record& record, int step)
+} // namespace
+
+duration time_of_step(const job_state& job, int step)
 {
-    const auto& cost = record.m_queue.m_approval;
+    const auto& cost = job.record().m_queue.m_approval;
     const auto approval_ms =
         cost.required() ? cost.m_decision_ms + workers_per_approval * cost.m_per_worker_ms : 0;
-    return std::chrono::milliseconds(record.m_request.m_steps[step].m_expected_ms +
+    return std::chrono::milliseconds(job.expected_ms(step) +
                                      static_cast<std::int64_t>(approval_ms));
 }
 
-duration chain_of(const job_record& record)
+bool has_objective(const job_request& request)
 {
-    return longest_chain(record.m_request, [&](int step) { return time_of_step(record, step); });
+    return request.m_occurrences == 0 &&
+           std::none_of(request.m_steps.begin(), request.m_steps.end(),
+                        [](const step_spec& step) { return step.m_long_running; });
 }
 
-} // namespace
+duration chain_of(const job_state& job)
+{
+    return longest_chain(job.record().m_request, [&](int step) { return time_of_step(job, step); });
+}
 
-duration objective_of(const job_record& record)
+duration objective_of(const job_state& job)
 {
-    return std::chrono::duration_cast<duration>(record.m_queue.m_stretch * chain_of(record)) +
-           std::chrono::milliseconds(record.m_queue.m_slack_ms);
+    const auto& queue = job.record().m_queue;
+    return std::chrono::duration_cast<duration>(queue.m_stretch * chain_of(job)) +
+           std::chrono::milliseconds(queue.m_slack_ms);
 }
 
-duration slack_of(const job_record& record)
+duration slack_of(const job_state& job)
 {
-    return objective_of(record) - chain_of(record);
+    return objective_of(job) - chain_of(job);
 }
 
 duration remaining_work(const job_state& job)
@@ -69,7 +69,7 @@
                          {
                              const auto& step = job.step(0, number);
                              const bool done = step.m_done == static_cast<int>(step.m_tasks.size());
-                             return done ? duration{} : time_of_step(job.record(), number);
+                             return done ? duration{} : time_of_step(job, number);
                          });
 }
 
@@ -79,14 +79,14 @@
     if (job.m_lateness == lateness::very_late || !has_objective(job.record().m_request))
         return instant::max();
     const int limit = job.m_lateness == lateness::on_time ? 1 : late_limit;
-    return job.m_since + limit * objective_of(job.record()) - remaining_work(job);
+    return job.m_since + limit * objective_of(job) - remaining_work(job);
 }
 
 lateness lateness_of(const job_state& job, instant now)
 {
     if (!has_objective(job.record().m_request))
         return lateness::on_time;
-    const auto objective = objective_of(job.record());
+    const auto objective = objective_of(job);
     const auto end = now - job.m_since + remaining_work(job);
     if (end <= objective)
         return lateness::on_time;
--- a/src/dragonflygap/cell/task_plan.cpp
+++ b/src/dragonflygap/cell/task_plan.cpp
@@ -27,10 +27,11 @@
         const auto key = [order](const option& entry)
         {
             const std::int64_t millicores = entry.m_candidate->m_free.m_millicores;
+            const int speed = entry.m_candidate->m_speed_position;
             return order == plan_order::fewest_workers
-                       ? std::make_tuple(entry.m_candidate->m_data_remote,
+                       ? std::make_tuple(speed, entry.m_candidate->m_data_remote,
                                          -std::int64_t{entry.m_fits}, millicores)
-                       : std::make_tuple(entry.m_candidate->m_data_remote, millicores,
+                       : std::make_tuple(speed, entry.m_candidate->m_data_remote, millicores,
                                          std::int64_t{0});
         };
         return key(left) < key(right);
--- a/src/dragonflygap/cell/task_plan.hpp
+++ b/src/dragonflygap/cell/task_plan.hpp
@@ -15,6 +15,7 @@
     resources m_free;
     int m_max_tasks = 0;        ///< Limit regardless of its free capacity.
     bool m_data_remote = false; ///< The step's data is in another rack.
+    int m_speed_position = 0;   ///< In the step's order of speed classes.
 };
 
 enum class plan_order
@@ -23,7 +24,8 @@
     fewest_workers, ///< Uses the fewest workers.
 };
 
-/// Places for up to count tasks of a size; workers near the data come first.
+/// Places for up to count tasks of a size; workers whose speed the step prefers come first, and of
+/// those the ones near the data.
 std::vector<task_places> plan_tasks(std::span<const candidate> candidates, const resources& size,
                                     int count, plan_order order = plan_order::best_fit);
 
--- a/src/dragonflygap/cell/wait_report.hpp
+++ b/src/dragonflygap/cell/wait_report.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <array>
 #include <cstdint>
 #include <vector>
 
@@ -18,6 +19,8 @@
     std::uint64_t m_workers_named = 0; ///< Workers in the answered calls.
     std::uint64_t m_starts_refused = 0;
     std::uint64_t m_stops_failed = 0; ///< Stop calls without an answer, or refused as unhealthy.
+    std::array<std::uint64_t, speed_class_count> m_starts{}; ///< Orders, by the worker's class.
+    std::uint64_t m_runs_overdue = 0;
 };
 
 /// State after the last placement pass.
--- a/src/dragonflygap/cell/worker_index.cpp
+++ b/src/dragonflygap/cell/worker_index.cpp
@@ -90,8 +90,7 @@
     if (!known.m_open)
         return;
     known.m_free = worker.free();
-    if (known.m_key == -worker.expected_free_millicores() &&
-        known.m_order == &m_orders[worker.m_info.m_service])
+    if (known.m_key == -worker.expected_free_millicores() && known.m_order == &order_of(worker))
         return;
     known.m_order->erase({known.m_key, worker.m_number});
     insert(worker);
@@ -101,16 +100,22 @@
 {
     auto& known = m_entries[worker.m_number];
     known.m_key = -worker.expected_free_millicores();
-    known.m_order = &m_orders[worker.m_info.m_service];
+    known.m_order = &order_of(worker);
     known.m_free = worker.free();
     known.m_order->emplace(known.m_key, worker.m_number);
 }
 
-const worker_index::room_order& worker_index::open_workers(const service_id& service) const
+worker_index::room_order& worker_index::order_of(const worker_state& worker)
+{
+    return m_orders[worker.m_info.m_service][static_cast<std::size_t>(worker.m_speed)];
+}
+
+const worker_index::room_order& worker_index::open_workers(const service_id& service,
+                                                           speed_class speed) const
 {
     static const room_order none;
     const auto found = m_orders.find(service);
-    return found == m_orders.end() ? none : found->second;
+    return found == m_orders.end() ? none : found->second[static_cast<std::size_t>(speed)];
 }
 
 resources worker_index::max_free() const
--- a/src/dragonflygap/cell/worker_index.hpp
+++ b/src/dragonflygap/cell/worker_index.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <array>
 #include <cstdint>
 #include <map>
 #include <set>
@@ -45,12 +46,14 @@
 
     /// Applies whether a worker may get tasks; a worker that opens has grown.
     void set_open(worker_state& worker, bool open);
-    /// To be called when the free capacity or the claims of a worker changed.
+    /// To be called when the free capacity, the claims or the speed class of a worker changed.
     void update_room(worker_state& worker);
 
     std::size_t open_count() const { return m_open_count; }
-    /// Open workers of a service. The first of each entry is the negated number of millicores.
-    const room_order& open_workers(const service_id& service) const;
+    /// Open workers of a service and a speed class. The first of each entry is the negated number of
+    /// millicores.
+    const room_order& open_workers(const service_id& service,
+                                   speed_class speed = speed_class::usual) const;
     /// The most that any open worker has free, for each resource.
     resources max_free() const;
 
@@ -61,11 +64,12 @@
         bool m_grown = false;
         bool m_open = false;
         std::int64_t m_key = 0;        ///< In the order, if open.
-        room_order* m_order = nullptr; ///< Of its service, if open.
+        room_order* m_order = nullptr; ///< Of its service and speed class, if open.
         resources m_free;              ///< When last updated, if open.
     };
 
     void insert(worker_state& worker);
+    room_order& order_of(const worker_state& worker);
 
     std::vector<worker_state*> m_workers; ///< By number; nullptr: the number is unused.
     std::vector<entry> m_entries;         ///< By number.
@@ -73,7 +77,7 @@
     std::vector<worker_number> m_changed;
     std::vector<worker_number> m_grown;      ///< For the current pass.
     std::vector<worker_number> m_next_grown; ///< For the next pass.
-    std::map<service_id, room_order> m_orders;
+    std::map<service_id, std::array<room_order, speed_class_count>> m_orders;
     std::size_t m_open_count = 0;
 };
 
--- a/src/dragonflygap/cell/worker_state.hpp
+++ b/src/dragonflygap/cell/worker_state.hpp
@@ -1,9 +1,12 @@
 #pragma once
 
 #include <algorithm>
+#include <array>
+#include <cstddef>
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <string_view>
 #include <vector>
 
 #include "dragonflygap/cell/worker.hpp"
@@ -24,6 +27,19 @@
     allowed,
 };
 
+/// Speed of a worker compared with the others of its service, from runs that finished.
+enum class speed_class : std::uint8_t
+{
+    fast,
+    usual, ///< As most workers, or not known yet.
+    slow,
+    lagging, ///< Some run takes far longer there than is usual on this worker.
+};
+inline constexpr std::size_t speed_class_count = 4;
+/// In logs and metrics.
+inline constexpr std::array<std::string_view, speed_class_count> speed_class_names{
+    "fast", "usual", "slow", "lagging"};
+
 enum class placement_phase
 {
     starting, ///< The order was sent.
@@ -50,6 +66,11 @@
     instant m_started{};
     int m_progress_percent = 0;
     instant m_progress_at{}; ///< When m_progress_percent last changed.
+    /// Its run time tells something: it began with an order of this leader and at no checkpoint.
+    bool m_timed = false;
+    bool m_overdue = false; ///< It was found to take far longer than usual.
+    int m_part_percent = 0; ///< Progress at m_part_from.
+    instant m_part_from{};  ///< Where the part of the run begins that is looked at; zero: not yet.
 };
 
 struct worker_options
@@ -118,6 +139,8 @@
     bool m_report_wanted = false;
     instant m_next_renewal{};
     instant m_last_report_at{};
+    /// Before the last report: how long no renewal was there that an end would have answered.
+    duration m_unwatched{};
     instant m_failing_since{};    ///< First failed renewal since the last successful one.
     std::int64_t m_clock_ms = 0;  ///< The worker's clock at m_last_report_at.
     instant m_lease_expires_at{}; ///< All tasks there have ended by then if no renewal arrives.
@@ -130,6 +153,7 @@
     instant m_avoid_until{};        ///< No new tasks before then.
 
     worker_number m_number = 0; ///< Given by the worker_index.
+    speed_class m_speed = speed_class::usual;
 
     /// Capacity claimed by waiting steps, one entry for each priority.
     struct priority_claim
--- a/src/dragonflygap/node/leader_report.cpp
+++ b/src/dragonflygap/node/leader_report.cpp
@@ -67,8 +67,13 @@
         m_metrics.observe("dragonflygap_tick_late_seconds", {}, delay);
     }
     m_last_tick_at = started_at;
-    count_approvals(state.counts());
     constexpr duration log_interval = 1s;
+    if (started_at - m_last_times_at >= log_interval)
+    {
+        m_last_times_at = started_at;
+        record_run_times(state);
+    }
+    count_approvals(state.counts());
     constexpr std::size_t first_step_count = 8;
     constexpr std::size_t longest_waiting_count = 4;
     if (started_at - m_last_log_at < log_interval || !log_enabled(log_level::info))
@@ -136,6 +141,11 @@
           static_cast<double>(tickets.m_received - previous.m_tickets.m_received));
     count_ends("dragonflygap_tickets_total", "fate", cell::ticket_ends, tickets,
                previous.m_tickets);
+    for (std::size_t i = 0; i < counts.m_starts.size(); ++i)
+        count("dragonflygap_starts_total", {"speed", cell::speed_class_names[i]},
+              static_cast<double>(counts.m_starts[i] - previous.m_starts[i]));
+    count("dragonflygap_runs_overdue_total", {},
+          static_cast<double>(counts.m_runs_overdue - previous.m_runs_overdue));
     const auto times = since(counts.m_answer_times, previous.m_answer_times);
     count("dragonflygap_answers_timed_total", {}, static_cast<double>(times.m_count));
     count("dragonflygap_answer_seconds_total", {"part", "waited"}, to_seconds(times.m_waited));
@@ -143,6 +153,25 @@
     count("dragonflygap_answer_seconds_total", {"part", "rest"}, to_seconds(times.m_rest));
 }
 
+void leader_report::record_run_times(const cell::coordinator& state)
+{
+    const auto& times = state.learned_times();
+    const auto counts = times.speeds().counts();
+    std::size_t known = 0;
+    for (std::size_t i = 0; i < counts.size(); ++i)
+    {
+        known += counts[i];
+        m_metrics.set("dragonflygap_workers_by_speed", {"speed", cell::speed_class_names[i]},
+                      static_cast<double>(counts[i]));
+    }
+    m_metrics.set("dragonflygap_workers_with_known_speed", {}, static_cast<double>(known));
+    times.for_each_queue(
+        [this](const cell::queue_id& queue, const cell::queue_times& learned) {
+            m_metrics.set("dragonflygap_run_time_ratio", {"queue", queue.m_value},
+                          learned.mean_ratio());
+        });
+}
+
 void leader_report::log_pass(const cell::coordinator& state, const cell::pass_summary& pass)
 {
     const auto counts = state.counts();
--- a/src/dragonflygap/node/leader_report.hpp
+++ b/src/dragonflygap/node/leader_report.hpp
@@ -31,6 +31,7 @@
 
 private:
     void count_approvals(const cell::leader_counts& counts);
+    void record_run_times(const cell::coordinator& state);
     void log_pass(const cell::coordinator& state, const cell::pass_summary& pass);
 
     metrics& m_metrics;
@@ -39,6 +40,7 @@
     instant m_last_log_at{};
     cell::leader_counts m_last_counted; ///< As last added to the metrics.
     cell::leader_counts m_last_logged;  ///< As in the last pass_summary.
+    instant m_last_times_at{};          ///< When the learned run times were last recorded.
     // Since the last pass_summary.
     int m_ticks = 0;
     duration m_max_tick_time{};
--- a/tests/cell/ready_queue_test.cpp
+++ b/tests/cell/ready_queue_test.cpp
@@ -74,7 +74,7 @@
 TEST(ready_queue, a_job_is_late_when_its_remaining_work_ends_after_its_objective)
 {
     const auto job = make_job("a");
-    LONGS_EQUAL(3500, to_ms(objective_of(job->record())));
+    LONGS_EQUAL(3500, to_ms(objective_of(*job)));
     LONGS_EQUAL(1500, to_ms(remaining_work(*job)));
     CHECK(lateness_of(*job, now + 2s) == lateness::on_time);
     CHECK(lateness_of(*job, now + 2100ms) == lateness::late);
--- a/tests/cell/support/simulated_cell.cpp
+++ b/tests/cell/support/simulated_cell.cpp
@@ -1,6 +1,9 @@
 #include "cell/support/simulated_cell.hpp"
 
 #include <algorithm>
+#include <chrono>
+#include <cmath>
+#include <limits>
 #include <memory>
 #include <utility>
 
@@ -39,15 +42,16 @@
 
 } // namespace
 
-simulated_cell::simulated_cell(cell_options options) : m_options(options), m_random(options.m_seed)
+simulated_cell::simulated_cell(cell_options options)
+    : m_options(options), m_random(options.m_seed)
 {
-    for (int i = 0; i < options.m_vms; ++i)
+    for (int i = 0; i < m_options.m_vms; ++i)
         m_members[vm_id("vm-" + std::to_string(i))];
     m_backlog.m_self = {.m_epoch = 2, .m_vm = m_members.begin()->first};
     m_backlog.m_predecessor_gone = true;
-    for (int i = 0; i < options.m_workers; ++i)
+    for (int i = 0; i < m_options.m_workers; ++i)
     {
-        m_workers[worker_named(i)];
+        m_workers[worker_named(i)].m_speed = m_options.m_speed ? m_options.m_speed(i) : 1;
         m_backlog.m_workers.emplace_back(worker_named(i), "10.0.0.1:80");
     }
 }
@@ -68,6 +72,10 @@
     const int percent = 67 + draw(67);
     step.m_size.m_millicores = step.m_size.m_millicores * percent / 100;
     step.m_size.m_memory_mb = step.m_size.m_memory_mb * percent / 100;
+    if (m_options.m_work_deviation > 0)
+        step.m_expected_ms = std::max<std::int64_t>(
+            1, std::llround(static_cast<double>(step.m_expected_ms) *
+                            std::exp(m_options.m_work_deviation * draw_normal())));
     request.m_steps.push_back(step);
     constexpr double max_named = 100; // Limit of the service for one call.
     const auto& approval = kind.m_queue.m_approval;
@@ -81,6 +89,72 @@
     return request;
 }
 
+// As in a bell curve, with a standard deviation of 1.
+double simulated_cell::draw_normal()
+{
+    constexpr int draws = 12;
+    constexpr double mean = draws / 2.0;
+    double sum = -mean;
+    for (int i = 0; i < draws; ++i)
+        sum += draw_unit();
+    return sum;
+}
+
+// From 0 to 1. Independent of the draws that make up the jobs.
+double simulated_cell::draw_unit()
+{
+    constexpr double scale = 18446744073709551616.0; // 2^64
+    m_random_times = hash_of("times", m_random_times);
+    return static_cast<double>(m_random_times) / scale;
+}
+
+void simulated_cell::distort_estimate(step_spec& step)
+{
+    if (m_options.m_max_estimate_error <= 0)
+        return;
+    const auto range = m_options.m_max_estimate_error - m_options.m_min_estimate_error;
+    const double error = m_options.m_min_estimate_error + range * draw_unit();
+    const double factor = draw_unit() < 1.0 / 2 ? 1 - error : 1 + error;
+    step.m_expected_ms = std::max<std::int64_t>(
+        1, std::llround(factor * static_cast<double>(step.m_expected_ms)));
+}
+
+// By the users' rule, which knows the true work.
+void simulated_cell::watch_objective(const job_id& id, const job_kind& kind, const step_spec& step)
+{
+    const auto work = static_cast<double>(step.m_expected_ms) * kind.m_queue.m_stretch;
+    m_callers[id] = {.m_submitted = m_now,
+                     .m_objective = std::chrono::milliseconds(std::llround(work) +
+                                                              kind.m_queue.m_slack_ms)};
+}
+
+objective_counts simulated_cell::objectives(const std::string& queue,
+                                            duration submitted_after) const
+{
+    objective_counts result;
+    for (const auto& [id, caller] : m_callers)
+    {
+        if (m_kinds.at(id).m_queue.m_name.m_value != queue ||
+            caller.m_submitted < m_start + submitted_after)
+            continue;
+        const bool open = caller.m_done == instant{};
+        const bool late =
+            (open ? m_now : caller.m_done) - caller.m_submitted > caller.m_objective;
+        result.m_jobs += open && !late ? 0 : 1;
+        result.m_late += late ? 1 : 0;
+    }
+    return result;
+}
+
+std::pair<int, int> simulated_cell::starts_by_speed(const std::string& queue, double speed) const
+{
+    std::pair<int, int> result;
+    if (const auto found = m_starts_by_speed.find(queue); found != m_starts_by_speed.end())
+        for (const auto& [of_worker, count] : found->second)
+            (of_worker >= speed ? result.first : result.second) += count;
+    return result;
+}
+
 void simulated_cell::add_backlog(const job_kind& kind, int jobs)
 {
     for (int i = 0; i < jobs; ++i)
@@ -96,6 +170,7 @@
 
 void simulated_cell::take_over()
 {
+    ++m_leaders;
     m_coordinator = std::make_unique<coordinator>(m_options.m_leader, m_backlog, m_now);
     std::vector<vm_id> members;
     for (const auto& [vm, member] : m_members)
@@ -103,6 +178,58 @@
     feed(members_changed{members});
 }
 
+void simulated_cell::change_leader()
+{
+    recovered_state found;
+    ++m_backlog.m_self.m_epoch;
+    found.m_self = m_backlog.m_self;
+    found.m_version = m_version;
+    found.m_predecessor_gone = true;
+    found.m_workers = m_backlog.m_workers;
+    for (const auto& [name, row] : m_rows)
+        if (name.m_table == job_table)
+            found.m_jobs.push_back(row);
+        else if (name.m_table == progress_table)
+            found.m_progress.push_back(row);
+    found.m_unix_ms = to_ms(m_now - m_start);
+    m_backlog = std::move(found);
+    m_submitted.clear();
+    m_pending_calls.clear();
+    m_held_events.clear();
+    m_leader_queue = {};
+    m_busy_until = m_now;
+    for (auto& [id, worker] : m_workers)
+        worker.m_pending_renewal.reset();
+    take_over();
+    m_backlog.m_jobs.clear();
+    m_backlog.m_progress.clear();
+}
+
+// Answers to a leader that has ended meanwhile are lost.
+std::function<void(event)> simulated_cell::to_leader()
+{
+    return [this, leader = m_leaders](const event& answer)
+    {
+        if (leader == m_leaders)
+            feed(answer);
+    };
+}
+
+void simulated_cell::store(const transaction& change)
+{
+    ++m_version;
+    for (const auto& name : change.m_deletes)
+        m_rows.erase(name);
+    for (const auto& write : change.m_writes)
+    {
+        m_rows[write.m_row] = {write.m_row, m_version, write.m_value};
+        if (write.m_row.m_table == ended_table)
+            if (const auto caller = m_callers.find(job_id(write.m_row.m_key));
+                caller != m_callers.end() && caller->second.m_done == instant{})
+                caller->second.m_done = m_now;
+    }
+}
+
 void simulated_cell::submit(const job_kind& kind, int jobs)
 {
     for (int i = 0; i < jobs; ++i)
@@ -111,6 +238,8 @@
         auto request = request_of(kind);
         m_kinds[id] = kind;
         m_specs[id] = request.m_steps.front();
+        watch_objective(id, kind, request.m_steps.front());
+        distort_estimate(request.m_steps.front());
         m_waits_since[id] = m_now;
         m_submitted[++m_last_call] = id;
         feed(job_submitted{m_last_call, id, kind.m_queue, std::move(request)});
@@ -219,14 +348,20 @@
     const auto send = [this](const std::vector<action>& all)
     {
         for (const auto& one : all)
+        {
+            if (m_on_action)
+                m_on_action(one);
             std::visit([this](const auto& request) { act(request); }, one);
+        }
     };
     if (cost == duration{})
         return send(actions);
     m_busy_until = m_now + cost;
     schedule(m_busy_until,
-             [this, send, actions = std::move(actions)]
+             [this, send, actions = std::move(actions), leader = m_leaders]
              {
+                 if (leader != m_leaders)
+                     return;
                  send(actions);
                  work_on_queue();
              });
@@ -273,10 +408,11 @@
 void simulated_cell::act(const send_commit& action)
 {
     schedule(m_now + m_options.m_store_wait,
-             [this, number = action.m_number]
+             [this, number = action.m_number, change = action.m_change, reply = to_leader()]
              {
-                 feed(commit_answered{
-                     number, transaction_result{.m_committed = true, .m_version = ++m_version}});
+                 store(change);
+                 reply(commit_answered{
+                     number, transaction_result{.m_committed = true, .m_version = m_version}});
              });
 }
 
@@ -285,8 +421,11 @@
 void simulated_cell::act(const send_renewal& action)
 {
     schedule(leave_link(renewal_bytes) + m_options.m_network_delay,
-             [this, id = action.m_worker.m_id, sent = action.m_sent, order = action.m_renewal]
+             [this, id = action.m_worker.m_id, sent = action.m_sent, order = action.m_renewal,
+              leader = m_leaders]
              {
+                 if (leader != m_leaders)
+                     return;
                  auto& worker = m_workers.at(id);
                  worker.acknowledge(order.m_acknowledged);
                  worker.m_pending_renewal = {sent, m_now + order.m_wait};
@@ -311,8 +450,8 @@
     if (!pending)
         return;
     schedule(m_now + m_options.m_network_delay,
-             [this, id, sent = pending->m_sent, report = worker.report(m_now)] {
-                 feed(renewal_answered{id, sent, report});
+             [id, sent = pending->m_sent, report = worker.report(m_now), reply = to_leader()] {
+                 reply(renewal_answered{id, sent, report});
              });
 }
 
@@ -320,13 +459,13 @@
 {
     const auto& order = action.m_order;
     const auto answer = [this, open = std::make_shared<bool>(true), id = action.m_worker.m_id,
-                         task = order.m_task, run = order.m_run,
-                         sent = action.m_sent](const outcome<start_result>& result)
+                         task = order.m_task, run = order.m_run, sent = action.m_sent,
+                         reply = to_leader()](const outcome<start_result>& result)
     {
         if (!std::exchange(*open, false))
             return;
         m_timed_out += result ? 0 : 1;
-        feed(start_answered{id, task, run, result, sent});
+        reply(start_answered{id, task, run, result, sent});
     };
     schedule(leave_link(start_bytes) + m_options.m_network_delay,
              [this, id = action.m_worker.m_id, order, answer]
@@ -364,20 +503,21 @@
 {
     ++m_started;
     auto& worker = m_workers.at(id);
-    const auto length = std::chrono::milliseconds(spec.m_expected_ms);
+    ++m_starts_by_speed[m_kinds.at(order.m_task.m_job).m_queue.m_name.m_value][worker.m_speed];
+    duration length = std::chrono::milliseconds(spec.m_expected_ms);
+    if (m_options.m_task_deviation > 0)
+        length = duration(static_cast<std::int64_t>(
+            static_cast<double>(length.count()) * std::exp(m_options.m_task_deviation * draw_normal())));
     worker.m_running[order.m_task] = {.m_run = order.m_run,
                                       .m_size = size_of(spec),
                                       .m_work_time = length,
-                                      .m_working_since = spec.m_gang ? instant{} : m_now};
+                                      .m_working_since = spec.m_gang ? instant{} : m_now,
+                                      .m_speed = worker.m_speed};
     if (!worker.used().fits_in(m_options.m_capacity))
         ++m_overcommitted;
     stop_waiting(order.m_task.m_job);
     if (!spec.m_gang)
-    {
-        schedule(m_now + length, [this, id, task = order.m_task, run = order.m_run]
-                 { end(id, task, run, end_kind::done); });
-        return;
-    }
+        return schedule_end(id, order.m_task);
     const auto key = std::make_pair(step_of(order.m_task), order.m_run);
     auto& gang = m_gangs[key];
     gang.m_started_members.emplace_back(id, order.m_task);
@@ -386,8 +526,8 @@
         gang.m_complete = true;
         for (const auto& [member, task] : gang.m_started_members)
             m_workers.at(member).m_running.at(task).m_working_since = m_now;
-        schedule(m_now + length,
-                 [this, key] { break_gang(key.first, key.second, end_kind::done); });
+        count_gang(key);
+        set_gang_speed(key);
     }
     else if (gang.m_started_members.size() == 1)
         schedule(m_now + gang_timeout,
@@ -402,6 +542,96 @@
                  });
 }
 
+// At the worker's present speed.
+void simulated_cell::schedule_end(const worker_id& id, const task_key& task)
+{
+    const auto& run = m_workers.at(id).m_running.at(task);
+    schedule(m_now + run.time_left(m_now),
+             [this, id, task, number = run.m_run, changes = run.m_changes]
+             {
+                 const auto& running = m_workers.at(id).m_running;
+                 if (const auto found = running.find(task);
+                     found != running.end() && found->second.m_changes == changes)
+                     end(id, task, number, end_kind::done);
+             });
+}
+
+// All members advance as the slowest one does, and end together.
+void simulated_cell::set_gang_speed(const std::pair<step_key, std::uint64_t>& key)
+{
+    auto& gang = m_gangs.at(key);
+    double speed = std::numeric_limits<double>::max();
+    duration left{};
+    for (const auto& [member, task] : gang.m_started_members)
+        speed = std::min(speed, m_workers.at(member).m_speed);
+    for (const auto& [member, task] : gang.m_started_members)
+    {
+        auto& run = m_workers.at(member).m_running.at(task);
+        run.set_speed(speed, m_now);
+        left = std::max(left, run.time_left(m_now));
+    }
+    schedule(m_now + left,
+             [this, key, changes = ++gang.m_changes]
+             {
+                 if (const auto found = m_gangs.find(key);
+                     found != m_gangs.end() && found->second.m_changes == changes)
+                     break_gang(key.first, key.second, end_kind::done);
+             });
+}
+
+void simulated_cell::count_gang(const std::pair<step_key, std::uint64_t>& key)
+{
+    double slowest = std::numeric_limits<double>::max();
+    double fastest = 0;
+    for (const auto& [member, task] : m_gangs.at(key).m_started_members)
+    {
+        slowest = std::min(slowest, m_workers.at(member).m_speed);
+        fastest = std::max(fastest, m_workers.at(member).m_speed);
+    }
+    constexpr double alike = 1.1;
+    ++m_complete_gangs;
+    m_unlike_gangs += fastest > alike * slowest ? 1 : 0;
+}
+
+void simulated_cell::set_speed(int number, double speed)
+{
+    const auto id = worker_named(number);
+    auto& worker = m_workers.at(id);
+    worker.m_speed = speed;
+    std::set<std::pair<step_key, std::uint64_t>> gangs;
+    for (auto& [task, run] : worker.m_running)
+        if (m_specs.at(task.m_job).m_gang)
+            gangs.emplace(step_of(task), run.m_run);
+        else
+        {
+            run.set_speed(speed, m_now);
+            schedule_end(id, task);
+        }
+    for (const auto& key : gangs)
+        if (const auto found = m_gangs.find(key); found != m_gangs.end() && found->second.m_complete)
+            set_gang_speed(key);
+}
+
+void simulated_cell::restart(int number)
+{
+    const auto id = worker_named(number);
+    auto& worker = m_workers.at(id);
+    const auto running = worker.m_running;
+    for (const auto& [task, run] : running)
+        break_gang(step_of(task), run.m_run, end_kind::broken);
+    worker.m_running.clear();
+    worker.m_ended.clear();
+    worker.m_last_end = 0;
+    ++worker.m_started_at;
+    if (const auto pending = std::exchange(worker.m_pending_renewal, std::nullopt))
+        schedule(m_now + m_options.m_network_delay,
+                 [id, sent = pending->m_sent, reply = to_leader()]
+                 {
+                     reply(renewal_answered{
+                         id, sent, fail(verdict::may_have_run, reason::target_failed, "reset")});
+                 });
+}
+
 void simulated_cell::end(const worker_id& id, const task_key& task, std::uint64_t run,
                          end_kind kind)
 {
@@ -424,14 +654,14 @@
 {
     schedule(leave_link(stop_bytes) + m_options.m_network_delay,
              [this, id = action.m_worker.m_id, task = action.m_task, run = action.m_run,
-              sent = action.m_sent]
+              sent = action.m_sent, reply = to_leader()]
              {
                  m_stopped += m_workers.at(id).m_running.count(task) != 0 ? 1 : 0;
                  end(id, task, run, end_kind::stopped);
                  break_gang(step_of(task), run, end_kind::broken);
                  schedule(m_now + m_options.m_network_delay,
-                          [this, id, task, run, sent] {
-                              feed(stop_answered{id, task, run, start_result{}, sent});
+                          [id, task, run, sent, reply] {
+                              reply(stop_answered{id, task, run, start_result{}, sent});
                           });
              });
 }
@@ -447,15 +677,16 @@
     constexpr duration margin = 600ms; // As added by leader_task.
     if (m_options.m_gives_up_calls)
         schedule(m_now + action.m_timeout,
-                 [this, call = action.m_call, step = action.m_step, vm = action.m_via]
+                 [call = action.m_call, step = action.m_step, vm = action.m_via,
+                  reply = to_leader()]
                  {
-                     feed(approval_answered{.m_call = call,
-                                            .m_step = step,
-                                            .m_via = vm,
-                                            .m_result =
-                                                fail(verdict::may_have_run, reason::timeout, "")});
+                     reply(approval_answered{.m_call = call,
+                                             .m_step = step,
+                                             .m_via = vm,
+                                             .m_result =
+                                                 fail(verdict::may_have_run, reason::timeout, "")});
                  });
-    approval_call call{.m_epoch = 2,
+    approval_call call{.m_epoch = m_backlog.m_self.m_epoch,
                        .m_step = action.m_step,
                        .m_workers = action.m_workers,
                        .m_timeout_ms = to_ms(action.m_expected + margin),
@@ -551,6 +782,8 @@
              [this, vm, call = entry.m_call, backlog_time, response_time, waited,
               result = std::move(result)]
              {
+                 if (call.m_epoch != m_backlog.m_self.m_epoch)
+                     return; // Of a former leader.
                  feed(approval_answered{.m_call = call.m_call,
                                         .m_step = call.m_step,
                                         .m_via = vm,
--- a/tests/cell/support/simulated_cell.hpp
+++ b/tests/cell/support/simulated_cell.hpp
@@ -54,6 +54,14 @@
     duration m_approval_lag{}; ///< Additional delay of approvals on their way to the leader.
     /// The leader gives up calls that aren't answered in time, as leader_task does.
     bool m_gives_up_calls = false;
+    double (*m_speed)(int worker) = nullptr; ///< Of a worker, by its position; nullptr: 1.
+    /// Standard deviation of the log of a step's work, compared with its kind's.
+    double m_work_deviation = 0;
+    /// Standard deviation of the log of a task's time, compared with its step's.
+    double m_task_deviation = 0;
+    /// Estimates are off by a share between these, upwards or downwards, differently for each job.
+    double m_min_estimate_error = 0;
+    double m_max_estimate_error = 0;
     unsigned m_seed = 1;
 };
 
@@ -80,6 +88,19 @@
     duration m_service_time{};
 };
 
+/// The jobs of one queue that ended, or that are beyond their objective, and were submitted in time.
+struct objective_counts
+{
+    int m_jobs = 0;
+    int m_late = 0;
+
+    double late_percent() const
+    {
+        constexpr double all = 100;
+        return m_jobs == 0 ? 0 : all * m_late / m_jobs;
+    }
+};
+
 /// Runs a coordinator against simulated store, workers, members and approval service on a virtual
 /// clock. The leader takes over a backlog of stored jobs; there are no failures.
 class simulated_cell
@@ -98,6 +119,27 @@
 
     void run(duration length);
 
+    /// The worker runs all its tasks at this speed from now on.
+    void set_speed(int worker, double speed);
+
+    /// The worker's process ends and starts again under its identifier.
+    void restart(int worker);
+
+    /// The leader's process ends. Another one takes over what was stored, and knows nothing else.
+    void change_leader();
+
+    /// Of jobs submitted from a time after the start on: whether they were done within the multiple
+    /// of their true work and the slack that their queue grants.
+    objective_counts objectives(const std::string& queue, duration submitted_after) const;
+
+    /// How often gangs that completed had members whose speeds differ by more than a tenth.
+    int unlike_gangs() const { return m_unlike_gangs; }
+    int complete_gangs() const { return m_complete_gangs; }
+    /// Starts on workers of at least this speed and on slower ones, by queue.
+    std::pair<int, int> starts_by_speed(const std::string& queue, double speed) const;
+    /// Calls this with each action of the leader.
+    std::function<void(const action&)> m_on_action;
+
     std::size_t live_jobs() const { return m_coordinator->live_jobs(); }
 
     /// The longest time that a step waited without a run while at least half of the capacity was
@@ -139,6 +181,13 @@
         instant m_service_free{};
         duration m_sent_work{}; ///< Of calls on their way or not answered by the service.
     };
+    /// A job as its caller sees it.
+    struct caller_view
+    {
+        instant m_submitted{};
+        instant m_done{}; ///< Zero: not yet.
+        duration m_objective{};
+    };
     struct issued_ticket
     {
         instant m_expires_at{};
@@ -154,9 +203,20 @@
     {
         std::vector<std::pair<worker_id, task_key>> m_started_members;
         bool m_complete = false;
+        int m_changes = 0; ///< Of its speed.
     };
 
     job_request request_of(const job_kind& kind);
+    double draw_unit();
+    double draw_normal();
+    void distort_estimate(step_spec& step);
+    void watch_objective(const job_id& id, const job_kind& kind, const step_spec& step);
+    std::function<void(event)> to_leader();
+    void store(const transaction& change);
+    void schedule_end(const worker_id& id, const task_key& task);
+    void schedule_gang_end(const std::pair<step_key, std::uint64_t>& key);
+    void set_gang_speed(const std::pair<step_key, std::uint64_t>& key);
+    void count_gang(const std::pair<step_key, std::uint64_t>& key);
     void schedule(instant when, std::function<void()> callback);
     /// When a call of the leader has left its link.
     instant leave_link(std::int64_t bytes);
@@ -218,8 +278,15 @@
     duration m_max_wait_beside_room{};
     std::string m_longest_wait_beside_room; ///< The job that waited so long.
     std::set<vm_id> m_called_vms;
+    std::map<job_id, caller_view> m_callers;
+    std::map<row_name, stored_row> m_rows;
+    std::map<std::string, std::map<double, int>> m_starts_by_speed; ///< By queue and speed.
+    int m_leaders = 0; ///< So far; answers to a former one are lost.
+    int m_unlike_gangs = 0;
+    int m_complete_gangs = 0;
     std::uint64_t m_version = 1;
     std::uint64_t m_random;
+    std::uint64_t m_random_times = 1; ///< Of the times of tasks and their estimates.
     std::uint64_t m_last_call = 0;
     std::size_t m_jobs = 0;
     instant m_measured_from = m_start;
--- a/tests/cell/support/simulated_worker.hpp
+++ b/tests/cell/support/simulated_worker.hpp
@@ -30,16 +30,36 @@
     {
         std::uint64_t m_run = 0;
         resources m_size;
-        duration m_work_time{};    ///< For a gang, counted from when it is complete.
+        duration m_work_time{};    ///< At speed 1; for a gang, counted from when it is complete.
         instant m_working_since{}; ///< Zero: waits for the rest of its gang.
+        duration m_done_before{};  ///< Of m_work_time, before m_working_since.
+        double m_speed = 1;        ///< Since then.
+        int m_changes = 0;         ///< Of the speed.
 
+        duration done(instant now) const
+        {
+            if (m_working_since == instant{})
+                return {};
+            const auto since = static_cast<double>((now - m_working_since).count());
+            return m_done_before + duration(static_cast<std::int64_t>(since * m_speed));
+        }
+        duration time_left(instant now) const
+        {
+            const auto left = static_cast<double>((m_work_time - done(now)).count());
+            return duration(static_cast<std::int64_t>(left / m_speed));
+        }
         int percent(instant now) const
         {
             constexpr int all = 100;
-            if (m_working_since == instant{})
-                return 0;
             return static_cast<int>(std::min<std::int64_t>(
-                all, all * (now - m_working_since) / std::max(m_work_time, duration(1))));
+                all, all * done(now) / std::max(m_work_time, duration(1))));
+        }
+        void set_speed(double speed, instant now)
+        {
+            m_done_before = done(now);
+            m_working_since = now;
+            m_speed = speed;
+            ++m_changes;
         }
     };
     /// A renewal that waits for a task to end.
@@ -53,6 +73,8 @@
     std::vector<ended_task> m_ended;
     std::uint64_t m_last_end = 0;
     std::optional<pending_renewal> m_pending_renewal;
+    double m_speed = 1;
+    std::uint64_t m_started_at = 1;
 
     resources used() const
     {
@@ -81,7 +103,8 @@
 
     worker_report report(instant now) const
     {
-        worker_report result{.m_clock_ms = to_ms(now.time_since_epoch()), .m_started_at = 1};
+        worker_report result{.m_clock_ms = to_ms(now.time_since_epoch()),
+                             .m_started_at = m_started_at};
         for (const auto& [task, run] : m_running)
             result.m_running.push_back(
                 {.m_task = task, .m_run = run.m_run, .m_progress_percent = run.percent(now)});
