--- a/bench/cell/pass_cost_main.cpp
+++ b/bench/cell/pass_cost_main.cpp
@@ -1,5 +1,7 @@
 // bench-cell measures what a leader's decisions cost on a virtual clock: a pass over waiting steps
-// of a full cell, by worker count and backlog, and a second of a large cell's load at its crest.
+// of a full cell, by worker count and backlog, a second of a large cell's load at its crest, and
+// what the limits of customers add to it.
+#include <algorithm>
 #include <chrono>
 #include <cstdint>
 #include <cstdio>
@@ -55,6 +57,21 @@
         run(100ms);
     }
 
+    /// The jobs submitted from now on belong to so many customers in turn.
+    void set_customers(int count, std::int64_t limit_millicores)
+    {
+        config_changed config{.m_version = 1};
+        for (int i = 0; i < count; ++i)
+        {
+            m_customers.emplace_back("customer-" + std::to_string(i));
+            config.m_customers.push_back({.m_name = m_customers.back(),
+                                          .m_limit = {.m_millicores = limit_millicores,
+                                                      .m_memory_mb = 16 * limit_millicores,
+                                                      .m_accelerators = limit_millicores}});
+        }
+        deliver(config);
+    }
+
     void submit(const load& kind)
     {
         job_request request;
@@ -66,7 +83,9 @@
                                           .m_service = service_id("pool"),
                                           .m_priority = kind.m_priority,
                                           .m_approval = kind.m_cost},
-                              request});
+                              request,
+                              m_customers.empty() ? customer_id()
+                                                  : m_customers[m_last_job % m_customers.size()]});
     }
 
     void run(duration length)
@@ -201,6 +220,7 @@
     std::multimap<instant, std::function<void()>> m_due;
     std::map<worker_id, worker> m_workers;
     std::map<job_id, std::int64_t> m_expected_ms;
+    std::vector<customer_id> m_customers;
     std::uint64_t m_last_job = 0;
     std::uint64_t m_version = 0;
     std::chrono::duration<double, std::micro> m_spent{};
@@ -283,6 +303,106 @@
                 cell.waiting());
 }
 
+// The leader's time for each task from its submission to its end, in us.
+double time_per_start(int customers)
+{
+    const load tasks{
+        "tasks", 0, 0, {}, {.m_size = {.m_millicores = 1000, .m_memory_mb = 1}, .m_expected_ms = 50}};
+    constexpr int rounds = 50;
+    constexpr int jobs_per_round = 100;
+    constexpr std::int64_t large_limit = 1000000;
+    busy_cell cell(36, 1100);
+    cell.set_customers(customers, large_limit);
+    const auto offer = [&]
+    {
+        for (int i = 0; i < rounds; ++i)
+        {
+            for (int k = 0; k < jobs_per_round; ++k)
+                cell.submit(tasks);
+            cell.run(100ms);
+        }
+    };
+    offer();
+    const auto before = cell.spent();
+    const int starts_before = cell.starts();
+    offer();
+    return (cell.spent() - before).count() / (cell.starts() - starts_before);
+}
+
+// Machines are busy with other work, so the least of several runs counts, taken in turns.
+void measure_starts()
+{
+    constexpr int runs = 7;
+    constexpr int customers = 200;
+    std::vector<double> without;
+    std::vector<double> with;
+    for (int i = 0; i < runs; ++i)
+    {
+        without.push_back(time_per_start(0));
+        with.push_back(time_per_start(customers));
+    }
+    std::sort(without.begin(), without.end());
+    std::sort(with.begin(), with.end());
+    std::printf("us per task with 1,100 workers, least and median of %d runs: %.2f and %.2f without "
+                "customers, %.2f and %.2f with %d\n",
+                runs, without.front(), without[runs / 2], with.front(), with[runs / 2], customers);
+}
+
+// The decision alone: whether the limit lets a task start.
+void measure_limit_check()
+{
+    constexpr int customers = 200;
+    constexpr int rounds = 5000;
+    customer_usage usage;
+    std::vector<customer_rules> rules;
+    for (int i = 0; i < customers; ++i)
+        rules.push_back({.m_name = customer_id("customer-" + std::to_string(i)),
+                         .m_limit = {.m_millicores = 10000, .m_memory_mb = 10000}});
+    usage.set_limits(rules);
+    int allowed = 0;
+    const auto begin = std::chrono::steady_clock::now();
+    for (int i = 0; i < rounds; ++i)
+        for (customer_index customer = 1; customer < usage.end(); ++customer)
+        {
+            const customer_start start{.m_customer = customer,
+                                       .m_size = {.m_millicores = 1000, .m_memory_mb = 100}};
+            if (usage.max_starts(start, 1) == 0)
+                continue;
+            ++allowed;
+            usage.add(customer, start.m_size, true);
+            if (i % 2 == 0)
+                usage.remove(customer, start.m_size, true);
+        }
+    const std::chrono::duration<double, std::nano> spent = std::chrono::steady_clock::now() - begin;
+    std::printf("check and count of one start: %.0f ns (%d of %d allowed)\n",
+                spent.count() / (rounds * customers), allowed, rounds * customers);
+}
+
+// Steps that limits hold back beside free workers.
+void measure_held_passes(int waiting)
+{
+    constexpr int customers = 200;
+    busy_cell cell(36, 1100);
+    cell.set_customers(customers, lookups.m_step.m_size.m_millicores);
+    const load endless{"endless",
+                       0,
+                       0,
+                       {},
+                       {.m_size = lookups.m_step.m_size, .m_expected_ms = 1000000}};
+    for (int i = 0; i < customers; ++i)
+        cell.submit(endless);
+    cell.run(1s);
+    for (int i = 0; i < waiting; ++i)
+        cell.submit(lookups);
+    cell.run(5s);
+    constexpr duration measured = 4s;
+    const auto before = cell.spent();
+    cell.run(measured);
+    std::printf("%zu steps held back by limits, 1,100 workers, %d customers: %.0f us per pass\n",
+                cell.waiting(), customers,
+                (cell.spent() - before).count() / static_cast<double>(measured / tick_interval));
+}
+
 } // namespace
 
 int main()
@@ -295,4 +415,8 @@
     std::printf("a cell of 1,100 workers at its crest, in the coordinator: ");
     std::fflush(stdout);
     measure_crest();
+    measure_limit_check();
+    measure_starts();
+    for (const int waiting : {200, 1600})
+        measure_held_passes(waiting);
 }
--- a/src/dragonflygap/cell/coordinator.cpp
+++ b/src/dragonflygap/cell/coordinator.cpp
@@ -76,6 +76,7 @@
         }
         auto job =
             std::make_shared<job_state>(job_id(row.m_name.m_key), std::move(*record), m_memory);
+        job->m_customer = m_usage.index_of(job->record().m_customer);
         job->restore({});
         job->m_since = m_now - age_of(job->record(), found.m_unix_ms);
         job->m_rank_time = rank_time_of(job->record(), job->m_since);
@@ -196,6 +197,11 @@
             m_calls[event.m_job].push_back({event.m_call, m_now});
         return;
     }
+    if (const auto wait = refused_for_customer(event))
+    {
+        m_actions->push_back(answer_call{event.m_call, call_status::rejected, *wait});
+        return;
+    }
     if (store_unavailable() || m_ready.size() >= m_options.m_max_ready_steps)
     {
         const bool unavailable = store_unavailable();
@@ -229,6 +235,7 @@
         return;
     }
     auto job = std::make_shared<job_state>(event.m_job, std::move(record), m_memory);
+    job->m_customer = m_usage.index_of(event.m_customer);
     job->m_since = m_now;
     job->m_rank_time = rank_time_of(job->record(), m_now);
     job->m_next_run = (m_chain.record().m_epoch - 1) * m_options.m_runs_per_epoch + 1;
@@ -271,6 +278,7 @@
     m_customers.clear();
     for (const auto& customer : event.m_customers)
         m_customers[customer.m_name] = customer;
+    m_usage.set_limits(event.m_customers);
 }
 
 job_state* coordinator::find(const job_id& job)
@@ -318,6 +326,7 @@
     job.m_dirty = true;
     m_dirty.insert(job.id());
     m_timetable.remove(job.id());
+    remember_unreported(job);
     for (auto& [k, steps] : job.open_occurrences())
         for (int s = 0; s < job.steps(); ++s)
         {
--- a/src/dragonflygap/cell/coordinator.hpp
+++ b/src/dragonflygap/cell/coordinator.hpp
@@ -17,6 +17,8 @@
 #include "dragonflygap/cell/approvals.hpp"
 #include "dragonflygap/cell/call_window.hpp"
 #include "dragonflygap/cell/commit_chain.hpp"
+#include "dragonflygap/cell/customer_gate.hpp"
+#include "dragonflygap/cell/customer_usage.hpp"
 #include "dragonflygap/cell/election.hpp"
 #include "dragonflygap/cell/events.hpp"
 #include "dragonflygap/cell/job_state.hpp"
@@ -121,6 +123,7 @@
     /// it about once a second.
     wait_report report_waits(std::size_t max_by_rank, std::size_t max_by_age) const;
     const leader_counts& counts() const { return m_counts; }
+    const customer_usage& customers() const { return m_usage; }
     /// Approval calls whose end isn't counted yet.
     std::size_t open_approvals() const { return m_open_approvals.size(); }
     /// True if the window counts each open call that wasn't given up, and no other.
@@ -290,6 +293,7 @@
     void restore_workers(const recovered_state& found);
     void restore_uses(const recovered_state& found, std::span<worker_state* const> workers);
     void begin_use(worker_state& worker);
+    bool is_silent(const worker_state& worker) const;
     void give_up_if_silent(worker_state& worker);
     void set_earlier_leases(worker_state& worker, instant until, std::int64_t until_ms);
     void record_report(worker_state& worker);
@@ -347,6 +351,22 @@
     static const step_approval* approval_of(const job_state& job, const step_key& key);
     static int max_tasks_on(const worker_state& worker, const step_spec& spec, const step_key& key);
 
+    // coordinator_customers.cpp: the limits of customers
+    std::optional<std::int64_t> refused_for_customer(const job_submitted& event) const;
+    customer_start start_of(const job_state& job, const step_key& key) const;
+    int startable(const job_state& job, const step_key& key) const;
+    int claimed_tasks(const job_state& job, const step_key& key, const room_claim& claim) const;
+    bool overtakes(const job_state& job, const step_key& key) const;
+    bool orders_are_clear(customer_index customer) const;
+    bool is_held_back(std::size_t position);
+    void hold_back(std::size_t position, instant since);
+    void close_gate(const ready_step& ready);
+    void give_up_room(ready_step& ready);
+    void count_unknown_use();
+    bool may_run_unknown_tasks(const worker_state& worker) const;
+    std::vector<resources> restored_sizes() const;
+    void remember_unreported(const job_state& job);
+
     // coordinator_waits.cpp: reports about waiting steps
     void
     for_each_due_step(const std::function<void(const job_state&, const step_key&)>& visit) const;
@@ -390,6 +410,10 @@
     std::map<queue_id, double> m_approval_rates;
     std::map<worker_id, worker_state> m_workers;
     worker_index m_index;
+    customer_usage m_usage;
+    customer_gate m_gate;
+    /// Tasks of restored jobs that ended while no worker had reported them.
+    std::map<customer_index, resources> m_restored_ended;
     std::map<customer_id, customer_rules> m_customers; ///< In force; empty: none, or unknown yet.
     instant m_store_heard_at{};                        ///< When the store last answered any VM.
     instant m_list_confirmed_at{}; ///< All changes of the list of workers until then are known.
@@ -402,7 +426,7 @@
     std::set<job_id> m_refused;        ///< By the store, so they are sent alone.
     std::size_t m_worker_rows = 0;     ///< That the store may have.
     instant m_workers_not_before{};    ///< Backoff after the store refused these rows.
-    room_claims m_claims{m_index};
+    room_claims m_claims{m_index, &m_usage};
     std::uint64_t m_last_approval_call = 0;
     std::map<std::uint64_t, open_approval> m_open_approvals; ///< By number, thus by age.
     response_time m_order_time;
@@ -412,6 +436,7 @@
     // State of one placement pass.
     resources m_max_free;                ///< The maximum of any open worker, for each resource.
     std::vector<worker_number> m_closed; ///< Workers closed for gangs.
+    std::size_t m_held_in_pass = 0;      ///< Steps so far that limits of customers hold back.
     bool m_workers_usable = false;       ///< As of the last tick, this leader may start tasks.
     /// Whether one of a number of VMs can serve an approval call; as far as looked up.
     std::map<std::size_t, bool> m_free_vms;
@@ -425,6 +450,7 @@
     instant m_last_lapse_count{};
     instant m_last_expiry_check{};
     instant m_last_lateness_check{};
+    instant m_last_restored_count{};
     leader_counts m_counts;
 };
 
--- a/src/dragonflygap/cell/coordinator_approvals.cpp
+++ b/src/dragonflygap/cell/coordinator_approvals.cpp
@@ -96,6 +96,7 @@
     m_free_vms.clear();
     if (!draft.m_claim.m_firm.empty())
         set_drained(step, {});
+    draft.m_claim.m_tasks = claimed_tasks(job, key, draft.m_claim);
     m_claims.set(key, std::move(draft.m_claim));
     return true;
 }
@@ -148,16 +149,16 @@
                                                         std::size_t max_workers)
 {
     const auto& spec = job.spec(key.m_step);
-    const auto& step = job.step(key.m_occurrence, key.m_step);
-    approval_draft draft{
-        .m_max_workers = max_workers,
-        .m_claim = {.m_priority = job.record().m_queue.m_priority, .m_size = size_of(spec)}};
+    approval_draft draft{.m_max_workers = max_workers,
+                         .m_claim = {.m_priority = job.record().m_queue.m_priority,
+                                     .m_size = size_of(spec),
+                                     .m_customer = job.m_customer}};
     draft.m_claim.m_firm = find_places(job, key, ticket_need::known, plan_order::best_fit);
     if (spec.m_gang && draft.m_claim.m_firm.size() + min_spare > max_workers)
         draft.m_claim.m_firm =
             find_places(job, key, ticket_need::known, plan_order::fewest_workers);
     choose_approved(job, key, until_answer, draft);
-    if (task_count(draft.m_claim.m_firm) < step.m_waiting)
+    if (task_count(draft.m_claim.m_firm) < startable(job, key))
         choose_unknown(job, key, draft);
     return draft;
 }
@@ -232,7 +233,7 @@
     const auto& step = job.step(key.m_occurrence, key.m_step);
     const auto size = size_of(spec);
     const double rate = approval_rate(job.record().m_queue.m_name);
-    const double wanted_tasks = wanted_factor * step.m_waiting + wanted_extra;
+    const double wanted_tasks = wanted_factor * startable(job, key) + wanted_extra;
     const auto could_hold = [&](const worker_state& worker)
     { return suits(worker, job, spec) && size.fits_in(worker.m_info.m_capacity); };
     const double least = count_full ? full_worker_tasks : 0;
--- a/src/dragonflygap/cell/coordinator_lives.cpp
+++ b/src/dragonflygap/cell/coordinator_lives.cpp
@@ -25,7 +25,7 @@
     // task isn't waiting before a report lists the run or a stop was acknowledged.
     for (auto& [key, placed] : worker.m_placements)
     {
-        placed.m_phase = placement_phase::unknown;
+        worker.set_phase(placed, placement_phase::unknown);
         placed.m_stop_acknowledged = false;
         placed.m_stop_in_flight = false;
         placed.m_confirmed_at = {};
--- a/src/dragonflygap/cell/coordinator_orders.cpp
+++ b/src/dragonflygap/cell/coordinator_orders.cpp
@@ -15,8 +15,11 @@
     const auto max_delay = max_start_delay();
     const auto& spec = job.spec(key.m_step);
     const auto& task = *job.find(key);
-    placement placed{
-        .m_run = run, .m_size = size_of(spec), .m_started = m_now, .m_progress_at = m_now};
+    placement placed{.m_run = run,
+                     .m_size = size_of(spec),
+                     .m_customer = job.m_customer,
+                     .m_started = m_now,
+                     .m_progress_at = m_now};
     worker.add(key, placed);
     m_index.update_room(worker);
     m_index.mark_changed(worker);
@@ -57,7 +60,7 @@
     job_state* job = find(event.m_task.m_job);
     if (event.m_result && event.m_result->m_refusal == start_refusal::none)
     {
-        placed.m_phase = placement_phase::running;
+        worker.set_phase(placed, placement_phase::running);
         placed.m_confirmed_at = m_now;
         if (job != nullptr)
             job->mark_started();
@@ -84,7 +87,7 @@
     if (unanswered || refusal == start_refusal::outdated)
     {
         // The run may have started or may start later: only an acknowledged stop resolves it.
-        placed.m_phase = placement_phase::unknown;
+        worker.set_phase(placed, placement_phase::unknown);
         worker.request_stop(placed, m_now);
         worker.m_avoid_until = std::max(worker.m_avoid_until, m_now + avoid_unhealthy);
         worker.m_next_renewal = std::min(worker.m_next_renewal, m_now);
--- a/src/dragonflygap/cell/coordinator_placing.cpp
+++ b/src/dragonflygap/cell/coordinator_placing.cpp
@@ -20,6 +20,12 @@
     for (std::size_t position = 0; position < m_ready.size();)
     {
         const auto ready_before = m_ready.size();
+        if (is_held_back(position))
+        {
+            ++m_held_in_pass;
+            ++position;
+            continue;
+        }
         if (may_continue(m_ready.at(position), m_ready.wake_at(position)))
             place_step(position);
         // A step without waiting tasks is no longer ready.
@@ -34,6 +40,9 @@
 void coordinator::begin_pass()
 {
     m_workers_unsynced = workers_unsynced();
+    count_unknown_use();
+    m_gate.begin_pass(m_now);
+    m_held_in_pass = 0;
     m_free_vms.clear();
     m_index.take_grown();
     for (const auto number : std::exchange(m_closed, {}))
@@ -100,11 +109,15 @@
     const auto rank = ready.m_rank;
     const auto& key = rank.m_step;
     ready.m_wanted_call = {};
+    ready.m_held_back = false;
+    const auto over_limit_since = std::exchange(ready.m_over_limit_since, instant{});
     if (!should_try_placing(ready))
         return m_ready.set_wake_at(position, next_visit(ready));
     auto& step = *ready.m_state;
     const step_approval* approved = approval_of(*job, key);
     m_claims.suspend(key);
+    if (startable(*job, key) == 0)
+        return hold_back(position, over_limit_since);
     if (job->m_stored)
         place_tasks(*job, key, approved);
     if (step.m_waiting == 0)
@@ -112,6 +125,8 @@
         m_claims.drop(key);
         return;
     }
+    if (startable(*job, key) == 0)
+        return hold_back(position, over_limit_since);
     if (m_order_window.full() && (approved == nullptr || !approved->m_tickets.empty()))
     {
         // It keeps its places and goes on once orders were answered.
@@ -128,7 +143,7 @@
         step.m_next_attempt_at = m_now + 1ms;
     }
     if (!call_in_flight && m_now >= step.m_next_attempt_at)
-        request_capacity(ready, position);
+        request_capacity(ready, position - std::min(position, m_held_in_pass));
     m_ready.set_wake_at(position, next_visit(ready));
 }
 
@@ -263,7 +278,7 @@
                                                 plan_order order, bool avoid_claims) const
 {
     const auto& spec = job.spec(key.m_step);
-    const int count = job.step(key.m_occurrence, key.m_step).m_waiting;
+    const int count = startable(job, key);
     const int priority = job.record().m_queue.m_priority;
     std::vector<candidate> candidates;
     std::set<rack_id> racks;
@@ -296,8 +311,8 @@
     return task_count(places) == count ? places : std::vector<task_places>{};
 }
 
-// Places for a step's waiting tasks; for a gang, all or none. Avoids capacity claimed by steps of
-// lower priority if the rest is sufficient.
+// Places for a step's tasks that may start; for a gang, all or none. Avoids capacity claimed by
+// steps of lower priority if the rest is sufficient.
 std::vector<task_places> coordinator::find_places(const job_state& job, const step_key& key,
                                                   ticket_need need, plan_order order)
 {
@@ -305,7 +320,7 @@
         return {};
     const auto eligible = eligible_workers(job, key, need);
     auto places = places_on(eligible, job, key, order, true);
-    if (task_count(places) == job.step(key.m_occurrence, key.m_step).m_waiting ||
+    if (task_count(places) == startable(job, key) ||
         !m_claims.any_below(job.record().m_queue.m_priority))
         return places;
     return places_on(eligible, job, key, order, false);
--- a/src/dragonflygap/cell/coordinator_waits.cpp
+++ b/src/dragonflygap/cell/coordinator_waits.cpp
@@ -61,7 +61,7 @@
     {
         const job_state* m_job;
         step_key m_step;
-        bool m_queued;
+        const ready_step* m_ready; ///< nullptr: placement passes don't visit it.
         instant m_since;
     };
     wait_report result;
@@ -77,14 +77,16 @@
                                               {.m_now = m_now,
                                                .m_unix_ms = m_unix_ms,
                                                .m_workers_unsynced = m_workers_unsynced,
-                                               .m_queued = step.m_queued}));
+                                               .m_queued = step.m_ready != nullptr,
+                                               .m_held_back = step.m_ready != nullptr &&
+                                                              step.m_ready->m_held_back}));
     };
     std::set<step_key> reported;
     for (std::size_t i = 0; i < std::min(max_by_rank, m_ready.size()); ++i)
     {
         const auto& ready = m_ready.at(i);
         reported.insert(ready.m_rank.m_step);
-        add({ready.m_job.get(), ready.m_rank.m_step, true, {}});
+        add({ready.m_job.get(), ready.m_rank.m_step, &ready, {}});
     }
     std::vector<candidate> oldest;
     auto consider = [&](const job_state& job, const step_key& key)
@@ -94,11 +96,11 @@
         if (!is_waiting(job, key, m_workers, m_unix_ms))
             return;
         const auto since = waiting_since(job, key);
-        const bool queued = m_ready.contains(rank_of(job, key));
+        const auto* ready = m_ready.find(rank_of(job, key));
         auto& pass = result.m_pass;
         ++pass.m_steps_waiting;
         pass.m_gangs_waiting += job.spec(key.m_step).m_gang ? 1 : 0;
-        pass.m_not_queued += queued ? 0 : 1;
+        pass.m_not_queued += ready == nullptr ? 1 : 0;
         pass.m_oldest_wait = std::max(pass.m_oldest_wait, m_now - since);
         if (reported.count(key) != 0 ||
             (oldest.size() == max_by_age && since >= oldest.back().m_since))
@@ -106,7 +108,7 @@
         oldest.insert(std::upper_bound(oldest.begin(), oldest.end(), since,
                                        [](instant value, const candidate& other)
                                        { return value < other.m_since; }),
-                      {&job, key, queued, since});
+                      {&job, key, ready, since});
         if (oldest.size() > max_by_age)
             oldest.pop_back();
     };
--- a/src/dragonflygap/cell/coordinator_worker_list.cpp
+++ b/src/dragonflygap/cell/coordinator_worker_list.cpp
@@ -40,6 +40,7 @@
     if (inserted)
     {
         worker.m_info.m_id = id;
+        worker.m_usage = &m_usage;
         m_index.add(worker);
     }
     return worker;
--- a/src/dragonflygap/cell/coordinator_worker_use.cpp
+++ b/src/dragonflygap/cell/coordinator_worker_use.cpp
@@ -86,16 +86,20 @@
     return worker.m_use == worker_use::allowed && leadership_confirmed();
 }
 
-// A worker that doesn't answer isn't used any more, and its successors learn that from the store.
-void coordinator::give_up_if_silent(worker_state& worker)
+// True if a renewal has had no answer for a while.
+bool coordinator::is_silent(const worker_state& worker) const
 {
     constexpr duration answer_timeout = 500ms; // workers answer within milliseconds
     const bool failing = worker.m_failing_since != instant{};
+    const auto since = failing ? worker.m_failing_since : worker.m_renewal_sent_at;
+    return (failing || worker.m_renewing) && m_now - since >= answer_timeout;
+}
+
+// A worker that doesn't answer isn't used any more, and its successors learn that from the store.
+void coordinator::give_up_if_silent(worker_state& worker)
+{
     if (!m_store_clock_known || worker.m_use != worker_use::allowed || worker.m_synced ||
-        !(failing || worker.m_renewing))
-        return;
-    const auto silent_since = failing ? worker.m_failing_since : worker.m_renewal_sent_at;
-    if (m_now - silent_since < answer_timeout)
+        !is_silent(worker))
         return;
     worker.m_use = worker_use::none;
     m_workers_dirty = true;
--- a/src/dragonflygap/cell/coordinator_workers.cpp
+++ b/src/dragonflygap/cell/coordinator_workers.cpp
@@ -182,7 +182,10 @@
         const bool expected =
             task != nullptr && !job->m_outcome && task->m_status == task_status::waiting;
         if (placed.m_size_known)
+        {
             placed.m_size = size_of(job->spec(running.m_task.m_step));
+            placed.m_customer = job->m_customer;
+        }
         worker.add(running.m_task, placed);
         m_index.update_room(worker);
         known = worker.m_placements.find(running.m_task);
@@ -204,7 +207,7 @@
         return;
     if (job != nullptr)
         job->mark_started();
-    placed.m_phase = placement_phase::running;
+    worker.set_phase(placed, placement_phase::running);
     placed.m_listed = true;
     if (placed.m_confirmed_at == instant{})
         placed.m_confirmed_at = m_now;
--- a/src/dragonflygap/cell/job_state.hpp
+++ b/src/dragonflygap/cell/job_state.hpp
@@ -9,6 +9,7 @@
 #include <vector>
 
 #include "dragonflygap/cell/approvals.hpp"
+#include "dragonflygap/cell/customer_usage.hpp"
 #include "dragonflygap/cell/memory_budget.hpp"
 #include "dragonflygap/cell/number_ranges.hpp"
 #include "dragonflygap/cell/records.hpp"
@@ -145,6 +146,7 @@
     /// From an earlier leader: its tasks may run on workers that haven't reported.
     bool m_restored = false;
     std::uint64_t m_next_run = 1;
+    customer_index m_customer = no_customer;
     instant m_since{};                       ///< When the job was accepted, by this leader's clock.
     instant m_rank_time{};                   ///< Its order among jobs of the same priority.
     lateness m_lateness = lateness::on_time; ///< As last looked at.
--- a/src/dragonflygap/cell/ready_queue.cpp
+++ b/src/dragonflygap/cell/ready_queue.cpp
@@ -17,9 +17,14 @@
 }
 
 bool ready_queue::contains(const step_rank& rank) const
+{
+    return find(rank) != nullptr;
+}
+
+const ready_step* ready_queue::find(const step_rank& rank) const
 {
     const auto position = lower_bound(rank);
-    return position < size() && at(position).m_rank == rank;
+    return position < size() && at(position).m_rank == rank ? &at(position) : nullptr;
 }
 
 void ready_queue::insert(const step_rank& rank, const std::shared_ptr<job_state>& job)
@@ -32,7 +37,8 @@
         std::make_unique<ready_step>(ready_step{.m_rank = rank,
                                                 .m_job = job,
                                                 .m_state = &job->step(key.m_occurrence, key.m_step),
-                                                .m_task_size = size_of(job->spec(key.m_step))});
+                                                .m_task_size = size_of(job->spec(key.m_step)),
+                                                .m_customer = job->m_customer});
     m_slots.insert(m_slots.begin() + static_cast<std::ptrdiff_t>(position),
                    {.m_step = std::move(added)});
 }
--- a/src/dragonflygap/cell/ready_queue.hpp
+++ b/src/dragonflygap/cell/ready_queue.hpp
@@ -2,6 +2,7 @@
 
 #include <compare>
 #include <cstddef>
+#include <cstdint>
 #include <memory>
 #include <vector>
 
@@ -33,6 +34,11 @@
     /// waits for no VM.
     duration m_wanted_call{};
     bool m_without_room = false; ///< No worker had room for one of its tasks.
+    customer_index m_customer = no_customer;
+    bool m_held_back = false; ///< By its customer's limit, itself or behind another step.
+    /// Since when the limit has held it back itself; zero: it doesn't.
+    instant m_over_limit_since{};
+    std::uint64_t m_limit_changes = 0; ///< Of its customer, when the limit last held it back.
 };
 
 /// The ready steps of a cell in order of rank. Each has a time at which it is looked at again, so
@@ -51,6 +57,9 @@
     /// The next pass looks at the step, if it is ready.
     void wake(const step_rank& rank);
 
+    /// nullptr if the step isn't there.
+    const ready_step* find(const step_rank& rank) const;
+
     /// By position in the order of rank.
     ready_step& at(std::size_t position) const { return *m_slots[position].m_step; }
     instant wake_at(std::size_t position) const { return m_slots[position].m_wake_at; }
--- a/src/dragonflygap/cell/room_claims.cpp
+++ b/src/dragonflygap/cell/room_claims.cpp
@@ -3,20 +3,10 @@
 #include <algorithm>
 #include <utility>
 
-namespace dragonflygap::cell
-{
-
-namespace
-{
+#include "dragonflygap/cell/task_size.hpp"
 
-resources times(const resources& size, int count)
+namespace dragonflygap::cell
 {
-    return {.m_millicores = size.m_millicores * count,
-            .m_memory_mb = size.m_memory_mb * count,
-            .m_accelerators = size.m_accelerators * count};
-}
-
-} // namespace
 
 void room_claims::set(const step_key& step, room_claim claim)
 {
@@ -96,6 +86,8 @@
 
 void room_claims::add_firm(const room_claim& claim)
 {
+    if (m_usage != nullptr && claim.m_tasks > 0)
+        m_usage->add_claim(claim.m_customer, claim.m_priority, times(claim.m_size, claim.m_tasks));
     for (const auto& place : claim.m_firm)
     {
         auto& worker = m_workers.at(place.m_worker);
@@ -106,6 +98,9 @@
 
 void room_claims::remove_firm(const room_claim& claim)
 {
+    if (m_usage != nullptr && claim.m_tasks > 0)
+        m_usage->remove_claim(claim.m_customer, claim.m_priority,
+                              times(claim.m_size, claim.m_tasks));
     for (const auto& place : claim.m_firm)
     {
         auto& worker = m_workers.at(place.m_worker);
--- a/src/dragonflygap/cell/room_claims.hpp
+++ b/src/dragonflygap/cell/room_claims.hpp
@@ -26,6 +26,9 @@
     /// Available to others, but avoided when choosing workers for an approval call.
     std::vector<task_places> m_tentative;
     double m_approval_rate = 0; ///< Expected share of the tentative places that is approved.
+    /// Whose limit the step's tasks will use, and for how many of them.
+    customer_index m_customer = no_customer;
+    int m_tasks = 0;
 };
 
 /// The claims of all steps, kept at the workers they are for. Claims bind steps of the same or
@@ -33,7 +36,10 @@
 class room_claims
 {
 public:
-    explicit room_claims(worker_index& workers) : m_workers(workers) {}
+    explicit room_claims(worker_index& workers, customer_usage* usage = nullptr)
+        : m_workers(workers), m_usage(usage)
+    {
+    }
 
     /// Replaces the step's claim.
     void set(const step_key& step, room_claim claim);
@@ -46,7 +52,8 @@
     /// True if steps of lower priority have firm places.
     bool any_below(int priority) const;
 
-    /// Removes a step's own firm claim until resume(), so that the step can use this capacity.
+    /// Removes a step's own firm claim until resume(), so that the step can use this capacity and
+    /// this part of its customer's limit.
     void suspend(const step_key& step);
     void resume();
 
@@ -60,6 +67,7 @@
     void count_firm(int priority, int change);
 
     worker_index& m_workers;
+    customer_usage* m_usage; ///< May be null.
     std::map<step_key, room_claim> m_claims;
     std::optional<step_key> m_suspended; ///< One of m_claims.
     std::map<int, int> m_firm_counts;    ///< Claims with firm places, by priority.
--- a/src/dragonflygap/cell/task_size.hpp
+++ b/src/dragonflygap/cell/task_size.hpp
@@ -17,6 +17,13 @@
     return size;
 }
 
+inline resources times(const resources& size, int count)
+{
+    return {.m_millicores = size.m_millicores * count,
+            .m_memory_mb = size.m_memory_mb * count,
+            .m_accelerators = size.m_accelerators * count};
+}
+
 /// Number of tasks of a size that fit into a capacity.
 inline int fit_count(const resources& size, const resources& capacity)
 {
--- a/src/dragonflygap/cell/wait_report.hpp
+++ b/src/dragonflygap/cell/wait_report.hpp
@@ -18,6 +18,7 @@
     std::uint64_t m_workers_named = 0; ///< Workers in the answered calls.
     std::uint64_t m_starts_refused = 0;
     std::uint64_t m_stops_failed = 0; ///< Stop calls without an answer, or refused as unhealthy.
+    std::uint64_t m_steps_held_back = 0; ///< Visits of steps that a customer's limit held back.
 };
 
 /// State after the last placement pass.
--- a/src/dragonflygap/cell/waiting_cause.cpp
+++ b/src/dragonflygap/cell/waiting_cause.cpp
@@ -180,6 +180,8 @@
         return waiting_cause::workers_unsynced;
     if (circumstances.m_now < step.m_not_before)
         return waiting_cause::backoff;
+    if (circumstances.m_held_back)
+        return waiting_cause::customer_limit;
     return cause_of_capacity(job, key, capacity);
 }
 
@@ -197,6 +199,7 @@
                                           "not_stored",
                                           "workers_unsynced",
                                           "backoff",
+                                          "customer_limit",
                                           "too_few_workers",
                                           "room_held",
                                           "no_room",
--- a/src/dragonflygap/cell/waiting_cause.hpp
+++ b/src/dragonflygap/cell/waiting_cause.hpp
@@ -23,6 +23,7 @@
     not_stored,
     workers_unsynced, ///< A restored job may run on workers that haven't reported yet.
     backoff,
+    customer_limit,     ///< The limit of its customer holds it back, or a step before it.
     too_few_workers,    ///< The listed suitable workers couldn't hold it even if empty.
     room_held,          ///< Enough capacity is free, but held for steps before it.
     no_room,            ///< Workers with a ticket, or approved ones, are too full.
@@ -43,6 +44,7 @@
     std::int64_t m_unix_ms = 0;
     bool m_workers_unsynced = false;
     bool m_queued = true; ///< Placement passes visit the step.
+    bool m_held_back = false; ///< By the limit of its customer.
 };
 
 /// A step's wait at one instant.
--- a/src/dragonflygap/cell/worker_state.hpp
+++ b/src/dragonflygap/cell/worker_state.hpp
@@ -4,8 +4,10 @@
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <utility>
 #include <vector>
 
+#include "dragonflygap/cell/customer_usage.hpp"
 #include "dragonflygap/cell/worker.hpp"
 #include "dragonflygap/core/time.hpp"
 
@@ -37,7 +39,8 @@
     std::uint64_t m_run = 0;
     resources m_size;
     bool m_size_known = true; ///< False: the job is unknown, so the worker may be full.
-    placement_phase m_phase = placement_phase::starting;
+    customer_index m_customer = no_customer;
+    placement_phase m_phase = placement_phase::starting; ///< Changed by worker_state only.
     bool m_listed = false; ///< The worker has reported in its present life that the task runs.
     bool m_stop_requested = false;
     bool m_stop_in_flight = false;
@@ -96,6 +99,7 @@
     /// When this leader learned of that life; what was sent before was meant for a former one.
     instant m_life_since{};
     resources m_used;
+    customer_usage* m_usage = nullptr; ///< Is told of each run that begins or ends; may be null.
     std::map<task_key, placement> m_placements;
     int m_unknown_size_count = 0; ///< Placements whose size isn't known.
     int m_stop_request_count = 0; ///< Placements that are to be stopped.
@@ -155,6 +159,10 @@
         m_used += placed.m_size;
         m_unknown_size_count += placed.m_size_known ? 0 : 1;
         m_stop_request_count += placed.m_stop_requested ? 1 : 0;
+        if (m_usage != nullptr)
+            m_usage->add(placed.m_customer, placed.m_size, placed.m_size_known);
+        if (m_usage != nullptr && placed.m_phase == placement_phase::starting)
+            m_usage->order_sent(placed.m_customer);
         m_placements.insert_or_assign(task, placed);
     }
 
@@ -163,9 +171,23 @@
         m_used -= placed->second.m_size;
         m_unknown_size_count -= placed->second.m_size_known ? 0 : 1;
         m_stop_request_count -= placed->second.m_stop_requested ? 1 : 0;
+        if (const auto& run = placed->second; m_usage != nullptr)
+            m_usage->remove(run.m_customer, run.m_size, run.m_size_known);
+        set_phase(placed->second, placement_phase::running); // settles its order
         m_placements.erase(placed);
     }
 
+    void set_phase(placement& placed, placement_phase phase)
+    {
+        const auto before = std::exchange(placed.m_phase, phase);
+        if (m_usage == nullptr || before == phase)
+            return;
+        if (before == placement_phase::starting)
+            m_usage->order_settled(placed.m_customer);
+        if (phase == placement_phase::unknown)
+            m_usage->order_unclear(placed.m_customer, placed.m_started);
+    }
+
     void remove_all()
     {
         while (!m_placements.empty())
--- a/src/dragonflygap/node/leader_report.cpp
+++ b/src/dragonflygap/node/leader_report.cpp
@@ -68,6 +68,7 @@
     }
     m_last_tick_at = started_at;
     count_approvals(state.counts());
+    m_customers.record(state, started_at);
     constexpr duration log_interval = 1s;
     constexpr std::size_t first_step_count = 8;
     constexpr std::size_t longest_waiting_count = 4;
--- a/src/dragonflygap/node/leader_report.hpp
+++ b/src/dragonflygap/node/leader_report.hpp
@@ -3,6 +3,7 @@
 #include "dragonflygap/cell/change_watch.hpp"
 #include "dragonflygap/cell/coordinator.hpp"
 #include "dragonflygap/core/time.hpp"
+#include "dragonflygap/node/customer_report.hpp"
 
 namespace dragonflygap
 {
@@ -17,7 +18,7 @@
 {
 public:
     leader_report(metrics& registry, duration tick_interval)
-        : m_metrics(registry), m_tick_interval(tick_interval)
+        : m_metrics(registry), m_customers(registry), m_tick_interval(tick_interval)
     {
     }
 
@@ -34,6 +35,7 @@
     void log_pass(const cell::coordinator& state, const cell::pass_summary& pass);
 
     metrics& m_metrics;
+    customer_report m_customers;
     duration m_tick_interval;
     instant m_last_tick_at{};
     instant m_last_log_at{};
