Unfinished: keys confirmed by a leader after a restart

Cause: with keys_expire_ms a restarted VM whose list of members is empty asked no leader. Change: a new leader is asked too, with a test.

--- a/src/dragonflygap/node/config_task.cpp
+++ b/src/dragonflygap/node/config_task.cpp
@@ -127,10 +127,7 @@
     if (m_adoption.offer_from_peer(message.m_config))
         return adopted("peer");
     if (config() == nullptr)
-    {
-        m_inquiries.add_peer(from);
         inquire();
-    }
 }
 
 void config_task::handle(const vm_id& from, const cell::config_inquiry& message)
--- a/src/dragonflygap/node/config_task.hpp
+++ b/src/dragonflygap/node/config_task.hpp
@@ -57,6 +57,8 @@
     void tick();
     /// The members of the cell, as last read from the store.
     void set_members(const std::map<vm_id, cell::member_record>& members);
+    /// Another VM leads, and sends heartbeats to this one.
+    void leader_changed(const vm_id& leader) { m_inquiries.add_peer(leader); }
     /// Sends the configuration to a peer that has an older one.
     void send_to(const vm_id& peer, std::uint64_t known_version);
 
--- a/src/dragonflygap/node/node_messages.cpp
+++ b/src/dragonflygap/node/node_messages.cpp
@@ -74,6 +74,7 @@
     {
         log_event(log_level::info, "leader_known",
                   {{"leader", from.m_value}, {"epoch", message.m_epoch}});
+        m_config.leader_changed(from);
         m_callers.leader_changed();
     }
     const auto answered_at = m_config.store_answered_at();
--- a/tests/node/customers_test.cpp
+++ b/tests/node/customers_test.cpp
@@ -335,6 +335,26 @@
     }
 }
 
+// Such a VM has never read the members from the store; only leaders call it.
+TEST(customers, keys_do_not_expire_on_a_restarted_vm_whose_leader_confirms)
+{
+    cell_world world({.m_vms = 4, .m_customers = 1, .m_keys_expire = 5s});
+    world.run(3s);
+    const auto vm = follower(world);
+    world.cut(vm, "store");
+    world.cut_power(vm);
+    world.run(1s);
+    world.start(vm);
+    world.run(apply_bound);
+    LONGS_EQUAL(accepted, world.try_key(vm, "key-of-c0"));
+    world.cut_power(world.leader());
+    for (int i = 0; i < 20; ++i)
+    {
+        world.run(500ms);
+        CHECK(world.try_key(vm, "never-issued") == unauthorized);
+    }
+}
+
 // No new version can be acknowledged meanwhile, but a VM can't tell that from being cut off.
 TEST(customers, keys_expire_everywhere_while_the_store_is_down)
 {
