--- a/tests/cell/job_owner_test.cpp
+++ b/tests/cell/job_owner_test.cpp
@@ -30,10 +30,17 @@
         return {};
     }
 
+    // A leader rejects jobs of customers that the configuration doesn't list.
+    static void list_customers(stub_cell & cell)
+    {
+        cell.feed(config_changed{1, {{.m_name = weaver}, {.m_name = dyer}}});
+    }
+
     call_status submit(stub_cell & cell, const std::string& id, const customer_id& customer)
     {
         job_request request;
         request.m_steps.push_back({.m_size = {.m_millicores = 100, .m_memory_mb = 10}});
+        list_customers(cell);
         const auto call = ++m_last_call;
         cell.feed(job_submitted{call,
                                 job_id(id),
@@ -64,6 +71,7 @@
     void setup() override
     {
         m_cell.list(1);
+        list_customers(m_cell);
         CHECK(submit(m_cell, "job", weaver) == call_status::accepted);
     }
 };
