--- a/review/rig-3/large_checkpoints.cpp
+++ b/review/rig-3/large_checkpoints.cpp
@@ -56,11 +56,25 @@
         std::int64_t longest = 0;
         std::int64_t idle_since = -1;
         std::string state;
+        bool small_sent = false;
         while (now_ms() < handed_in + 80000 && state != "completed" && state != "failed")
         {
             sleep_ms(20);
             if (now_ms() % 1000 < 20)
                 state = state_of(*machines[0], "/lohu930/" + id);
+            // Another job, to see whether the executors take any.
+            if (!small_sent && now_ms() > handed_in + 30000)
+            {
+                small_sent = true;
+                const std::string small_id = "7a215c0e36f8d94b";
+                job small{.m_specification = "(text)",
+                          .m_steps = {{.m_count = 2, .m_cpu = 500, .m_memory_mb = 256}}};
+                {
+                    const std::lock_guard lock(shared.m_mutex);
+                    shared.m_jobs[small_id] = small;
+                }
+                submit(machines, "/lohu930/" + small_id, small.body());
+            }
             if (running() > 0 || now_ms() < handed_in + 14000)
             {
                 idle_since = -1;
@@ -73,6 +87,9 @@
         record.line("for %lld ms on end nothing of the job ran, after 14 s; state %s after %.1f s",
                     static_cast<long long>(longest), state.c_str(),
                     static_cast<double>(now_ms() - handed_in) / 1000);
+        if (small_sent)
+            record.line("another job, handed in after 30 s: %s",
+                        state_of(*machines[0], "/lohu930/7a215c0e36f8d94b").c_str());
         result = state == "completed" ? 0 : (longest >= 3000 ? 1 : 0);
     }
     finish(result);
--- a/review/rig-3/lasting_task.cpp
+++ b/review/rig-3/lasting_task.cpp
@@ -18,9 +18,9 @@
         configuration(7, json::array({route("r-1", "/lohu930/", "huvo11a", 1, 3)}), "huvo11a")
             .dump());
     std::vector<std::unique_ptr<executor>> executors;
-    for (int i = 0; i < 8; ++i)
+    for (int i = 0; i < 16; ++i)
         executors.push_back(std::make_unique<executor>(
-            shared, platform, "i-7f3a91c" + std::to_string(i), "huvo11a",
+            shared, platform, "i-7f3a91" + std::to_string(10 + i), "huvo11a",
             std::string("norte-") + "abc"[i % 3], "r1-" + std::to_string(i / 4), 16000, 32768));
     std::vector<std::unique_ptr<machine>> machines;
     for (const char* zone : {"norte-a", "norte-b", "norte-c"})
--- a/review/rig-3/rig.hpp
+++ b/review/rig-3/rig.hpp
@@ -1291,19 +1291,8 @@
         add_child(process);
         record.line("machine %s starts", m_name.c_str());
     }
-    static double processor_ms(pid_t process)
-    {
-        clockid_t clock{};
-        timespec used{};
-        if (process <= 0 || clock_getcpuclockid(process, &clock) != 0 ||
-            clock_gettime(clock, &used) != 0)
-            return 0;
-        return static_cast<double>(used.tv_sec) * 1e3 + static_cast<double>(used.tv_nsec) / 1e6;
-    }
     void signal(int number)
     {
-        if (number == SIGSTOP || number == SIGCONT)
-            m_frozen = number == SIGSTOP;
         if (m_process > 0)
             ::kill(m_process, number);
     }
@@ -1316,33 +1305,6 @@
         ::waitpid(process, nullptr, 0);
         remove_child(process);
     }
-    /// From now on the process gets a share of a core, as a quota of each tenth of a second.
-    void limit_processor(double share)
-    {
-        std::thread(
-            [this, share]
-            {
-                constexpr std::int64_t window_ms = 100;
-                for (;;)
-                {
-                    const auto end = steady_ms() + window_ms;
-                    const auto process = m_process.load();
-                    const auto used_before = processor_ms(process);
-                    while (steady_ms() < end && m_process == process)
-                    {
-                        sleep_ms(1);
-                        const auto used = processor_ms(process) - used_before;
-                        if (process <= 0 || used < share * window_ms || m_process != process)
-                            continue;
-                        ::kill(process, SIGSTOP);
-                        sleep_ms(end - steady_ms());
-                        if (m_process == process && !m_frozen)
-                            ::kill(process, SIGCONT);
-                    }
-                }
-            })
-            .detach();
-    }
     /// True if the process ended by itself.
     bool ended()
     {
@@ -1375,20 +1337,6 @@
         return count;
     }
 
-    /// The time at the begin of the last line of the log that has the text; empty: none.
-    std::string last_line(const std::string& text) const
-    {
-        std::string result;
-        std::FILE* file = std::fopen(m_log.c_str(), "r");
-        char line[65536];
-        while (file != nullptr && std::fgets(line, sizeof line, file) != nullptr)
-            if (std::strstr(line, text.c_str()) != nullptr)
-                result = std::string(line).substr(0, std::string(line).find(' '));
-        if (file != nullptr)
-            std::fclose(file);
-        return result;
-    }
-
 private:
     std::string m_name;
     std::string m_program;
@@ -1398,7 +1346,6 @@
     int m_peer_port;
     int m_ready_port;
     std::atomic<pid_t> m_process{-1};
-    std::atomic<bool> m_frozen{false};
 };
 
 /// Starts all and waits until they are ready; exits with 2 if they aren't.
