review: case 12, a job that could be done is shown as failed (LOST)

Cause: a task that has failed once keeps an entry in the job's progress until its whole step is done. All entries go into one transaction, which the store refuses beyond 1 MB; after six refusals the job is ended as failed.

--- a/review/rig-3/rig.hpp
+++ b/review/rig-3/rig.hpp
@@ -464,7 +464,7 @@
     response handle(const request& call)
     {
         if (call.m_path == "/rows-tx")
-            return transaction(json::parse(call.m_body));
+            return transaction(json::parse(call.m_body), call.m_body.size());
         if (call.m_path == "/rows-get")
             return get(call);
         if (call.m_path == "/rows-feed")
@@ -475,9 +475,12 @@
     {
         return {entry.at("table"), entry.value("part", ""), entry.at("key")};
     }
-    response transaction(const json& body)
+    response transaction(const json& body, std::size_t size_of_call)
     {
+        constexpr std::size_t max_call_bytes = 1000000;
         constexpr std::int64_t transaction_ms = 5;
+        if (size_of_call > max_call_bytes)
+            return {400, "{}"};
         const lock_t part(m_part_mutex); // of one part, one after another
         sleep_ms(transaction_ms);
         const lock_t lock(m_mutex);
@@ -588,7 +591,9 @@
     std::string m_label{};
     int m_anti_affinity = 0;
     bool m_long_running = false;
-    double m_fails = 0; ///< Share of the runs that end failed, halfway.
+    double m_fails = 0;            ///< Share of the runs that end failed, halfway.
+    bool m_fails_once = false;     ///< Each task's first run does.
+    std::int64_t m_longest_ms = 0; ///< What the first task takes, if it takes longer.
 };
 struct job
 {
@@ -672,6 +677,8 @@
     std::map<std::string, std::set<std::string>> m_hosts;
     std::map<std::string, std::int64_t> m_done_at; ///< First end as done.
     std::set<std::string> m_done_noted;
+    std::set<std::string> m_began; ///< Tasks that have begun a run.
+    bool m_quiet = false;          ///< Starts, stops and ends aren't recorded each.
     std::map<std::string, std::set<std::int64_t>> m_failed_noted;
     std::vector<std::string> m_violations;
     void violation(const std::string& text)
@@ -681,6 +688,10 @@
     }
 
     static std::string step_of(const std::string& task) { return task.substr(0, task.rfind('.')); }
+    static std::int64_t work_of(const step& spec, const std::string& task)
+    {
+        return spec.m_longest_ms > 0 && task.ends_with(".0") ? spec.m_longest_ms : spec.m_work_ms;
+    }
     const step* find(const std::string& task)
     {
         const auto dot = task.find('.');
@@ -841,7 +852,7 @@
         std::int64_t next_beat = steady_ms() + 1500;
         for (;;)
         {
-            sleep_ms(10);
+            sleep_ms(m_world.m_quiet ? 50 : 10);
             {
                 const std::lock_guard lock(m_world.m_mutex);
                 if (m_dead)
@@ -899,7 +910,7 @@
                 run.m_saved = m_world.checkpoint(task, saved);
             if (run.m_fails && run.m_work >= static_cast<double>(spec->m_work_ms) / 2)
                 ends.emplace_back(task, "failed");
-            else if (run.m_work >= static_cast<double>(spec->m_work_ms))
+            else if (run.m_work >= static_cast<double>(world::work_of(*spec, task)))
                 ends.emplace_back(task, "done");
         }
         for (const auto& [task, how] : ends)
@@ -919,8 +930,9 @@
         m_ends.push_back(
             {++m_last_end, task, run.m_number, how, how == "done" ? "" : run.m_saved, m_lapses});
         m_world.m_ends.push_back({now_ms(), m_id, task, run.m_number, how, run.m_began_record});
-        record.line("%s: %s run %lld ends %s, saved '%.16s'", m_id.c_str(), task.c_str(),
-                    static_cast<long long>(run.m_number), how.c_str(), run.m_saved.c_str());
+        if (!m_world.m_quiet)
+            record.line("%s: %s run %lld ends %s, saved '%.16s'", m_id.c_str(), task.c_str(),
+                        static_cast<long long>(run.m_number), how.c_str(), run.m_saved.c_str());
         if (spec != nullptr && spec->m_gang && how != "done" && how != "alone")
             m_world.m_broken.insert({world::step_of(task), run.m_number});
         m_changed.notify_all();
@@ -969,8 +981,9 @@
         const auto saved = body.value("checkpoint", std::string());
         const auto* spec = m_world.find(task);
         m_world.m_starts.push_back({now_ms(), m_id, task, number, saved});
-        record.line("%s: start %s run %lld checkpoint '%.16s'", m_id.c_str(), task.c_str(),
-                    static_cast<long long>(number), saved.c_str());
+        if (!m_world.m_quiet)
+            record.line("%s: start %s run %lld checkpoint '%.16s'", m_id.c_str(), task.c_str(),
+                        static_cast<long long>(number), saved.c_str());
         if (spec == nullptr)
             return {400, "{}"};
         const auto found = m_running.find(task);
@@ -988,7 +1001,8 @@
         one.m_began_at_work = world::work_in(saved);
         one.m_began_record = now_ms();
         one.m_fails =
-            spec->m_fails > 0 && static_cast<double>(std::rand() % 1000) < 1000 * spec->m_fails;
+            (spec->m_fails_once && m_world.m_began.insert(task).second) ||
+            (spec->m_fails > 0 && static_cast<double>(std::rand() % 1000) < 1000 * spec->m_fails);
         one.m_work = static_cast<double>(one.m_began_at_work);
         m_running[task] = one;
         if (spec->m_gang)
@@ -1065,8 +1079,9 @@
     {
         const std::string task = body.at("task");
         const std::int64_t number = body.at("run");
-        record.line("%s: stop %s run %lld", m_id.c_str(), task.c_str(),
-                    static_cast<long long>(number));
+        if (!m_world.m_quiet)
+            record.line("%s: stop %s run %lld", m_id.c_str(), task.c_str(),
+                        static_cast<long long>(number));
         m_closed[task] = std::max(m_closed[task], number);
         if (const auto found = m_running.find(task);
             found != m_running.end() && found->second.m_number <= number)
