review: narrow the checks of cases 11 and 13, and fit the cases to them

Cause: both looked at a wide job itself, which has no room twice over if the rule means all its tasks, and in case 11 another job was handed in after the moment that was taken for the end of the traffic.

Added: a check of LOST with the room for all due tasks twice over and the room in use, from 14 s after the last hand-in on; case 11 looks at a second job, case 13 at eight jobs of one task. Case 12 records sums.

--- a/review/rig-3/large_checkpoints.cpp
+++ b/review/rig-3/large_checkpoints.cpp
@@ -41,56 +41,35 @@
         const std::lock_guard lock(shared.m_mutex);
         shared.m_jobs[id] = wide;
     }
-    const auto running = [&]
+    // The check is of this one, which is small and needs nothing but a place.
+    const std::string small_id = "7a215c0e36f8d94b";
+    job small{.m_specification = "(text)",
+              .m_steps = {{.m_count = 2, .m_cpu = 500, .m_memory_mb = 256}}};
     {
         const std::lock_guard lock(shared.m_mutex);
-        std::size_t result = 0;
-        for (const auto& [task, hosts] : shared.m_hosts)
-            result += hosts.empty() ? 0 : 1;
-        return result;
-    };
+        shared.m_jobs[small_id] = small;
+    }
     int result = 2;
     if (submit(machines, "/lohu930/" + id, wide.body()))
     {
-        const auto handed_in = now_ms();
-        std::int64_t longest = 0;
-        std::int64_t idle_since = -1;
-        std::string state;
-        bool small_sent = false;
-        while (now_ms() < handed_in + 80000 && state != "completed" && state != "failed")
+        sleep_ms(30000);
+        if (submit(machines, "/lohu930/" + small_id, small.body()))
         {
-            sleep_ms(20);
-            if (now_ms() % 1000 < 20)
-                state = state_of(*machines[0], "/lohu930/" + id);
-            // Another job, to see whether the executors take any.
-            if (!small_sent && now_ms() > handed_in + 30000)
-            {
-                small_sent = true;
-                const std::string small_id = "7a215c0e36f8d94b";
-                job small{.m_specification = "(text)",
-                          .m_steps = {{.m_count = 2, .m_cpu = 500, .m_memory_mb = 256}}};
-                {
-                    const std::lock_guard lock(shared.m_mutex);
-                    shared.m_jobs[small_id] = small;
-                }
-                submit(machines, "/lohu930/" + small_id, small.body());
-            }
-            if (running() > 0 || now_ms() < handed_in + 14000)
+            const auto traffic_ended = now_ms();
+            wait_check check(shared, executors, small_id);
+            while (now_ms() < traffic_ended + 45000)
             {
-                idle_since = -1;
-                continue;
+                sleep_ms(20);
+                if (now_ms() >= traffic_ended + 14000) // finish_s
+                    check.look();
             }
-            if (idle_since < 0)
-                idle_since = now_ms();
-            longest = std::max(longest, now_ms() - idle_since);
+            record.line("for %lld ms on end the small job had nothing running beside room",
+                        static_cast<long long>(check.longest_ms()));
+            record.line("GET of the wide job: %s, of the small one: %s",
+                        state_of(*machines[0], "/lohu930/" + id).c_str(),
+                        state_of(*machines[0], "/lohu930/" + small_id).c_str());
+            result = check.broken() ? 1 : 0;
         }
-        record.line("for %lld ms on end nothing of the job ran, after 14 s; state %s after %.1f s",
-                    static_cast<long long>(longest), state.c_str(),
-                    static_cast<double>(now_ms() - handed_in) / 1000);
-        if (small_sent)
-            record.line("another job, handed in after 30 s: %s",
-                        state_of(*machines[0], "/lohu930/7a215c0e36f8d94b").c_str());
-        result = state == "completed" ? 0 : (longest >= 3000 ? 1 : 0);
     }
     finish(result);
 }
--- a/review/rig-3/long_tasks.cpp
+++ b/review/rig-3/long_tasks.cpp
@@ -1,4 +1,4 @@
-// A job's tasks take minutes, longer than their rough estimate says. They have to run to their end.
+// The tasks of eight jobs take minutes, longer than their rough estimates say.
 #include "rig.hpp"
 
 using namespace rig;
@@ -28,63 +28,53 @@
             platform, std::string("frontend-") + zone + "-1", zone, folder, program));
     start_all(machines);
 
-    const std::string id = "5c0e7a21d94b36f8";
-    constexpr int tasks = 8;
+    constexpr int jobs = 8;
     constexpr std::int64_t work_ms = 600000;
-    job wide{.m_specification = "(text)",
-             .m_steps = {{.m_count = tasks,
-                          .m_cpu = 3000,
-                          .m_memory_mb = 1024,
-                          .m_work_ms = work_ms,
-                          .m_estimated_ms = trouble() ? 60000 : work_ms,
-                          .m_anti_affinity = 1}}};
+    const job one_task{.m_specification = "(text)",
+                       .m_steps = {{.m_count = 1,
+                                    .m_cpu = 9000,
+                                    .m_memory_mb = 1024,
+                                    .m_work_ms = work_ms,
+                                    .m_estimated_ms = trouble() ? 60000 : work_ms}}};
+    std::vector<std::string> ids;
+    for (int i = 0; i < jobs; ++i)
     {
+        ids.push_back("5c0e7a21d94b36f" + std::to_string(i));
         const std::lock_guard lock(shared.m_mutex);
-        shared.m_jobs[id] = wide;
+        shared.m_jobs[ids.back()] = one_task;
     }
-    const auto running = [&]
-    {
-        const std::lock_guard lock(shared.m_mutex);
-        int result = 0;
-        for (const auto& [task, hosts] : shared.m_hosts)
-            result += hosts.empty() ? 0 : 1;
-        return result;
-    };
     int result = 2;
-    if (submit(machines, "/lohu930/" + id, wide.body()))
+    if (std::all_of(ids.begin(), ids.end(),
+                    [&](const std::string& id)
+                    { return submit(machines, "/lohu930/" + id, one_task.body()); }))
     {
-        // The traffic has ended; finish_s after it, for 3 s, a job has nothing running while a
-        // task's turn has come, and there is room for it twice over.
-        const auto ended_at = now_ms();
-        std::int64_t longest = 0;
-        std::int64_t idle_since = -1;
-        result = 0;
-        while (now_ms() < ended_at + 75000)
+        const auto traffic_ended = now_ms();
+        std::vector<wait_check> checks;
+        for (const auto& id : ids)
+            checks.emplace_back(shared, executors, id);
+        while (now_ms() < traffic_ended + 45000)
         {
             sleep_ms(20);
-            if (now_ms() < ended_at + 14000)
-                continue;
-            if (running() > 0)
+            if (now_ms() >= traffic_ended + 14000) // finish_s
+                for (auto& check : checks)
+                    check.look();
+        }
+        result = 0;
+        for (std::size_t i = 0; i < ids.size(); ++i)
+        {
+            std::size_t starts = 0;
             {
-                idle_since = -1;
-                continue;
+                const std::lock_guard lock(shared.m_mutex);
+                for (const auto& start : shared.m_starts)
+                    starts += start.m_task.starts_with(ids[i]) ? 1 : 0;
             }
-            if (idle_since < 0)
-                idle_since = now_ms();
-            longest = std::max(longest, now_ms() - idle_since);
+            record.line(
+                "%s: started %zu times, for %lld ms on end nothing of it ran beside room; %s",
+                ids[i].c_str(), starts, static_cast<long long>(checks[i].longest_ms()),
+                state_of(*machines[0], "/lohu930/" + ids[i]).c_str());
+            if (checks[i].broken())
+                result = 1;
         }
-        if (longest >= 3000)
-            result = 1;
-        const std::lock_guard lock(shared.m_mutex);
-        std::size_t most = 0;
-        std::map<std::string, std::size_t> starts;
-        for (const auto& start : shared.m_starts)
-            most = std::max(most, ++starts[start.m_task]);
-        record.line(
-            "for %lld ms on end nothing of the job ran, though no executor had anything else"
-            " to do; a task was started %zu times; state %s",
-            static_cast<long long>(longest), most,
-            state_of(*machines[0], "/lohu930/" + id).c_str());
     }
     finish(result);
 }
--- a/review/rig-3/wide_failures.cpp
+++ b/review/rig-3/wide_failures.cpp
@@ -65,6 +65,22 @@
         for (const auto& end : shared.m_ends)
             if (end.m_how == "failed")
                 most = std::max(most, ++failures[end.m_task]);
+        for (int i = 0; i < steps; ++i)
+        {
+            const auto name = id + ".0." + std::to_string(i) + ".";
+            const auto starts =
+                std::count_if(shared.m_starts.begin(), shared.m_starts.end(),
+                              [&](const auto& start) { return start.m_task.starts_with(name); });
+            std::map<std::string, int> ends;
+            for (const auto& end : shared.m_ends)
+                if (end.m_task.starts_with(name))
+                    ++ends[end.m_how];
+            std::string text;
+            for (const auto& [how, times] : ends)
+                text += " " + how + " " + std::to_string(times);
+            record.line("step %d: %lld starts, ends:%s", i, static_cast<long long>(starts),
+                        text.c_str());
+        }
         record.line("the job is shown as %s; the most failures of one task are %d, %d are allowed",
                     state.c_str(), most, max_attempts - 1);
         if (state == "completed")
