--- a/src/dragonflygap/cell/coordinator.cpp
+++ b/src/dragonflygap/cell/coordinator.cpp
@@ -144,7 +144,7 @@
     {
         apply_due_occurrences();
         rank_late_jobs();
-        stop_stuck_tasks();
+        stop_stalled_tasks();
         remove_expired_workers();
     }
     check_list_age();
--- a/src/dragonflygap/cell/coordinator.hpp
+++ b/src/dragonflygap/cell/coordinator.hpp
@@ -26,6 +26,7 @@
 #include "dragonflygap/cell/occurrence_timetable.hpp"
 #include "dragonflygap/cell/ready_queue.hpp"
 #include "dragonflygap/cell/response_time.hpp"
+#include "dragonflygap/cell/stall_timeout.hpp"
 #include "dragonflygap/cell/task_plan.hpp"
 #include "dragonflygap/cell/wait_report.hpp"
 #include "dragonflygap/cell/worker_index.hpp"
@@ -37,6 +38,7 @@
 struct coordinator_options
 {
     worker_options m_workers;
+    stall_options m_stalls;
     commit_chain_options m_commits;
     approval_balancer_options m_approvals;
     response_time_options m_orders;
@@ -175,6 +177,15 @@
         room_claim m_claim;
         approval_pause m_pause = approval_pause::no_candidates; ///< If it names no worker.
     };
+    /// A run that has stood still for too long.
+    struct stalled_run
+    {
+        duration m_still{};          ///< For how long.
+        duration m_timeout{};        ///< How long it was allowed to.
+        duration m_unsaved{};        ///< Work that its stop loses.
+        int m_earlier_stops = 0;     ///< Of earlier runs of the task.
+        bool m_worker_still = false; ///< The worker's other runs stood still as long.
+    };
     /// Workers that a step hasn't asked about.
     struct unknown_workers
     {
@@ -286,12 +297,21 @@
     // coordinator_ends.cpp: ends and stops
     void send_stops(worker_state& worker);
     void log_failed_stop(const stop_answered& event, placement& placed);
-    void stop_stuck_tasks();
     void stop_gang(job_state& job, const step_key& step, std::uint64_t run);
     void stop_task(job_state& job, const task_key& key);
     void stop_all_tasks(job_state& job);
     bool workers_unsynced();
 
+    // coordinator_stalls.cpp: tasks that stand still
+    void record_progress(worker_state& worker, placement& placed, const running_task& running);
+    void record_own_end(worker_state& worker, const ended_task& end);
+    void stop_stalled_tasks();
+    std::optional<stalled_run> find_stall(const worker_state& worker, const task_key& key,
+                                          const placement& placed);
+    static duration worker_still_time(const worker_state& worker, const placement& placed);
+    void stop_stalled(worker_state& worker, const task_key& key, placement& placed,
+                      const stalled_run& stalled);
+
     // coordinator_worker_use.cpp: what successors need to know about silent workers
     void restore_workers(const recovered_state& found);
     void restore_uses(const recovered_state& found, std::span<worker_state* const> workers);
@@ -448,7 +468,7 @@
     instant m_earlier_leases_until{}; ///< Until then workers may count as unsynced.
     bool m_ends_outstanding = false;  ///< Some worker may have more ends than its first reports.
     instant m_last_trim{};
-    instant m_last_stuck_check{};
+    instant m_last_stall_check{};
     instant m_last_unsuited_check{};
     instant m_last_lapse_count{};
     instant m_last_expiry_check{};
--- a/src/dragonflygap/cell/coordinator_ends.cpp
+++ b/src/dragonflygap/cell/coordinator_ends.cpp
@@ -10,6 +10,7 @@
 
 void coordinator::apply_end(worker_state& worker, const ended_task& end)
 {
+    record_own_end(worker, end);
     const bool was_current = release(worker, end.m_task, end.m_run);
     if (end.m_end_kind == end_kind::done)
         worker.m_consecutive_failures = 0;
@@ -201,45 +202,6 @@
         worker->request_stop(placed->second, m_now);
 }
 
-// Some workers stop making progress but still answer. A task whose progress doesn't rise over
-// several reports is stopped with its checkpoint and restarted on another worker.
-void coordinator::stop_stuck_tasks()
-{
-    constexpr duration check_interval = 500ms;
-    constexpr duration avoid_duration = 5s; // Such disturbances last seconds.
-    if (m_now - m_last_stuck_check < check_interval)
-        return;
-    m_last_stuck_check = m_now;
-    const auto& options = m_options.m_workers;
-    for (auto& [id, worker] : m_workers)
-        for (auto& [key, placed] : worker.m_placements)
-        {
-            job_state* job = find(key.m_job);
-            if (job == nullptr || placed.m_stop_requested ||
-                placed.m_phase != placement_phase::running)
-                continue;
-            const auto& spec = job->spec(key.m_step);
-            const auto stuck_timeout = std::max<duration>(
-                options.m_stuck_timeout,
-                std::chrono::milliseconds(static_cast<std::int64_t>(
-                    options.m_stuck_runtime_share * static_cast<double>(spec.m_expected_ms))));
-            // A gang member that has done its part waits for the others.
-            constexpr int all_percent = 100;
-            if (spec.m_long_running || spec.m_best_effort ||
-                placed.m_progress_percent >= all_percent ||
-                worker.m_last_report_at - placed.m_progress_at < stuck_timeout)
-                continue;
-            log_event(log_level::info, "task_stuck",
-                      {{"task", text_of(key)},
-                       {"worker", id.m_value},
-                       {"percent", placed.m_progress_percent},
-                       {"unchanged_ms", to_ms(worker.m_last_report_at - placed.m_progress_at)}});
-            worker.request_stop(placed, m_now);
-            worker.m_avoid_until = std::max(worker.m_avoid_until, m_now + avoid_duration);
-            m_index.mark_changed(worker);
-        }
-}
-
 void coordinator::stop_gang(job_state& job, const step_key& key, std::uint64_t run)
 {
     auto& step = job.step(key.m_occurrence, key.m_step);
--- a/src/dragonflygap/cell/coordinator_orders.cpp
+++ b/src/dragonflygap/cell/coordinator_orders.cpp
@@ -19,7 +19,9 @@
                      .m_size = size_of(spec),
                      .m_customer = job.m_customer,
                      .m_started = m_now,
-                     .m_progress_at = m_now};
+                     .m_progress_at = m_now,
+                     .m_saved_at = m_now,
+                     .m_resumed = !task.m_checkpoint.empty()};
     worker.add(key, placed);
     m_index.update_room(worker);
     m_index.mark_changed(worker);
--- a/src/dragonflygap/cell/coordinator_workers.cpp
+++ b/src/dragonflygap/cell/coordinator_workers.cpp
@@ -178,7 +178,9 @@
                          .m_size_known = job != nullptr && job->has_task(running.m_task),
                          .m_phase = placement_phase::running,
                          .m_started = m_now,
-                         .m_progress_at = m_now};
+                         .m_progress_at = m_now,
+                         .m_saved_at = m_now,
+                         .m_resumed = true};
         const bool expected =
             task != nullptr && !job->m_outcome && task->m_status == task_status::waiting;
         if (placed.m_size_known)
@@ -208,14 +210,10 @@
     if (job != nullptr)
         job->mark_started();
     worker.set_phase(placed, placement_phase::running);
+    record_progress(worker, placed, running);
     placed.m_listed = true;
     if (placed.m_confirmed_at == instant{})
         placed.m_confirmed_at = m_now;
-    if (running.m_progress_percent != placed.m_progress_percent)
-    {
-        placed.m_progress_percent = running.m_progress_percent;
-        placed.m_progress_at = m_now;
-    }
     if (task != nullptr && task->m_run == running.m_run && !running.m_checkpoint.empty())
         task->m_checkpoint = running.m_checkpoint;
 }
--- a/src/dragonflygap/cell/job_state.cpp
+++ b/src/dragonflygap/cell/job_state.cpp
@@ -221,6 +221,12 @@
     }
     for (const auto& bits : progress.m_done_bits)
         restore_bits(bits);
+    for (const auto& saved : progress.m_stalls)
+        if (find({m_id, saved.m_occurrence, saved.m_step, 0}) != nullptr)
+        {
+            auto& restored = step(saved.m_occurrence, saved.m_step).m_restored_stalls;
+            restored = std::max(restored, saved.m_stalls);
+        }
     restore_steps(done_steps);
 }
 
@@ -300,21 +306,27 @@
 // long.
 void job_state::add_progress(progress_record& result, int occurrence, int number) const
 {
-    const auto& tasks = step(occurrence, number).m_tasks;
-    if (step(occurrence, number).m_done == static_cast<int>(tasks.size()))
+    const auto& state = step(occurrence, number);
+    const auto& tasks = state.m_tasks;
+    if (state.m_done == static_cast<int>(tasks.size()))
     {
         result.m_tasks.push_back({occurrence, number, task_progress::whole_step, true, {}, {}});
         return;
     }
+    int stalls = 0;
     for (std::size_t i = 0; i < tasks.size(); ++i)
     {
         const auto& task = tasks[i];
         const bool done = task.m_status == task_status::done;
+        if (!done)
+            stalls = std::max(stalls, state.stalls(static_cast<int>(i)));
         if (done || !task.m_failed_runs.empty() || !task.m_checkpoint.empty())
             result.m_tasks.push_back({occurrence, number, static_cast<int>(i), done,
                                       task.m_failed_runs,
                                       done ? std::string() : task.m_checkpoint});
     }
+    if (stalls > 0)
+        result.m_stalls.push_back({occurrence, number, stalls});
 }
 
 bool job_state::has_task(const task_key& task) const
--- a/src/dragonflygap/cell/job_state.hpp
+++ b/src/dragonflygap/cell/job_state.hpp
@@ -13,6 +13,7 @@
 #include "dragonflygap/cell/memory_budget.hpp"
 #include "dragonflygap/cell/number_ranges.hpp"
 #include "dragonflygap/cell/records.hpp"
+#include "dragonflygap/cell/stall_timeout.hpp"
 #include "dragonflygap/cell/worker.hpp"
 #include "dragonflygap/core/time.hpp"
 
@@ -35,6 +36,7 @@
     std::vector<std::uint64_t> m_failed_runs;
     std::string m_checkpoint;
     bool m_stopping = false;
+    int m_stalls = 0; ///< Runs that this leader stopped because they stood still.
 };
 
 /// How a job stands against the objective of its queue: a multiple of its longest chain of work,
@@ -67,6 +69,12 @@
     step_approval m_approval;             ///< Unused if the queue needs no approval.
     std::vector<worker_number> m_drained; ///< Workers closed to other steps until the gang fits.
     approval_pause m_approval_pause = approval_pause::none;
+    progress_pace m_pace;      ///< Seen of all runs.
+    int m_restored_stalls = 0; ///< The most of any task under earlier leaders.
+
+    /// Number of runs of a task that were stopped because they stood still, under all leaders; may
+    /// be too high, not too low.
+    int stalls(int index) const { return m_restored_stalls + m_tasks[index].m_stalls; }
 };
 
 /// The steps of one occurrence.
--- a/src/dragonflygap/cell/records.hpp
+++ b/src/dragonflygap/cell/records.hpp
@@ -97,6 +97,16 @@
     MSGPACK_DEFINE(m_step, m_occurrence, m_bits)
 };
 
+/// How often runs of a task were stopped because they stood still.
+struct step_stalls
+{
+    int m_occurrence = 0;
+    int m_step = 0;
+    int m_stalls = 0; ///< The most of any task of the step.
+
+    MSGPACK_DEFINE(m_occurrence, m_step, m_stalls)
+};
+
 /// Progress of a job, in one row or several. Each entry holds by itself, so an entry that was
 /// stored earlier, or twice, does no harm.
 struct progress_record
@@ -107,8 +117,9 @@
     std::vector<done_range> m_done;
     /// Done tasks that would take many ranges.
     std::vector<done_bits> m_done_bits;
+    std::vector<step_stalls> m_stalls; ///< Of steps with any; none in rows of earlier builds.
 
-    MSGPACK_DEFINE(m_tasks, m_done, m_done_bits)
+    MSGPACK_DEFINE(m_tasks, m_done, m_done_bits, m_stalls)
 };
 
 inline constexpr std::size_t max_row_bytes = 65536; ///< The store refuses a larger row.
--- a/src/dragonflygap/cell/row_split.cpp
+++ b/src/dragonflygap/cell/row_split.cpp
@@ -82,6 +82,8 @@
         filler.add(&progress_record::m_done, range);
     for (const auto& bits : progress.m_done_bits)
         filler.add(&progress_record::m_done_bits, bits);
+    for (const auto& stalls : progress.m_stalls)
+        filler.add(&progress_record::m_stalls, stalls);
     packed_rows result;
     for (const auto& task : progress.m_tasks)
     {
@@ -123,6 +125,7 @@
     append(progress.m_tasks, more.m_tasks);
     append(progress.m_done, more.m_done);
     append(progress.m_done_bits, more.m_done_bits);
+    append(progress.m_stalls, more.m_stalls);
 }
 
 std::vector<std::string> pack_workers(const workers_record& workers)
--- a/src/dragonflygap/cell/wait_report.hpp
+++ b/src/dragonflygap/cell/wait_report.hpp
@@ -18,6 +18,7 @@
     std::uint64_t m_workers_named = 0; ///< Workers in the answered calls.
     std::uint64_t m_starts_refused = 0;
     std::uint64_t m_stops_failed = 0;    ///< Stop calls without an answer, or refused as unhealthy.
+    std::uint64_t m_tasks_stuck = 0;     ///< Runs stopped because they stood still.
     std::uint64_t m_steps_held_back = 0; ///< Visits of steps that a customer's limit held back.
 };
 
@@ -33,7 +34,7 @@
     std::size_t m_workers_listed = 0;
     std::size_t m_workers_open = 0;
     std::size_t m_workers_closed = 0;
-    std::int64_t m_millicores_free = 0; ///< On open workers.
+    std::int64_t m_millicores_free = 0;  ///< On open workers.
     /// Of the free ones: claimed by steps that wait for tickets.
     std::int64_t m_millicores_reserved = 0;
     std::int64_t m_millicores_closed = 0; ///< Of the free ones: on workers closed for gangs.
--- a/src/dragonflygap/cell/worker_state.hpp
+++ b/src/dragonflygap/cell/worker_state.hpp
@@ -8,6 +8,7 @@
 #include <vector>
 
 #include "dragonflygap/cell/customer_usage.hpp"
+#include "dragonflygap/cell/stall_timeout.hpp"
 #include "dragonflygap/cell/worker.hpp"
 #include "dragonflygap/core/time.hpp"
 
@@ -52,15 +53,16 @@
     int m_failed_stops = 0;        ///< Stop calls that failed in a row.
     instant m_started{};
     int m_progress_percent = 0;
-    instant m_progress_at{}; ///< When m_progress_percent last changed.
+    instant m_progress_at{}; ///< When the run last advanced, or was started or adopted.
+    instant m_saved_at{};    ///< When a new checkpoint was last listed; at first, as above.
+    /// It was started from a checkpoint or by an earlier leader, so the first percent listed isn't
+    /// its progress.
+    bool m_resumed = false;
+    progress_pace m_pace;
 };
 
 struct worker_options
 {
-    /// A task without progress for longer is stuck; reports arrive at least every 2 s.
-    duration m_stuck_timeout = 2500ms;
-    /// Of the estimated run time; a longer timeout for tasks that run for minutes.
-    double m_stuck_runtime_share = 0.05;
     /// A worker lists more ends only after these were acknowledged.
     std::size_t m_max_ends_per_report = 500;
     duration m_lease_duration = 6s;    ///< Requested at each renewal; the platform limits it.
@@ -133,6 +135,8 @@
     int m_consecutive_failures = 0; ///< Failed tasks since the last successful one.
     instant m_avoid_until{};        ///< No new tasks before then.
 
+    instant m_advanced_at{}; ///< When a run there last advanced or ended by itself.
+
     worker_number m_number = 0; ///< Given by the worker_index.
 
     /// Capacity claimed by waiting steps, one entry for each priority.
--- a/src/dragonflygap/node/leader_report.cpp
+++ b/src/dragonflygap/node/leader_report.cpp
@@ -67,7 +67,7 @@
         m_metrics.observe("dragonflygap_tick_late_seconds", {}, delay);
     }
     m_last_tick_at = started_at;
-    count_approvals(state.counts());
+    count_events(state.counts());
     m_customers.record(state, started_at);
     constexpr duration log_interval = 1s;
     constexpr std::size_t first_step_count = 8;
@@ -111,7 +111,7 @@
                                  {"full_reads", counts.m_full_reads - previous.m_full_reads}});
 }
 
-void leader_report::count_approvals(const cell::leader_counts& counts)
+void leader_report::count_events(const cell::leader_counts& counts)
 {
     const auto previous = std::exchange(m_last_counted, counts);
     auto count = [this](const char* name, const metric_label& label, double increase)
@@ -137,6 +137,8 @@
           static_cast<double>(tickets.m_received - previous.m_tickets.m_received));
     count_ends("dragonflygap_tickets_total", "fate", cell::ticket_ends, tickets,
                previous.m_tickets);
+    count("dragonflygap_tasks_stuck_total", {},
+          static_cast<double>(counts.m_tasks_stuck - previous.m_tasks_stuck));
     const auto times = since(counts.m_answer_times, previous.m_answer_times);
     count("dragonflygap_answers_timed_total", {}, static_cast<double>(times.m_count));
     count("dragonflygap_answer_seconds_total", {"part", "waited"}, to_seconds(times.m_waited));
@@ -185,6 +187,7 @@
          {"tickets_forgotten", tickets.m_forgotten - previous.m_tickets.m_forgotten},
          {"starts_refused", counts.m_starts_refused - previous.m_starts_refused},
          {"stops_failed", counts.m_stops_failed - previous.m_stops_failed},
+         {"tasks_stuck", counts.m_tasks_stuck - previous.m_tasks_stuck},
          {"workers_listed", pass.m_workers_listed},
          {"workers_open", pass.m_workers_open},
          {"workers_closed", pass.m_workers_closed},
--- a/src/dragonflygap/node/leader_report.hpp
+++ b/src/dragonflygap/node/leader_report.hpp
@@ -31,7 +31,7 @@
                             instant now);
 
 private:
-    void count_approvals(const cell::leader_counts& counts);
+    void count_events(const cell::leader_counts& counts);
     void log_pass(const cell::coordinator& state, const cell::pass_summary& pass);
 
     metrics& m_metrics;
--- a/tests/cell/job_state_test.cpp
+++ b/tests/cell/job_state_test.cpp
@@ -116,6 +116,21 @@
     LONGS_EQUAL(1, later.find({job.id(), 0, 0, 21})->m_failed_runs.size());
 }
 
+// Otherwise each leader stops a long task with a short estimate as often as the one before.
+TEST(job_state, a_later_leader_knows_at_least_as_many_stops_of_a_task_that_stood_still)
+{
+    auto job = make_job(2, 3);
+    job.step(1, 0).m_tasks[2].m_stalls = 4;
+    auto later = make_job(2, 3);
+    later.restore(*unpack<progress_record>(pack(job.progress())));
+    LONGS_EQUAL(0, later.step(0, 0).stalls(2));
+    LONGS_EQUAL(4, later.step(1, 0).stalls(2));
+    ++later.step(1, 0).m_tasks[2].m_stalls;
+    auto last = make_job(2, 3);
+    last.restore(*unpack<progress_record>(pack(later.progress())));
+    LONGS_EQUAL(5, last.step(1, 0).stalls(2));
+}
+
 TEST(job_state, progress_that_does_not_fit_the_job_is_ignored)
 {
     progress_record progress;
@@ -125,7 +140,11 @@
     progress.m_done.push_back({.m_step = 9, .m_last_occurrence = 9});
     progress.m_done.push_back({.m_step = 0, .m_first_occurrence = 5, .m_last_occurrence = 1000});
     progress.m_done.push_back({.m_step = 0, .m_first_index = 5, .m_last_index = 1000});
+    progress.m_stalls.push_back({9, 0, 1});
+    progress.m_stalls.push_back({0, 9, 1});
+    progress.m_stalls.push_back({0, 0, -1});
     auto job = make_job(1, 2);
     job.restore(progress);
     LONGS_EQUAL(2, job.step(0, 0).m_waiting);
+    LONGS_EQUAL(0, job.step(0, 0).stalls(0));
 }
--- a/tests/cell/support/stub_cell.hpp
+++ b/tests/cell/support/stub_cell.hpp
@@ -201,6 +201,8 @@
     std::function<bool(const worker_id&)> m_approves = [](const worker_id&) { return true; };
     /// Answers a start in the worker's place, which then does nothing by itself.
     std::function<std::optional<outcome<start_result>>(const send_start&)> m_intercepts_start;
+    /// Completes what a report tells of a run.
+    std::function<void(running_task&)> m_describes_run;
     bool m_leases_lapse = false; ///< Otherwise tasks run on without one.
     coordinator m_coordinator;
 
@@ -282,10 +284,14 @@
                       { return end.m_number <= request.m_renewal.m_acknowledged; });
         worker_report report{.m_clock_ms = clock_of(worker), .m_started_at = worker.m_started_at};
         for (const auto& [task, run] : worker.m_running)
+        {
             report.m_running.push_back({.m_task = task,
                                         .m_run = run,
                                         .m_checkpoint = worker.m_checkpoint,
                                         .m_progress_percent = 100});
+            if (m_describes_run)
+                m_describes_run(report.m_running.back());
+        }
         report.m_ended = first_ends(worker.m_ended);
         m_answers.push_back(renewal_answered{request.m_worker.m_id, request.m_sent, report});
     }
