--- a/src/dragonflygap/cell/coordinator.hpp
+++ b/src/dragonflygap/cell/coordinator.hpp
@@ -305,12 +305,18 @@
     // coordinator_stalls.cpp: tasks that stand still
     void record_progress(worker_state& worker, placement& placed, const running_task& running);
     void record_own_end(worker_state& worker, const ended_task& end);
+    static void mark_advanced(worker_state& worker, instant now);
     void stop_stalled_tasks();
     std::optional<stalled_run> find_stall(const worker_state& worker, const task_key& key,
                                           const placement& placed);
     static duration worker_still_time(const worker_state& worker, const placement& placed);
     void stop_stalled(worker_state& worker, const task_key& key, placement& placed,
                       const stalled_run& stalled);
+    void suspect(worker_state& worker);
+    void suspect_members(const job_state& job, const step_key& step, std::uint64_t run,
+                         duration timeout);
+    bool is_suspected(const worker_state& worker) const { return m_now < worker.m_suspected_until; }
+    bool passes_over_suspected(const job_state& job, const step_key& key) const;
 
     // coordinator_worker_use.cpp: what successors need to know about silent workers
     void restore_workers(const recovered_state& found);
@@ -469,6 +475,7 @@
     bool m_ends_outstanding = false;  ///< Some worker may have more ends than its first reports.
     instant m_last_trim{};
     instant m_last_stall_check{};
+    instant m_suspected_until{}; ///< No worker is suspected later.
     instant m_last_unsuited_check{};
     instant m_last_lapse_count{};
     instant m_last_expiry_check{};
--- a/src/dragonflygap/cell/coordinator_approvals.cpp
+++ b/src/dragonflygap/cell/coordinator_approvals.cpp
@@ -237,11 +237,13 @@
     const auto could_hold = [&](const worker_state& worker)
     { return suits(worker, job, spec) && size.fits_in(worker.m_info.m_capacity); };
     const double least = count_full ? full_worker_tasks : 0;
+    const bool passes_over = passes_over_suspected(job, key);
     unknown_workers result;
     for (const auto number : step.m_approval.approved())
     {
         const auto& worker = m_index.at(number);
-        if (!worker.m_pass.m_open || !could_hold(worker) || holds_earlier_run(worker, job, key))
+        if (!worker.m_pass.m_open || !could_hold(worker) || holds_earlier_run(worker, job, key) ||
+            (passes_over && is_suspected(worker)))
             continue;
         const int fits = worker.m_pass.m_closed && !m_claims.has_firm_claim(key, number)
                              ? 0
@@ -259,7 +261,8 @@
         if (!count_full && -negated_room < size.m_millicores)
             break;
         const auto& worker = m_index.at(number);
-        if (step.m_approval.is_known(number) || !could_hold(worker))
+        if (step.m_approval.is_known(number) || !could_hold(worker) ||
+            (passes_over && is_suspected(worker)))
             continue;
         auto free = worker.free_for_others();
         free.m_millicores = worker.expected_free_millicores();
--- a/src/dragonflygap/cell/coordinator_gangs.cpp
+++ b/src/dragonflygap/cell/coordinator_gangs.cpp
@@ -30,7 +30,8 @@
     set_drained(job.step(key.m_occurrence, key.m_step), choose_drained(job, key));
 }
 
-// Those with the most free capacity first, as they fit the gang the soonest.
+// Those with the most free capacity first, as they fit the gang the soonest. On suspected workers
+// tasks may not end.
 std::vector<worker_number> coordinator::choose_drained(const job_state& job, const step_key& key)
 {
     const auto max_closed = max_closed_workers();
@@ -38,11 +39,14 @@
     if (m_closed.size() >= max_closed)
         return {};
     auto candidates = eligible_workers(job, key, ticket_need::known);
-    std::stable_sort(
-        candidates.begin(), candidates.end(),
-        [priority = job.record().m_queue.m_priority](const worker_state* left,
-                                                     const worker_state* right)
-        { return left->free_for(priority).m_millicores > right->free_for(priority).m_millicores; });
+    const auto order = [&](const worker_state& worker)
+    {
+        return std::pair(is_suspected(worker),
+                         -worker.free_for(job.record().m_queue.m_priority).m_millicores);
+    };
+    std::stable_sort(candidates.begin(), candidates.end(),
+                     [&](const worker_state* left, const worker_state* right)
+                     { return order(*left) < order(*right); });
     const auto is_long_running = [this](const task_key& task)
     {
         const job_state* other = find_job(task.m_job);
--- a/src/dragonflygap/cell/coordinator_lives.cpp
+++ b/src/dragonflygap/cell/coordinator_lives.cpp
@@ -42,6 +42,8 @@
     worker.m_failing_since = {};
     worker.m_stops_failing_since = {};
     worker.m_consecutive_failures = 0;
+    worker.m_suspected_until = {};
+    worker.m_suspicions = 0;
     worker.m_next_renewal = m_now;
     extend_leases(worker);
     m_workers_dirty = true; // Successors need to know of the new life.
--- a/src/dragonflygap/cell/coordinator_placing.cpp
+++ b/src/dragonflygap/cell/coordinator_placing.cpp
@@ -243,7 +243,8 @@
     return std::max(0, spec.m_max_per_worker - static_cast<int>(here));
 }
 
-// The workers that a step may start on; all suitable ones if it needs no approval.
+// The workers that a step may start on; all suitable ones if it needs no approval. Without those
+// that are suspected, if the step doesn't need them.
 std::vector<worker_state*> coordinator::eligible_workers(const job_state& job, const step_key& key,
                                                          ticket_need need)
 {
@@ -270,6 +271,8 @@
     else
         for (const auto number : approved->approved())
             consider(m_index.at(number));
+    if (passes_over_suspected(job, key))
+        std::erase_if(result, [this](const worker_state* worker) { return is_suspected(*worker); });
     return result;
 }
 
@@ -290,7 +293,8 @@
              .m_free = avoid_claims ? worker->free_for_others() : worker->free_for(priority),
              .m_max_tasks = max_tasks_on(*worker, spec, key),
              .m_data_remote =
-                 !spec.m_data_rack.empty() && worker->m_info.m_rack != spec.m_data_rack});
+                 !spec.m_data_rack.empty() && worker->m_info.m_rack != spec.m_data_rack,
+             .m_suspicions = is_suspected(*worker) ? worker->m_suspicions : 0});
         if (spec.m_gang && spec.m_same_rack)
             racks.insert(worker->m_info.m_rack);
     }
--- a/src/dragonflygap/cell/coordinator_stalls.cpp
+++ b/src/dragonflygap/cell/coordinator_stalls.cpp
@@ -2,6 +2,7 @@
 #include <utility>
 
 #include "dragonflygap/cell/coordinator.hpp"
+#include "dragonflygap/cell/task_size.hpp"
 #include "dragonflygap/cell/worker_text.hpp"
 #include "dragonflygap/observe/log.hpp"
 
@@ -17,6 +18,13 @@
 
 } // namespace
 
+void coordinator::mark_advanced(worker_state& worker, instant now)
+{
+    worker.m_advanced_at = now;
+    worker.m_suspected_until = {};
+    worker.m_suspicions = 0;
+}
+
 // To be called for each run of a report, before the run counts as listed.
 void coordinator::record_progress(worker_state& worker, placement& placed,
                                   const running_task& running)
@@ -35,7 +43,7 @@
     const duration taken = m_now - std::exchange(placed.m_progress_at, m_now);
     if (restored)
         return;
-    worker.m_advanced_at = m_now;
+    mark_advanced(worker, m_now);
     placed.m_pace.add(taken, percent);
     if (task != nullptr)
         job->step(running.m_task.m_occurrence, running.m_task.m_step).m_pace.add(taken, percent);
@@ -46,7 +54,7 @@
 {
     if (end.m_end_kind != end_kind::done && end.m_end_kind != end_kind::failed)
         return;
-    worker.m_advanced_at = m_now;
+    mark_advanced(worker, m_now);
     const auto placed = worker.m_placements.find(end.m_task);
     job_state* job = find(end.m_task.m_job);
     if (end.m_end_kind != end_kind::done || placed == worker.m_placements.end() ||
@@ -111,7 +119,6 @@
 void coordinator::stop_stalled(worker_state& worker, const task_key& key, placement& placed,
                                const stalled_run& stalled)
 {
-    constexpr duration avoid_duration = 5s; // Such disturbances last seconds.
     job_state& job = *find(key.m_job);
     const bool gang = job.spec(key.m_step).m_gang;
     log_event(log_level::info, "task_stuck",
@@ -130,12 +137,79 @@
     job.m_dirty = true; // Successors have to know the number of stops.
     m_dirty.insert(job.id());
     if (stalled.m_worker_still)
-        worker.m_avoid_until = std::max(worker.m_avoid_until, m_now + avoid_duration);
+        suspect(worker);
     if (gang)
+    {
+        suspect_members(job, step_of(key), placed.m_run, stalled.m_timeout);
         stop_gang(job, step_of(key), placed.m_run);
+    }
     else
         worker.request_stop(placed, m_now);
     m_index.mark_changed(worker);
 }
 
+// All members of a gang stand still if one of their workers does, and nothing tells which one.
+void coordinator::suspect_members(const job_state& job, const step_key& key, std::uint64_t run,
+                                  duration timeout)
+{
+    const auto& tasks = job.step(key.m_occurrence, key.m_step).m_tasks;
+    for (std::size_t i = 0; i < tasks.size(); ++i)
+    {
+        auto* worker = find_worker(tasks[i].m_worker);
+        if (worker == nullptr || tasks[i].m_run != run)
+            continue;
+        const auto placed = worker->m_placements.find(
+            {key.m_job, key.m_occurrence, key.m_step, static_cast<int>(i)});
+        // Their reports are of different ages.
+        if (placed != worker->m_placements.end() &&
+            worker_still_time(*worker, placed->second) >= timeout / 2)
+            suspect(*worker);
+    }
+}
+
+// One job's tasks may stand still for reasons of their own, so the worker stays open to all.
+void coordinator::suspect(worker_state& worker)
+{
+    constexpr duration first_duration = 5s; // Such disturbances last seconds.
+    constexpr int max_doublings = 4;
+    if (std::exchange(worker.m_suspected_at, m_now) == m_now)
+        return; // For another of its runs.
+    const int doublings = std::min(worker.m_suspicions++, max_doublings);
+    worker.m_suspected_until = m_now + first_duration * (1 << doublings);
+    m_suspected_until = std::max(m_suspected_until, worker.m_suspected_until);
+    log_event(log_level::info, "worker_suspected",
+              {{"worker", worker.m_info.m_id.m_value},
+               {"times", worker.m_suspicions},
+               {"for_ms", to_ms(worker.m_suspected_until - m_now)}});
+}
+
+// True if the other workers have room for all of the step's tasks that may start.
+bool coordinator::passes_over_suspected(const job_state& job, const step_key& key) const
+{
+    if (m_now >= m_suspected_until)
+        return false;
+    const auto& spec = job.spec(key.m_step);
+    const auto size = size_of(spec);
+    const int needed = startable(job, key);
+    const int priority = job.record().m_queue.m_priority;
+    const step_approval* approved = approval_of(job, key);
+    int places = 0;
+    for (const auto& [room, number] : m_index.open_workers(job.record().m_queue.m_service))
+    {
+        const auto& worker = m_index.at(number);
+        const bool closed =
+            worker.m_pass.m_closed && !m_claims.has_firm_claim(key, worker.m_number);
+        const bool denied =
+            approved != nullptr && approved->is_known(number) && !approved->is_approved(number);
+        if (is_suspected(worker) || closed || denied || !suits(worker, job, spec) ||
+            holds_earlier_run(worker, job, key))
+            continue;
+        places +=
+            std::min(fit_count(size, worker.free_for(priority)), max_tasks_on(worker, spec, key));
+        if (places >= needed)
+            return true;
+    }
+    return false;
+}
+
 } // namespace dragonflygap::cell
--- a/src/dragonflygap/cell/coordinator_waits.cpp
+++ b/src/dragonflygap/cell/coordinator_waits.cpp
@@ -28,6 +28,7 @@
         if (!worker.m_pass.m_open)
             continue;
         ++summary.m_workers_open;
+        summary.m_workers_suspected += now < worker.m_suspected_until ? 1 : 0;
         summary.m_millicores_free += worker.free().m_millicores;
         summary.m_millicores_reserved += worker.m_claimed.m_millicores;
         if (!worker.m_pass.m_closed)
--- a/src/dragonflygap/cell/task_plan.cpp
+++ b/src/dragonflygap/cell/task_plan.cpp
@@ -28,9 +28,11 @@
         {
             const std::int64_t millicores = entry.m_candidate->m_free.m_millicores;
             return order == plan_order::fewest_workers
-                       ? std::make_tuple(entry.m_candidate->m_data_remote,
+                       ? std::make_tuple(entry.m_candidate->m_suspicions,
+                                         entry.m_candidate->m_data_remote,
                                          -std::int64_t{entry.m_fits}, millicores)
-                       : std::make_tuple(entry.m_candidate->m_data_remote, millicores,
+                       : std::make_tuple(entry.m_candidate->m_suspicions,
+                                         entry.m_candidate->m_data_remote, millicores,
                                          std::int64_t{0});
         };
         return key(left) < key(right);
--- a/src/dragonflygap/cell/task_plan.hpp
+++ b/src/dragonflygap/cell/task_plan.hpp
@@ -15,6 +15,7 @@
     resources m_free;
     int m_max_tasks = 0;        ///< Limit regardless of its free capacity.
     bool m_data_remote = false; ///< The step's data is in another rack.
+    int m_suspicions = 0;       ///< If it is suspected: the last choice, most of them last.
 };
 
 enum class plan_order
@@ -23,7 +24,7 @@
     fewest_workers, ///< Uses the fewest workers.
 };
 
-/// Places for up to count tasks of a size; workers near the data come first.
+/// Places for up to count tasks of a size. Workers near the data come first, suspected ones last.
 std::vector<task_places> plan_tasks(std::span<const candidate> candidates, const resources& size,
                                     int count, plan_order order = plan_order::best_fit);
 
--- a/src/dragonflygap/cell/wait_report.hpp
+++ b/src/dragonflygap/cell/wait_report.hpp
@@ -34,6 +34,7 @@
     std::size_t m_workers_listed = 0;
     std::size_t m_workers_open = 0;
     std::size_t m_workers_closed = 0;
+    std::size_t m_workers_suspected = 0; ///< Open, but the last choice.
     std::int64_t m_millicores_free = 0;  ///< On open workers.
     /// Of the free ones: claimed by steps that wait for tickets.
     std::int64_t m_millicores_reserved = 0;
--- a/src/dragonflygap/cell/worker_state.hpp
+++ b/src/dragonflygap/cell/worker_state.hpp
@@ -135,7 +135,10 @@
     int m_consecutive_failures = 0; ///< Failed tasks since the last successful one.
     instant m_avoid_until{};        ///< No new tasks before then.
 
-    instant m_advanced_at{}; ///< When a run there last advanced or ended by itself.
+    instant m_advanced_at{};     ///< When a run there last advanced or ended by itself.
+    int m_suspicions = 0;        ///< Since then: its runs stood still for too long.
+    instant m_suspected_at{};    ///< The last time.
+    instant m_suspected_until{}; ///< The last choice for new tasks before then.
 
     worker_number m_number = 0; ///< Given by the worker_index.
 
--- a/src/dragonflygap/node/leader_report.cpp
+++ b/src/dragonflygap/node/leader_report.cpp
@@ -191,6 +191,7 @@
          {"workers_listed", pass.m_workers_listed},
          {"workers_open", pass.m_workers_open},
          {"workers_closed", pass.m_workers_closed},
+         {"workers_suspected", pass.m_workers_suspected},
          {"millicores_free", pass.m_millicores_free},
          {"millicores_reserved", pass.m_millicores_reserved},
          {"millicores_closed", pass.m_millicores_closed},
--- a/tests/cell/stalled_tasks_test.cpp
+++ b/tests/cell/stalled_tasks_test.cpp
@@ -1,5 +1,10 @@
 #include "cell/support/advancing_cell.hpp"
 
+#include <cstdlib>
+#include <iostream>
+#include <random>
+#include <sstream>
+
 #include <CppUTest/TestHarness.h>
 
 using namespace simulated;
@@ -7,6 +12,9 @@
 namespace
 {
 
+/// Of the rule LOST: the longest time that a job may wait beside room.
+constexpr duration max_wait = 3s;
+
 /// A task of ten minutes with an estimate of one.
 constexpr duration long_time = 600s;
 step_spec long_task(int millicores = 2000)
@@ -14,6 +22,75 @@
     return {.m_size = {.m_millicores = millicores}, .m_expected_ms = 60000};
 }
 
+/// First and last seed, from a variable of the environment if it is set.
+std::pair<unsigned, unsigned> seeds(const char* variable, unsigned first, unsigned last)
+{
+    if (const char* text = std::getenv(variable))
+        std::istringstream(text) >> first >> last;
+    return {first, last};
+}
+
+/// Jobs of one task with estimates that are wrong by up to a factor of 30, on workers of which
+/// some stand still for some seconds, in series and at the same time. Under half of the workers'
+/// capacity is in use. Leaders follow each other.
+void run_troubled_cell(unsigned seed)
+{
+    constexpr int workers = 6;
+    constexpr int jobs = 8;
+    constexpr duration step = 100ms;
+    constexpr duration troubled_time = 120s;
+    constexpr duration calm_time = 1800s;
+    std::mt19937 random(seed);
+    const auto draw = [&random](int from, int to)
+    { return std::uniform_int_distribution<int>(from, to)(random); };
+    advancing_cell cell(workers);
+    std::map<std::string, duration> waits; // Of jobs that aren't completed.
+    for (int i = 0; i < jobs; ++i)
+    {
+        const int work_ms = draw(1, 10) * draw(100, 120000);
+        const auto id = "job-" + std::to_string(i);
+        cell.submit(
+            id, std::chrono::milliseconds(work_ms),
+            {.m_size = {.m_millicores = draw(500, 1500)}, .m_expected_ms = work_ms / draw(1, 30)},
+            std::chrono::milliseconds(draw(0, 1) * 5000));
+        waits[id] = {};
+    }
+    std::map<int, instant> goes_on;
+    for (duration passed{}; passed < troubled_time + calm_time; passed += step)
+    {
+        const auto now = cell.leader().m_now;
+        const bool troubled = passed < troubled_time;
+        for (int i = 0; i < workers; ++i)
+            if (goes_on.count(i) != 0 && (now >= goes_on[i] || !troubled))
+            {
+                goes_on.erase(i);
+                cell.go_on(i);
+            }
+        if (troubled && draw(1, 40) == 1)
+        {
+            const int worker = draw(0, workers - 1);
+            cell.stand_still(worker);
+            goes_on[worker] = now + std::chrono::milliseconds(draw(500, 15000));
+        }
+        if (troubled && draw(1, 300) == 1)
+        {
+            cell.change_leader();
+            goes_on.clear();
+            for (int i = 0; i < workers; ++i)
+                cell.go_on(i);
+        }
+        cell.run(step);
+        std::erase_if(waits, [&](const auto& entry) { return cell.completed(entry.first); });
+        for (auto& [id, wait] : waits)
+        {
+            wait = cell.running(id) == 0 ? wait + step : duration{};
+            CHECK_COMPARE_TEXT(to_ms(wait), <=, to_ms(max_wait), id.c_str());
+        }
+    }
+    for (const auto& [id, wait] : waits)
+        FAIL(id.c_str());
+}
+
 } // namespace
 
 TEST_GROUP(stalled_tasks){};
@@ -45,6 +122,22 @@
     LONGS_EQUAL(1, cell.running("job"));
 }
 
+// Review case 13: each stop closed the worker to all jobs for 5 s.
+TEST(stalled_tasks, workers_on_which_tasks_stand_still_stay_open_to_other_jobs)
+{
+    constexpr int workers = 3;
+    advancing_cell cell(workers);
+    for (int i = 0; i < workers; ++i)
+        cell.stand_still(i);
+    for (int i = 0; i < workers; ++i)
+        cell.submit("standing-" + std::to_string(i), 20s, long_task(3000));
+    const auto all_stopped = [&]
+    { return cell.stopped_on(0) + cell.stopped_on(1) + cell.stopped_on(2) >= workers; };
+    cell.run_until(all_stopped, 10s);
+    cell.submit("other", 1s, {.m_size = {.m_millicores = 1000}, .m_expected_ms = 1000});
+    cell.run_until([&] { return cell.started("other") > 0; }, max_wait);
+}
+
 // What it lists as running there never ends otherwise, as its lease is renewed.
 TEST(stalled_tasks, a_worker_that_stands_still_for_good_gives_its_tasks_up)
 {
@@ -55,6 +148,35 @@
     CHECK_TRUE(cell.completed("job"));
 }
 
+// A worker that has stood still is the last choice, not closed.
+TEST(stalled_tasks, a_worker_that_stood_still_is_used_if_no_other_has_room)
+{
+    advancing_cell cell(2);
+    cell.stand_still(0);
+    cell.submit("first", 30s, {.m_count = 4, .m_size = {.m_millicores = 2000}});
+    cell.run_until([&] { return cell.stopped_on(0) == 2; }, 10s);
+    // The other one is full with two tasks.
+    LONGS_EQUAL(2, cell.running_on(1, "first"));
+    cell.run_until([&] { return cell.running("first") == 4; }, max_wait);
+    cell.go_on(0);
+    cell.run(60s);
+    CHECK_TRUE(cell.completed("first"));
+}
+
+// All of them are empty, so only the standstill tells them apart.
+TEST(stalled_tasks, other_workers_are_preferred_to_one_that_stood_still)
+{
+    advancing_cell cell(3);
+    cell.stand_still(0);
+    cell.submit("first", 30s, {.m_size = {.m_millicores = 2000}});
+    cell.run_until([&] { return cell.stopped_on(0) == 1; }, 10s);
+    cell.submit("second", 30s, {.m_size = {.m_millicores = 3000}});
+    cell.run(1s);
+    LONGS_EQUAL(1, cell.running("first"));
+    LONGS_EQUAL(1, cell.running("second"));
+    LONGS_EQUAL(0, cell.running_on(0, "first") + cell.running_on(0, "second"));
+}
+
 // A stop loses the work since the last checkpoint, so a short standstill is waited out.
 TEST(stalled_tasks, a_task_that_has_worked_for_long_waits_as_long)
 {
@@ -110,6 +232,17 @@
     CHECK_TRUE(cell.completed("gang"));
 }
 
+TEST(stalled_tasks, a_gang_with_a_worker_that_stands_still_for_good_starts_elsewhere)
+{
+    advancing_cell cell(6);
+    cell.stand_still(0);
+    cell.submit(
+        "gang", 5s,
+        {.m_count = 4, .m_size = {.m_millicores = 3000}, .m_expected_ms = 5000, .m_gang = true});
+    cell.run(40s);
+    CHECK_TRUE(cell.completed("gang"));
+}
+
 // A successor has no less patience: otherwise each leader begins with the shortest wait.
 TEST(stalled_tasks, leaders_in_series_stop_a_long_task_no_more_often)
 {
@@ -157,3 +290,14 @@
     LONGS_EQUAL(1, cell.started("job"));
     CHECK_TRUE(cell.completed("job"));
 }
+
+// Whatever stands still, each task goes on within the time of the rule LOST, and all end.
+TEST(stalled_tasks, no_job_waits_beside_room_while_workers_stand_still_in_turn)
+{
+    const auto [first, last] = seeds("DRAGONFLYGAP_STALL_SEEDS", 1, 4);
+    for (unsigned seed = first; seed <= last; ++seed)
+    {
+        std::cout << "seed " << seed << std::endl;
+        run_troubled_cell(seed);
+    }
+}
