--- a/src/dragonflygap/cell/coordinator.hpp
+++ b/src/dragonflygap/cell/coordinator.hpp
@@ -312,7 +312,7 @@
     static duration worker_still_time(const worker_state& worker, const placement& placed);
     void stop_stalled(worker_state& worker, const task_key& key, placement& placed,
                       const stalled_run& stalled);
-    void suspect(worker_state& worker);
+    void suspect(worker_state& worker, const placement& stalled);
     void suspect_members(const job_state& job, const step_key& step, std::uint64_t run,
                          duration timeout);
     bool is_suspected(const worker_state& worker) const { return m_now < worker.m_suspected_until; }
--- a/src/dragonflygap/cell/coordinator_stalls.cpp
+++ b/src/dragonflygap/cell/coordinator_stalls.cpp
@@ -137,14 +137,13 @@
     job.m_dirty = true; // Successors have to know the number of stops.
     m_dirty.insert(job.id());
     if (stalled.m_worker_still)
-        suspect(worker);
+        suspect(worker, placed);
+    worker.request_stop(placed, m_now);
     if (gang)
     {
         suspect_members(job, step_of(key), placed.m_run, stalled.m_timeout);
         stop_gang(job, step_of(key), placed.m_run);
     }
-    else
-        worker.request_stop(placed, m_now);
     m_index.mark_changed(worker);
 }
 
@@ -163,17 +162,19 @@
         // Their reports are of different ages.
         if (placed != worker->m_placements.end() &&
             worker_still_time(*worker, placed->second) >= timeout / 2)
-            suspect(*worker);
+            suspect(*worker, placed->second);
     }
 }
 
-// One job's tasks may stand still for reasons of their own, so the worker stays open to all.
-void coordinator::suspect(worker_state& worker)
+// One job's tasks may stand still for reasons of their own, so the worker stays open to all. Runs
+// that stand still together are one suspicion; only a run that was started later is another.
+void coordinator::suspect(worker_state& worker, const placement& stalled)
 {
     constexpr duration first_duration = 5s; // Such disturbances last seconds.
     constexpr int max_doublings = 4;
-    if (std::exchange(worker.m_suspected_at, m_now) == m_now)
-        return; // For another of its runs.
+    if (worker.m_suspicions > 0 && stalled.m_started <= worker.m_suspected_at)
+        return;
+    worker.m_suspected_at = m_now;
     const int doublings = std::min(worker.m_suspicions++, max_doublings);
     worker.m_suspected_until = m_now + first_duration * (1 << doublings);
     m_suspected_until = std::max(m_suspected_until, worker.m_suspected_until);
