--- a/src/dragonflygap/cell/coordinator.hpp
+++ b/src/dragonflygap/cell/coordinator.hpp
@@ -352,6 +352,7 @@
     void begin_pass();
     bool accepts_tasks(const worker_state& worker) const;
     static bool suits(const worker_state& worker, const job_state& job, const step_spec& spec);
+    bool is_eligible(const worker_state& worker, const job_state& job, const step_key& key) const;
     std::vector<worker_state*> eligible_workers(const job_state& job, const step_key& key,
                                                 ticket_need need);
     void start(job_state& job, const task_key& task, worker_state& worker, std::uint64_t run,
--- a/src/dragonflygap/cell/coordinator_placing.cpp
+++ b/src/dragonflygap/cell/coordinator_placing.cpp
@@ -243,20 +243,25 @@
     return std::max(0, spec.m_max_per_worker - static_cast<int>(here));
 }
 
+// Apart from approvals.
+bool coordinator::is_eligible(const worker_state& worker, const job_state& job,
+                              const step_key& key) const
+{
+    const bool closed = worker.m_pass.m_closed && !m_claims.has_firm_claim(key, worker.m_number);
+    return worker.m_pass.m_open && !closed && suits(worker, job, job.spec(key.m_step)) &&
+           !holds_earlier_run(worker, job, key);
+}
+
 // The workers that a step may start on; all suitable ones if it needs no approval. Without those
 // that are suspected, if the step doesn't need them.
 std::vector<worker_state*> coordinator::eligible_workers(const job_state& job, const step_key& key,
                                                          ticket_need need)
 {
-    const auto& spec = job.spec(key.m_step);
     const step_approval* approved = approval_of(job, key);
     std::vector<worker_state*> result;
     auto consider = [&](worker_state& worker)
     {
-        const bool closed =
-            worker.m_pass.m_closed && !m_claims.has_firm_claim(key, worker.m_number);
-        if (worker.m_pass.m_open && !closed && suits(worker, job, spec) &&
-            !holds_earlier_run(worker, job, key))
+        if (is_eligible(worker, job, key))
             result.push_back(&worker);
     };
     if (approved == nullptr)
--- a/src/dragonflygap/cell/coordinator_stalls.cpp
+++ b/src/dragonflygap/cell/coordinator_stalls.cpp
@@ -31,7 +31,7 @@
 {
     job_state* job = find(running.m_task.m_job);
     const task_state* task = job == nullptr ? nullptr : job->find(running.m_task);
-    const bool restored = placed.m_resumed && !placed.m_listed;
+    const bool earlier_progress = placed.m_resumed && !placed.m_listed;
     const bool saved = task != nullptr && task->m_run == running.m_run &&
                        !running.m_checkpoint.empty() && running.m_checkpoint != task->m_checkpoint;
     const int percent = running.m_progress_percent - placed.m_progress_percent;
@@ -41,7 +41,7 @@
     if (percent == 0 && !saved)
         return;
     const duration taken = m_now - std::exchange(placed.m_progress_at, m_now);
-    if (restored)
+    if (earlier_progress)
         return;
     mark_advanced(worker, m_now);
     placed.m_pace.add(taken, percent);
@@ -198,12 +198,9 @@
     for (const auto& [room, number] : m_index.open_workers(job.record().m_queue.m_service))
     {
         const auto& worker = m_index.at(number);
-        const bool closed =
-            worker.m_pass.m_closed && !m_claims.has_firm_claim(key, worker.m_number);
         const bool denied =
             approved != nullptr && approved->is_known(number) && !approved->is_approved(number);
-        if (is_suspected(worker) || closed || denied || !suits(worker, job, spec) ||
-            holds_earlier_run(worker, job, key))
+        if (is_suspected(worker) || denied || !is_eligible(worker, job, key))
             continue;
         places +=
             std::min(fit_count(size, worker.free_for(priority)), max_tasks_on(worker, spec, key));
--- a/src/dragonflygap/cell/stall_timeout.cpp
+++ b/src/dragonflygap/cell/stall_timeout.cpp
@@ -14,7 +14,7 @@
 
 void progress_pace::add(duration time, int percent)
 {
-    if (percent <= 0)
+    if (percent < 0)
         return;
     m_time += time;
     m_percent += percent;
--- a/src/dragonflygap/cell/stall_timeout.hpp
+++ b/src/dragonflygap/cell/stall_timeout.hpp
@@ -11,7 +11,7 @@
 class progress_pace
 {
 public:
-    /// Has no effect if percent isn't positive.
+    /// A percent of 0 adds to the time of the next one. Has no effect if percent is negative.
     void add(duration time, int percent);
 
     /// Time of one percent; zero: nothing was seen.
